--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demo, the load tool and the measurements."""
--- /dev/null
+++ b/flamingoramp/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Checks and limits applied to a caller's request."""
--- /dev/null
+++ b/flamingoramp/admission/answers.py
@@ -0,0 +1,131 @@
+"""Answers to callers in the form that OpenAI's clients know."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+from flamingoramp import errors
+from flamingoramp.backends import sse
+from flamingoramp.dispatch import requests
+from flamingoramp.runtime import http_server
+
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    403: "Forbidden",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def render_head(status: int, headers: dict[str, str], length: int | None = None) -> bytes:
+    """Return the head of a response; without a length the body ends with the connection."""
+    lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Status')}", "Connection: close"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def render_stream_head(spec: requests.RequestSpec) -> bytes:
+    """Return the head of a streamed answer."""
+    headers = {
+        "Content-Type": "text/event-stream",
+        "Cache-Control": "no-cache",
+        "Flamingoramp-Request": spec.request_id,
+    }
+    return render_head(200, headers)
+
+
+def render_text(spec: requests.RequestSpec, text: str) -> bytes:
+    """Return the event of a piece of text."""
+    return sse.write_event(_chunk(spec, text, None))
+
+
+def render_stream_end(spec: requests.RequestSpec, chunks: int) -> bytes:
+    """Return the last events of a streamed answer."""
+    last = _chunk(spec, "", "stop")
+    last["usage"] = _usage(spec, chunks)
+    return sse.write_event(last) + sse.DONE
+
+
+def render_whole(spec: requests.RequestSpec, text: str, chunks: int) -> bytes:
+    """Return a whole answer that is not streamed."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+    if spec.kind is requests.RequestKind.CHAT:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    document = {
+        "id": spec.request_id,
+        "object": _object_name(spec, ""),
+        "created": int(time.time()),
+        "model": spec.model,
+        "choices": [choice],
+        "usage": _usage(spec, chunks),
+    }
+    body = json.dumps(document).encode()
+    return render_body(200, "application/json", body, spec)
+
+
+def render_body(status: int, content_type: str, body: bytes, spec: requests.RequestSpec) -> bytes:
+    """Return a response with a body."""
+    headers = {
+        "Content-Type": content_type or "application/octet-stream",
+        "Flamingoramp-Request": spec.request_id,
+    }
+    return render_head(status, headers, len(body)) + body
+
+
+def render_error(spec: requests.RequestSpec, error: errors.FlamingorampError) -> bytes:
+    """Return the response of an error."""
+    body = json.dumps(http_server.describe_error(error)).encode()
+    headers = {
+        "Content-Type": "application/json",
+        "Flamingoramp-Request": spec.request_id,
+        **http_server.error_headers(error),
+    }
+    return render_head(error.status, headers, len(body)) + body
+
+
+def render_stream_error(error: errors.FlamingorampError) -> bytes:
+    """Return the last event of a streamed answer that failed."""
+    return sse.write_event(http_server.describe_error(error))
+
+
+def _object_name(spec: requests.RequestSpec, suffix: str) -> str:
+    if spec.kind is requests.RequestKind.CHAT:
+        return "chat.completion" + suffix
+    return "text_completion"
+
+
+def _chunk(spec: requests.RequestSpec, text: str, reason: str | None) -> dict[str, Any]:
+    choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+    if spec.kind is requests.RequestKind.CHAT:
+        choice["delta"] = {"content": text} if text else {}
+    else:
+        choice["text"] = text
+    return {
+        "id": spec.request_id,
+        "object": _object_name(spec, ".chunk"),
+        "created": 0,
+        "model": spec.model,
+        "choices": [choice],
+    }
+
+
+def _usage(spec: requests.RequestSpec, chunks: int) -> dict[str, int]:
+    return {
+        "prompt_tokens": spec.prompt_tokens,
+        "completion_tokens": chunks,
+        "total_tokens": spec.prompt_tokens + chunks,
+    }
--- /dev/null
+++ b/flamingoramp/admission/callers.py
@@ -0,0 +1,251 @@
+"""Callers' HTTP requests: checked and turned into request specs."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import math
+import uuid
+from typing import Any
+
+import werkzeug
+
+from flamingoramp import errors
+from flamingoramp.dispatch import requests
+from flamingoramp.intent import declarations
+from flamingoramp.routing import prefix
+from flamingoramp.runtime import settings as settings_module
+
+WORKSPACE_HEADER = "Flamingoramp-Workspace"
+TIME_LIMIT_HEADER = "Flamingoramp-Time-Limit"
+IDEMPOTENT_HEADER = "Flamingoramp-Idempotent"
+KEY_HEADER = "Idempotency-Key"
+DEFAULT_OUTPUT_TOKENS = 256
+MAX_OUTPUT_TOKENS = 32_768
+MAX_KEY_CHARACTERS = 256
+MAX_HEADER_CHARACTERS = 1024
+IDEMPOTENT_METHODS = ("GET", "HEAD", "OPTIONS")
+PREFIX_POSITIONS = 11
+
+
+def parse_generate(
+    request: werkzeug.Request,
+    kind: requests.RequestKind,
+    declaration: declarations.Declaration,
+    limits: settings_module.LimitSettings,
+) -> requests.RequestSpec:
+    """Check a completion or chat completion.
+
+    Raises
+    ------
+    flamingoramp.errors.BadRequestError
+        Or one of its kinds; the message names the field, what was found and what it takes.
+    """
+    workspace = _find_workspace(request, declaration)
+    body = _read_json(request)
+    model = _take(body, "model", str, None)
+    service = declaration.find_model(model)
+    if service is None:
+        raise errors.UnknownModelError(f"model: found {model!r}, which no service offers")
+    _check_allowed(workspace, service)
+    prompt = _read_prompt(body, kind)
+    idempotent, key = _read_idempotency(request, default=True)
+    data = prompt.encode("utf-8", "surrogatepass")
+    bytes_per_token = limits.bytes_per_token
+    return requests.RequestSpec(
+        request_id=uuid.uuid4().hex,
+        kind=kind,
+        workspace=workspace.name,
+        service=service.name,
+        model=model,
+        prompt=prompt,
+        prompt_tokens=max(1, math.ceil(len(data) / bytes_per_token)),
+        output_tokens=_read_output_tokens(body),
+        prefix_hashes=hash_prefixes(workspace.name, data, bytes_per_token),
+        time_limit=_read_time_limit(request, service, limits),
+        idempotent=idempotent,
+        key=key,
+        fingerprint=_fingerprint(workspace.name, service.name, model.encode(), data),
+        streams=_take(body, "stream", bool, False),
+    )
+
+
+def parse_plain(
+    request: werkzeug.Request,
+    service_name: str,
+    path: str,
+    declaration: declarations.Declaration,
+    limits: settings_module.LimitSettings,
+) -> requests.RequestSpec:
+    """Check a call of a plain service."""
+    workspace = _find_workspace(request, declaration)
+    service = declaration.find_service(service_name)
+    if service is None or service.kind != "plain":
+        raise errors.UnknownModelError(
+            f"service: found {service_name!r}, which is no plain service"
+        )
+    _check_allowed(workspace, service)
+    default = request.method in IDEMPOTENT_METHODS
+    idempotent, key = _read_idempotency(request, default=default)
+    query = request.query_string.decode("latin-1")
+    target = path + ("?" + query if query else "")
+    body = request.get_data()
+    content = f"{request.method} {target}".encode()
+    return requests.RequestSpec(
+        request_id=uuid.uuid4().hex,
+        kind=requests.RequestKind.PLAIN,
+        workspace=workspace.name,
+        service=service.name,
+        time_limit=_read_time_limit(request, service, limits),
+        idempotent=idempotent,
+        key=key,
+        fingerprint=_fingerprint(workspace.name, service.name, content, body),
+        call=requests.PlainCall(request.method, target, body, request.content_type or ""),
+    )
+
+
+def hash_prefixes(workspace: str, data: bytes, bytes_per_token: float) -> tuple[int, ...]:
+    """Hash the prefixes of 1,024, 2,048, 4,096 ... tokens; no workspace sees another's."""
+    hasher = hashlib.blake2b(workspace.encode() + b"\0", digest_size=8)
+    found = []
+    start = 0
+    for position in range(PREFIX_POSITIONS):
+        end = int(prefix.block_tokens(position) * bytes_per_token)
+        if end > len(data):
+            break
+        hasher.update(data[start:end])
+        found.append(int.from_bytes(hasher.digest(), "big"))
+        start = end
+    return tuple(found)
+
+
+def _fingerprint(workspace: str, service: str, *parts: bytes) -> str:
+    hasher = hashlib.blake2b(f"{workspace}\0{service}".encode(), digest_size=16)
+    for part in parts:
+        hasher.update(len(part).to_bytes(8, "big") + part)
+    return hasher.hexdigest()
+
+
+def _header(request: werkzeug.Request, name: str) -> str:
+    value = request.headers.get(name, "")
+    if len(value) > MAX_HEADER_CHARACTERS:
+        raise errors.BadRequestError(f"{name}: over {MAX_HEADER_CHARACTERS} characters")
+    return value
+
+
+def _find_workspace(
+    request: werkzeug.Request, declaration: declarations.Declaration
+) -> declarations.WorkspaceDeclaration:
+    name = _header(request, WORKSPACE_HEADER)
+    if not name:
+        name = _header(request, "Authorization").removeprefix("Bearer ").strip()
+    workspace = declaration.find_workspace(name)
+    if workspace is None:
+        raise errors.UnknownWorkspaceError(
+            f"{WORKSPACE_HEADER}: found {name!r}, takes the name of a declared workspace"
+        )
+    return workspace
+
+
+def _check_allowed(
+    workspace: declarations.WorkspaceDeclaration, service: declarations.ServiceDeclaration
+) -> None:
+    if workspace.services and service.name not in workspace.services:
+        raise errors.UnknownModelError(f"workspace {workspace.name} may not use {service.name}")
+
+
+def _read_json(request: werkzeug.Request) -> dict[str, Any]:
+    try:
+        body = json.loads(request.get_data())
+    except (ValueError, RecursionError) as error:
+        raise errors.BadRequestError("body: not JSON") from error
+    if not isinstance(body, dict):
+        raise errors.BadRequestError("body: takes a JSON object")
+    return body
+
+
+def _take(body: dict[str, Any], name: str, kind: type, default: Any) -> Any:
+    value = body.get(name, default)
+    if value is None:
+        value = default
+    if value is None:
+        raise errors.BadRequestError(f"{name}: missing")
+    if type(value) is not kind:
+        found = type(value).__name__
+        raise errors.BadRequestError(f"{name}: found {found}, takes {kind.__name__}")
+    return value
+
+
+def _read_prompt(body: dict[str, Any], kind: requests.RequestKind) -> str:
+    if kind is requests.RequestKind.COMPLETION:
+        return _take(body, "prompt", str, None)
+    messages = _take(body, "messages", list, None)
+    if not messages:
+        raise errors.BadRequestError("messages: takes at least one message")
+    parts = []
+    for position, message in enumerate(messages):
+        if not isinstance(message, dict):
+            raise errors.BadRequestError(f"messages[{position}]: takes an object")
+        role = message.get("role")
+        if not isinstance(role, str):
+            raise errors.BadRequestError(f"messages[{position}].role: takes a text")
+        parts.append(f"{role}: {_read_content(message.get('content'), position)}\n")
+    return "".join(parts)
+
+
+def _read_content(content: Any, position: int) -> str:
+    if isinstance(content, str):
+        return content
+    if isinstance(content, list):
+        texts = [part.get("text") for part in content if isinstance(part, dict)]
+        if len(texts) == len(content) and all(isinstance(text, str) for text in texts):
+            return "".join(texts)
+    raise errors.BadRequestError(
+        f"messages[{position}].content: takes a text or a list of text parts"
+    )
+
+
+def _read_output_tokens(body: dict[str, Any]) -> int:
+    name = "max_completion_tokens" if "max_completion_tokens" in body else "max_tokens"
+    tokens = _take(body, name, int, DEFAULT_OUTPUT_TOKENS)
+    if not 1 <= tokens <= MAX_OUTPUT_TOKENS:
+        raise errors.BadRequestError(f"{name}: found {tokens}, takes 1 to {MAX_OUTPUT_TOKENS}")
+    return tokens
+
+
+def _read_time_limit(
+    request: werkzeug.Request,
+    service: declarations.ServiceDeclaration,
+    limits: settings_module.LimitSettings,
+) -> float:
+    text = _header(request, TIME_LIMIT_HEADER)
+    if not text:
+        return min(service.time_limit_seconds, limits.max_time_limit_seconds)
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise errors.BadRequestError(
+            f"{TIME_LIMIT_HEADER}: found {text!r}, takes seconds"
+        ) from error
+    if not 0.01 <= seconds <= limits.max_time_limit_seconds:
+        raise errors.BadRequestError(
+            f"{TIME_LIMIT_HEADER}: found {text!r}, "
+            f"takes 0.01 to {limits.max_time_limit_seconds} seconds"
+        )
+    return seconds
+
+
+def _read_idempotency(request: werkzeug.Request, *, default: bool) -> tuple[bool, str]:
+    mark = _header(request, IDEMPOTENT_HEADER).lower()
+    if mark not in ("", "true", "false"):
+        raise errors.BadRequestError(f"{IDEMPOTENT_HEADER}: found {mark!r}, takes true or false")
+    idempotent = default if not mark else mark == "true"
+    key = _header(request, KEY_HEADER)
+    if idempotent:
+        return True, ""
+    if not key or len(key) > MAX_KEY_CHARACTERS:
+        raise errors.BadRequestError(
+            f"{KEY_HEADER}: a non-idempotent request takes a key of 1 to {MAX_KEY_CHARACTERS} "
+            f"characters; mark the request {IDEMPOTENT_HEADER}: true if it may be repeated"
+        )
+    return False, key
--- /dev/null
+++ b/flamingoramp/backends/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards engines and plain services."""
--- /dev/null
+++ b/flamingoramp/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/flamingoramp/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: elections, storage, snapshots, replica changes."""
--- /dev/null
+++ b/flamingoramp/consensus/founding.py
@@ -0,0 +1,58 @@
+"""How empty replicas form a cluster, or ask to join the one that exists.
+
+A replica with an empty data folder can't tell a new deployment from a lost disk. It forms a
+cluster only if every control host answers, in this incarnation, that it is empty too.
+"""
+
+from __future__ import annotations
+
+import random
+
+from flamingoramp.consensus import effects
+from flamingoramp.protocol import messages
+
+PROBE_SECONDS = 0.3
+
+
+class Founding:
+    """The search of an empty replica for its cluster."""
+
+    def __init__(self, *, identity: str, hosts: tuple[str, ...], rng: random.Random):
+        self._identity = identity
+        self._host = identity.partition("#")[0]
+        self._hosts = hosts
+        self._rng = rng
+        self._empty = {self._host: identity}
+        self._cluster_exists = False
+        self._due = 0.0
+
+    def tick(self, now: float) -> list[effects.Send]:
+        """Probe the other hosts, or ask to join once a cluster is known."""
+        if self._cluster_exists:
+            return self.ask_to_join(now)
+        return self._send_all(messages.FoundingProbe(self._identity), now)
+
+    def ask_to_join(self, now: float) -> list[effects.Send]:
+        """Ask all hosts, of which the leader will answer, to be added."""
+        return self._send_all(messages.JoinRequest(self._identity), now)
+
+    def handle_reply(self, reply: messages.FoundingReply) -> messages.Form | None:
+        """Take an answer in; return the first membership if this replica forms the cluster."""
+        if reply.probe != self._identity:
+            return None
+        host = reply.replica.partition("#")[0]
+        if reply.cluster:
+            self._cluster_exists = True
+            return None
+        self._empty[host] = reply.replica
+        complete = set(self._empty) == set(self._hosts)
+        if self._cluster_exists or not complete or self._host != min(self._hosts):
+            return None
+        cluster = f"{self._rng.getrandbits(64):016x}"
+        return messages.Form(cluster, tuple(sorted(self._empty.values())))
+
+    def _send_all(self, message: object, now: float) -> list[effects.Send]:
+        if now < self._due:
+            return []
+        self._due = now + PROBE_SECONDS
+        return [effects.Send(host, message) for host in self._hosts if host != self._host]
--- /dev/null
+++ b/flamingoramp/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring of the entry and control processes."""
--- /dev/null
+++ b/flamingoramp/daemons/owner.py
@@ -0,0 +1,197 @@
+"""The shards that an entry owns: schedulers, engine orders and their effects."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from flamingoramp.backends import orders as order_sender
+from flamingoramp.backends import runner as runners
+from flamingoramp.daemons import process as processes
+from flamingoramp.intent import declarations
+from flamingoramp.membership import session as session_module
+from flamingoramp.orders import reconciler
+from flamingoramp.protocol import messages
+from flamingoramp.routing import effects, scheduler
+
+RESEND_SECONDS = 1.0
+
+
+class Owner:
+    """Schedulers of the shards that this entry owns now.
+
+    Parameters
+    ----------
+    process : processes.Process
+    session : session_module.Session
+    identity : str
+        Name and incarnation of this entry.
+    runner : runners.Runner
+    send : callable
+        Takes an entry's inner address and a message.
+    send_control : callable
+        Takes a message for the leading control replica.
+    """
+
+    def __init__(
+        self,
+        *,
+        process: processes.Process,
+        session: session_module.Session,
+        identity: str,
+        runner: runners.Runner,
+        send: Callable[[str, Any], None],
+        send_control: Callable[[Any], None],
+    ):
+        self._process = process
+        self._session = session
+        self._identity = identity
+        self._runner = runner
+        self._send = send
+        self._send_control = send_control
+        self._schedulers: dict[str, scheduler.Scheduler] = {}
+        self._reconcilers: dict[str, reconciler.Reconciler] = {}
+        self._orders = order_sender.OrderSender(process.loop, self._handle_order_result)
+        self._reports: dict[str, messages.SuspectReport] = {}
+        self._ended = False
+        process.loop.call_every(RESEND_SECONDS, self._resend_reports)
+
+    @property
+    def schedulers(self) -> dict[str, scheduler.Scheduler]:
+        """Scheduler of each owned shard."""
+        return self._schedulers
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the owned shards as plain data."""
+        now = self._process.loop.now()
+        return [
+            {
+                "shard": shard,
+                "generation": one.generation,
+                "servers": len(one.fleet.directory.live(now)),
+                "reservations": len(one.fleet.ledger),
+                "reserved_tokens": sum(sum(held.tokens) for held in one.fleet.ledger.all()),
+                "waiting": one.waiting,
+            }
+            for shard, one in self._schedulers.items()
+        ]
+
+    def refresh(self, now: float) -> None:
+        """Begin and end ownership as the session's table and lease tell."""
+        owned = {}
+        if self._session.holds_lease(now) and not self._ended:
+            owned = {
+                shard: owner
+                for shard, owner in self._session.shards.items()
+                if owner.owner == self._identity
+            }
+        for shard, known in list(self._schedulers.items()):
+            if shard not in owned or owned[shard].generation != known.generation:
+                self._end(shard)
+        for shard, owner in owned.items():
+            if shard not in self._schedulers:
+                self._begin(owner, now)
+
+    def end_all(self) -> None:
+        """Give up all shards before a planned stop."""
+        self._ended = True
+        for shard in list(self._schedulers):
+            self._end(shard)
+
+    def configure(self, declaration: declarations.Declaration) -> None:
+        """Use a newer declaration."""
+        for one in self._schedulers.values():
+            one.configure(declaration)
+
+    def load_suspects(self) -> None:
+        """Use newer committed suspects."""
+        for one in self._schedulers.values():
+            one.isolation.load(self._session.suspects)
+
+    def handle(self, shard: str, message: Any) -> None:
+        """Process a message for a shard; one for a shard that isn't owned is dropped."""
+        owned = self._schedulers.get(shard)
+        if owned is None:
+            self._process.metrics.count("messages_for_other_owners")
+            return
+        now = self._process.loop.now()
+        self._carry_out(shard, owned.handle(message, now))
+        if isinstance(message, messages.Announcement):
+            self._reconcile(shard, now)
+
+    def handle_settled(self, report_id: str) -> None:
+        """Note that a suspect report is committed."""
+        self._reports.pop(report_id, None)
+        for one in self._schedulers.values():
+            one.isolation.settle(report_id)
+
+    def tick(self) -> None:
+        """Let leases and deadlines pass."""
+        now = self._process.loop.now()
+        self.refresh(now)
+        for shard, owned in list(self._schedulers.items()):
+            self._carry_out(shard, owned.tick(now))
+
+    def _begin(self, owner: messages.ShardOwner, now: float) -> None:
+        timing = self._process.settings.timing
+        begun = scheduler.Scheduler(
+            shard=owner.shard,
+            declaration=self._session.declaration,
+            lease_seconds=timing.announcement_lease_seconds,
+            reservation_expiry_seconds=timing.reservation_expiry_seconds,
+        )
+        entries = {entry.name for entry in self._session.entries}
+        begun.begin(owner.generation, entries, now)
+        begun.isolation.load(self._session.suspects)
+        self._schedulers[owner.shard] = begun
+        # Engines that ignore fencing may still act on an earlier owner's order.
+        wait = timing.session_lease_seconds * (1 + timing.clock_rate_bound)
+        self._reconcilers[owner.shard] = reconciler.Reconciler(
+            fence=owner.generation, begun=now, flight_seconds=wait + timing.order_flight_seconds
+        )
+        self._process.log_change("shard.owned", shard=owner.shard, generation=owner.generation)
+
+    def _end(self, shard: str) -> None:
+        del self._schedulers[shard]
+        del self._reconcilers[shard]
+        self._process.log_change("shard.released", shard=shard)
+
+    def _carry_out(self, shard: str, batch: list[Any]) -> None:
+        for effect in batch:
+            match effect:
+                case effects.Reply(address, message):
+                    self._send(address, message)
+                case effects.CancelAtServer(url, request_id, attempt):
+                    self._runner.cancel_at(url, request_id, attempt)
+                case effects.ReportCrash():
+                    self._report_crash(effect)
+                case effects.Note(kind, request, fields):
+                    self._process.note(kind, request, shard=shard, **fields)
+
+    def _report_crash(self, effect: effects.ReportCrash) -> None:
+        report = messages.SuspectReport(
+            effect.fingerprints, effect.service, effect.cleared, effect.report_id
+        )
+        self._reports[effect.report_id] = report
+        self._send_control(report)
+
+    def _resend_reports(self) -> None:
+        for report in self._reports.values():
+            self._send_control(report)
+
+    # Engine orders.
+
+    def _reconcile(self, shard: str, now: float) -> None:
+        service = self._session.declaration.find_service(shard.partition("/")[0])
+        if service is None or not service.models:
+            return
+        live = self._schedulers[shard].fleet.directory.live(now)
+        for order in self._reconcilers[shard].decide(service, live, now):
+            self._process.note("order.sent", server=order.server, order=order.order_id)
+            self._orders.send(shard, order)
+
+    def _handle_order_result(self, shard: str, order: reconciler.Order, accepted: bool) -> None:
+        known = self._reconcilers.get(shard)
+        if known is not None:
+            known.handle_result(order, accepted, self._process.loop.now())
+        self._process.note("order.answered", server=order.server, accepted=accepted)
--- /dev/null
+++ b/flamingoramp/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts, retries, claims and crash suspects."""
--- /dev/null
+++ b/flamingoramp/dispatch/budget.py
@@ -0,0 +1,36 @@
+"""Retry budgets: retries stay a bounded share of the requests of a service and a workspace."""
+
+from __future__ import annotations
+
+import random
+
+SMALLEST_RESERVE = 10.0
+LARGEST_RESERVE = 200.0
+BACKOFF_SECONDS = 0.05
+BACKOFF_LIMIT_SECONDS = 2.0
+
+
+class RetryBudget:
+    """Tokens that requests earn and retries spend."""
+
+    def __init__(self):
+        self._tokens: dict[str, float] = {}
+
+    def earn(self, name: str, ratio: float) -> None:
+        """Credit one admitted request."""
+        held = self._tokens.get(name, SMALLEST_RESERVE)
+        self._tokens[name] = min(LARGEST_RESERVE, held + ratio)
+
+    def spend(self, name: str) -> bool:
+        """Take one retry; False if the budget is used up."""
+        held = self._tokens.get(name, SMALLEST_RESERVE)
+        if held < 1:
+            return False
+        self._tokens[name] = held - 1
+        return True
+
+
+def backoff_seconds(attempt: int, rng: random.Random) -> float:
+    """Return how long to wait before an attempt, with jitter."""
+    longest = min(BACKOFF_LIMIT_SECONDS, BACKOFF_SECONDS * 2 ** max(0, attempt - 2))
+    return longest * rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/flamingoramp/intent/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' intent: declarations, plans and their confirmation."""
--- /dev/null
+++ b/flamingoramp/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Leases of backend servers, of entries and of shard owners."""
--- /dev/null
+++ b/flamingoramp/membership/sessions.py
@@ -0,0 +1,133 @@
+"""Sessions of entries at the leading control replica, and the choice of shard owners."""
+
+from __future__ import annotations
+
+import hashlib
+
+import attrs
+
+from flamingoramp.intent import declarations
+from flamingoramp.protocol import messages
+
+
+@attrs.frozen
+class Session:
+    """What an entry last told; ``seen`` is on the leader's clock, in seconds."""
+
+    heartbeat: messages.SessionHeartbeat
+    seen: float
+
+    @property
+    def identity(self) -> str:
+        """Entry and incarnation."""
+        return f"{self.heartbeat.entry}#{self.heartbeat.incarnation}"
+
+
+def shard_names(declaration: declarations.Declaration) -> tuple[str, ...]:
+    """Return the names of all shards, ``service/number``."""
+    return tuple(
+        f"{service.name}/{number}"
+        for service in declaration.services
+        for number in range(service.shards)
+    )
+
+
+def choose_shard(service: declarations.ServiceDeclaration, server: str) -> str:
+    """Return the shard that a backend server belongs to."""
+    shards = [f"{service.name}/{number}" for number in range(service.shards)]
+    return max(shards, key=lambda shard: rendezvous_score(shard, server))
+
+
+def rendezvous_score(place: str, item: str) -> int:
+    """Return the weight of a place for an item in rendezvous hashing."""
+    digest = hashlib.blake2b(f"{place}|{item}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+class SessionTable:
+    """Entries that hold a configuration lease, as one leader knows them.
+
+    Parameters
+    ----------
+    lease_seconds : float
+        Lease that a heartbeat's answer grants, from the time the heartbeat was sent.
+    clock_rate_bound : float
+        Largest difference between the rates of two clocks, as a ratio.
+    """
+
+    def __init__(self, *, lease_seconds: float, clock_rate_bound: float):
+        self._lease_seconds = lease_seconds
+        self._longest_lease = lease_seconds * (1 + clock_rate_bound)
+        self._sessions: dict[str, Session] = {}
+        self._leading_since = float("inf")
+
+    def begin(self, now: float) -> None:
+        """Start as a new leader that knows no session."""
+        self._sessions = {}
+        self._leading_since = now
+
+    def handle(self, heartbeat: messages.SessionHeartbeat, now: float) -> None:
+        """Renew a session."""
+        self._sessions[heartbeat.entry] = Session(heartbeat, now)
+
+    def live(self, now: float) -> list[Session]:
+        """Return the sessions whose lease may still run."""
+        return [one for one in self._sessions.values() if now - one.seen <= self._longest_lease]
+
+    def knows_all(self, now: float) -> bool:
+        """Tell whether every lease of an earlier leader has run out or been renewed here."""
+        return now - self._leading_since > self._longest_lease
+
+    def waiting_for(self, revision: int, now: float) -> list[str]:
+        """Return the entries that may still serve by an older revision."""
+        return [one.heartbeat.entry for one in self.live(now) if one.heartbeat.revision < revision]
+
+    def in_force(self, revision: int, now: float) -> bool:
+        """Tell whether no entry serves by an older revision any more."""
+        return self.knows_all(now) and not self.waiting_for(revision, now)
+
+    def addresses(self, now: float) -> tuple[messages.EntryAddress, ...]:
+        """Return the entries that callers may be sent to."""
+        return tuple(
+            messages.EntryAddress(
+                one.heartbeat.entry,
+                one.heartbeat.url,
+                one.heartbeat.zone,
+                one.heartbeat.leaving,
+            )
+            for one in sorted(self.live(now), key=lambda one: one.heartbeat.entry)
+        )
+
+    def choose_owners(
+        self,
+        shards: tuple[str, ...],
+        owners: dict[str, messages.ShardOwner],
+        now: float,
+    ) -> tuple[tuple[str, str, str], ...]:
+        """Return shard, owner and address for each shard that needs a new owner.
+
+        An owner is replaced once its lease can't run any more, or when it left.
+        """
+        live = {one.identity: one for one in self.live(now)}
+        candidates = [one for one in live.values() if not one.heartbeat.leaving]
+        if not candidates:
+            return ()
+        changes = []
+        load = {one.identity: 0 for one in candidates}
+        for shard in shards:
+            owner = owners.get(shard)
+            if owner is not None and owner.owner in load:
+                load[owner.owner] += 1
+        for shard in shards:
+            owner = owners.get(shard)
+            if owner is not None and owner.owner in load:
+                continue
+            if owner is not None and owner.owner not in live and not self.knows_all(now):
+                continue
+            chosen = min(
+                candidates,
+                key=lambda one: (load[one.identity], -rendezvous_score(one.identity, shard)),
+            )
+            load[chosen.identity] += 1
+            changes.append((shard, chosen.identity, chosen.heartbeat.inner))
+        return tuple(changes)
--- /dev/null
+++ b/flamingoramp/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines and their fencing numbers."""
--- /dev/null
+++ b/flamingoramp/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes and their encoding."""
--- /dev/null
+++ b/flamingoramp/protocol/codec.py
@@ -0,0 +1,147 @@
+"""Encoding of messages as length-prefixed Cap'n Proto frames."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import struct
+from typing import Any, get_args, get_type_hints
+
+import attrs
+import capnp
+
+from flamingoramp import errors
+from flamingoramp.protocol import messages
+
+HEADER = struct.Struct(">I")
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
+
+
+def _camel(name: str) -> str:
+    return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
+
+
+@attrs.frozen
+class _Field:
+    """How one attribute is stored in the schema."""
+
+    name: str
+    stored: str
+    nested: type | None
+
+
+def _describe(kind: type) -> tuple[_Field, ...]:
+    hints = get_type_hints(kind)
+    fields = []
+    for attribute in attrs.fields(kind):
+        arguments = get_args(hints[attribute.name])
+        nested = arguments[0] if arguments and attrs.has(arguments[0]) else None
+        fields.append(_Field(attribute.name, _camel(attribute.name), nested))
+    return tuple(fields)
+
+
+_KINDS = {name: kind for name, kind in vars(messages).items() if attrs.has(kind)}
+_FIELDS = {kind: _describe(kind) for kind in _KINDS.values()}
+_UNION = {kind: name[0].lower() + name[1:] for name, kind in _KINDS.items()}
+_BY_UNION = {union: kind for kind, union in _UNION.items()}
+
+
+def _unstructure(message: Any) -> dict[str, Any]:
+    stored = {}
+    for field in _FIELDS[type(message)]:
+        value = getattr(message, field.name)
+        if field.nested is not None:
+            stored[field.stored] = [_unstructure(item) for item in value]
+        elif isinstance(value, tuple):
+            stored[field.stored] = list(value)
+        else:
+            stored[field.stored] = value
+    return stored
+
+
+def _structure(kind: type, stored: Any) -> Any:
+    values = {}
+    for field in _FIELDS[kind]:
+        value = getattr(stored, field.stored)
+        if field.nested is not None:
+            value = tuple(_structure(field.nested, item) for item in value)
+        elif not isinstance(value, str | bytes | int | float):
+            value = tuple(value)
+        values[field.name] = value
+    return kind(**values)
+
+
+@attrs.frozen
+class Envelope:
+    """A received message, its sender and the sender's hybrid logical clock."""
+
+    sender: str
+    clock: int
+    message: Any
+
+
+def encode(sender: str, message: Any, *, clock: int = 0) -> bytes:
+    """Encode a message with its length in front.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the sending process.
+    message : attrs class of `flamingoramp.protocol.messages`
+        What to send.
+    clock : int
+        The sender's hybrid logical clock.
+
+    Returns
+    -------
+    bytes
+        Four bytes of length, then the frame.
+    """
+    content = {_UNION[type(message)]: _unstructure(message)}
+    frame = _schema.Frame.new_message(sender=sender, clock=clock, **content)
+    payload = frame.to_bytes()
+    return HEADER.pack(len(payload)) + payload
+
+
+def decode(payload: bytes) -> Envelope:
+    """Decode one frame without its length.
+
+    Raises
+    ------
+    flamingoramp.errors.ProtocolError
+        If the bytes are no frame of the schema.
+    """
+    try:
+        with _schema.Frame.from_bytes(payload, traversal_limit_in_words=2**26) as frame:
+            union = str(frame.which())
+            kind = _BY_UNION[union]
+            message = _structure(kind, getattr(frame, union))
+            return Envelope(frame.sender, frame.clock, message)
+    except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as error:
+        raise errors.ProtocolError(f"unreadable frame of {len(payload)} bytes") from error
+
+
+class FrameBuffer:
+    """Collects the bytes of a connection and cuts them into frames."""
+
+    def __init__(self):
+        self._data = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Add received bytes and return the frames that are whole."""
+        self._data += data
+        frames = []
+        start = 0
+        while len(self._data) - start >= HEADER.size:
+            (length,) = HEADER.unpack_from(self._data, start)
+            if length > MAX_FRAME_BYTES:
+                raise errors.ProtocolError(f"frame of {length} bytes is over {MAX_FRAME_BYTES}")
+            end = start + HEADER.size + length
+            if len(self._data) < end:
+                break
+            frames.append(bytes(self._data[start + HEADER.size : end]))
+            start = end
+        del self._data[:start]
+        return frames
--- /dev/null
+++ b/flamingoramp/protocol/messages.py
@@ -0,0 +1,365 @@
+"""Messages between processes as attrs classes; the schema gives their encoding."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Suspect:
+    """A request content that was running when engines crashed."""
+
+    fingerprint: str = ""
+    crashes: int = 0
+    confirmed: bool = False
+    service: str = ""
+
+
+@attrs.frozen
+class LogEntry:
+    """One entry of the replicated log."""
+
+    index: int = 0
+    term: int = 0
+    kind: str = ""
+    payload: bytes = b""
+
+
+@attrs.frozen
+class VoteRequest:
+    """A candidate's request for a vote, or for the promise of one (``pre``)."""
+
+    term: int = 0
+    candidate: str = ""
+    last_index: int = 0
+    last_term: int = 0
+    pre: bool = False
+    cluster: str = ""
+
+
+@attrs.frozen
+class VoteReply:
+    """The answer to a vote request."""
+
+    term: int = 0
+    granted: bool = False
+    pre: bool = False
+
+
+@attrs.frozen
+class AppendRequest:
+    """Entries and heartbeat of the leader; ``sent_at`` is on its own clock, in seconds."""
+
+    term: int = 0
+    leader: str = ""
+    prev_index: int = 0
+    prev_term: int = 0
+    entries: tuple[LogEntry, ...] = ()
+    commit: int = 0
+    sent_at: float = 0.0
+    cluster: str = ""
+
+
+@attrs.frozen
+class AppendReply:
+    """The answer to an append; ``sent_at`` echoes the request."""
+
+    term: int = 0
+    ok: bool = False
+    match_index: int = 0
+    sent_at: float = 0.0
+
+
+@attrs.frozen
+class InstallSnapshot:
+    """A snapshot for a replica that is behind the log."""
+
+    term: int = 0
+    leader: str = ""
+    last_index: int = 0
+    last_term: int = 0
+    replicas: tuple[str, ...] = ()
+    learners: tuple[str, ...] = ()
+    data: bytes = b""
+    sent_at: float = 0.0
+    cluster: str = ""
+
+
+@attrs.frozen
+class FoundingProbe:
+    """An empty replica asks whether a cluster exists."""
+
+    replica: str = ""
+
+
+@attrs.frozen
+class FoundingReply:
+    """Identity of a replica and the cluster it belongs to, empty if none."""
+
+    replica: str = ""
+    cluster: str = ""
+    probe: str = ""
+
+
+@attrs.frozen
+class Form:
+    """The first membership of a new cluster."""
+
+    cluster: str = ""
+    replicas: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class JoinRequest:
+    """A new replica asks the leader to be added."""
+
+    replica: str = ""
+
+
+@attrs.frozen
+class ShardOwner:
+    """Which entry owns a shard, under which generation."""
+
+    shard: str = ""
+    owner: str = ""
+    address: str = ""
+    generation: int = 0
+
+
+@attrs.frozen
+class EntryAddress:
+    """Address of an entry as callers use it."""
+
+    name: str = ""
+    url: str = ""
+    zone: str = ""
+    leaving: bool = False
+
+
+@attrs.frozen
+class SessionHeartbeat:
+    """An entry's heartbeat to control; ``sent_at`` is on the entry's clock, in seconds."""
+
+    entry: str = ""
+    incarnation: str = ""
+    sent_at: float = 0.0
+    revision: int = 0
+    url: str = ""
+    inner: str = ""
+    zone: str = ""
+    leaving: bool = False
+    streams: int = 0
+    quarantine_version: int = 0
+
+
+@attrs.frozen
+class SessionGrant:
+    """The answer to a heartbeat: configuration lease, shard owners and entries."""
+
+    sent_at: float = 0.0
+    granted: bool = False
+    leader: str = ""
+    term: int = 0
+    revision: int = 0
+    document: str = ""
+    lease_seconds: float = 0.0
+    shards: tuple[ShardOwner, ...] = ()
+    entries: tuple[EntryAddress, ...] = ()
+    quarantine_version: int = 0
+    suspects: tuple[Suspect, ...] = ()
+    drain: bool = False
+
+
+@attrs.frozen
+class ClaimRequest:
+    """Claim of the only dispatch of a non-idempotent request; ``remaining`` is in seconds."""
+
+    request_id: str = ""
+    workspace: str = ""
+    key: str = ""
+    fingerprint: str = ""
+    entry: str = ""
+    remaining: float = 0.0
+
+
+@attrs.frozen
+class ClaimReply:
+    """Result of a claim."""
+
+    request_id: str = ""
+    status: str = ""
+    http_status: int = 0
+    body: str = ""
+
+
+@attrs.frozen
+class ClaimSettle:
+    """Recorded outcome of a claimed request."""
+
+    request_id: str = ""
+    workspace: str = ""
+    key: str = ""
+    outcome: str = ""
+    http_status: int = 0
+    body: str = ""
+
+
+@attrs.frozen
+class SuspectReport:
+    """Contents that were running on an engine that crashed, or that finished."""
+
+    fingerprints: tuple[str, ...] = ()
+    service: str = ""
+    cleared: bool = False
+    report_id: str = ""
+
+
+@attrs.frozen
+class Settled:
+    """Acknowledges a committed command."""
+
+    id: str = ""
+
+
+@attrs.frozen
+class Reserve:
+    """Ask the owner of a shard for a place; ``remaining`` is in seconds."""
+
+    request_id: str = ""
+    attempt: int = 0
+    service: str = ""
+    shard: str = ""
+    generation: int = 0
+    workspace: str = ""
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    remaining: float = 0.0
+    entry: str = ""
+    entry_address: str = ""
+    zone: str = ""
+    excluded: tuple[str, ...] = ()
+    fingerprint: str = ""
+    idempotent: bool = False
+
+
+@attrs.frozen
+class Grant:
+    """Memory reserved on one or more backend servers."""
+
+    request_id: str = ""
+    attempt: int = 0
+    shard: str = ""
+    generation: int = 0
+    servers: tuple[str, ...] = ()
+    urls: tuple[str, ...] = ()
+    tokens: tuple[int, ...] = ()
+    priority: int = 0
+    predicted_prefill: float = 0.0
+    cached_tokens: int = 0
+
+
+@attrs.frozen
+class Refuse:
+    """The owner refuses a request."""
+
+    request_id: str = ""
+    attempt: int = 0
+    code: str = ""
+    text: str = ""
+    retry_after: float = 0.0
+
+
+@attrs.frozen
+class Release:
+    """The end of an attempt gives its memory back."""
+
+    request_id: str = ""
+    attempt: int = 0
+    shard: str = ""
+    result: str = ""
+    server: str = ""
+
+
+@attrs.frozen
+class PrefillDone:
+    """The first token arrived; ``seconds`` since dispatch."""
+
+    request_id: str = ""
+    attempt: int = 0
+    shard: str = ""
+    seconds: float = 0.0
+
+
+@attrs.frozen
+class HeldReservation:
+    """One reservation that an entry still uses."""
+
+    request_id: str = ""
+    attempt: int = 0
+    servers: tuple[str, ...] = ()
+    tokens: tuple[int, ...] = ()
+    fingerprint: str = ""
+    prefill_done: bool = False
+
+
+@attrs.frozen
+class HoldReport:
+    """All reservations that an entry uses, and requests that still wait."""
+
+    entry: str = ""
+    entry_address: str = ""
+    shard: str = ""
+    held: tuple[HeldReservation, ...] = ()
+    waiting: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class HoldUnknown:
+    """The owner no longer knows a reservation."""
+
+    request_id: str = ""
+    attempt: int = 0
+    shard: str = ""
+    generation: int = 0
+
+
+@attrs.frozen
+class Announcement:
+    """A backend server announces itself; rates are in tokens per second."""
+
+    server: str = ""
+    service: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    leaving: bool = False
+    url: str = ""
+    zone: str = ""
+    memory_tokens: int = 0
+    slots: int = 0
+    prefill_rate: float = 0.0
+    decode_seconds: float = 0.0
+    models: tuple[str, ...] = ()
+    honours_fencing: bool = False
+    running: int = 0
+    memory_used: int = 0
+    cache_sequence: int = 0
+    cached: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    role: str = ""
+    highest_fence: int = 0
+
+
+@attrs.frozen
+class Ping:
+    """Liveness check of a connection."""
+
+    sequence: int = 0
+
+
+@attrs.frozen
+class Pong:
+    """Answer to a ping."""
+
+    sequence: int = 0
--- /dev/null
+++ b/flamingoramp/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of backend servers, queues and the memory ledger."""
--- /dev/null
+++ b/flamingoramp/routing/choice.py
@@ -0,0 +1,261 @@
+"""Choice of the backend servers for a request: pure functions over the fleet."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from flamingoramp.intent import declarations
+from flamingoramp.membership import sessions
+from flamingoramp.protocol import messages
+from flamingoramp.routing import fleet as fleets
+from flamingoramp.routing import queue
+
+BACKLOG_ALLOWANCE_SECONDS = 0.1
+ZONE_PENALTY_SECONDS = 0.003
+LONG_CHUNK_SECONDS = 0.1
+SHORT_SHARE = 0.1
+IDLE_SPILL_SHARE = 0.5
+
+
+@attrs.frozen
+class Placement:
+    """Servers and memory for one request; ``prefill_seconds`` is predicted."""
+
+    servers: tuple[messages.Announcement, ...]
+    tokens: tuple[int, ...]
+    prefill_seconds: float
+    cached_tokens: int = 0
+
+
+@attrs.frozen
+class Constraints:
+    """What a choice must respect.
+
+    Parameters
+    ----------
+    closed : frozenset of str
+        Servers that take no new work.
+    drained : frozenset of str
+        Servers that are kept for a request which waits for their memory.
+    long_servers : frozenset of str
+        Servers that long prompts may use.
+    """
+
+    closed: frozenset[str] = frozenset()
+    drained: frozenset[str] = frozenset()
+    long_servers: frozenset[str] = frozenset()
+
+
+def long_set(
+    servers: list[messages.Announcement],
+    *,
+    long_share: float,
+    policy: declarations.PolicyDeclaration,
+) -> frozenset[str]:
+    """Return the servers that long prompts may use, sized from the arriving mix.
+
+    Parameters
+    ----------
+    servers : list of Announcement
+    long_share : float
+        Share of prefill work that is long, 0 to 1.
+    policy : PolicyDeclaration
+    """
+    count = len(servers)
+    if count <= 1:
+        return frozenset(server.server for server in servers)
+    kept_short = min(count - 1, max(1, math.ceil(count * SHORT_SHARE * policy.short_weight)))
+    wanted = round(count * long_share * 1.2)
+    size = max(1, min(count - kept_short, wanted))
+    ranked = sorted(
+        servers, key=lambda server: sessions.rendezvous_score("long", server.server), reverse=True
+    )
+    return frozenset(server.server for server in ranked[:size])
+
+
+def offers(server: messages.Announcement, reserve: messages.Reserve) -> bool:
+    """Tell whether a server can run a request at all."""
+    if server.service != reserve.service or server.server in reserve.excluded:
+        return False
+    if not reserve.model:
+        return True
+    # Servers list what they have loaded as ``name@version``.
+    return any(loaded.partition("@")[0] == reserve.model for loaded in server.models)
+
+
+def choose_single(
+    fleet: fleets.Fleet,
+    servers: list[messages.Announcement],
+    waiting: queue.Waiting,
+    constraints: Constraints,
+    policy: declarations.PolicyDeclaration,
+    now: float,
+) -> Placement | None:
+    """Choose the server on which a request gets its first token first; None if it must wait."""
+    best: tuple[float, Placement] | None = None
+    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    for server in servers:
+        if not _may_use(fleet, server, waiting, constraints, need, now):
+            continue
+        backlog = fleet.backlog_seconds(server.server, waiting.length_class, now)
+        if backlog > BACKLOG_ALLOWANCE_SECONDS:
+            continue
+        cached = fleet.prefixes.cached_tokens(server.server, waiting.reserve.prefix_hashes)
+        prefill = fleet.prefill_seconds(server, waiting.reserve)
+        cost = backlog + prefill + _side_costs(fleet, server, waiting, constraints, policy)
+        if best is None or cost < best[0]:
+            tokens = 0 if server.memory_tokens == 0 else need
+            best = (cost, Placement((server,), (tokens,), prefill, cached))
+    return best[1] if best else None
+
+
+def _may_use(
+    fleet: fleets.Fleet,
+    server: messages.Announcement,
+    waiting: queue.Waiting,
+    constraints: Constraints,
+    need: int,
+    now: float,
+) -> bool:
+    name = server.server
+    if name in constraints.closed or name in constraints.drained:
+        return False
+    if not offers(server, waiting.reserve) or fleet.free_slots(server) <= 0:
+        return False
+    if server.memory_tokens and fleet.free_tokens(server, now) < need:
+        return False
+    if waiting.length_class is not queue.LengthClass.LONG:
+        return True
+    if fleet.runs_long(name):
+        return False
+    if name in constraints.long_servers:
+        return True
+    return _short_side_idle(fleet, server, constraints)
+
+
+def _short_side_idle(
+    fleet: fleets.Fleet, server: messages.Announcement, constraints: Constraints
+) -> bool:
+    """Tell whether long work may use a server of the short side, for lack of short work."""
+    live = fleet.directory.members()
+    short_side = [
+        one.announcement.server
+        for one in live
+        if not one.lapsed and one.announcement.server not in constraints.long_servers
+    ]
+    idle = [name for name in short_side if not fleet.ledger.count_on(name)]
+    return server.server in idle and len(idle) > max(1, len(short_side) * IDLE_SPILL_SHARE)
+
+
+def _side_costs(
+    fleet: fleets.Fleet,
+    server: messages.Announcement,
+    waiting: queue.Waiting,
+    constraints: Constraints,
+    policy: declarations.PolicyDeclaration,
+) -> float:
+    cost = 0.0 if server.zone == waiting.reserve.zone else ZONE_PENALTY_SECONDS
+    # Decoding streams share the engine's steps; spread them.
+    cost += server.decode_seconds * 0.1 * fleet.ledger.count_on(server.server)
+    short_side = server.server not in constraints.long_servers
+    match waiting.length_class:
+        case queue.LengthClass.SHORT:
+            if fleet.runs_long(server.server):
+                cost += LONG_CHUNK_SECONDS * policy.short_weight
+        case queue.LengthClass.MEDIUM | queue.LengthClass.LONG:
+            if short_side:
+                cost += LONG_CHUNK_SECONDS * policy.short_weight
+    return cost
+
+
+def choose_group(
+    fleet: fleets.Fleet,
+    servers: list[messages.Announcement],
+    waiting: queue.Waiting,
+    constraints: Constraints,
+    now: float,
+) -> Placement | None:
+    """Choose the engines that together hold a prompt; None if they aren't all free."""
+    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    usable = [
+        server
+        for server in servers
+        if server.server not in constraints.closed
+        and offers(server, waiting.reserve)
+        and fleet.free_slots(server) > 0
+        and not fleet.runs_long(server.server)
+    ]
+    usable.sort(
+        key=lambda server: (
+            fleet.free_tokens(server, now),
+            server.server in constraints.long_servers,
+            server.server,
+        ),
+        reverse=True,
+    )
+    size = fleets.group_size(need, [server.memory_tokens for server in usable])
+    if not size:
+        return None
+    members = tuple(usable[:size])
+    parts = fleets.split_tokens(need, [fleet.free_tokens(one, now) for one in members])
+    if parts is None:
+        return None
+    rate = min(server.prefill_rate for server in members)
+    return Placement(members, parts, waiting.reserve.prompt_tokens / max(rate, 1.0))
+
+
+def choose_isolated(
+    fleet: fleets.Fleet,
+    servers: list[messages.Announcement],
+    waiting: queue.Waiting,
+    constraints: Constraints,
+) -> Placement | None:
+    """Choose an engine on which nothing else runs."""
+    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    for server in servers:
+        if server.server in constraints.closed or not offers(server, waiting.reserve):
+            continue
+        fits = not server.memory_tokens or server.memory_tokens >= need
+        if fits and not fleet.ledger.count_on(server.server):
+            tokens = need if server.memory_tokens else 0
+            return Placement((server,), (tokens,), fleet.prefill_seconds(server, waiting.reserve))
+    return None
+
+
+def choose_to_drain(
+    fleet: fleets.Fleet,
+    servers: list[messages.Announcement],
+    waiting: queue.Waiting,
+    closed: frozenset[str],
+    count: int,
+    now: float,
+) -> frozenset[str]:
+    """Choose the servers whose memory is kept for a request that has waited for long."""
+    usable = [
+        server
+        for server in servers
+        if server.server not in closed and offers(server, waiting.reserve)
+    ]
+    usable.sort(key=lambda server: (-fleet.free_tokens(server, now), server.server))
+    return frozenset(server.server for server in usable[:count])
+
+
+def choose_naive(
+    servers: list[messages.Announcement], reserve: messages.Reserve
+) -> Placement | None:
+    """Choose by least reported load alone, as the baseline of measurements."""
+    usable = [server for server in servers if offers(server, reserve)]
+    if not usable:
+        return None
+    usable.sort(key=lambda server: (server.running, server.memory_used, server.server))
+    need = reserve.prompt_tokens + reserve.output_tokens
+    if not usable[0].memory_tokens:
+        return Placement((usable[0],), (0,), 0.0)
+    size = fleets.group_size(need, [usable[0].memory_tokens] * len(usable))
+    if not size:
+        return None
+    members = tuple(usable[:size])
+    parts = fleets.split_tokens(need, [server.memory_tokens for server in members])
+    return Placement(members, parts, 0.0) if parts else None
--- /dev/null
+++ b/flamingoramp/routing/effects.py
@@ -0,0 +1,43 @@
+"""Effects that a scheduler asks its task to carry out."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class Reply:
+    """Send a message to an entry."""
+
+    address: str
+    message: Any
+
+
+@attrs.frozen
+class CancelAtServer:
+    """Make a backend server give up an attempt and its memory."""
+
+    url: str
+    request_id: str
+    attempt: int
+
+
+@attrs.frozen
+class ReportCrash:
+    """Commit crash suspects, or their clearance."""
+
+    report_id: str
+    service: str
+    fingerprints: tuple[str, ...]
+    cleared: bool
+
+
+@attrs.frozen
+class Note:
+    """Record an event on the time line and count it."""
+
+    kind: str
+    request: str = ""
+    fields: dict[str, Any] = attrs.field(factory=dict)
--- /dev/null
+++ b/flamingoramp/routing/scheduler.py
@@ -0,0 +1,530 @@
+"""The owner of a shard: decides which backend servers run which requests, and when.
+
+A state machine without I/O, clock or randomness of its own. One owner sees all requests and all
+memory of its shard, so that no two entries choose the same memory and a group of engines is taken
+in one decision.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from flamingoramp import errors
+from flamingoramp.intent import declarations
+from flamingoramp.membership import directory as directories
+from flamingoramp.protocol import messages
+from flamingoramp.routing import choice, effects, isolation, ledger, queue
+from flamingoramp.routing import fleet as fleets
+
+REBUILD_SECONDS = 1.5
+UNLISTED_SECONDS = 1.5
+MIX_HALF_LIFE_SECONDS = 30.0
+STARVING_SECONDS = 1.0
+PUMP_LIMIT = 64
+DEFAULT_SERVICE_SECONDS = 0.05
+
+
+class Scheduler:
+    """Queue, ledger and server view of one shard.
+
+    Parameters
+    ----------
+    shard : str
+    declaration : declarations.Declaration
+    lease_seconds : float
+        Lease of an announcement.
+    reservation_expiry_seconds : float
+        Silence of an entry after which its reservations are cancelled.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: str,
+        declaration: declarations.Declaration,
+        lease_seconds: float,
+        reservation_expiry_seconds: float,
+    ):
+        self._shard = shard
+        self._service = shard.partition("/")[0]
+        self._declaration = declaration
+        self._expiry = reservation_expiry_seconds
+        self._generation = 0
+        self._fleet = fleets.Fleet(lease_seconds)
+        self._queue = queue.WaitingQueue()
+        self._isolation = isolation.Isolation()
+        self._drained: frozenset[str] = frozenset()
+        self._drained_for: ledger.Key | None = None
+        self._rebuilding_until = 0.0
+        self._awaited_entries: set[str] = set()
+        self._mix = dict.fromkeys(queue.LengthClass, 0.0)
+        self._mix_time = 0.0
+        self._report_number = 0
+        self._effects: list[Any] = []
+
+    @property
+    def generation(self) -> int:
+        """Number of this ownership."""
+        return self._generation
+
+    @property
+    def fleet(self) -> fleets.Fleet:
+        """Servers, ledger and prefix view."""
+        return self._fleet
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._queue)
+
+    @property
+    def isolation(self) -> isolation.Isolation:
+        """Crash suspects."""
+        return self._isolation
+
+    def begin(self, generation: int, entries: set[str], now: float) -> None:
+        """Become the owner: wait for what ``entries`` still use before granting anything."""
+        self._generation = generation
+        self._awaited_entries = set(entries)
+        self._rebuilding_until = now + REBUILD_SECONDS
+        self._fleet.trust_reports_until = now + 2 * REBUILD_SECONDS
+
+    def configure(self, declaration: declarations.Declaration) -> None:
+        """Use a newer declaration."""
+        self._declaration = declaration
+
+    def handle(self, message: Any, now: float) -> list[Any]:
+        """Process a message and return effects."""
+        match message:
+            case messages.Announcement():
+                self._handle_announcement(message, now)
+            case messages.Reserve():
+                self._handle_reserve(message, now)
+            case messages.Release():
+                self._handle_release(message, now)
+            case messages.PrefillDone():
+                key = (message.request_id, message.attempt)
+                self._fleet.finish_prefill(key, now)
+            case messages.HoldReport():
+                self._handle_hold_report(message, now)
+        self._pump(now)
+        return self._take_effects()
+
+    def tick(self, now: float) -> list[Any]:
+        """Act on leases and deadlines that have passed."""
+        for server in self._fleet.directory.expire(now):
+            self._handle_lapse(server)
+        self._expire_reservations(now)
+        self._give_up_late(now)
+        self._pump(now)
+        return self._take_effects()
+
+    def _take_effects(self) -> list[Any]:
+        taken = self._effects
+        self._effects = []
+        return taken
+
+    def _note(self, kind: str, request: str = "", **fields: Any) -> None:
+        self._effects.append(effects.Note(kind, request, fields))
+
+    # Backend servers.
+
+    def _handle_announcement(self, announcement: messages.Announcement, now: float) -> None:
+        change = self._fleet.directory.handle(announcement, now)
+        server = announcement.server
+        if change is directories.Change.STALE:
+            return
+        if change is directories.Change.RESTARTED:
+            self._handle_crash(server, now)
+            self._fleet.prefixes.forget(server)
+        else:
+            self._isolation.dismiss(server, now)
+        self._fleet.prefixes.handle(announcement)
+        if change is not directories.Change.RENEWED:
+            self._note(f"server.{change.value}", server=server)
+
+    def _handle_lapse(self, server: str) -> None:
+        self._note("server.lapsed", server=server)
+        if self._isolation.is_watched(server):
+            self._report_crash(server, set())
+
+    def _handle_crash(self, server: str, now: float) -> None:
+        """Give back what ran on a server's earlier incarnation."""
+        running = self._fleet.ledger.on(server)
+        self._report_crash(server, {one.fingerprint for one in running})
+        for reservation in running:
+            self._fleet.release(reservation.key, now)
+            self._cancel(reservation, besides=server)
+
+    def _report_crash(self, server: str, fingerprints: set[str]) -> None:
+        report_id = self._next_report_id()
+        ran = self._isolation.confirm_crash(server, fingerprints, report_id)
+        if ran:
+            self._note("server.crashed", server=server, suspects=len(ran))
+            self._effects.append(effects.ReportCrash(report_id, self._service, ran, False))
+
+    def _next_report_id(self) -> str:
+        self._report_number += 1
+        return f"{self._shard}:{self._generation}:{self._report_number}"
+
+    # Requests.
+
+    def _handle_reserve(self, reserve: messages.Reserve, now: float) -> None:
+        key = (reserve.request_id, reserve.attempt)
+        granted = self._fleet.ledger.find(key)
+        if granted is not None:
+            self._send_grant(granted, now)
+            return
+        waiting = self._queue.find(key)
+        if waiting is not None:
+            waiting.listed = now
+            return
+        workspace = self._declaration.find_workspace(reserve.workspace)
+        if workspace is None:
+            self._refuse(reserve, errors.UnknownWorkspaceError("the workspace was removed"))
+            return
+        waiting = self._judge(reserve, now)
+        refusal = self._find_refusal(waiting, workspace, now)
+        if refusal is not None:
+            self._refuse(reserve, refusal)
+            return
+        self._count_mix(waiting, now)
+        self._queue.add(waiting, workspace.weight)
+
+    def _judge(self, reserve: messages.Reserve, now: float) -> queue.Waiting:
+        servers = [one for one in self._fleet.directory.live(now) if choice.offers(one, reserve)]
+        policy = self._declaration.policy
+        work = min((self._fleet.prefill_seconds(one, reserve) for one in servers), default=0.0)
+        decode = min((one.decode_seconds for one in servers), default=0.0)
+        if work <= policy.short_seconds:
+            length_class = queue.LengthClass.SHORT
+        elif work < policy.long_seconds:
+            length_class = queue.LengthClass.MEDIUM
+        else:
+            length_class = queue.LengthClass.LONG
+        service = work + decode * reserve.output_tokens or DEFAULT_SERVICE_SECONDS
+        return queue.Waiting(
+            reserve,
+            arrived=now,
+            deadline=now + reserve.remaining,
+            length_class=length_class,
+            work=work,
+            service_seconds=service,
+            listed=now,
+        )
+
+    def _find_refusal(
+        self,
+        waiting: queue.Waiting,
+        workspace: declarations.WorkspaceDeclaration,
+        now: float,
+    ) -> errors.FlamingorampError | None:
+        reserve = waiting.reserve
+        if self._isolation.is_confirmed(reserve.fingerprint):
+            return errors.RequestQuarantinedError("this content crashed several backend servers")
+        if now < self._rebuilding_until or self._declaration.policy.selection == "naive":
+            return None
+        servers = [one for one in self._fleet.directory.live(now) if choice.offers(one, reserve)]
+        if not servers:
+            if reserve.attempt > 1:
+                return None  # servers may come back within the time limit
+            return errors.NoBackendError("no live backend server for this request", retry_after=1.0)
+        need = reserve.prompt_tokens + reserve.output_tokens
+        memories = [one.memory_tokens for one in servers]
+        if any(memories) and not fleets.group_size(need, memories):
+            total = sum(memories)
+            return errors.PromptTooLongError(f"the request needs {need} tokens, {total} exist")
+        if self._queue.count(reserve.workspace) >= workspace.max_waiting:
+            return errors.QuotaExceededError(
+                f"workspace {workspace.name} has {workspace.max_waiting} requests waiting",
+                retry_after=1.0,
+            )
+        late_by = self._predicted_wait(waiting, servers, now) - waiting.slack(now)
+        if late_by > 0:
+            return errors.OverloadedError(
+                "the request can't finish within its time limit", retry_after=max(0.1, late_by)
+            )
+        return None
+
+    def _predicted_wait(
+        self, waiting: queue.Waiting, servers: list[messages.Announcement], now: float
+    ) -> float:
+        length_class = waiting.length_class
+        usable = servers
+        if length_class is queue.LengthClass.LONG:
+            long_servers = self._constraints(now).long_servers
+            usable = [one for one in servers if one.server in long_servers] or servers
+        running = sum(self._fleet.backlog_seconds(one.server, length_class, now) for one in usable)
+        return (running + self._queue.work_ahead(length_class)) / len(usable)
+
+    def _handle_release(self, message: messages.Release, now: float) -> None:
+        key = (message.request_id, message.attempt)
+        self._queue.remove(key)
+        reservation = self._fleet.release(key, now)
+        if reservation is None:
+            return
+        if message.result == "done":
+            report_id = self._next_report_id()
+            if self._isolation.clear(reservation.fingerprint, report_id):
+                cleared = (reservation.fingerprint,)
+                self._effects.append(effects.ReportCrash(report_id, self._service, cleared, True))
+        elif message.result == "crashed":
+            ran = {one.fingerprint for one in self._fleet.ledger.on(message.server)}
+            self._isolation.watch(message.server, ran | {reservation.fingerprint}, now)
+            member = self._fleet.directory.find(message.server)
+            if member is None or member.lapsed:
+                self._report_crash(message.server, set())
+
+    def _handle_hold_report(self, report: messages.HoldReport, now: float) -> None:
+        listed = set()
+        for held in report.held:
+            key = (held.request_id, held.attempt)
+            listed.add(key)
+            known = self._fleet.ledger.find(key)
+            if known is not None:
+                known.renewed = now
+            else:
+                self._adopt(report, held, now)
+        for reservation in self._fleet.ledger.all():
+            mine = reservation.entry == report.entry
+            if mine and reservation.key not in listed:
+                self._drop_unlisted(reservation, now)
+        self._list_waiting(report, now)
+        self._awaited_entries.discard(report.entry)
+        if not self._awaited_entries:
+            self._rebuilding_until = min(self._rebuilding_until, now)
+
+    def _adopt(
+        self, report: messages.HoldReport, held: messages.HeldReservation, now: float
+    ) -> None:
+        reservation = ledger.Reservation(
+            request_id=held.request_id,
+            attempt=held.attempt,
+            servers=held.servers,
+            tokens=held.tokens,
+            entry=report.entry,
+            entry_address=report.entry_address,
+            fingerprint=held.fingerprint,
+            granted=now,
+            renewed=now,
+            prefill_done=held.prefill_done,
+        )
+        self._fleet.reserve(reservation, ())
+        self._note("reservation.adopted", held.request_id)
+
+    def _drop_unlisted(self, reservation: ledger.Reservation, now: float) -> None:
+        if now - reservation.renewed > UNLISTED_SECONDS:
+            self._fleet.release(reservation.key, now)
+            self._cancel(reservation)
+            self._note("reservation.unlisted", reservation.request_id)
+
+    def _list_waiting(self, report: messages.HoldReport, now: float) -> None:
+        still = set(report.waiting)
+        for waiting in self._queue.all():
+            if waiting.reserve.entry != report.entry:
+                continue
+            if waiting.reserve.request_id in still:
+                waiting.listed = now
+            elif now - waiting.listed > UNLISTED_SECONDS:
+                self._queue.remove(waiting.key)
+
+    def _expire_reservations(self, now: float) -> None:
+        for reservation in self._fleet.ledger.all():
+            if now - reservation.renewed > self._expiry:
+                self._fleet.release(reservation.key, now)
+                self._cancel(reservation)
+                self._note("reservation.expired", reservation.request_id)
+
+    def _cancel(self, reservation: ledger.Reservation, *, besides: str = "") -> None:
+        for server in reservation.servers:
+            url = self._fleet.url(server)
+            if server != besides and url:
+                self._effects.append(
+                    effects.CancelAtServer(url, reservation.request_id, reservation.attempt)
+                )
+
+    def _give_up_late(self, now: float) -> None:
+        for waiting in self._queue.all():
+            if waiting.slack(now) >= 0 and now - waiting.listed <= self._expiry:
+                continue
+            self._queue.remove(waiting.key)
+            behind = self._queue.work_ahead(waiting.length_class)
+            live = max(1, len(self._fleet.directory.live(now)))
+            error = errors.OverloadedError(
+                "no backend server became free in time", retry_after=max(0.5, behind / live)
+            )
+            self._refuse(waiting.reserve, error)
+
+    def _refuse(self, reserve: messages.Reserve, error: errors.FlamingorampError) -> None:
+        refusal = messages.Refuse(
+            reserve.request_id, reserve.attempt, error.code, str(error), error.retry_after
+        )
+        self._effects.append(effects.Reply(reserve.entry_address, refusal))
+        self._note("request.refused", reserve.request_id, code=error.code)
+
+    # Placement.
+
+    def _constraints(self, now: float) -> choice.Constraints:
+        servers = self._fleet.directory.live(now)
+        total = sum(self._mix.values())
+        share = self._mix[queue.LengthClass.LONG] / total if total else 0.0
+        policy = self._declaration.policy
+        isolated = {
+            server
+            for reservation in self._fleet.ledger.all()
+            if reservation.isolated
+            for server in reservation.servers
+        }
+        watched = {one.server for one in servers if self._isolation.is_watched(one.server)}
+        return choice.Constraints(
+            closed=frozenset(isolated | watched),
+            drained=self._drained,
+            long_servers=choice.long_set(servers, long_share=share, policy=policy),
+        )
+
+    def _count_mix(self, waiting: queue.Waiting, now: float) -> None:
+        decay = 0.5 ** ((now - self._mix_time) / MIX_HALF_LIFE_SECONDS)
+        self._mix = {one: work * decay for one, work in self._mix.items()}
+        self._mix[waiting.length_class] += waiting.work
+        self._mix_time = now
+
+    def _pump(self, now: float) -> None:
+        """Give places to waiting requests, in their order, as far as there are any."""
+        if not len(self._queue) or now < self._rebuilding_until or not self._generation:
+            return
+        servers = self._fleet.directory.live(now)
+        live = {server.server for server in servers}
+        if self._drained_for not in self._queue or not self._drained <= live:
+            self._drained, self._drained_for = frozenset(), None
+        constraints = self._constraints(now)
+        running = self._running_fingerprints()
+        failed = dict.fromkeys(queue.LengthClass, 0)
+        for waiting in self._queue.in_order(now):
+            if failed[waiting.length_class] >= PUMP_LIMIT:
+                continue
+            placement, isolated = self._place(waiting, servers, constraints, running, now)
+            if placement is None:
+                failed[waiting.length_class] += 1
+                self._consider_drain(waiting, servers, constraints, now)
+                constraints = attrs.evolve(constraints, drained=self._drained)
+                continue
+            self._grant(waiting, placement, isolated, now)
+            running.add(waiting.reserve.fingerprint)
+            if isolated:
+                constraints = self._constraints(now)
+
+    def _running_fingerprints(self) -> set[str]:
+        return {one.fingerprint for one in self._fleet.ledger.all()}
+
+    def _place(
+        self,
+        waiting: queue.Waiting,
+        servers: list[messages.Announcement],
+        constraints: choice.Constraints,
+        running: set[str],
+        now: float,
+    ) -> tuple[choice.Placement | None, bool]:
+        reserve = waiting.reserve
+        if self._declaration.policy.selection == "naive":
+            return choice.choose_naive(servers, reserve), False
+        fingerprint = reserve.fingerprint
+        if fingerprint in running and not self._isolation.is_cleared(fingerprint):
+            return None, False
+        if self._drained_for == waiting.key:
+            constraints = attrs.evolve(constraints, drained=frozenset())
+        if self._isolation.is_suspect(fingerprint):
+            if self._isolated_count() >= max(1, len(servers) // 4):
+                return None, True
+            return choice.choose_isolated(self._fleet, servers, waiting, constraints), True
+        need = reserve.prompt_tokens + reserve.output_tokens
+        if self._needs_group(servers, reserve, need):
+            return choice.choose_group(self._fleet, servers, waiting, constraints, now), False
+        policy = self._declaration.policy
+        placement = choice.choose_single(self._fleet, servers, waiting, constraints, policy, now)
+        return placement, False
+
+    def _isolated_count(self) -> int:
+        return sum(one.isolated for one in self._fleet.ledger.all())
+
+    def _needs_group(
+        self, servers: list[messages.Announcement], reserve: messages.Reserve, need: int
+    ) -> bool:
+        memories = [one.memory_tokens for one in servers if choice.offers(one, reserve)]
+        return bool(memories) and max(memories) > 0 and need > max(memories)
+
+    def _consider_drain(
+        self,
+        waiting: queue.Waiting,
+        servers: list[messages.Announcement],
+        constraints: choice.Constraints,
+        now: float,
+    ) -> None:
+        """Keep servers free for the longest waiting request that needs much memory at once."""
+        if self._drained_for is not None or now - waiting.arrived < STARVING_SECONDS:
+            return
+        reserve = waiting.reserve
+        if reserve.fingerprint in self._running_fingerprints():
+            return
+        need = reserve.prompt_tokens + reserve.output_tokens
+        memories = [one.memory_tokens for one in servers if choice.offers(one, reserve)]
+        count = 1
+        if any(memories):
+            count = fleets.group_size(need, memories) or 1
+        if count >= len(servers) > 1 and waiting.length_class is queue.LengthClass.SHORT:
+            return
+        self._drained = choice.choose_to_drain(
+            self._fleet, servers, waiting, constraints.closed, count, now
+        )
+        self._drained_for = waiting.key
+        self._note("servers.drained", reserve.request_id, servers=sorted(self._drained))
+
+    def _grant(
+        self, waiting: queue.Waiting, placement: choice.Placement, isolated: bool, now: float
+    ) -> None:
+        reserve = waiting.reserve
+        reservation = ledger.Reservation(
+            request_id=reserve.request_id,
+            attempt=reserve.attempt,
+            servers=tuple(one.server for one in placement.servers),
+            tokens=placement.tokens,
+            entry=reserve.entry,
+            entry_address=reserve.entry_address,
+            fingerprint=reserve.fingerprint,
+            granted=now,
+            renewed=now,
+            prefill_seconds=placement.prefill_seconds,
+            priority=int(waiting.length_class),
+            isolated=isolated,
+            long=waiting.length_class is queue.LengthClass.LONG,
+        )
+        self._queue.start(waiting)
+        self._fleet.reserve(reservation, reserve.prefix_hashes)
+        if self._drained_for == waiting.key:
+            self._drained, self._drained_for = frozenset(), None
+        self._send_grant(reservation, now, placement.cached_tokens)
+        self._note(
+            "request.granted",
+            reserve.request_id,
+            attempt=reserve.attempt,
+            servers=list(reservation.servers),
+            waited=round(now - waiting.arrived, 4),
+        )
+
+    def _send_grant(
+        self, reservation: ledger.Reservation, now: float, cached_tokens: int = 0
+    ) -> None:
+        grant = messages.Grant(
+            request_id=reservation.request_id,
+            attempt=reservation.attempt,
+            shard=self._shard,
+            generation=self._generation,
+            servers=reservation.servers,
+            urls=tuple(self._fleet.url(server) for server in reservation.servers),
+            tokens=reservation.tokens,
+            priority=reservation.priority,
+            predicted_prefill=reservation.prefill_seconds,
+            cached_tokens=cached_tokens,
+        )
+        self._effects.append(effects.Reply(reservation.entry_address, grant))
--- /dev/null
+++ b/flamingoramp/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks, transports, settings, logs, metrics and the time line."""
--- /dev/null
+++ b/flamingoramp/runtime/transport.py
@@ -0,0 +1,224 @@
+"""Connections between the system's own processes."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from flamingoramp import errors
+from flamingoramp.protocol import codec, messages
+from flamingoramp.runtime import clock as clocks
+from flamingoramp.runtime import loop as loops
+from flamingoramp.runtime import stream as streams
+
+PING_SECONDS = 0.5
+SILENCE_SECONDS = 2.0
+RECONNECT_SECONDS = 0.2
+BUFFER_LIMIT_BYTES = 32 * 1024 * 1024
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+@attrs.define
+class Traffic:
+    """Bytes and frames that one process exchanged with its peers."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_frames: int = 0
+    received_frames: int = 0
+    reconnects: int = 0
+
+
+class Connection:
+    """One connection; replies go back over the one that a message came by."""
+
+    def __init__(self, transport: Transport, sock: socket.socket, address: str):
+        self._transport = transport
+        self._address = address
+        self._frames = codec.FrameBuffer()
+        self._heard_at = transport.loop.now()
+        self._stream = streams.Stream(
+            transport.loop,
+            sock,
+            on_data=self._handle_data,
+            on_closed=self._handle_closed,
+            buffer_limit=BUFFER_LIMIT_BYTES,
+        )
+
+    @property
+    def address(self) -> str:
+        """Address that this process connected to, empty for accepted connections."""
+        return self._address
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can be written to."""
+        return self._stream.is_open
+
+    def send(self, message: Any) -> None:
+        """Send a message; it is lost if the connection breaks."""
+        transport = self._transport
+        data = codec.encode(transport.name, message, clock=transport.clock.tick())
+        transport.traffic.sent_bytes += len(data)
+        transport.traffic.sent_frames += 1
+        self._stream.write(data)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    def check(self, now: float) -> None:
+        """Probe the other end; give the connection up if it has been silent for too long."""
+        if now - self._heard_at > SILENCE_SECONDS:
+            self.close()
+            self._handle_closed()
+        elif self._address:
+            self.send(messages.Ping())
+
+    def _handle_data(self, data: bytes) -> None:
+        transport = self._transport
+        self._heard_at = transport.loop.now()
+        transport.traffic.received_bytes += len(data)
+        try:
+            for frame in self._frames.feed(data):
+                self._handle_envelope(codec.decode(frame))
+        except errors.ProtocolError as error:
+            transport.report_protocol_error(error)
+            self.close()
+            self._handle_closed()
+
+    def _handle_envelope(self, envelope: codec.Envelope) -> None:
+        transport = self._transport
+        transport.traffic.received_frames += 1
+        transport.clock.observe(envelope.clock)
+        match envelope.message:
+            case messages.Ping():
+                self.send(messages.Pong(envelope.message.sequence))
+            case messages.Pong():
+                pass
+            case _:
+                transport.deliver(envelope.sender, envelope.message, self)
+
+    def _handle_closed(self) -> None:
+        self._transport.forget(self)
+
+
+class Transport:
+    """All connections of one process.
+
+    Parameters
+    ----------
+    loop : loops.Loop
+    name : str
+        Name under which messages are sent.
+    listen : str
+        ``ip:port`` for connections of other processes; port 0 takes a free one.
+    clock : clocks.HybridClock
+    deliver : callable
+        Takes a sender's name, a message and the connection it came by.
+    on_protocol_error : callable
+        Takes an `errors.ProtocolError`.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        *,
+        name: str,
+        listen: str,
+        clock: clocks.HybridClock,
+        deliver: Callable[[str, Any, Connection], None],
+        on_protocol_error: Callable[[errors.ProtocolError], None],
+    ):
+        self.loop = loop
+        self.name = name
+        self.clock = clock
+        self.deliver = deliver
+        self.report_protocol_error = on_protocol_error
+        self.traffic = Traffic()
+        self._outgoing: dict[str, Connection] = {}
+        self._accepted: set[Connection] = set()
+        self._retry_at: dict[str, float] = {}
+        self._listener = socket.create_server(parse_address(listen), backlog=512)
+        self._listener.setblocking(False)
+        loop.register(self._listener, selectors.EVENT_READ, self._accept)
+        loop.call_every(PING_SECONDS, self._check_all)
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` that others connect to."""
+        host, port = self._listener.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def send(self, address: str, message: Any) -> bool:
+        """Send a message to an address, over a new connection if there is none.
+
+        Returns
+        -------
+        bool
+            False if no connection could be opened; delivery is never promised.
+        """
+        connection = self._outgoing.get(address) or self._connect(address)
+        if connection is None:
+            return False
+        connection.send(message)
+        return True
+
+    def drop(self, address: str) -> None:
+        """Close the connection to an address, so that the next message opens a new one."""
+        connection = self._outgoing.pop(address, None)
+        if connection is not None:
+            connection.close()
+
+    def forget(self, connection: Connection) -> None:
+        """Forget a closed connection."""
+        self._accepted.discard(connection)
+        if self._outgoing.get(connection.address) is connection:
+            del self._outgoing[connection.address]
+            self._retry_at[connection.address] = self.loop.now() + RECONNECT_SECONDS
+            self.traffic.reconnects += 1
+
+    def close(self) -> None:
+        """Close all connections and stop listening."""
+        self.loop.unregister(self._listener)
+        self._listener.close()
+        for connection in [*self._outgoing.values(), *self._accepted]:
+            connection.close()
+
+    def _connect(self, address: str) -> Connection | None:
+        if self.loop.now() < self._retry_at.get(address, 0.0):
+            return None
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            sock.connect(parse_address(address))
+        except BlockingIOError:
+            pass
+        except OSError:
+            sock.close()
+            self._retry_at[address] = self.loop.now() + RECONNECT_SECONDS
+            return None
+        connection = Connection(self, sock, address)
+        self._outgoing[address] = connection
+        return connection
+
+    def _accept(self, _events: int) -> None:
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            return
+        self._accepted.add(Connection(self, sock, ""))
+
+    def _check_all(self) -> None:
+        now = self.loop.now()
+        for connection in [*self._outgoing.values(), *self._accepted]:
+            connection.check(now)
