Tell crashes from silence, and judge requests once servers are known

Cause: tests with real processes showed that (1) an engine that is frozen was counted as crashed, so that innocent contents were quarantined; (2) a new owner refused requests as no_backend before servers had announced themselves to it; (3) requests that came in that time were judged as short. Ruled out: test prompts that were equal by accident (they were, and are mended in the load client) as the only cause: the frozen engine alone reproduced (1).

--- a/bench/client.py
+++ b/bench/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import random
 from collections.abc import Callable
@@ -67,7 +68,7 @@
 
 
 def _fill(seed: str, tokens: int) -> str:
-    unit = f"{seed:<16}"[:16]
+    unit = hashlib.blake2b(seed.encode(), digest_size=8).hexdigest()
     return (unit * (tokens * BYTES_PER_TOKEN // len(unit) + 1))[: max(0, tokens) * BYTES_PER_TOKEN]
 
 
@@ -148,6 +149,8 @@
             if self.loop.now() - reported > 1:
                 reported = self.loop.now()
                 on_progress(len(plan) - self._open, len(plan))
+        self._transfers.close()
+        self.loop.close()
         return self.results
 
     def _send(self, planned: Planned) -> None:
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -28,6 +28,7 @@
 SEED = 1908
 BUCKETS = (4_000, 16_000, 64_000, 250_000, 1_000_000)
 HOLD_KEYS = 6
+LONG_TOKENS = 100_000
 ENGINES = {"hanbit": 14, "cenotvar": 23}
 MEMORY_LIMIT_BYTES = 4 * 1024**3
 
@@ -199,12 +200,21 @@
         self._stopping.append((name, time.monotonic()))
 
     def _kill_engine(self) -> None:
-        name = self._busiest()
+        self._pool.submit(self._kill_busy_engine)
+
+    def _kill_busy_engine(self) -> None:
+        """Kill an engine in the middle of a long stream."""
+        name = fleets.wait_for(self._find_digest, "an engine that runs a long prompt")
         running = self._fleet.server_state(name)["running"]
         say(f"  kill -9 of engine {name} with {running} requests running")
         self._fleet.kill(name)
         self._findings.add(f"kill -9 of engine {name}: {running} requests ran there")
-        self._pool.submit(self._restart_later, name)
+        time.sleep(3)
+        self._fleet.restart(name)
+
+    def _find_digest(self) -> str:
+        name = self._busiest()
+        return name if self._fleet.server_state(name)["memory_used"] > LONG_TOKENS else ""
 
     def _busiest(self) -> str:
         names = [
@@ -214,10 +224,6 @@
         ]
         return max(names, key=lambda name: self._fleet.server_state(name)["memory_used"])
 
-    def _restart_later(self, name: str) -> None:
-        time.sleep(3)
-        self._fleet.restart(name)
-
     def _kill_leader(self) -> None:
         host = self._fleet.leader()
         say(f"  kill -9 of the leading control replica on {host}")
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -208,7 +208,8 @@
         return found
 
     def server_state(self, name: str) -> dict[str, Any]:
-        """Return what a stand-in tells of itself."""
+        """Return what a stand-in tells of itself, once it answers."""
+        wait_for(lambda: _answers(self._urls[name] + "/v1/state"), f"{name} to answer")
         return http_client.fetch(self._urls[name] + "/v1/state").json()
 
     def close(self) -> None:
--- a/flamingoramp/backends/runner.py
+++ b/flamingoramp/backends/runner.py
@@ -250,6 +250,8 @@
     match ending:
         case transfers.Ending.NOT_SENT:
             return requests.TransferResult.NOT_SENT
+        case transfers.Ending.UNREACHED:
+            return requests.TransferResult.UNREACHED
         case transfers.Ending.SILENT:
             return requests.TransferResult.SILENT
         case _:
--- a/flamingoramp/backends/transfers.py
+++ b/flamingoramp/backends/transfers.py
@@ -24,6 +24,7 @@
 
     COMPLETE = "complete"
     NOT_SENT = "not_sent"
+    UNREACHED = "unreached"
     BROKEN = "broken"
     SILENT = "silent"
 
@@ -121,6 +122,12 @@
         # libcurl doesn't allow a handle's removal from within its callbacks.
         self._loop.call_later(0, lambda: self._remove(transfer))
 
+    def close(self) -> None:
+        """End all transfers without a call to their ``on_end``."""
+        for transfer in list(self._transfers.values()):
+            self._remove(transfer)
+        self._multi.close()
+
     def _set_options(self, handle: pycurl.Curl, transfer: Transfer) -> None:
         call = transfer.call
         handle.setopt(pycurl.URL, call.url)
@@ -221,12 +228,9 @@
 
 
 def _judge_failure(handle: pycurl.Curl, code: int) -> Ending:
-    unreached = (
-        pycurl.E_COULDNT_CONNECT,
-        pycurl.E_COULDNT_RESOLVE_HOST,
-        pycurl.E_URL_MALFORMAT,
-    )
-    connected = handle.getinfo(pycurl.CONNECT_TIME) > 0
-    if code in unreached or (code == pycurl.E_OPERATION_TIMEDOUT and not connected):
+    if code in (pycurl.E_COULDNT_CONNECT, pycurl.E_URL_MALFORMAT):
         return Ending.NOT_SENT
+    connected = handle.getinfo(pycurl.CONNECT_TIME) > 0
+    if code == pycurl.E_OPERATION_TIMEDOUT and not connected:
+        return Ending.UNREACHED
     return Ending.BROKEN
--- a/flamingoramp/daemons/process.py
+++ b/flamingoramp/daemons/process.py
@@ -115,6 +115,7 @@
             self.http.stop()
             served.result()
             self.transport.close()
+            self.loop.close()
             self._executor.shutdown()
 
     def _answer(self, request: werkzeug.Request, sock: Any) -> werkzeug.Response | None:
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -26,6 +26,13 @@
 LONG_WAIT_SECONDS = 10.0
 
 
+_NOT_RUN_RESULTS = {
+    requests.TransferResult.NOT_SENT: "crashed",
+    requests.TransferResult.UNREACHED: "silent",
+    requests.TransferResult.REJECTED: "rejected",
+}
+
+
 class Phase(enum.Enum):
     """Where a request is."""
 
@@ -52,6 +59,8 @@
     dispatched_at: float = 0.0
     first_token_at: float = 0.0
     resumes: int = 0
+    heard: bool = False
+    crash_seen: bool = False
     begun: bool = False
     claimed: bool = False
     excluded: tuple[str, ...] = ()
@@ -280,6 +289,8 @@
         flight.dispatched = True
         flight.dispatched_at = now
         flight.resumes = 0
+        flight.heard = False
+        flight.crash_seen = False
         self._note("attempt.started", flight, attempt=flight.attempt, servers=list(grant.servers))
         self._begin_answer(flight)
         self._start_transfer(flight, now)
@@ -344,7 +355,8 @@
                 return
         if not flight.first_token_at:
             flight.first_token_at = now
-        if not flight.pieces or flight.resumes:
+        if not flight.heard:
+            flight.heard = True
             self._report_prefill(flight, now)
         flight.resumes = 0
         flight.pieces.append(text)
@@ -378,9 +390,17 @@
         match end.result:
             case requests.TransferResult.DONE:
                 self._complete(flight)
-            case requests.TransferResult.NOT_SENT | requests.TransferResult.REJECTED:
+            case (
+                requests.TransferResult.NOT_SENT
+                | requests.TransferResult.UNREACHED
+                | requests.TransferResult.REJECTED
+            ):
                 self._handle_not_run(flight, end.result, now)
-            case requests.TransferResult.BROKEN | requests.TransferResult.SILENT:
+            case requests.TransferResult.BROKEN:
+                flight.crash_seen = True
+                self._resume_or_retry(flight, now)
+            case requests.TransferResult.SILENT:
+                flight.crash_seen = False
                 self._resume_or_retry(flight, now)
             case requests.TransferResult.GONE:
                 self._lose_attempt(flight, now)
@@ -399,17 +419,19 @@
     def _handle_not_run(self, flight: Flight, result: requests.TransferResult, now: float) -> None:
         """Go on after an attempt that proved not to have begun, or a resume that failed."""
         server = flight.grant.servers[-1]
+        if result is requests.TransferResult.UNREACHED:
+            flight.crash_seen = False
         if flight.resumes:
             self._lose_attempt(flight, now)
             return
-        crashed = result is requests.TransferResult.NOT_SENT
-        self._send_release(flight.grant, "crashed" if crashed else "rejected")
+        self._send_release(flight.grant, _NOT_RUN_RESULTS[result])
         flight.dispatched = False
         self._next_attempt(flight, now, excluded=server)
 
     def _resume_or_retry(self, flight: Flight, now: float) -> None:
         plain = flight.spec.kind is requests.RequestKind.PLAIN
-        if plain or flight.resumes >= MAX_RESUMES:
+        mute = not flight.heard and not flight.crash_seen
+        if plain or mute or flight.resumes >= MAX_RESUMES:
             self._lose_attempt(flight, now)
             return
         flight.resumes += 1
@@ -422,7 +444,7 @@
         """Go on after an attempt whose server failed while it ran."""
         server = flight.grant.servers[-1]
         self._cancel_transfer(flight)
-        self._send_release(flight.grant, "crashed")
+        self._send_release(flight.grant, "crashed" if flight.crash_seen else "silent")
         if flight.spec.idempotent:
             self._next_attempt(flight, now, excluded=server)
             return
--- a/flamingoramp/dispatch/requests.py
+++ b/flamingoramp/dispatch/requests.py
@@ -113,13 +113,15 @@
 class TransferResult(enum.Enum):
     """How a transfer ended.
 
-    ``NOT_SENT``: no byte left for the server. ``REJECTED``: the server proved that it did not
+    ``NOT_SENT``: the server refused the connection. ``UNREACHED``: it did not answer to one.
+    ``REJECTED``: the server proved that it did not
     begin. ``BROKEN``: the connection ended early. ``SILENT``: it went silent. ``GONE``: the server
     no longer has the attempt that should be resumed.
     """
 
     DONE = "done"
     NOT_SENT = "not_sent"
+    UNREACHED = "unreached"
     REJECTED = "rejected"
     BROKEN = "broken"
     SILENT = "silent"
--- a/flamingoramp/routing/queue.py
+++ b/flamingoramp/routing/queue.py
@@ -32,6 +32,7 @@
     service_seconds: float
     share_tag: float = 0.0
     listed: float = 0.0
+    judged: bool = True
 
     @property
     def key(self) -> tuple[str, int]:
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -52,12 +52,15 @@
         self._declaration = declaration
         self._expiry = reservation_expiry_seconds
         self._generation = 0
+        self._lease_seconds = lease_seconds
         self._fleet = fleets.Fleet(lease_seconds)
         self._queue = queue.WaitingQueue()
         self._isolation = isolation.Isolation()
         self._drained: frozenset[str] = frozenset()
         self._drained_for: ledger.Key | None = None
         self._rebuilding_until = 0.0
+        self._settled_at = 0.0
+        self._settled = True
         self._awaited_entries: set[str] = set()
         self._mix = dict.fromkeys(queue.LengthClass, 0.0)
         self._mix_time = 0.0
@@ -89,6 +92,8 @@
         self._generation = generation
         self._awaited_entries = set(entries)
         self._rebuilding_until = now + REBUILD_SECONDS
+        self._settled_at = now + self._lease_seconds
+        self._settled = False
         self._fleet.trust_reports_until = now + 2 * REBUILD_SECONDS
 
     def configure(self, declaration: declarations.Declaration) -> None:
@@ -116,6 +121,8 @@
         """Act on leases and deadlines that have passed."""
         for server in self._fleet.directory.expire(now):
             self._handle_lapse(server)
+        if not self._settled and now >= self._settled_at:
+            self._settle(now)
         self._expire_reservations(now)
         self._give_up_late(now)
         self._pump(now)
@@ -138,6 +145,7 @@
             return
         if change is directories.Change.RESTARTED:
             self._handle_crash(server, now)
+            self._fleet.breaker.succeed(server)
             self._fleet.prefixes.forget(server)
         else:
             self._isolation.dismiss(server, now)
@@ -213,8 +221,29 @@
             work=work,
             service_seconds=service,
             listed=now,
+            judged=bool(servers),
         )
 
+    def _settle(self, now: float) -> None:
+        """Judge again what came before all servers had announced themselves."""
+        self._settled = True
+        for waiting in self._queue.all():
+            workspace = self._declaration.find_workspace(waiting.reserve.workspace)
+            refusal = workspace and self._find_refusal(waiting, workspace, now)
+            if refusal:
+                self._queue.remove(waiting.key)
+                self._refuse(waiting.reserve, refusal)
+
+    def _judge_again(self, now: float) -> None:
+        """Predict the work of requests that came when no server was known."""
+        for waiting in self._queue.all():
+            if not waiting.judged:
+                judged = self._judge(waiting.reserve, now)
+                waiting.judged = judged.judged
+                waiting.length_class = judged.length_class
+                waiting.work = judged.work
+                waiting.service_seconds = judged.service_seconds
+
     def _find_refusal(
         self,
         waiting: queue.Waiting,
@@ -224,8 +253,8 @@
         reserve = waiting.reserve
         if self._isolation.is_confirmed(reserve.fingerprint):
             return errors.RequestQuarantinedError("this content crashed several backend servers")
-        if now < self._rebuilding_until or self._declaration.policy.selection == "naive":
-            return None
+        if now < self._settled_at or self._declaration.policy.selection == "naive":
+            return None  # not all servers have announced themselves to this owner yet
         servers = [one for one in self._fleet.directory.live(now) if choice.offers(one, reserve)]
         if not servers:
             if reserve.attempt > 1:
@@ -270,7 +299,11 @@
             if self._isolation.clear(reservation.fingerprint, report_id):
                 cleared = (reservation.fingerprint,)
                 self._effects.append(effects.ReportCrash(report_id, self._service, cleared, True))
+            self._fleet.breaker.succeed(message.server)
+        elif message.result in ("silent", "rejected"):
+            self._fleet.breaker.fail(message.server, now)
         elif message.result == "crashed":
+            self._fleet.breaker.fail(message.server, now)
             ran = {one.fingerprint for one in self._fleet.ledger.on(message.server)}
             self._isolation.watch(message.server, ran | {reservation.fingerprint}, now)
             member = self._fleet.directory.find(message.server)
@@ -377,9 +410,14 @@
             if reservation.isolated
             for server in reservation.servers
         }
-        watched = {one.server for one in servers if self._isolation.is_watched(one.server)}
+        failing = {
+            one.server
+            for one in servers
+            if self._isolation.is_watched(one.server)
+            or self._fleet.breaker.is_open(one.server, now)
+        }
         return choice.Constraints(
-            closed=frozenset(isolated | watched),
+            closed=frozenset(isolated | failing),
             drained=self._drained,
             long_servers=choice.long_set(servers, long_share=share, policy=policy),
         )
@@ -395,6 +433,7 @@
         if not len(self._queue) or now < self._rebuilding_until or not self._generation:
             return
         servers = self._fleet.directory.live(now)
+        self._judge_again(now)
         live = {server.server for server in servers}
         if self._drained_for not in self._queue or not self._drained <= live:
             self._drained, self._drained_for = frozenset(), None
--- a/flamingoramp/runtime/loop.py
+++ b/flamingoramp/runtime/loop.py
@@ -106,6 +106,9 @@
         """Run until `stop` is called."""
         while not self._stopped:
             self.turn(MAX_WAIT_SECONDS)
+
+    def close(self) -> None:
+        """Release the loop's own sockets, once nothing is registered any more."""
         self._selector.close()
         self._wake_reader.close()
         self._wake_writer.close()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -119,6 +119,7 @@
         self._http.stop()
         served.result()
         pool.shutdown()
+        self._loop.close()
 
     # Announcements.
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -71,6 +71,7 @@
         self._http.stop()
         served.result()
         pool.shutdown()
+        self._loop.close()
 
     def _describe(self) -> dict[str, Any]:
         return {
