Name the server that failed an attempt, and tell what ran

Cause: a retry of a group passed over its last engine also when another one had died, so that six attempts went to the dead engine within its lease; and an attempt that never began cleared the mark of an earlier one that had run, so that not_run could be untrue. Daemons now take their outer parts as arguments.

--- a/flamingoramp/backends/runner.py
+++ b/flamingoramp/backends/runner.py
@@ -29,6 +29,7 @@
 class _Run:
     """The connection that currently serves an attempt."""
 
+    url: str = ""
     transfer: transfers.Transfer | None = None
     reader: sse.EventReader = attrs.field(factory=sse.EventReader)
     finished: bool = False
@@ -68,7 +69,7 @@
         self._drop(key)
         self._runs[key] = _Run()
         body = {"request_id": key[0], "attempt": key[1], "offset": start.offset}
-        self._stream(key, f"{start.url}/v1/resume", body, self._handle_answer_event, None)
+        self._stream(key, start.url, "/v1/resume", body, self._handle_answer_event, None)
 
     def call_plain(self, start: requests.StartPlain) -> None:
         """Call a plain service."""
@@ -94,7 +95,7 @@
                     requests.TransferPlain(key[0], key[1], status, content_type, bytes(body))
                 )
             else:
-                self._report_end(key, _translate(ending))
+                self._report_end(key, _translate(ending), start.url)
 
         run.transfer = self._transfers.start(
             transfers.Call(
@@ -156,7 +157,7 @@
                 self._run_member(start, key, position + 1)
 
             self._stream(
-                key, f"{member.url}/v1/segments", body, self._handle_segment_event, _next_member
+                key, member.url, "/v1/segments", body, self._handle_segment_event, _next_member
             )
             return
         spec = start.spec
@@ -169,12 +170,13 @@
             offset=start.offset,
             continuation=start.delivered,
         )
-        self._stream(key, f"{member.url}/v1/generate", body, self._handle_answer_event, None)
+        self._stream(key, member.url, "/v1/generate", body, self._handle_answer_event, None)
 
     def _stream(
         self,
         key: Key,
-        url: str,
+        server: str,
+        path: str,
         body: dict[str, Any],
         handle_event: Callable[[Key, _Run, Any], None],
         next_step: Callable[[], None] | None,
@@ -182,6 +184,7 @@
         run = self._runs.get(key)
         if run is None:
             return  # cancelled between two steps
+        run.url = server
         run.reader = sse.EventReader()
         run.finished = False
 
@@ -196,11 +199,11 @@
                 next_step()
                 return
             del self._runs[key]
-            self._report_end(key, _judge(ending, status, run.finished))
+            self._report_end(key, _judge(ending, status, run.finished), run.url)
 
         run.transfer = self._transfers.start(
             transfers.Call(
-                url=url,
+                url=server + path,
                 body=json.dumps(body).encode(),
                 headers=(JSON_HEADER,),
                 silence_seconds=self._silence_seconds,
@@ -221,7 +224,8 @@
                 handle_event(key, run, event)
         except (errors.ProtocolError, KeyError, TypeError):
             self._drop(key)
-            self._loop.call_later(0, lambda: self._report_end(key, requests.TransferResult.BROKEN))
+            broken = requests.TransferResult.BROKEN
+            self._loop.call_later(0, lambda: self._report_end(key, broken, run.url))
 
     def _handle_answer_event(self, key: Key, run: _Run, event: Any) -> None:
         # The chunk's own ids go on, so that what is not of this attempt is dropped and counted.
@@ -237,8 +241,8 @@
         if event.get("ready") and (event["request_id"], event["attempt"]) == key:
             run.finished = True
 
-    def _report_end(self, key: Key, result: requests.TransferResult) -> None:
-        self._report(requests.TransferEnd(key[0], key[1], result))
+    def _report_end(self, key: Key, result: requests.TransferResult, url: str) -> None:
+        self._report(requests.TransferEnd(key[0], key[1], result, url))
 
     def _drop(self, key: Key) -> None:
         run = self._runs.pop(key, None)
--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -5,7 +5,6 @@
 import json
 import pathlib
 import random
-import secrets
 import time
 import uuid
 from collections.abc import Callable
@@ -63,9 +62,20 @@
     ----------
     settings : settings_module.Settings
     host : settings_module.HostSettings
+    make_process : callable
+        Builds what `process.Process` does; tests give another.
+    store : storage.Storage or storage.MemoryStorage, optional
+        Taken from the host's data folder by default.
     """
 
-    def __init__(self, settings: settings_module.Settings, host: settings_module.HostSettings):
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        host: settings_module.HostSettings,
+        *,
+        make_process: Callable[..., Any] = process.Process,
+        store: storage.Storage | storage.MemoryStorage | None = None,
+    ):
         self._settings = settings
         self._host = host
         limits = settings.limits
@@ -84,8 +94,8 @@
         self._proposals: dict[int, _Proposal] = {}
         self._assigning = False
         self._inner = {one.name: one.control_inner for one in settings.control_hosts}
-        self._store = self._open_storage()
-        self._process = process.Process(
+        self._store = store or self._open_storage()
+        self._process = make_process(
             name=f"control-{host.name}",
             settings=settings,
             inner=host.control_inner,
@@ -107,6 +117,21 @@
         loop.call_every(TICK_SECONDS, self._tick)
         loop.call_every(OWNER_CHECK_SECONDS, self._assign_shards)
 
+    @property
+    def replica(self) -> replica.Replica:
+        """The replica of the log."""
+        return self._replica
+
+    @property
+    def state(self) -> state.ReplicatedState:
+        """The replicated state as applied here."""
+        return self._state
+
+    @property
+    def sessions(self) -> sessions.SessionTable:
+        """Sessions of entries, if this replica leads."""
+        return self._sessions
+
     @property
     def process(self) -> process.Process:
         """The daemon's parts."""
@@ -124,7 +149,7 @@
 
     def _make_replica(self) -> replica.Replica:
         timing = self._settings.timing
-        identity = self._store.load_identity(self._host.name, secrets.token_hex(8))
+        identity = self._store.load_identity(self._host.name, self._process.new_incarnation())
         recovered = self._store.recover()
         self._state.load(recovered.snapshot.data)
         seed = self._settings.seed
@@ -206,12 +231,13 @@
                 )
             )
 
-    def _propose(
+    def propose(
         self,
         command: Any,
         done: Callable[[Any], None],
         failed: Callable[[errors.FlamingorampError], None],
     ) -> None:
+        """Propose a command and call back with its result once it is committed."""
         kind, payload = commands.encode(command)
         now = self._process.loop.now()
         try:
@@ -262,8 +288,8 @@
         if not owners:
             return
         self._assigning = True
-        self._propose(
-            commands.AssignShards(owners, time.time()),
+        self.propose(
+            commands.AssignShards(owners, self._process.wall_time()),
             done=lambda _owners: self._handle_assigned(owners),
             failed=lambda _error: self._handle_assigned(()),
         )
@@ -278,7 +304,7 @@
     def _handle_claim(
         self, request: messages.ClaimRequest, connection: transports.Connection
     ) -> None:
-        now = time.time()
+        now = self._process.wall_time()
 
         def _done(result: claims.ClaimResult) -> None:
             claim = result.claim
@@ -304,7 +330,7 @@
             deadline=now + request.remaining,
             now=now,
         )
-        self._propose(command, _done, lambda _error: None)  # the entry asks again
+        self.propose(command, _done, lambda _error: None)  # the entry asks again
 
     def _handle_settle(
         self, settle: messages.ClaimSettle, connection: transports.Connection
@@ -316,19 +342,23 @@
             outcome=settle.outcome,
             http_status=settle.http_status,
             body=settle.body,
-            now=time.time(),
+            now=self._process.wall_time(),
         )
         acknowledgement = messages.Settled(f"claim/{settle.request_id}")
-        self._propose(command, lambda _done: connection.send(acknowledgement), lambda _error: None)
+        self.propose(command, lambda _done: connection.send(acknowledgement), lambda _error: None)
 
     def _handle_suspects(
         self, report: messages.SuspectReport, connection: transports.Connection
     ) -> None:
         command = commands.RecordCrash(
-            report.report_id, report.service, report.fingerprints, report.cleared, time.time()
+            report.report_id,
+            report.service,
+            report.fingerprints,
+            report.cleared,
+            self._process.wall_time(),
         )
         acknowledgement = messages.Settled(f"suspects/{report.report_id}")
-        self._propose(command, lambda _done: connection.send(acknowledgement), lambda _error: None)
+        self.propose(command, lambda _done: connection.send(acknowledgement), lambda _error: None)
 
     # Operators.
 
@@ -395,7 +425,7 @@
         document = declarations.render(declaration)
         base_revision, current = self._process.call(self._read_confirmed)
         found = changes.compare(declarations.parse(current, "log"), declaration)
-        now = time.time()
+        now = self._process.wall_time()
         plan = commands.StorePlan(
             plan_id=uuid.uuid4().hex[:12],
             base_revision=base_revision,
@@ -427,7 +457,7 @@
         operation_id = body.get("operation_id") or f"confirm/{body['plan']}"
         if not isinstance(operation_id, str):
             raise errors.BadRequestError("operation_id: takes a text")
-        command = commands.ConfirmPlan(body["plan"], operation_id, time.time())
+        command = commands.ConfirmPlan(body["plan"], operation_id, self._process.wall_time())
         result: state.ConfirmResult = self._commit(command)
         if result.error:
             raise errors.make_error(
@@ -480,7 +510,7 @@
         future: futures.Future = futures.Future()
 
         def _propose() -> None:
-            self._propose(command, future.set_result, future.set_exception)
+            self.propose(command, future.set_result, future.set_exception)
 
         self._process.loop.post(_propose)
         try:
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -4,13 +4,14 @@
 
 import json
 import random
-import secrets
+from collections.abc import Callable
 from typing import Any
 
 import werkzeug
 
 from flamingoramp import errors, utils
 from flamingoramp.admission import callers as caller_requests
+from flamingoramp.backends import orders
 from flamingoramp.backends import runner as runners
 from flamingoramp.daemons import callers, owner, process
 from flamingoramp.dispatch import dispatcher, requests
@@ -36,13 +37,23 @@
     ----------
     settings : settings_module.Settings
     host : settings_module.HostSettings
+    make_process, make_runner, make_callers, make_order_sender : callable
+        Build the parts that touch sockets; tests give others.
     """
 
-    def __init__(self, settings: settings_module.Settings, host: settings_module.HostSettings):
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        host: settings_module.HostSettings,
+        *,
+        make_process: Callable[..., Any] = process.Process,
+        make_runner: Callable[..., Any] = runners.Runner,
+        make_callers: Callable[..., Any] = callers.Callers,
+        make_order_sender: Callable[..., Any] = orders.OrderSender,
+    ):
         self._settings = settings
         self._host = host
-        self._incarnation = secrets.token_hex(6)
-        self._process = process.Process(
+        self._process = make_process(
             name=f"entry-{host.name}",
             settings=settings,
             inner=host.entry_inner,
@@ -50,14 +61,15 @@
             deliver=self._deliver,
             respond=self._respond,
         )
+        self._incarnation = self._process.new_incarnation()
         self._control = {one.name: one.control_inner for one in settings.control_hosts}
         self._session = session_module.Session(self._base_heartbeat(), tuple(self._control))
         loop = self._process.loop
         timing = settings.timing
-        self._runner = runners.Runner(
+        self._runner = make_runner(
             loop, silence_seconds=timing.stream_silence_seconds, report=self._dispatch
         )
-        self._callers = callers.Callers(
+        self._callers = make_callers(
             loop,
             heartbeat_seconds=timing.caller_heartbeat_seconds,
             on_gone=lambda request_id: self._dispatch(requests.CallerGone(request_id)),
@@ -69,6 +81,7 @@
             runner=self._runner,
             send=self._send_entry,
             send_control=self._send_control,
+            make_order_sender=make_order_sender,
         )
         self._dispatcher = self._make_dispatcher()
         self._settles: dict[str, messages.ClaimSettle] = {}
@@ -79,6 +92,21 @@
         loop.call_every(timing.hold_report_seconds, self._send_hold_reports)
         loop.call_every(SETTLE_RESEND_SECONDS, self._resend_settles)
 
+    @property
+    def session(self) -> session_module.Session:
+        """Session with control."""
+        return self._session
+
+    @property
+    def dispatcher(self) -> dispatcher.Dispatcher:
+        """Requests in progress."""
+        return self._dispatcher
+
+    @property
+    def owner(self) -> owner.Owner:
+        """Shards that this entry owns."""
+        return self._owner
+
     @property
     def process(self) -> process.Process:
         """The daemon's parts."""
@@ -86,7 +114,7 @@
 
     def run(self) -> None:
         """Serve until a planned stop is complete."""
-        self._process.run(self._begin_stop)
+        self._process.run(self.begin_stop)
 
     def _base_heartbeat(self) -> messages.SessionHeartbeat:
         return messages.SessionHeartbeat(
@@ -133,7 +161,7 @@
                 else:
                     self._owner.handle_settled(settled)
             case messages.Announcement():
-                self._forward_announcement(message, forwarded=True)
+                self.announce(message, forwarded=True)
             case (
                 messages.Reserve()
                 | messages.Release()
@@ -180,7 +208,7 @@
         for shard in learned.moved_shards:
             self._handle_moved_shard(shard, now)
         if self._session.drain_ordered:
-            self._begin_stop()
+            self.begin_stop()
 
     def _handle_moved_shard(self, shard: str, now: float) -> None:
         self._process.note("shard.moved", shard=shard, owner=self._session.shards[shard].owner)
@@ -258,13 +286,15 @@
             self._process.log_change("lease.lapsed" if lapsed else "lease.held")
             self._process.metrics.set("holds_lease", 0 if lapsed else 1)
 
-    def _submit(self, spec: requests.RequestSpec, sock: Any) -> None:
+    def submit(self, spec: requests.RequestSpec, sock: Any) -> None:
+        """Admit a checked request whose answer goes to a socket."""
         self._callers.add(spec.request_id, sock)
         self._dispatch(requests.Submit(spec))
 
     # Planned stop.
 
-    def _begin_stop(self) -> None:
+    def begin_stop(self) -> None:
+        """Begin a planned stop."""
         if self._leaving_since:
             return
         self._leaving_since = self._process.loop.now()
@@ -334,7 +364,7 @@
     def _take_over(self, spec: requests.RequestSpec, sock: Any) -> None:
         copy = http_server.duplicate_socket(sock)
         try:
-            self._process.loop.post(lambda: self._submit(spec, copy))
+            self._process.loop.post(lambda: self.submit(spec, copy))
         except errors.OverloadedError:
             copy.close()
             raise
@@ -375,13 +405,12 @@
             announcement = utils.structure(body, messages.Announcement, "announcement")
         except errors.SettingsError as error:
             raise errors.BadRequestError(str(error)) from error
-        self._process.loop.post(lambda: self._forward_announcement(announcement))
+        self._process.loop.post(lambda: self.announce(announcement))
         entries = [entry.url for entry in self._session.entries if not entry.leaving]
         return http_server.json_response({"entries": entries, "interval_seconds": ANNOUNCE_SECONDS})
 
-    def _forward_announcement(
-        self, announcement: messages.Announcement, *, forwarded: bool = False
-    ) -> None:
+    def announce(self, announcement: messages.Announcement, *, forwarded: bool = False) -> None:
+        """Take a backend server's announcement in, or hand it to the owner of its shard."""
         service = self._session.declaration.find_service(announcement.service)
         if service is None:
             self._process.metrics.count("announcements_of_unknown_services")
--- a/flamingoramp/daemons/owner.py
+++ b/flamingoramp/daemons/owner.py
@@ -31,6 +31,8 @@
         Takes an entry's inner address and a message.
     send_control : callable
         Takes a message for the leading control replica.
+    make_order_sender : callable
+        Builds what sends engine orders; tests give another.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         runner: runners.Runner,
         send: Callable[[str, Any], None],
         send_control: Callable[[Any], None],
+        make_order_sender: Callable[..., Any] = order_sender.OrderSender,
     ):
         self._process = process
         self._session = session
@@ -51,7 +54,7 @@
         self._send_control = send_control
         self._schedulers: dict[str, scheduler.Scheduler] = {}
         self._reconcilers: dict[str, reconciler.Reconciler] = {}
-        self._orders = order_sender.OrderSender(process.loop, self._handle_order_result)
+        self._orders = make_order_sender(process.loop, self._handle_order_result)
         self._reports: dict[str, messages.SuspectReport] = {}
         self._ended = False
         process.loop.call_every(RESEND_SECONDS, self._resend_reports)
--- a/flamingoramp/daemons/process.py
+++ b/flamingoramp/daemons/process.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import secrets
 import signal
+import time
 from collections.abc import Callable
 from concurrent import futures
 from typing import Any
@@ -87,6 +89,14 @@
         logs.log_change(self.logger, event, **fields)
         self.note(event, **fields)
 
+    def wall_time(self) -> float:
+        """Return Unix time in seconds."""
+        return time.time()
+
+    def new_incarnation(self) -> str:
+        """Return a name that no earlier start of any process had."""
+        return secrets.token_hex(8)
+
     def call(self, function: Callable[[], Any]) -> Any:
         """Run a function in the loop's thread and wait for its result."""
         future: futures.Future = futures.Future()
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -55,12 +55,13 @@
     sent_at: float = 0.0
     resume_at: float = 0.0
     grant: messages.Grant | None = None
-    dispatched: bool = False
+    ran: bool = False
     dispatched_at: float = 0.0
     first_token_at: float = 0.0
     resumes: int = 0
     heard: bool = False
     crash_seen: bool = False
+    failed_server: str = ""
     begun: bool = False
     claimed: bool = False
     excluded: tuple[str, ...] = ()
@@ -286,7 +287,6 @@
             return
         flight.grant = grant
         flight.phase = Phase.RUNNING
-        flight.dispatched = True
         flight.dispatched_at = now
         flight.resumes = 0
         flight.heard = False
@@ -386,7 +386,14 @@
         flight = self._current(end)
         if flight is None:
             return
-        self._note("attempt.ended", flight, attempt=end.attempt, result=end.result.value)
+        flight.failed_server = _server_at(flight.grant, end.url)
+        self._note(
+            "attempt.ended",
+            flight,
+            attempt=end.attempt,
+            result=end.result.value,
+            server=flight.failed_server,
+        )
         match end.result:
             case requests.TransferResult.DONE:
                 self._complete(flight)
@@ -409,23 +416,20 @@
         text = flight.text
         body = text.encode("latin-1", "replace")
         self._settle(flight, "done", 0, body if flight.spec.key else b"")
-        segments = tuple(flight.grant.urls[:-1])
-        if segments:
-            spec = flight.spec
-            self._emit(requests.CancelTransfer(spec.request_id, flight.attempt, segments))
+        self._cancel_segments(flight)
         self._send_release(flight.grant, "done")
         self._finish(flight, requests.CallerEnd(flight.spec, text, len(flight.pieces)))
 
     def _handle_not_run(self, flight: Flight, result: requests.TransferResult, now: float) -> None:
         """Go on after an attempt that proved not to have begun, or a resume that failed."""
-        server = flight.grant.servers[-1]
+        server = flight.failed_server
         if result is requests.TransferResult.UNREACHED:
             flight.crash_seen = False
         if flight.resumes:
             self._lose_attempt(flight, now)
             return
-        self._send_release(flight.grant, _NOT_RUN_RESULTS[result])
-        flight.dispatched = False
+        self._cancel_segments(flight)
+        self._send_release(flight.grant, _NOT_RUN_RESULTS[result], server)
         self._next_attempt(flight, now, excluded=server)
 
     def _resume_or_retry(self, flight: Flight, now: float) -> None:
@@ -442,9 +446,10 @@
 
     def _lose_attempt(self, flight: Flight, now: float) -> None:
         """Go on after an attempt whose server failed while it ran."""
-        server = flight.grant.servers[-1]
+        flight.ran = True
+        server = flight.failed_server or flight.grant.servers[-1]
         self._cancel_transfer(flight)
-        self._send_release(flight.grant, "crashed" if flight.crash_seen else "silent")
+        self._send_release(flight.grant, "crashed" if flight.crash_seen else "silent", server)
         if flight.spec.idempotent:
             self._next_attempt(flight, now, excluded=server)
             return
@@ -460,7 +465,7 @@
             flight.excluded = (*flight.excluded[-2:], excluded)
         allowed = flight.attempt <= MAX_ATTEMPTS and self._budget.spend(flight.spec.service)
         if not allowed:
-            outcome = None if flight.dispatched or flight.pieces else errors.Outcome.NOT_RUN
+            outcome = errors.Outcome.FAILED if flight.ran else errors.Outcome.NOT_RUN
             error = errors.BackendFailedError(
                 "backend servers failed and no retry is left", retry_after=1.0, outcome=outcome
             )
@@ -484,7 +489,7 @@
             self._send_claim(flight, now)
 
     def _time_out(self, flight: Flight, now: float) -> None:
-        ran = flight.dispatched or flight.pieces
+        ran = flight.ran or flight.phase is Phase.RUNNING
         if ran and not flight.spec.idempotent:
             error: errors.FlamingorampError = errors.OutcomeUnknownError(
                 "the time limit passed while the request ran"
@@ -533,9 +538,16 @@
         urls = tuple(flight.grant.urls)
         self._emit(requests.CancelTransfer(flight.spec.request_id, flight.attempt, urls))
 
-    def _send_release(self, grant: messages.Grant, result: str) -> None:
+    def _cancel_segments(self, flight: Flight) -> None:
+        """Free the segments of a group that the last engine no longer needs."""
+        segments = tuple(flight.grant.urls[:-1])
+        if segments:
+            spec = flight.spec
+            self._emit(requests.CancelTransfer(spec.request_id, flight.attempt, segments))
+
+    def _send_release(self, grant: messages.Grant, result: str, server: str = "") -> None:
         release = messages.Release(
-            grant.request_id, grant.attempt, grant.shard, result, grant.servers[-1]
+            grant.request_id, grant.attempt, grant.shard, result, server or grant.servers[-1]
         )
         self._emit(requests.SendToOwner(grant.shard, release))
 
@@ -550,6 +562,12 @@
         self._emit(requests.SendToControl(settle))
 
 
+def _server_at(grant: messages.Grant, url: str) -> str:
+    """Return the server of a grant at a URL, the last one if none is."""
+    found = dict(zip(grant.urls, grant.servers, strict=True))
+    return found.get(url, grant.servers[-1])
+
+
 def _describe_held(flight: Flight) -> messages.HeldReservation:
     return messages.HeldReservation(
         flight.spec.request_id,
--- a/flamingoramp/dispatch/requests.py
+++ b/flamingoramp/dispatch/requests.py
@@ -130,11 +130,12 @@
 
 @attrs.frozen
 class TransferEnd:
-    """A transfer ended."""
+    """A transfer ended; ``url`` is the server that it went to."""
 
     request_id: str
     attempt: int
     result: TransferResult
+    url: str = ""
 
 
 # Effects of the dispatcher.
