--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 DEPLOYMENT ?= hanbit
 SEEDS ?= 1000
 STEPS ?= 400
+FIRST ?= 1
 
 .PHONY: setup test lint demo bench soak capacity clean
 
@@ -29,7 +30,7 @@
 	$(BIN)/python -m bench.load --deployment=$(DEPLOYMENT)
 
 soak: setup
-	$(BIN)/python -m bench.soak --seeds=$(SEEDS) --steps=$(STEPS)
+	$(BIN)/python -m bench.soak --seeds=$(SEEDS) --steps=$(STEPS) --first=$(FIRST)
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
--- a/flamingoramp/backends/runner.py
+++ b/flamingoramp/backends/runner.py
@@ -33,6 +33,7 @@
     transfer: transfers.Transfer | None = None
     reader: sse.EventReader = attrs.field(factory=sse.EventReader)
     finished: bool = False
+    length: int = 0
 
 
 class Runner:
@@ -199,7 +200,8 @@
                 next_step()
                 return
             del self._runs[key]
-            self._report_end(key, _judge(ending, status, run.finished), run.url)
+            result = _judge(ending, status, run.finished)
+            self._report_end(key, result, run.url, run.length)
 
         run.transfer = self._transfers.start(
             transfers.Call(
@@ -236,13 +238,16 @@
             self._report(chunk)
         if event.get("done") and (chunk.request_id, chunk.attempt) == key:
             run.finished = True
+            run.length = chunk.offset + len(chunk.text)
 
     def _handle_segment_event(self, key: Key, run: _Run, event: Any) -> None:
         if event.get("ready") and (event["request_id"], event["attempt"]) == key:
             run.finished = True
 
-    def _report_end(self, key: Key, result: requests.TransferResult, url: str) -> None:
-        self._report(requests.TransferEnd(key[0], key[1], result, url))
+    def _report_end(
+        self, key: Key, result: requests.TransferResult, url: str, length: int = 0
+    ) -> None:
+        self._report(requests.TransferEnd(key[0], key[1], result, url, length))
 
     def _drop(self, key: Key) -> None:
         run = self._runs.pop(key, None)
--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -354,6 +354,7 @@
             report.report_id,
             report.service,
             report.fingerprints,
+            report.lonely,
             report.cleared,
             self._process.wall_time(),
         )
--- a/flamingoramp/daemons/owner.py
+++ b/flamingoramp/daemons/owner.py
@@ -172,8 +172,9 @@
                     self._process.note(kind, request, shard=shard, **fields)
 
     def _report_crash(self, effect: effects.ReportCrash) -> None:
+        found = effect.report
         report = messages.SuspectReport(
-            effect.fingerprints, effect.service, effect.cleared, effect.report_id
+            effect.report_id, effect.service, found.fingerprints, found.lonely, found.cleared
         )
         self._reports[effect.report_id] = report
         self._send_control(report)
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -395,6 +395,9 @@
             server=flight.failed_server,
         )
         match end.result:
+            case requests.TransferResult.DONE if end.length != flight.length:
+                self._note("chunk.gap", flight)
+                self._resume_or_retry(flight, now)
             case requests.TransferResult.DONE:
                 self._complete(flight)
             case (
@@ -428,6 +431,8 @@
         if flight.resumes:
             self._lose_attempt(flight, now)
             return
+        if server != flight.grant.servers[0]:
+            flight.ran = True  # the group's earlier engines took their segments
         self._cancel_segments(flight)
         self._send_release(flight.grant, _NOT_RUN_RESULTS[result], server)
         self._next_attempt(flight, now, excluded=server)
@@ -532,6 +537,9 @@
     def _error_effect(
         self, flight: Flight, error: errors.FlamingorampError
     ) -> requests.CallerError:
+        if flight.ran and error.outcome is errors.Outcome.NOT_RUN:
+            # A refusal speaks for its own attempt only; an earlier one ran.
+            error.outcome = errors.Outcome.FAILED
         return requests.CallerError(flight.spec, error, flight.begun)
 
     def _cancel_transfer(self, flight: Flight) -> None:
--- a/flamingoramp/dispatch/requests.py
+++ b/flamingoramp/dispatch/requests.py
@@ -130,12 +130,24 @@
 
 @attrs.frozen
 class TransferEnd:
-    """A transfer ended; ``url`` is the server that it went to."""
+    """A transfer ended.
+
+    Parameters
+    ----------
+    request_id : str
+    attempt : int
+    result : TransferResult
+    url : str
+        Server that it went to.
+    length : int
+        Characters of the whole answer, if it is done.
+    """
 
     request_id: str
     attempt: int
     result: TransferResult
     url: str = ""
+    length: int = 0
 
 
 # Effects of the dispatcher.
--- a/flamingoramp/dispatch/suspects.py
+++ b/flamingoramp/dispatch/suspects.py
@@ -62,7 +62,12 @@
             del self._reports[next(iter(self._reports))]
         self._version += 1
         for fingerprint in command.fingerprints:
-            self._update(fingerprint, command)
+            known = self._records.get(fingerprint)
+            crashes = known.lonely_crashes if known else 0
+            crashes += fingerprint in command.lonely
+            self._records[fingerprint] = Record(command.service, crashes, command.now)
+        for fingerprint in command.cleared:
+            self._records.pop(fingerprint, None)
         self._drop_old(command.now)
         return self._version
 
@@ -87,15 +92,6 @@
         self._records = _converter.structure(stored["records"], dict[str, Record])
         self._reports = dict.fromkeys(stored["reports"], True)
 
-    def _update(self, fingerprint: str, command: Any) -> None:
-        if command.cleared:
-            self._records.pop(fingerprint, None)
-            return
-        known = self._records.get(fingerprint)
-        lonely = len(command.fingerprints) == 1 and known is not None
-        crashes = (known.lonely_crashes if known else 0) + lonely
-        self._records[fingerprint] = Record(command.service, crashes, command.now)
-
     def _drop_old(self, now: float) -> None:
         live = {
             fingerprint: record
--- a/flamingoramp/intent/commands.py
+++ b/flamingoramp/intent/commands.py
@@ -69,12 +69,27 @@
 
 @attrs.frozen
 class RecordCrash:
-    """Contents that were running on an engine that crashed, or that have been cleared."""
+    """Contents that ran on an engine that crashed.
+
+    Parameters
+    ----------
+    report_id : str
+    service : str
+    fingerprints : tuple of str
+        All that ran there; they become suspects.
+    lonely : tuple of str
+        Those that ran there alone; each crash counts against them.
+    cleared : tuple of str
+        Those that finished or whose engine lives; they are suspects no more.
+    now : float
+        Unix time in seconds.
+    """
 
     report_id: str
     service: str
     fingerprints: tuple[str, ...]
-    cleared: bool
+    lonely: tuple[str, ...]
+    cleared: tuple[str, ...]
     now: float
 
 
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -206,12 +206,13 @@
 
 @attrs.frozen
 class SuspectReport:
-    """Contents that were running on an engine that crashed, or that finished."""
+    """Contents that ran on an engine that crashed, and contents that finished."""
 
-    fingerprints: tuple[str, ...] = ()
-    service: str = ""
-    cleared: bool = False
     report_id: str = ""
+    service: str = ""
+    fingerprints: tuple[str, ...] = ()
+    lonely: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/flamingoramp/routing/effects.py
+++ b/flamingoramp/routing/effects.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from flamingoramp.routing import isolation
+
 
 @attrs.frozen
 class Reply:
@@ -26,12 +28,11 @@
 
 @attrs.frozen
 class ReportCrash:
-    """Commit crash suspects, or their clearance."""
+    """Commit crash suspects, and those that are none any more."""
 
     report_id: str
     service: str
-    fingerprints: tuple[str, ...]
-    cleared: bool
+    report: isolation.Report
 
 
 @attrs.frozen
--- a/flamingoramp/routing/isolation.py
+++ b/flamingoramp/routing/isolation.py
@@ -1,8 +1,9 @@
 """Requests whose content may crash engines: who is suspect, and where suspects run.
 
-At most one copy of a content that never finished runs at a time, so that a content that crashes
-every engine costs one engine before it is a suspect, and `suspects.CONFIRMING_CRASHES` more before
-it is refused.
+At most one copy of a content that never finished runs at a time. As soon as a server breaks
+connections, all that ran there is suspect and runs alone from then on; a content whose lonely run
+crashed a server waits until that crash is certain. So a content that crashes every engine costs one
+engine before it is suspect, and `suspects.CONFIRMING_CRASHES` more before it is refused.
 """
 
 from __future__ import annotations
@@ -15,15 +16,30 @@
 from flamingoramp.protocol import messages
 
 CLEARED_KEPT = 8192
-SETTLE_SECONDS = 0.5
+# Announcements that a server sent before it crashed may still be under way.
+DISMISSING_ANNOUNCEMENTS = 3
+
+
+@attrs.frozen
+class Report:
+    """What to commit; see `flamingoramp.intent.commands.RecordCrash`."""
+
+    fingerprints: tuple[str, ...] = ()
+    lonely: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.fingerprints or self.cleared)
 
 
 @attrs.define
 class _CrashWatch:
-    """A server that broke connections; ``fingerprints`` ran there."""
+    """A server that broke connections or went silent, and what ran there."""
 
-    since: float
-    fingerprints: set[str]
+    sequence: int
+    fingerprints: set[str] = attrs.field(factory=set)
+    lonely: set[str] = attrs.field(factory=set)
+    counted: set[str] = attrs.field(factory=set)
 
 
 class Isolation:
@@ -31,24 +47,20 @@
 
     def __init__(self):
         self._crashes: dict[str, int] = {}
-        self._pending: dict[str, tuple[tuple[str, ...], bool]] = {}
+        self._pending: dict[str, Report] = {}
         self._cleared: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._watches: dict[str, _CrashWatch] = {}
 
     def load(self, listing: tuple[messages.Suspect, ...]) -> None:
         """Take the committed suspects, then what is reported but not committed yet."""
         self._crashes = {one.fingerprint: one.crashes for one in listing}
-        for fingerprints, cleared in self._pending.values():
-            self._apply(fingerprints, cleared)
+        for report in self._pending.values():
+            self._apply(report)
 
     def settle(self, report_id: str) -> None:
         """Note that a report is committed."""
         self._pending.pop(report_id, None)
 
-    def pending(self) -> dict[str, tuple[tuple[str, ...], bool]]:
-        """Return the reports that are not committed yet."""
-        return self._pending
-
     def is_confirmed(self, fingerprint: str) -> bool:
         """Tell whether a content is refused."""
         return self._crashes.get(fingerprint, 0) >= suspects.CONFIRMING_CRASHES
@@ -57,55 +69,98 @@
         """Tell whether a content must run alone."""
         return fingerprint in self._crashes
 
+    def is_held(self, fingerprint: str) -> bool:
+        """Tell whether a content must wait until the end of its lonely run is understood."""
+        return any(fingerprint in watch.lonely for watch in self._watches.values())
+
     def is_cleared(self, fingerprint: str) -> bool:
         """Tell whether a content has finished before, so that copies may run side by side."""
         return fingerprint in self._cleared
 
-    def clear(self, fingerprint: str, report_id: str) -> bool:
-        """Note that a content finished; return whether it was a suspect."""
+    def clear(self, fingerprint: str, report_id: str) -> Report:
+        """Note that a content finished."""
         self._cleared[fingerprint] = None
         self._cleared.move_to_end(fingerprint)
         while len(self._cleared) > CLEARED_KEPT:
             self._cleared.popitem(last=False)
-        if fingerprint not in self._crashes:
-            return False
-        self._report((fingerprint,), True, report_id)
-        return True
-
-    def watch(self, server: str, fingerprints: set[str], now: float) -> None:
-        """Note that a server broke a connection while these contents ran there."""
-        watch = self._watches.setdefault(server, _CrashWatch(now, set()))
-        watch.fingerprints |= fingerprints
+        known = fingerprint in self._crashes
+        return self._report(Report(cleared=(fingerprint,)) if known else Report(), report_id)
+
+    def watch(
+        self,
+        server: str,
+        ran: dict[str, bool],
+        sequence: int,
+        *,
+        broke: bool,
+        report_id: str,
+    ) -> Report:
+        """Note that a server failed while contents ran there.
+
+        Parameters
+        ----------
+        server : str
+        ran : dict of str to bool
+            Fingerprints, and whether each ran alone.
+        sequence : int
+            Number of the last announcement known.
+        broke : bool
+            Whether connections broke; a server that is silent may only be frozen.
+        report_id : str
+
+        Returns
+        -------
+        Report
+            The new suspects.
+        """
+        watch = self._watches.setdefault(server, _CrashWatch(sequence))
+        watch.fingerprints |= set(ran)
+        watch.lonely |= {fingerprint for fingerprint, alone in ran.items() if alone}
+        if not broke:
+            return Report()
+        # Counted at once, so that an owner that dies now has lost little; `dismiss` takes it back.
+        alone = watch.lonely & set(ran) - watch.counted
+        watch.counted |= alone
+        new = {one for one in ran if one not in self._crashes} | alone
+        report = Report(tuple(sorted(new)), tuple(sorted(alone)))
+        return self._report(report, report_id)
 
     def is_watched(self, server: str) -> bool:
         """Tell whether a server may have crashed, so that it gets no new work."""
         return server in self._watches
 
-    def dismiss(self, server: str, now: float) -> bool:
-        """End the watch of a server that still announces itself."""
+    def dismiss(self, server: str, sequence: int, report_id: str) -> Report:
+        """End the watch of a server that goes on announcing itself."""
         watch = self._watches.get(server)
-        if watch is None or now - watch.since < SETTLE_SECONDS:
-            return False
+        if watch is None or sequence < watch.sequence + DISMISSING_ANNOUNCEMENTS:
+            return Report()
         del self._watches[server]
-        return True
-
-    def confirm_crash(self, server: str, fingerprints: set[str], report_id: str) -> tuple[str, ...]:
-        """Make suspects of all contents that ran on a server that crashed."""
-        watch = self._watches.pop(server, None)
-        ran = fingerprints | (watch.fingerprints if watch else set())
-        if ran:
-            self._report(tuple(sorted(ran)), False, report_id)
-        return tuple(sorted(ran))
-
-    def _report(self, fingerprints: tuple[str, ...], cleared: bool, report_id: str) -> None:
-        self._pending[report_id] = (fingerprints, cleared)
-        self._apply(fingerprints, cleared)
-
-    def _apply(self, fingerprints: tuple[str, ...], cleared: bool) -> None:
-        for fingerprint in fingerprints:
-            if cleared:
-                self._crashes.pop(fingerprint, None)
-                continue
+        watched = {one for other in self._watches.values() for one in other.fingerprints}
+        innocent = [
+            one
+            for one in watch.fingerprints - watched
+            if self._crashes.get(one, 2) == (one in watch.counted)
+        ]
+        return self._report(Report(cleared=tuple(sorted(innocent))), report_id)
+
+    def confirm(self, server: str, ran: dict[str, bool], report_id: str) -> Report:
+        """Make suspects of all contents that ran on a server that is gone."""
+        watch = self._watches.pop(server, _CrashWatch(0))
+        lonely = watch.lonely | {fingerprint for fingerprint, alone in ran.items() if alone}
+        everything = watch.fingerprints | set(ran)
+        report = Report(tuple(sorted(everything)), tuple(sorted(lonely - watch.counted)))
+        return self._report(report, report_id)
+
+    def _report(self, report: Report, report_id: str) -> Report:
+        if report:
+            self._pending[report_id] = report
+            self._apply(report)
+        return report
+
+    def _apply(self, report: Report) -> None:
+        for fingerprint in report.fingerprints:
             self._cleared.pop(fingerprint, None)
-            lonely = len(fingerprints) == 1 and fingerprint in self._crashes
-            self._crashes[fingerprint] = self._crashes.get(fingerprint, 0) + lonely
+            known = self._crashes.get(fingerprint, 0)
+            self._crashes[fingerprint] = known + (fingerprint in report.lonely)
+        for fingerprint in report.cleared:
+            self._crashes.pop(fingerprint, None)
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -148,7 +148,10 @@
             self._fleet.breaker.succeed(server)
             self._fleet.prefixes.forget(server)
         else:
-            self._isolation.dismiss(server, now)
+            report_id = self._next_report_id()
+            self._commit_suspects(
+                self._isolation.dismiss(server, announcement.sequence, report_id), report_id
+            )
         self._fleet.prefixes.handle(announcement)
         if change is not directories.Change.RENEWED:
             self._note(f"server.{change.value}", server=server)
@@ -156,22 +159,26 @@
     def _handle_lapse(self, server: str) -> None:
         self._note("server.lapsed", server=server)
         if self._isolation.is_watched(server):
-            self._report_crash(server, set())
+            self._report_crash(server, [])
 
     def _handle_crash(self, server: str, now: float) -> None:
         """Give back what ran on a server's earlier incarnation."""
         running = self._fleet.ledger.on(server)
-        self._report_crash(server, {one.fingerprint for one in running})
+        self._report_crash(server, running)
         for reservation in running:
             self._fleet.release(reservation.key, now)
             self._cancel(reservation, besides=server)
 
-    def _report_crash(self, server: str, fingerprints: set[str]) -> None:
+    def _report_crash(self, server: str, running: list[ledger.Reservation]) -> None:
         report_id = self._next_report_id()
-        ran = self._isolation.confirm_crash(server, fingerprints, report_id)
-        if ran:
-            self._note("server.crashed", server=server, suspects=len(ran))
-            self._effects.append(effects.ReportCrash(report_id, self._service, ran, False))
+        report = self._isolation.confirm(server, _describe_running(running), report_id)
+        if report:
+            self._note("server.crashed", server=server, suspects=len(report.fingerprints))
+        self._commit_suspects(report, report_id)
+
+    def _commit_suspects(self, report: isolation.Report, report_id: str) -> None:
+        if report:
+            self._effects.append(effects.ReportCrash(report_id, self._service, report))
 
     def _next_report_id(self) -> str:
         self._report_number += 1
@@ -252,7 +259,7 @@
     ) -> errors.FlamingorampError | None:
         reserve = waiting.reserve
         if self._isolation.is_confirmed(reserve.fingerprint):
-            return errors.RequestQuarantinedError("this content crashed several backend servers")
+            return _quarantined()
         if now < self._settled_at or self._declaration.policy.selection == "naive":
             return None  # not all servers have announced themselves to this owner yet
         servers = [one for one in self._fleet.directory.live(now) if choice.offers(one, reserve)]
@@ -294,21 +301,33 @@
         reservation = self._fleet.release(key, now)
         if reservation is None:
             return
-        if message.result == "done":
-            report_id = self._next_report_id()
-            if self._isolation.clear(reservation.fingerprint, report_id):
-                cleared = (reservation.fingerprint,)
-                self._effects.append(effects.ReportCrash(report_id, self._service, cleared, True))
-            self._fleet.breaker.succeed(message.server)
-        elif message.result in ("silent", "rejected"):
-            self._fleet.breaker.fail(message.server, now)
-        elif message.result == "crashed":
-            self._fleet.breaker.fail(message.server, now)
-            ran = {one.fingerprint for one in self._fleet.ledger.on(message.server)}
-            self._isolation.watch(message.server, ran | {reservation.fingerprint}, now)
-            member = self._fleet.directory.find(message.server)
-            if member is None or member.lapsed:
-                self._report_crash(message.server, set())
+        match message.result:
+            case "done":
+                self._fleet.breaker.succeed(message.server)
+                report_id = self._next_report_id()
+                report = self._isolation.clear(reservation.fingerprint, report_id)
+                self._commit_suspects(report, report_id)
+            case "rejected":
+                self._fleet.breaker.fail(message.server, now)
+            case "silent" | "crashed":
+                self._fleet.breaker.fail(message.server, now)
+                self._watch_server(message, reservation, now)
+
+    def _watch_server(
+        self, message: messages.Release, reservation: ledger.Reservation, now: float
+    ) -> None:
+        broke = message.result == "crashed"
+        others = self._fleet.ledger.on(message.server) if broke else []
+        report_id = self._next_report_id()
+        ran = _describe_running([reservation, *others])
+        member = self._fleet.directory.find(message.server)
+        sequence = member.announcement.sequence if member else 0
+        report = self._isolation.watch(
+            message.server, ran, sequence, broke=broke, report_id=report_id
+        )
+        self._commit_suspects(report, report_id)
+        if member is None or member.lapsed:
+            self._report_crash(message.server, [])
 
     def _handle_hold_report(self, report: messages.HoldReport, now: float) -> None:
         listed = set()
@@ -441,6 +460,10 @@
         running = self._running_fingerprints()
         failed = dict.fromkeys(queue.LengthClass, 0)
         for waiting in self._queue.in_order(now):
+            if self._isolation.is_confirmed(waiting.reserve.fingerprint):
+                self._queue.remove(waiting.key)
+                self._refuse(waiting.reserve, _quarantined())
+                continue
             if failed[waiting.length_class] >= PUMP_LIMIT:
                 continue
             placement, isolated = self._place(waiting, servers, constraints, running, now)
@@ -473,6 +496,8 @@
             return None, False
         if self._drained_for == waiting.key:
             constraints = attrs.evolve(constraints, drained=frozenset())
+        if self._isolation.is_held(fingerprint):
+            return None, True
         if self._isolation.is_suspect(fingerprint):
             if self._isolated_count() >= max(1, len(servers) // 4):
                 return None, True
@@ -567,3 +592,13 @@
             cached_tokens=cached_tokens,
         )
         self._effects.append(effects.Reply(reservation.entry_address, grant))
+
+
+def _describe_running(running: list[ledger.Reservation]) -> dict[str, bool]:
+    return {one.fingerprint: one.isolated for one in running}
+
+
+def _quarantined() -> errors.FlamingorampError:
+    return errors.RequestQuarantinedError(
+        "this content crashed several backend servers; it is refused for an hour"
+    )
--- /dev/null
+++ b/flamingoramp/tests/scenarios.py
@@ -0,0 +1,646 @@
+"""Random runs of a whole deployment in virtual time, with checks of what must always hold."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+
+import attrs
+
+from flamingoramp import errors
+from flamingoramp.consensus import effects, replica
+from flamingoramp.daemons import control, entry
+from flamingoramp.dispatch import requests
+from flamingoramp.intent import commands, declarations
+from flamingoramp.protocol import messages
+from flamingoramp.runtime import settings as settings_module
+from flamingoramp.tests import backends, worlds
+from standins import batch
+
+CONTROL_HOSTS = 5
+ENTRY_HOSTS = 4
+ENGINES = 5
+PLAIN_SERVERS = 2
+MOST_CRASHES = 3
+MARGIN_SECONDS = 0.3
+LEAVING_SECONDS = 3.0
+QUIET_SECONDS = 30.0
+OPERATION_RETRY_SECONDS = 1.5
+
+
+def make_declaration(number: int) -> declarations.Declaration:
+    """Return a declaration that differs from the others by its number."""
+    return declarations.Declaration(
+        services=(
+            declarations.ServiceDeclaration(
+                "llm",
+                "engines",
+                (declarations.ModelDeclaration("writer", str(1 + number % 3)),),
+            ),
+            declarations.ServiceDeclaration("desk", "plain"),
+        ),
+        workspaces=(
+            declarations.WorkspaceDeclaration("buses", weight=1.0 + number),
+            declarations.WorkspaceDeclaration("studio"),
+        ),
+    )
+
+
+@attrs.define
+class Asked:
+    """A caller's request and what came of it; times are the world's, in seconds."""
+
+    spec: requests.RequestSpec
+    entry: str
+    life: int
+    sent: float
+    text: str = ""
+    ended: float | None = None
+    answer: Any = None
+    gone: bool = False
+
+
+class VirtualCallers:
+    """Callers of one entry, in place of sockets."""
+
+    def __init__(self, scenario: Scenario, node: worlds.Node, on_gone: Any):
+        self._scenario = scenario
+        self._node = node
+        self.on_gone = on_gone
+
+    def __len__(self) -> int:
+        return 0
+
+    def add(self, request_id: str, sock: Any) -> None:
+        """Do nothing: the scenario knows its callers."""
+
+    def tick(self) -> None:
+        """Do nothing."""
+
+    def carry_out(self, effect: Any) -> None:
+        """Take what the entry writes to a caller."""
+        asked = self._scenario.asked[effect.spec.request_id]
+        match effect:
+            case requests.CallerBegin():
+                return
+            case requests.CallerText(_, text):
+                asked.text += text
+                return
+            case requests.CallerEnd(_, text, _):
+                if effect.spec.streams and asked.text != text:
+                    raise worlds.Violation("the streamed text is not the whole answer")
+                asked.text = text
+        if asked.ended is not None:
+            raise worlds.Violation("a caller got two endings")
+        asked.ended = self._scenario.world.now
+        asked.answer = effect
+
+
+class CheckedControl(control.Control):
+    """A control daemon that tells the scenario what it applies and when it leads."""
+
+    def __init__(self, scenario: Scenario, *args: Any, **options: Any):
+        self._scenario = scenario
+        super().__init__(*args, **options)
+
+    def _apply(self, entry: messages.LogEntry) -> None:
+        self._scenario.check_applied(entry)
+        super()._apply(entry)
+
+    def _handle_leader_changed(self, change: effects.LeaderChanged) -> None:
+        if change.leads:
+            self._scenario.check_leader(change)
+        super()._handle_leader_changed(change)
+
+
+@attrs.define
+class Operation:
+    """A change by an operator, sent again until it is answered."""
+
+    operation_id: str
+    plan_id: str
+    document: str
+    answer: Any = None
+    failed: bool = False
+
+
+class Scenario:
+    """One run from a seed.
+
+    Parameters
+    ----------
+    seed : int
+    """
+
+    def __init__(self, seed: int):
+        self.world = worlds.World(seed)
+        self.rng = self.world.rng
+        self.asked: dict[str, Asked] = {}
+        self.ledger = backends.Ledger()
+        self._applied: dict[int, messages.LogEntry] = {}
+        self._leaders: dict[int, str] = {}
+        self._documents: dict[int, str] = {}
+        self._revisions: dict[tuple[str, int], int] = {}
+        self._operations: list[Operation] = []
+        self._number = 0
+        self._disks: dict[str, worlds.VirtualDisk] = {}
+        self._callers: dict[str, VirtualCallers] = {}
+        self.servers: dict[str, backends.VirtualServer] = {}
+        self._settings = self._make_settings()
+        self._loading = True
+        self._start()
+
+    def _make_settings(self) -> settings_module.Settings:
+        hosts = []
+        for number in range(max(CONTROL_HOSTS, ENTRY_HOSTS)):
+            hosts.append(
+                settings_module.HostSettings(
+                    name=f"host{number}",
+                    availability_zone=f"zone{number % 3}",
+                    address=f"10.0.0.{number}",
+                    entry_port=1 if number < ENTRY_HOSTS else 0,
+                    entry_inner_port=2 if number < ENTRY_HOSTS else 0,
+                    control_port=3 if number < CONTROL_HOSTS else 0,
+                    control_inner_port=4 if number < CONTROL_HOSTS else 0,
+                )
+            )
+        return settings_module.Settings("world", tuple(hosts), seed=self.rng.randrange(1, 2**32))
+
+    def _start(self) -> None:
+        self.control = [self.world.add_node(f"control{n}") for n in range(CONTROL_HOSTS)]
+        self.entries = [self.world.add_node(f"entry{n}") for n in range(ENTRY_HOSTS)]
+        for node in self.control:
+            self._disks[node.name] = worlds.VirtualDisk()
+            self.start_control(node)
+        for node in self.entries:
+            self.start_entry(node)
+        for number in range(ENGINES):
+            self._add_server(f"engine{number}", "llm")
+        for number in range(PLAIN_SERVERS):
+            self._add_server(f"desk{number}", "desk")
+
+    def _add_server(self, name: str, service: str) -> None:
+        self.servers[name] = backends.VirtualServer(self.world, name, service, self.ledger)
+
+    def start_control(self, node: worlds.Node) -> None:
+        """Start a control daemon on its disk."""
+        node.alive = True
+        node.life += 1
+        host = self._settings.hosts[int(node.name[len("control") :])]
+        node.daemon = CheckedControl(
+            self,
+            self._settings,
+            host,
+            make_process=functools.partial(worlds.VirtualProcess, self.world, node),
+            store=self._disks[node.name],
+        )
+
+    def start_entry(self, node: worlds.Node) -> None:
+        """Start an entry daemon."""
+        node.alive = True
+        node.life += 1
+        host = self._settings.hosts[int(node.name[len("entry") :])]
+
+        def _runner(_loop: Any, *, silence_seconds: float, report: Any) -> Any:
+            del silence_seconds
+            return backends.VirtualRunner(self.world, node, self.servers, report)
+
+        def _callers(_loop: Any, *, heartbeat_seconds: float, on_gone: Any) -> Any:
+            del heartbeat_seconds
+            self._callers[node.name] = VirtualCallers(self, node, on_gone)
+            return self._callers[node.name]
+
+        def _orders(_loop: Any, on_result: Any) -> Any:
+            return backends.VirtualOrders(self.world, node, self.servers, on_result)
+
+        node.daemon = entry.Entry(
+            self._settings,
+            host,
+            make_process=functools.partial(worlds.VirtualProcess, self.world, node),
+            make_runner=_runner,
+            make_callers=_callers,
+            make_order_sender=_orders,
+        )
+
+    # Checks while it runs.
+
+    def check_applied(self, applied: messages.LogEntry) -> None:
+        """Check that all replicas apply the same entries."""
+        known = self._applied.setdefault(applied.index, applied)
+        if known != applied:
+            raise worlds.Violation(f"two entries at index {applied.index}: {known}, {applied}")
+
+    def check_leader(self, change: effects.LeaderChanged) -> None:
+        """Check that a term has one leader."""
+        known = self._leaders.setdefault(change.term, change.leader)
+        if known != change.leader:
+            raise worlds.Violation(f"term {change.term} has leaders {known} and {change.leader}")
+
+    def _check_revisions(self) -> None:
+        for node in self.entries:
+            if not node.alive:
+                continue
+            session = node.daemon.session
+            place = (node.name, node.life)
+            if session.revision < self._revisions.get(place, 0):
+                raise worlds.Violation(f"{node.name} reverted its revision")
+            self._revisions[place] = session.revision
+            document = declarations.render(session.declaration)
+            if session.revision:
+                known = self._documents.setdefault(session.revision, document)
+                if known != document:
+                    raise worlds.Violation(f"revision {session.revision} has two documents")
+
+    def check_in_force(self, revision: int) -> None:
+        """Check that no entry that admits serves by an older revision."""
+        for node in self.entries:
+            session = node.daemon.session
+            now = node.daemon.process.loop.now()
+            frozen = node.frozen_until > self.world.now
+            admits = node.alive and not frozen and session.holds_lease(now)
+            if admits and session.revision < revision:
+                raise worlds.Violation(
+                    f"{node.name} admits by {session.revision}, {revision} is in force"
+                )
+
+    def _check_requests(self) -> None:
+        for asked in self.asked.values():
+            node = self.world.nodes[asked.entry]
+            alive = node.alive and node.life == asked.life
+            late = self.world.now - asked.sent > asked.spec.time_limit * 1.03 + MARGIN_SECONDS
+            thawed = node.frozen_until + MARGIN_SECONDS < self.world.now
+            if asked.ended is None and alive and late and thawed and not asked.gone:
+                raise worlds.Violation(f"{asked.spec.request_id} has no outcome in time")
+
+    # Load.
+
+    def submit(
+        self, *, tokens: int = 0, key: str = "", limit: float = 20.0, poison: str = ""
+    ) -> Any:
+        """Send a request to an entry that admits, if there is one."""
+        ready = [node for node in self.entries if node.alive and self._admits(node)]
+        if not ready:
+            return None
+        node = self.rng.choice(ready)
+        self._number += 1
+        request_id = f"r{self._number}"
+        spec = self._make_spec(request_id, tokens, key, limit, poison)
+        asked = Asked(spec, node.name, node.life, self.world.now)
+        self.asked[request_id] = asked
+        daemon = node.daemon
+        self.world.at(0.001, node, lambda: daemon.submit(spec, None))
+        return asked
+
+    def _admits(self, node: worlds.Node) -> bool:
+        daemon = node.daemon
+        try:
+            daemon._check_ready()
+        except errors.NotReadyError:
+            return False
+        return node.frozen_until <= self.world.now and daemon.session.revision > 0
+
+    def _make_spec(
+        self, request_id: str, tokens: int, key: str, limit: float, poison: str
+    ) -> requests.RequestSpec:
+        if not tokens:
+            call = requests.PlainCall("POST" if key else "GET", "x")
+            return requests.RequestSpec(
+                request_id,
+                requests.RequestKind.PLAIN,
+                "studio",
+                "desk",
+                time_limit=limit,
+                idempotent=not key,
+                key=key,
+                fingerprint=f"plain {key or request_id}",
+                call=call,
+            )
+        prompt = poison or f"prompt {request_id}"
+        return requests.RequestSpec(
+            request_id,
+            requests.RequestKind.COMPLETION,
+            self.rng.choice(["buses", "studio"]),
+            "llm",
+            model="writer",
+            prompt=prompt,
+            prompt_tokens=tokens,
+            output_tokens=self.rng.randint(1, 30),
+            time_limit=limit,
+            fingerprint=prompt,
+            streams=self.rng.random() < 0.5,
+        )
+
+    def load(self, seconds: float, rate: float) -> None:
+        """Send random requests for a while."""
+        at = self.rng.expovariate(rate)
+        while at < seconds:
+            self.world.at(at, None, self._send_random)
+            at += self.rng.expovariate(rate)
+
+    def _send_random(self) -> None:
+        draw = self.rng.random()
+        limit = self.rng.choice([2.0, 8.0, 20.0])
+        if draw < 0.25:
+            self.submit(key=f"key{self.rng.randrange(self._number // 3 + 3)}", limit=limit)
+        elif draw < 0.35:
+            self.submit(limit=limit)
+        elif draw < 0.40:
+            self.submit(tokens=self.rng.randint(100_000, 280_000), limit=20.0)
+        else:
+            asked = self.submit(tokens=self.rng.randint(100, 40_000), limit=limit)
+            if asked is not None and self.rng.random() < 0.1:
+                self.world.at(self.rng.uniform(0, 2), None, lambda: self._hang_up(asked))
+
+    def _hang_up(self, asked: Asked) -> None:
+        node = self.world.nodes[asked.entry]
+        if node.alive and node.life == asked.life and asked.ended is None:
+            asked.gone = True
+            callers = self._callers[node.name]
+            self.world.at(0, node, lambda: callers.on_gone(asked.spec.request_id))
+
+    # Operators.
+
+    def operate(self) -> None:
+        """Let an operator change the declaration, by plan and confirm."""
+        leading = [node for node in self.control if node.alive and self._leads(node)]
+        if not leading:
+            return
+        state = self.rng.choice(leading).daemon.state
+        number = len(self._operations) + 1
+        document = declarations.render(make_declaration(number))
+        operation = Operation(f"op{number}", f"plan{number}", document)
+        self._operations.append(operation)
+        plan = commands.StorePlan(operation.plan_id, state.revision, document, 1e12, 0.0)
+        self._propose(plan, lambda _result: self._confirm(operation))
+
+    def _leads(self, node: worlds.Node) -> bool:
+        daemon = node.daemon
+        return daemon.replica.holds_lease(daemon.process.loop.now())
+
+    def _propose(self, command: Any, done: Any) -> None:
+        alive = [node for node in self.control if node.alive]
+        for node in self.rng.sample(alive, len(alive)):
+            if node.frozen_until <= self.world.now and self._leads(node):
+                propose = functools.partial(node.daemon.propose, command, done)
+                self.world.at(0.001, node, lambda: propose(lambda _error: None))  # noqa: B023
+                return
+
+    def _confirm(self, operation: Operation) -> None:
+        if operation.answer is not None or operation.failed:
+            return
+        command = commands.ConfirmPlan(operation.plan_id, operation.operation_id, 0.0)
+
+        def _answered(result: Any) -> None:
+            if operation.answer is not None and operation.answer != result:
+                raise worlds.Violation(f"{operation.operation_id} was answered in two ways")
+            operation.answer = result
+            if not result.error:
+                self._note_accepted(operation, result.revision)
+
+        self._propose(command, _answered)
+        # Answers get lost: operators send the change again, also after they had one.
+        self.world.at(OPERATION_RETRY_SECONDS, None, lambda: self._confirm(operation))
+        if self.rng.random() < 0.3:
+            self._propose(command, _answered)
+
+    def _note_accepted(self, operation: Operation, revision: int) -> None:
+        known = self._documents.setdefault(revision, operation.document)
+        if known != operation.document:
+            raise worlds.Violation(f"revision {revision} was accepted twice")
+        self._await_in_force(revision)
+
+    def _await_in_force(self, revision: int) -> None:
+        for node in self.control:
+            if not node.alive or node.frozen_until > self.world.now or not self._leads(node):
+                continue
+            daemon = node.daemon
+            if daemon.sessions.in_force(revision, daemon.process.loop.now()):
+                self.check_in_force(revision)
+                return
+        self.world.at(0.1, None, lambda: self._await_in_force(revision))
+
+    # Faults.
+
+    def fault(self) -> None:
+        """Provoke a random fault; most mend after a while."""
+        self.rng.choice(
+            [
+                self._kill_entry,
+                self._kill_control,
+                self._kill_engine,
+                self._freeze,
+                self._cut_pair,
+                self._isolate,
+                self._lose_disk,
+                self._leave_server,
+                self._stop_entry,
+                self._poison,
+            ]
+        )()
+
+    def _kill_entry(self) -> None:
+        node = self.rng.choice(self.entries)
+        if node.alive:
+            node.alive = False
+            self._lose_streams(node)
+            self.world.at(self.rng.uniform(0.2, 8), None, lambda: self.start_entry(node))
+
+    def _lose_streams(self, node: worlds.Node) -> None:
+        for server in self.servers.values():
+            for work in server.work.values():
+                if work.runner is not None and work.runner._node is node:
+                    work.runner = None
+                    work.lost_at = self.world.now
+
+    def _kill_control(self) -> None:
+        node = self.rng.choice(self.control)
+        if node.alive and sum(one.alive for one in self.control) > CONTROL_HOSTS // 2 + 1:
+            node.alive = False
+            self.world.at(self.rng.uniform(0.2, 8), None, lambda: self.start_control(node))
+
+    def _lose_disk(self) -> None:
+        """Lose one disk while all other voters are up; the replica comes back as a new one."""
+        voters = self._voters()
+        whole = len(voters) == CONTROL_HOSTS and all(one.alive for one in self.control)
+        if not whole:
+            return
+        node = self.rng.choice(self.control)
+        node.alive = False
+        self._disks[node.name] = worlds.VirtualDisk()
+        self.world.at(self.rng.uniform(0.2, 3), None, lambda: self.start_control(node))
+
+    def _voters(self) -> tuple[str, ...]:
+        for node in self.control:
+            if node.alive and self._leads(node):
+                daemon = node.daemon
+                identities = {one.daemon.replica.identity for one in self.control if one.alive}
+                membership = daemon.replica.membership
+                return tuple(one for one in membership.voters if one in identities)
+        return ()
+
+    def _kill_engine(self) -> None:
+        server = self.rng.choice(list(self.servers.values()))
+        if server.node.alive and not server.leaving:
+            server.crash()
+            self.world.at(self.rng.uniform(0.2, 6), None, server.begin_life)
+
+    def _freeze(self) -> None:
+        node = self.rng.choice(list(self.world.nodes.values()))
+        node.frozen_until = self.world.now + self.rng.choice([0.3, 1.5, 6.0])
+
+    def _cut_pair(self) -> None:
+        one, other = self.rng.sample(list(self.world.nodes), 2)
+        self._cut({frozenset((one, other))}, self.rng.uniform(1, 10))
+
+    def _isolate(self) -> None:
+        """Put the processes of one host on the far side of a silent partition."""
+        number = self.rng.randrange(CONTROL_HOSTS)
+        far = {f"control{number}", f"entry{number}"}
+        pairs = {
+            frozenset((one, other))
+            for one in far & set(self.world.nodes)
+            for other in set(self.world.nodes) - far
+        }
+        self._cut(pairs, self.rng.uniform(1, 15))
+
+    def _cut(self, pairs: set[frozenset[str]], seconds: float) -> None:
+        self.world.cut |= pairs
+
+        def _heal() -> None:
+            self.world.cut -= pairs
+
+        self.world.at(seconds, None, _heal)
+
+    def _leave_server(self) -> None:
+        server = self.rng.choice(list(self.servers.values()))
+        same = [one for one in self.servers.values() if one.service == server.service]
+        if server.node.alive and sum(one.node.alive and not one.leaving for one in same) > 2:
+            self.world.at(0, server.node, server.leave)
+            self.world.at(self.rng.uniform(10, 15), None, functools.partial(self._return, server))
+
+    def _return(self, server: backends.VirtualServer) -> None:
+        if server.leaving:
+            server.begin_life()
+
+    def _stop_entry(self) -> None:
+        node = self.rng.choice(self.entries)
+        if node.alive:
+            daemon = node.daemon
+            life = node.life
+            self.world.at(0, node, daemon.begin_stop)
+            self.world.at(40, None, lambda: self._restart_stopped(node, life))
+
+    def _restart_stopped(self, node: worlds.Node, life: int) -> None:
+        if node.life == life:
+            if node.alive:
+                raise worlds.Violation(f"{node.name} did not end its planned stop")
+            self.start_entry(node)
+
+    def _poison(self) -> None:
+        content = f"{backends.POISON} {self.rng.randrange(3)}"
+        for _ in range(self.rng.randint(1, 6)):
+            self.world.at(
+                self.rng.uniform(0, 10),
+                None,
+                lambda: self.submit(tokens=500, poison=content, limit=10.0),
+            )
+
+    # The run.
+
+    def run(self, steps: int) -> None:
+        """Run for a number of steps of a tenth of a second, then let quiet return."""
+        self.world.run(3.0)
+        self.operate()
+        self.world.run(3.0)
+        self.load(steps / 10, rate=6.0)
+        for _ in range(steps):
+            if self.rng.random() < 0.06:
+                self.fault()
+            if self.rng.random() < 0.03:
+                self.operate()
+            self.world.run(0.1)
+            self._check_revisions()
+            self._check_requests()
+            self._revive_engines()
+        self._heal()
+        self._check_end()
+
+    def _revive_engines(self) -> None:
+        for server in self.servers.values():
+            if not server.node.alive and self.rng.random() < 0.02:
+                server.begin_life()
+
+    def _heal(self) -> None:
+        for _ in range(150):
+            self._revive_engines()
+            self.world.run(0.1)
+        self.world.calm = True
+        self.world.cut.clear()
+        for node in self.control:
+            if not node.alive:
+                self.start_control(node)
+        for server in self.servers.values():
+            if not server.node.alive or server.leaving:
+                server.begin_life()
+        self.world.run(QUIET_SECONDS)
+        for node in self.entries:
+            if not node.alive:
+                self.start_entry(node)
+        self.world.run(QUIET_SECONDS)
+
+    def _check_end(self) -> None:
+        self._check_requests()
+        self._check_answers()
+        self._check_memory()
+        costly = {one: count for one, count in self.ledger.poisoned.items() if count > MOST_CRASHES}
+        if costly:
+            raise worlds.Violation(f"engines lost to one content: {costly}")
+        twice = [key for key, count in self.ledger.runs.items() if count > 1]
+        if twice:
+            raise worlds.Violation(f"ran more than once: {twice}")
+        self._check_replicas()
+        last = [self.submit(tokens=1000), self.submit(tokens=250_000), self.submit()]
+        self.world.run(25.0)
+        for asked in last:
+            answered = asked is not None and isinstance(
+                asked.answer, requests.CallerEnd | requests.CallerPlain
+            )
+            if not answered:
+                raise worlds.Violation(f"a request after all faults was not answered: {asked}")
+
+    def _check_answers(self) -> None:
+        for asked in self.asked.values():
+            answer = asked.answer
+            match answer:
+                case requests.CallerEnd(spec, text, _):
+                    if text != batch.expected_answer(spec.prompt, spec.output_tokens):
+                        raise worlds.Violation(f"{spec.request_id} got another's answer")
+                case requests.CallerError(spec, error, _):
+                    begun = spec.request_id in self.ledger.begun
+                    if error.outcome is errors.Outcome.NOT_RUN and begun:
+                        raise worlds.Violation(f"{spec.request_id} ran, but {error.code}: not_run")
+
+    def _check_memory(self) -> None:
+        for server in self.servers.values():
+            if server.memory_used:
+                raise worlds.Violation(f"{server.name} still holds {server.memory_used} tokens")
+        for node in self.entries:
+            if len(node.daemon.dispatcher):
+                raise worlds.Violation(f"{node.name} still has requests")
+            for shard, owned in node.daemon.owner.schedulers.items():
+                if len(owned.fleet.ledger) or owned.waiting:
+                    raise worlds.Violation(f"{shard}: reservations are left")
+
+    def _check_replicas(self) -> None:
+        states = {node.daemon.state.dump() for node in self.control}
+        if len(states) != 1:
+            raise worlds.Violation("replicas differ after quiet")
+        leading = [node for node in self.control if self._leads(node)]
+        if len(leading) != 1:
+            raise worlds.Violation(f"{len(leading)} leaders after quiet")
+        voters = leading[0].daemon.replica.membership.voters
+        if len(voters) != CONTROL_HOSTS:
+            raise worlds.Violation(f"only {len(voters)} voters after quiet")
+        hosts = {replica.host_of(voter) for voter in voters}
+        if len(hosts) != CONTROL_HOSTS:
+            raise worlds.Violation("two voters of one host")
