--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -101,10 +101,10 @@
         for host in self.settings.entry_hosts:
             self.start_daemon("entry", host.name)
 
-    def start_daemon(self, kind: str, host: str) -> None:
+    def start_daemon(self, kind: str, host: str, settings_path: pathlib.Path | None = None) -> None:
         """Start the control replica or the entry of a host."""
         command = ["-m", "flamingoramp.cli.main", kind]
-        command += ["--settings", str(self._settings_path), "--host", host]
+        command += ["--settings", str(settings_path or self._settings_path), "--host", host]
         self._start(f"{kind}-{host}", command)
 
     def start_servers(self, groups: list[EngineGroup], *, first: int = 1) -> None:
@@ -143,6 +143,10 @@
         """Tell whether a process runs."""
         return self._processes[name].poll() is None
 
+    def has_ended(self, name: str) -> bool:
+        """Tell whether a process ended."""
+        return not self.is_running(name)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process."""
         self._processes[name].send_signal(number)
--- a/flamingoramp/runtime/tests/test_transport.py
+++ b/flamingoramp/runtime/tests/test_transport.py
@@ -3,66 +3,13 @@
 from __future__ import annotations
 
 import json
-import selectors
 import socket
 import unittest
 
 from flamingoramp.backends import transfers
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import clock, loop, timeline, transport
-
-
-class Relay:
-    """Passes bytes between two ends, until it stops and keeps the connections open."""
-
-    def __init__(self, target: str):
-        self._target = transport.parse_address(target)
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._listener.setblocking(False)
-        self._selector = selectors.DefaultSelector()
-        self._selector.register(self._listener, selectors.EVENT_READ, None)
-        self._silent: set[socket.socket] = set()
-        self._sockets: list[socket.socket] = [self._listener]
-
-    @property
-    def address(self) -> str:
-        """Where to connect to."""
-        return f"127.0.0.1:{self._listener.getsockname()[1]}"
-
-    def silence(self) -> None:
-        """Pass nothing more over the connections that are open now."""
-        self._silent = set(self._sockets)
-
-    def turn(self) -> None:
-        """Pass what has arrived."""
-        for key, _ in self._selector.select(0):
-            if key.fileobj is self._listener:
-                self._accept()
-            else:
-                self._pass(key.fileobj, key.data)
-
-    def _accept(self) -> None:
-        near, _ = self._listener.accept()
-        far = socket.create_connection(self._target)
-        self._sockets += [near, far]
-        self._selector.register(near, selectors.EVENT_READ, far)
-        self._selector.register(far, selectors.EVENT_READ, near)
-
-    def _pass(self, source: socket.socket, target: socket.socket) -> None:
-        data = source.recv(65536)
-        if source in self._silent:
-            return
-        if data:
-            target.sendall(data)
-        else:
-            self._selector.unregister(source)
-            target.close()
-
-    def close(self) -> None:
-        """Close everything."""
-        for one in self._sockets:
-            one.close()
-        self._selector.close()
+from flamingoramp.tests import relays
 
 
 class LoopCase(unittest.TestCase):
@@ -71,7 +18,7 @@
     def setUp(self):
         self.loop = loop.Loop()
         self.addCleanup(self.loop.close)
-        self.relays: list[Relay] = []
+        self.relays: list[relays.Relay] = []
 
     def run_until(self, condition, seconds: float = 20.0) -> None:
         """Turn the loop and the relays until a condition holds."""
@@ -94,8 +41,8 @@
         self.addCleanup(made.close)
         return made
 
-    def make_relay(self, target: str) -> Relay:
-        relay = Relay(target)
+    def make_relay(self, target: str) -> relays.Relay:
+        relay = relays.Relay(target)
         self.addCleanup(relay.close)
         self.relays.append(relay)
         return relay
--- /dev/null
+++ b/flamingoramp/tests/relays.py
@@ -0,0 +1,103 @@
+"""A relay that can stop passing bytes while its connections stay open."""
+
+from __future__ import annotations
+
+import contextlib
+import selectors
+import socket
+import threading
+
+from flamingoramp.runtime import transport
+
+READ_BYTES = 65536
+
+
+class Relay:
+    """Passes bytes between two ends, until it is silenced.
+
+    Parameters
+    ----------
+    target : str
+        ``ip:port`` to connect to.
+    """
+
+    def __init__(self, target: str):
+        self._target = transport.parse_address(target)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._listener, selectors.EVENT_READ, None)
+        self._silent: set[socket.socket] = set()
+        self._sockets: list[socket.socket] = [self._listener]
+        self._all_silent = False
+        self._stopped = threading.Event()
+        self._thread: threading.Thread | None = None
+
+    @property
+    def port(self) -> int:
+        """Port to connect to."""
+        return self._listener.getsockname()[1]
+
+    @property
+    def address(self) -> str:
+        """Address to connect to."""
+        return f"127.0.0.1:{self.port}"
+
+    def silence(self) -> None:
+        """Pass nothing more over the connections that are open now."""
+        self._silent = set(self._sockets)
+
+    def silence_all(self, silent: bool = True) -> None:
+        """Pass nothing over any connection, or pass over new ones again."""
+        self._all_silent = silent
+        self.silence()
+
+    def start(self) -> None:
+        """Pass bytes in a thread until closed."""
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def turn(self, timeout: float = 0.0) -> None:
+        """Pass what has arrived."""
+        for key, _ in self._selector.select(timeout):
+            if key.fileobj is self._listener:
+                self._accept()
+            else:
+                self._pass(key.fileobj, key.data)
+
+    def close(self) -> None:
+        """Close everything."""
+        self._stopped.set()
+        if self._thread is not None:
+            self._thread.join()
+        for one in self._sockets:
+            one.close()
+        self._selector.close()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self.turn(0.1)
+
+    def _accept(self) -> None:
+        near, _ = self._listener.accept()
+        try:
+            far = socket.create_connection(self._target)
+        except OSError:
+            near.close()
+            return
+        self._sockets += [near, far]
+        self._selector.register(near, selectors.EVENT_READ, far)
+        self._selector.register(far, selectors.EVENT_READ, near)
+
+    def _pass(self, source: socket.socket, target: socket.socket) -> None:
+        try:
+            data = source.recv(READ_BYTES)
+        except OSError:
+            data = b""
+        if not data:
+            self._selector.unregister(source)
+            with contextlib.suppress(OSError):
+                target.shutdown(socket.SHUT_WR)
+        elif not self._all_silent and source not in self._silent:
+            with contextlib.suppress(OSError):
+                target.sendall(data)
