--- a/bench/demo.py
+++ b/bench/demo.py
@@ -7,7 +7,6 @@
 
 import json
 import pathlib
-import statistics
 import sys
 import tempfile
 import threading
@@ -18,7 +17,7 @@
 import attrs
 import fire
 
-from bench import client, workload
+from bench import client, report, workload
 from bench import fleet as fleets
 from flamingoramp.runtime import http_client
 
@@ -259,23 +258,14 @@
                 str(len(inside)),
                 str(sum(one.answered for one in inside)),
                 str(sum(one.refused for one in inside)),
-                f"{percentile(times, 50):.3f}",
-                f"{percentile(times, 95):.3f}",
+                f"{report.percentile(times, 50):.3f}",
+                f"{report.percentile(times, 95):.3f}",
             ]
         )
         low = bound
     return rows
 
 
-def percentile(values: list[float], percent: int) -> float:
-    """Return a percentile, not a number for no values."""
-    if not values:
-        return float("nan")
-    if len(values) == 1:
-        return values[0]
-    return statistics.quantiles(values, n=100, method="inclusive")[percent - 1]
-
-
 def print_report(results: list[client.Result], findings: Findings) -> None:
     """Print the table and the findings."""
     head = ["prompt tokens", "requests", "answers", "refusals", "TTFT p50 s", "TTFT p95 s"]
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -147,6 +147,10 @@
         """Tell whether a process ended."""
         return not self.is_running(name)
 
+    def ended(self) -> list[str]:
+        """Return the names of all processes that ended."""
+        return [name for name in self._processes if self.has_ended(name)]
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process."""
         self._processes[name].send_signal(number)
--- a/flamingoramp/daemons/owner.py
+++ b/flamingoramp/daemons/owner.py
@@ -82,20 +82,25 @@
         ]
 
     def refresh(self, now: float) -> None:
-        """Begin and end ownership as the session's table and lease tell."""
-        owned = {}
-        if self._session.holds_lease(now) and not self._ended:
-            owned = {
-                shard: owner
-                for shard, owner in self._session.shards.items()
-                if owner.owner == self._identity
-            }
+        """Begin, suspend and end ownership as the session's table and lease tell.
+
+        An ownership whose lease lapsed grants nothing, but keeps its state: if the generation is
+        still the same once the lease is back, nobody else owned the shard meanwhile.
+        """
+        owned = {
+            shard: owner
+            for shard, owner in self._session.shards.items()
+            if owner.owner == self._identity and not self._ended
+        }
         for shard, known in list(self._schedulers.items()):
             if shard not in owned or owned[shard].generation != known.generation:
                 self._end(shard)
+        holds_lease = self._session.holds_lease(now)
         for shard, owner in owned.items():
-            if shard not in self._schedulers:
+            if shard not in self._schedulers and holds_lease:
                 self._begin(owner, now)
+        for known in self._schedulers.values():
+            known.suspended = not holds_lease
 
     def end_all(self) -> None:
         """Give up all shards before a planned stop."""
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -55,6 +55,7 @@
         self._declaration = declaration
         self._expiry = reservation_expiry_seconds
         self._generation = 0
+        self.suspended = False
         self._lease_seconds = lease_seconds
         self._fleet = fleets.Fleet(lease_seconds)
         self._queue = queue.WaitingQueue()
@@ -255,8 +256,10 @@
         reserve = waiting.reserve
         if self._isolation.is_confirmed(reserve.fingerprint):
             return _quarantined()
-        if now < self._settled_at or self._declaration.policy.selection == "naive":
+        if self.suspended or now < self._settled_at:
             return None  # not all servers have announced themselves to this owner yet
+        if self._declaration.policy.selection == "naive":
+            return None
         servers = [one for one in self._fleet.directory.live(now) if choice.offers(one, reserve)]
         if not servers:
             if reserve.attempt > 1:
@@ -442,7 +445,8 @@
 
     def _pump(self, now: float) -> None:
         """Give places to waiting requests, in their order, as far as there are any."""
-        if not len(self._queue) or now < self._rebuilding_until or not self._generation:
+        idle = not len(self._queue) or not self._generation
+        if idle or self.suspended or now < self._rebuilding_until:
             return
         servers = self._fleet.directory.live(now)
         self._judge_again(now)
