Send tables and hold reports only as far as they changed

Now the table has a version that follows from its contents; a report holds ids only, and the owner asks for a full one if it doesn't know them; an entry names the owner first to servers that announce themselves.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -231,14 +231,21 @@
 
     def memory_bytes(self) -> int:
         """Return the memory that the processes hold."""
-        pages = 0
-        for process in self._processes.values():
-            try:
-                statm = pathlib.Path(f"/proc/{process.pid}/statm").read_text()
-            except OSError:
-                continue
-            pages += int(statm.split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE")
+        return sum(self.resident_bytes(name) for name in self._processes)
+
+    def resident_bytes(self, name: str) -> int:
+        """Return the memory that a process holds, 0 if it ended."""
+        try:
+            statm = pathlib.Path(f"/proc/{self._processes[name].pid}/statm").read_text()
+        except OSError:
+            return 0
+        return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def processor_seconds(self, name: str) -> float:
+        """Return the processor time that a process has used."""
+        stat = pathlib.Path(f"/proc/{self._processes[name].pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def _answers(url: str) -> bool:
--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -90,6 +90,7 @@
             lease_seconds=settings.timing.session_lease_seconds,
             clock_rate_bound=settings.timing.clock_rate_bound,
         )
+        self._table = sessions.Table()
         self._draining: set[str] = set()
         self._proposals: dict[int, _Proposal] = {}
         self._assigning = False
@@ -263,6 +264,7 @@
         known = heartbeat.revision == self._state.revision
         suspects = self._state.suspects
         same_suspects = heartbeat.quarantine_version == suspects.version
+        same_table = heartbeat.table_version == self._table.version
         return messages.SessionGrant(
             sent_at=heartbeat.sent_at,
             granted=True,
@@ -271,15 +273,23 @@
             revision=self._state.revision,
             document="" if known else self._state.document,
             lease_seconds=self._settings.timing.session_lease_seconds,
-            shards=tuple(self._state.owners.values()),
-            entries=self._sessions.addresses(now),
+            table_version=self._table.version,
+            shards=() if same_table else self._table.shards,
+            entries=() if same_table else self._table.entries,
             quarantine_version=suspects.version,
             suspects=() if same_suspects else suspects.listing(),
             drain=f"{heartbeat.entry}#{heartbeat.incarnation}" in self._draining,
         )
 
+    def _refresh_table(self) -> None:
+        """Make the table anew, at most once for many heartbeats."""
+        owners = tuple(self._state.owners.values())
+        entries = self._sessions.addresses(self._process.loop.now())
+        self._table = sessions.make_table(owners, entries)
+
     def _assign_shards(self) -> None:
         now = self._process.loop.now()
+        self._refresh_table()
         if self._assigning or not self._replica.holds_lease(now):
             return
         declaration = declarations.parse(self._state.document, "log")
@@ -298,6 +308,7 @@
         self._assigning = False
         for shard, owner, _ in owners:
             self._process.log_change("shard.assigned", shard=shard, owner=owner)
+        self._refresh_table()
 
     # Claims and suspects.
 
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -84,6 +84,7 @@
             make_order_sender=make_order_sender,
         )
         self._dispatcher = self._make_dispatcher()
+        self._reported_shards: set[str] = set()
         self._settles: dict[str, messages.ClaimSettle] = {}
         self._leaving_since = 0.0
         self._lapsed = True
@@ -160,6 +161,9 @@
                     self._settles.pop(settled, None)
                 else:
                     self._owner.handle_settled(settled)
+            case messages.HoldUnknown(shard, generation):
+                if generation == self._generation_of(shard):
+                    self._send_full_report(shard)
             case messages.Announcement():
                 self.announce(message, forwarded=True)
             case (
@@ -212,18 +216,23 @@
 
     def _handle_moved_shard(self, shard: str, now: float) -> None:
         self._process.note("shard.moved", shard=shard, owner=self._session.shards[shard].owner)
-        self._send_hold_report(shard)
+        self._send_full_report(shard)
         self._carry_out(self._dispatcher.resend_reserves(shard, now))
 
     def _send_hold_reports(self) -> None:
+        """Renew what this entry uses; say once that it uses nothing more."""
         for shard in self._session.shards:
-            self._send_hold_report(shard)
-
-    def _send_hold_report(self, shard: str) -> None:
-        report = self._dispatcher.hold_reports().get(shard)
-        if report is None:
-            report = messages.HoldReport(self._host.name, self._process.transport.address, shard)
-        self._send_owner(shard, report)
+            report = self._dispatcher.make_hold_report(shard, full=False)
+            busy = bool(report.held or report.waiting)
+            if busy or shard in self._reported_shards:
+                self._send_owner(shard, report)
+            self._reported_shards.discard(shard)
+            if busy:
+                self._reported_shards.add(shard)
+
+    def _send_full_report(self, shard: str) -> None:
+        self._reported_shards.add(shard)
+        self._send_owner(shard, self._dispatcher.make_hold_report(shard, full=True))
 
     def _resend_settles(self) -> None:
         for settle in self._settles.values():
@@ -397,6 +406,7 @@
         return http_server.json_response({"ready": True, "revision": self._session.revision})
 
     def _respond_announce(self, request: werkzeug.Request) -> werkzeug.Response:
+        self._check_ready()  # without a lease it may not know the owner
         try:
             body = json.loads(request.get_data())
         except ValueError as error:
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -156,23 +156,20 @@
                 self._give_up(flight, error, now)
         return self._take_effects()
 
-    def hold_reports(self) -> dict[str, messages.HoldReport]:
-        """Return for each shard what this entry uses and waits for."""
-        held: dict[str, list[messages.HeldReservation]] = {}
-        waiting: dict[str, list[str]] = {}
+    def make_hold_report(self, shard: str, *, full: bool) -> messages.HoldReport:
+        """Return what this entry uses and waits for at a shard; only ids unless ``full``."""
+        held = []
+        waiting = []
         for flight in self._flights.values():
-            held.setdefault(flight.shard, [])
-            waiting.setdefault(flight.shard, [])
+            if flight.shard != shard:
+                continue
             if flight.phase is Phase.RUNNING:
-                held[flight.shard].append(_describe_held(flight))
+                held.append(_describe_held(flight, full=full))
             elif flight.phase is Phase.WAITING:
-                waiting[flight.shard].append(flight.spec.request_id)
-        return {
-            shard: messages.HoldReport(
-                self._entry, self._address, shard, tuple(held[shard]), tuple(waiting[shard])
-            )
-            for shard in held
-        }
+                waiting.append(flight.spec.request_id)
+        return messages.HoldReport(
+            self._entry, self._address, shard, tuple(held), tuple(waiting), full
+        )
 
     def resend_reserves(self, shard: str, now: float) -> list[Any]:
         """Ask the new owner of a shard for the places that the old one had not granted."""
@@ -576,7 +573,9 @@
     return found.get(url, grant.servers[-1])
 
 
-def _describe_held(flight: Flight) -> messages.HeldReservation:
+def _describe_held(flight: Flight, *, full: bool) -> messages.HeldReservation:
+    if not full:
+        return messages.HeldReservation(flight.spec.request_id, flight.attempt)
     return messages.HeldReservation(
         flight.spec.request_id,
         flight.attempt,
--- a/flamingoramp/membership/session.py
+++ b/flamingoramp/membership/session.py
@@ -43,6 +43,7 @@
         self._entries: tuple[messages.EntryAddress, ...] = ()
         self._suspects: tuple[messages.Suspect, ...] = ()
         self._quarantine_version = 0
+        self._table_version = 0
         self._drain_ordered = False
 
     @property
@@ -101,6 +102,7 @@
             leaving=leaving,
             streams=streams,
             quarantine_version=self._quarantine_version,
+            table_version=self._table_version,
         )
 
     def handle(self, grant: messages.SessionGrant, now: float) -> Learned:
@@ -120,9 +122,12 @@
             self._revision = grant.revision
         # The lease runs from the sending of the heartbeat, so that a late answer grants less.
         self._lease_until = max(self._lease_until, grant.sent_at + grant.lease_seconds)
-        self._entries = grant.entries
         self._drain_ordered = grant.drain
-        moved = self._learn_shards(grant.shards)
+        moved: tuple[str, ...] = ()
+        if grant.table_version != self._table_version:
+            self._table_version = grant.table_version
+            self._entries = grant.entries
+            moved = self._learn_shards(grant.shards)
         suspects = grant.quarantine_version != self._quarantine_version
         if suspects:
             self._suspects = grant.suspects
--- a/flamingoramp/membership/sessions.py
+++ b/flamingoramp/membership/sessions.py
@@ -44,6 +44,23 @@
     return int.from_bytes(digest, "big")
 
 
+@attrs.frozen
+class Table:
+    """Owners of shards and addresses of entries; the version follows from the contents."""
+
+    version: int = 0
+    shards: tuple[messages.ShardOwner, ...] = ()
+    entries: tuple[messages.EntryAddress, ...] = ()
+
+
+def make_table(
+    shards: tuple[messages.ShardOwner, ...], entries: tuple[messages.EntryAddress, ...]
+) -> Table:
+    """Return a table; all leaders give the same contents the same version."""
+    digest = hashlib.blake2b(repr((shards, entries)).encode(), digest_size=8).digest()
+    return Table(int.from_bytes(digest, "big"), shards, entries)
+
+
 class SessionTable:
     """Entries that hold a configuration lease, as one leader knows them.
 
--- a/flamingoramp/membership/tests/test_sessions.py
+++ b/flamingoramp/membership/tests/test_sessions.py
@@ -125,9 +125,10 @@
 
     def test_older_owner_is_never_taken(self):
         owner = messages.ShardOwner("llm/0", "b#1", "b:1", 7)
-        self.session.handle(attrs.evolve(self.GRANT, shards=(owner,)), 1.1)
+        self.session.handle(attrs.evolve(self.GRANT, table_version=1, shards=(owner,)), 1.1)
         old = attrs.evolve(owner, owner="c#1", generation=6)
-        learned = self.session.handle(attrs.evolve(self.GRANT, sent_at=2.0, shards=(old,)), 2.1)
+        grant = attrs.evolve(self.GRANT, sent_at=2.0, table_version=2, shards=(old,))
+        learned = self.session.handle(grant, 2.1)
         self.assertEqual(learned.moved_shards, ())
         self.assertEqual(self.session.shards["llm/0"].owner, "b#1")
 
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -150,6 +150,7 @@
     leaving: bool = False
     streams: int = 0
     quarantine_version: int = 0
+    table_version: int = 0
 
 
 @attrs.frozen
@@ -168,6 +169,7 @@
     quarantine_version: int = 0
     suspects: tuple[Suspect, ...] = ()
     drain: bool = False
+    table_version: int = 0
 
 
 @attrs.frozen
@@ -307,21 +309,20 @@
 
 @attrs.frozen
 class HoldReport:
-    """All reservations that an entry uses, and requests that still wait."""
+    """All reservations that an entry uses, and requests that wait; only ids unless ``full``."""
 
     entry: str = ""
     entry_address: str = ""
     shard: str = ""
     held: tuple[HeldReservation, ...] = ()
     waiting: tuple[str, ...] = ()
+    full: bool = False
 
 
 @attrs.frozen
 class HoldUnknown:
-    """The owner no longer knows a reservation."""
+    """The owner asks an entry for a full report."""
 
-    request_id: str = ""
-    attempt: int = 0
     shard: str = ""
     generation: int = 0
 
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -14,8 +14,8 @@
 
 struct ShardOwner { shard @0 :Text; owner @1 :Text; address @2 :Text; generation @3 :UInt64; }
 struct EntryAddress { name @0 :Text; url @1 :Text; zone @2 :Text; leaving @3 :Bool; }
-struct SessionHeartbeat { entry @0 :Text; incarnation @1 :Text; sentAt @2 :Float64; revision @3 :UInt64; url @4 :Text; inner @5 :Text; zone @6 :Text; leaving @7 :Bool; streams @8 :UInt32; quarantineVersion @9 :UInt64; }
-struct SessionGrant { sentAt @0 :Float64; granted @1 :Bool; leader @2 :Text; term @3 :UInt64; revision @4 :UInt64; document @5 :Text; leaseSeconds @6 :Float64; shards @7 :List(ShardOwner); entries @8 :List(EntryAddress); quarantineVersion @9 :UInt64; suspects @10 :List(Suspect); drain @11 :Bool; }
+struct SessionHeartbeat { entry @0 :Text; incarnation @1 :Text; sentAt @2 :Float64; revision @3 :UInt64; url @4 :Text; inner @5 :Text; zone @6 :Text; leaving @7 :Bool; streams @8 :UInt32; quarantineVersion @9 :UInt64; tableVersion @10 :UInt64; }
+struct SessionGrant { sentAt @0 :Float64; granted @1 :Bool; leader @2 :Text; term @3 :UInt64; revision @4 :UInt64; document @5 :Text; leaseSeconds @6 :Float64; shards @7 :List(ShardOwner); entries @8 :List(EntryAddress); quarantineVersion @9 :UInt64; suspects @10 :List(Suspect); drain @11 :Bool; tableVersion @12 :UInt64; }
 struct Suspect { fingerprint @0 :Text; crashes @1 :UInt32; confirmed @2 :Bool; service @3 :Text; }
 
 struct ClaimRequest { requestId @0 :Text; workspace @1 :Text; key @2 :Text; fingerprint @3 :Text; entry @4 :Text; remaining @5 :Float64; }
@@ -30,8 +30,8 @@
 struct Release { requestId @0 :Text; attempt @1 :UInt32; shard @2 :Text; result @3 :Text; server @4 :Text; }
 struct PrefillDone { requestId @0 :Text; attempt @1 :UInt32; shard @2 :Text; seconds @3 :Float64; }
 struct HeldReservation { requestId @0 :Text; attempt @1 :UInt32; servers @2 :List(Text); tokens @3 :List(UInt32); fingerprint @4 :Text; prefillDone @5 :Bool; }
-struct HoldReport { entry @0 :Text; entryAddress @1 :Text; shard @2 :Text; held @3 :List(HeldReservation); waiting @4 :List(Text); }
-struct HoldUnknown { requestId @0 :Text; attempt @1 :UInt32; shard @2 :Text; generation @3 :UInt64; }
+struct HoldReport { entry @0 :Text; entryAddress @1 :Text; shard @2 :Text; held @3 :List(HeldReservation); waiting @4 :List(Text); full @5 :Bool; }
+struct HoldUnknown { shard @0 :Text; generation @1 :UInt64; }
 struct Announcement { server @0 :Text; service @1 :Text; incarnation @2 :UInt64; sequence @3 :UInt64; leaving @4 :Bool; url @5 :Text; zone @6 :Text; memoryTokens @7 :UInt64; slots @8 :UInt32; prefillRate @9 :Float64; decodeSeconds @10 :Float64; models @11 :List(Text); honoursFencing @12 :Bool; running @13 :UInt32; memoryUsed @14 :UInt64; cacheSequence @15 :UInt64; cached @16 :List(UInt64); evicted @17 :List(UInt64); role @18 :Text; highestFence @19 :UInt64; }
 struct Ping { sequence @0 :UInt64; }
 struct Pong { sequence @0 :UInt64; }
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -328,14 +328,18 @@
             known = self._fleet.ledger.find(key)
             if known is not None:
                 known.renewed = now
-            else:
+            elif report.full:
                 self._adopt(report, held, now)
+            else:
+                ask = messages.HoldUnknown(self._shard, self._generation)
+                self._effects.append(effects.Reply(report.entry_address, ask))
         for reservation in self._fleet.ledger.all():
             mine = reservation.entry == report.entry
             if mine and reservation.key not in listed:
                 self._drop_unlisted(reservation, now)
         self._list_waiting(report, now)
-        self._awaited_entries.discard(report.entry)
+        if report.full:
+            self._awaited_entries.discard(report.entry)
         if not self._awaited_entries:
             self._rebuilding_until = min(self._rebuilding_until, now)
 
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -343,7 +343,7 @@
         owned.send(reserve("new", 50_000))
         self.assertNotIn("new", owned.grants, "nothing is granted before entries told")
         held = messages.HeldReservation("old", 1, ("e0",), (80_000,), "f", True)
-        owned.send(messages.HoldReport("e", "e:1", "llm/0", (held,), ("new",)))
+        owned.send(messages.HoldReport("e", "e:1", "llm/0", (held,), ("new",), True))
         self.assertNotIn("new", owned.grants)
         owned.send(messages.Release("old", 1, "llm/0", "done", "e0"))
         self.assertIn("new", owned.grants)
--- a/standins/announcer.py
+++ b/standins/announcer.py
@@ -11,12 +11,12 @@
 from flamingoramp.runtime import loop as loops
 
 INTERVAL_SECONDS = 0.5
-ENTRIES_AT_ONCE = 2
 SILENCE_SECONDS = 1.0
+TRIES = 3
 
 
 class Announcer:
-    """Posts what a backend server tells of itself to two entries at a time.
+    """Posts what a backend server tells of itself to one entry, to the next if that one fails.
 
     Parameters
     ----------
@@ -37,11 +37,10 @@
         rng: random.Random,
     ):
         self._loop = loop
-        self._entries = list(entries)
+        self._entries = rng.sample(list(entries), len(entries))
         self._describe = describe
         self._rng = rng
         self._transfers = transfers.Transfers(loop)
-        self._chosen: list[str] = []
         self._sequence = 0
         self.silent = False
         loop.call_later(rng.uniform(0, INTERVAL_SECONDS), self._repeat)
@@ -52,24 +51,23 @@
             return
         self._sequence += 1
         body = json.dumps({**self._describe(), "sequence": self._sequence}).encode()
-        while len(self._chosen) < min(ENTRIES_AT_ONCE, len(self._entries)):
-            left = [url for url in self._entries if url not in self._chosen]
-            self._chosen.append(self._rng.choice(left))
-        for url in list(self._chosen):
-            self._post(url, body)
+        self._post(self._entries[0], body, tries=TRIES)
 
     def _repeat(self) -> None:
         self._loop.call_later(INTERVAL_SECONDS, self._repeat)
         self.announce()
 
-    def _post(self, url: str, body: bytes) -> None:
+    def _post(self, url: str, body: bytes, tries: int) -> None:
         received = bytearray()
 
         def end(ending: transfers.Ending, status: int) -> None:
             if ending is transfers.Ending.COMPLETE and status == 200:
                 self._learn(json.loads(received))
-            elif url in self._chosen:
-                self._chosen.remove(url)
+                return
+            if url == self._entries[0]:
+                self._entries.append(self._entries.pop(0))
+            if tries > 1:
+                self._post(self._entries[0], body, tries - 1)
 
         call = transfers.Call(
             url=f"{url}/v1/announce",
@@ -80,6 +78,5 @@
         self._transfers.start(call, on_data=received.extend, on_end=end)
 
     def _learn(self, answer: dict[str, Any]) -> None:
-        if len(answer["entries"]) >= ENTRIES_AT_ONCE:
+        if answer["entries"]:
             self._entries = answer["entries"]
-            self._chosen = [url for url in self._chosen if url in self._entries]
