--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -5,15 +5,12 @@
 
 from __future__ import annotations
 
-import enum
 import random
 from collections.abc import Callable
 from typing import Any
 
-import attrs
-
 from flamingoramp import errors
-from flamingoramp.dispatch import budget, claims, requests
+from flamingoramp.dispatch import budget, claims, flights, requests
 from flamingoramp.membership import sessions
 from flamingoramp.protocol import messages
 
@@ -33,47 +30,6 @@
 }
 
 
-class Phase(enum.Enum):
-    """Where a request is."""
-
-    CLAIMING = "claiming"
-    PAUSING = "pausing"
-    WAITING = "waiting"
-    RUNNING = "running"
-
-
-@attrs.define
-class Flight:
-    """A request in progress; times on this process's clock, in seconds."""
-
-    spec: requests.RequestSpec
-    arrived: float
-    deadline: float
-    phase: Phase
-    shard: str
-    attempt: int = 1
-    sent_at: float = 0.0
-    resume_at: float = 0.0
-    grant: messages.Grant | None = None
-    ran: bool = False
-    dispatched_at: float = 0.0
-    first_token_at: float = 0.0
-    resumes: int = 0
-    heard: bool = False
-    crash_seen: bool = False
-    failed_server: str = ""
-    begun: bool = False
-    claimed: bool = False
-    excluded: tuple[str, ...] = ()
-    pieces: list[str] = attrs.field(factory=list)
-    length: int = 0
-
-    @property
-    def text(self) -> str:
-        """All text that was delivered."""
-        return "".join(self.pieces)
-
-
 class Dispatcher:
     """All requests in progress at one entry.
 
@@ -109,7 +65,7 @@
         self._generation_of = generation_of
         self._shards_of = shards_of
         self._retry_ratio = retry_ratio
-        self._flights: dict[str, Flight] = {}
+        self._flights: dict[str, flights.Flight] = {}
         self._budget = budget.RetryBudget()
         self._last_tick = float("-inf")
         self._effects: list[Any] = []
@@ -117,7 +73,7 @@
     def __len__(self) -> int:
         return len(self._flights)
 
-    def find(self, request_id: str) -> Flight | None:
+    def find(self, request_id: str) -> flights.Flight | None:
         """Return a request in progress."""
         return self._flights.get(request_id)
 
@@ -152,7 +108,7 @@
     def fail_waiting(self, error: errors.FlamingorampError, now: float) -> list[Any]:
         """Fail all requests that were not sent to any backend server."""
         for flight in list(self._flights.values()):
-            if flight.phase is not Phase.RUNNING:
+            if flight.phase is not flights.Phase.RUNNING:
                 self._give_up(flight, error, now)
         return self._take_effects()
 
@@ -163,9 +119,9 @@
         for flight in self._flights.values():
             if flight.shard != shard:
                 continue
-            if flight.phase is Phase.RUNNING:
+            if flight.phase is flights.Phase.RUNNING:
                 held.append(_describe_held(flight, full=full))
-            elif flight.phase is Phase.WAITING:
+            elif flight.phase is flights.Phase.WAITING:
                 waiting.append(flight.spec.request_id)
         return messages.HoldReport(
             self._entry, self._address, shard, tuple(held), tuple(waiting), full
@@ -174,7 +130,7 @@
     def resend_reserves(self, shard: str, now: float) -> list[Any]:
         """Ask the new owner of a shard for the places that the old one had not granted."""
         for flight in self._flights.values():
-            if flight.shard == shard and flight.phase is Phase.WAITING:
+            if flight.shard == shard and flight.phase is flights.Phase.WAITING:
                 self._send_reserve(flight, now)
         return self._take_effects()
 
@@ -186,17 +142,17 @@
     def _emit(self, effect: Any) -> None:
         self._effects.append(effect)
 
-    def _note(self, kind: str, flight: Flight, **fields: Any) -> None:
+    def _note(self, kind: str, flight: flights.Flight, **fields: Any) -> None:
         self._emit(requests.Note(kind, flight.spec.request_id, fields))
 
     # Beginning.
 
     def _submit(self, spec: requests.RequestSpec, now: float) -> None:
-        flight = Flight(
+        flight = flights.Flight(
             spec=spec,
             arrived=now,
             deadline=now + spec.time_limit - min(ANSWER_MARGIN_SECONDS, spec.time_limit / 10),
-            phase=Phase.CLAIMING if spec.key else Phase.WAITING,
+            phase=flights.Phase.CLAIMING if spec.key else flights.Phase.WAITING,
             shard=self._choose_shard(spec),
         )
         self._flights[spec.request_id] = flight
@@ -213,7 +169,7 @@
         affinity = spec.prefix_hashes[0] if spec.prefix_hashes else spec.request_id
         return max(names, key=lambda name: sessions.rendezvous_score(name, str(affinity)))
 
-    def _send_claim(self, flight: Flight, now: float) -> None:
+    def _send_claim(self, flight: flights.Flight, now: float) -> None:
         flight.sent_at = now
         spec = flight.spec
         claim = messages.ClaimRequest(
@@ -228,12 +184,12 @@
 
     def _handle_claim_reply(self, reply: messages.ClaimReply, now: float) -> None:
         flight = self._flights.get(reply.request_id)
-        if flight is None or flight.phase is not Phase.CLAIMING:
+        if flight is None or flight.phase is not flights.Phase.CLAIMING:
             return
         status = claims.ClaimStatus(reply.status)
         if status is claims.ClaimStatus.GRANTED:
             flight.claimed = True
-            flight.phase = Phase.WAITING
+            flight.phase = flights.Phase.WAITING
             self._note("claim.granted", flight)
             self._send_reserve(flight, now)
             return
@@ -245,7 +201,7 @@
             return
         self._finish(flight, self._error_effect(flight, _claim_error(status)))
 
-    def _send_reserve(self, flight: Flight, now: float) -> None:
+    def _send_reserve(self, flight: flights.Flight, now: float) -> None:
         flight.sent_at = now
         spec = flight.spec
         reserve = messages.Reserve(
@@ -274,16 +230,16 @@
     def _handle_grant(self, grant: messages.Grant, now: float) -> None:
         flight = self._flights.get(grant.request_id)
         known = flight is not None and flight.attempt == grant.attempt
-        if known and flight.phase is Phase.RUNNING:
+        if known and flight.phase is flights.Phase.RUNNING:
             return  # repeated
         frozen = now - self._last_tick > FROZEN_SECONDS
-        if not known or flight.phase is not Phase.WAITING or frozen:
+        if not known or flight.phase is not flights.Phase.WAITING or frozen:
             self._send_release(grant, "not_sent")
-            if known and flight.phase is Phase.WAITING:
+            if known and flight.phase is flights.Phase.WAITING:
                 self._next_attempt(flight, now, excluded="")
             return
         flight.grant = grant
-        flight.phase = Phase.RUNNING
+        flight.phase = flights.Phase.RUNNING
         flight.dispatched_at = now
         flight.resumes = 0
         flight.heard = False
@@ -292,12 +248,12 @@
         self._begin_answer(flight)
         self._start_transfer(flight, now)
 
-    def _begin_answer(self, flight: Flight) -> None:
+    def _begin_answer(self, flight: flights.Flight) -> None:
         if flight.spec.streams and not flight.begun:
             flight.begun = True
             self._emit(requests.CallerBegin(flight.spec))
 
-    def _start_transfer(self, flight: Flight, now: float) -> None:
+    def _start_transfer(self, flight: flights.Flight, now: float) -> None:
         spec, grant = flight.spec, flight.grant
         remaining = flight.deadline - now
         if spec.kind is requests.RequestKind.PLAIN:
@@ -323,15 +279,15 @@
         flight = self._flights.get(refusal.request_id)
         if flight is None or flight.attempt != refusal.attempt:
             return
-        if flight.phase is not Phase.WAITING:
+        if flight.phase is not flights.Phase.WAITING:
             return
         error = errors.make_error(refusal.code, refusal.text, retry_after=refusal.retry_after)
         self._give_up(flight, error, now)
 
-    def _current(self, message: Any) -> Flight | None:
+    def _current(self, message: Any) -> flights.Flight | None:
         """Return the flight that a transfer's message belongs to, None if it is stale."""
         flight = self._flights.get(message.request_id)
-        if flight is None or flight.phase is not Phase.RUNNING:
+        if flight is None or flight.phase is not flights.Phase.RUNNING:
             return None
         return flight if flight.attempt == message.attempt else None
 
@@ -361,7 +317,7 @@
         if flight.spec.streams:
             self._emit(requests.CallerText(flight.spec, text))
 
-    def _report_prefill(self, flight: Flight, now: float) -> None:
+    def _report_prefill(self, flight: flights.Flight, now: float) -> None:
         seconds = now - flight.dispatched_at
         done = messages.PrefillDone(flight.spec.request_id, flight.attempt, flight.shard, seconds)
         self._emit(requests.SendToOwner(flight.shard, done))
@@ -412,7 +368,7 @@
             case requests.TransferResult.GONE:
                 self._lose_attempt(flight, now)
 
-    def _complete(self, flight: Flight) -> None:
+    def _complete(self, flight: flights.Flight) -> None:
         text = flight.text
         body = text.encode("latin-1", "replace")
         self._settle(flight, "done", 0, body if flight.spec.key else b"")
@@ -420,7 +376,9 @@
         self._send_release(flight.grant, "done")
         self._finish(flight, requests.CallerEnd(flight.spec, text, len(flight.pieces)))
 
-    def _handle_not_run(self, flight: Flight, result: requests.TransferResult, now: float) -> None:
+    def _handle_not_run(
+        self, flight: flights.Flight, result: requests.TransferResult, now: float
+    ) -> None:
         """Go on after an attempt that proved not to have begun, or a resume that failed."""
         server = flight.failed_server
         if result is requests.TransferResult.UNREACHED:
@@ -434,7 +392,7 @@
         self._send_release(flight.grant, _NOT_RUN_RESULTS[result], server)
         self._next_attempt(flight, now, excluded=server)
 
-    def _resume_or_retry(self, flight: Flight, now: float) -> None:
+    def _resume_or_retry(self, flight: flights.Flight, now: float) -> None:
         plain = flight.spec.kind is requests.RequestKind.PLAIN
         mute = not flight.heard and not flight.crash_seen
         if plain or mute or flight.resumes >= MAX_RESUMES:
@@ -446,7 +404,7 @@
         remaining = flight.deadline - now
         self._emit(requests.StartResume(flight.spec, flight.attempt, url, flight.length, remaining))
 
-    def _lose_attempt(self, flight: Flight, now: float) -> None:
+    def _lose_attempt(self, flight: flights.Flight, now: float) -> None:
         """Go on after an attempt whose server failed while it ran."""
         flight.ran = True
         server = flight.failed_server or flight.grant.servers[-1]
@@ -459,9 +417,9 @@
         error = errors.OutcomeUnknownError("the backend server failed while it ran the request")
         self._finish(flight, self._error_effect(flight, error))
 
-    def _next_attempt(self, flight: Flight, now: float, *, excluded: str) -> None:
+    def _next_attempt(self, flight: flights.Flight, now: float, *, excluded: str) -> None:
         flight.attempt += 1
-        flight.phase = Phase.PAUSING
+        flight.phase = flights.Phase.PAUSING
         flight.grant = None
         if excluded:
             flight.excluded = (*flight.excluded[-2:], excluded)
@@ -477,21 +435,25 @@
 
     # Endings.
 
-    def _tick_flight(self, flight: Flight, now: float) -> None:
+    def _tick_flight(self, flight: flights.Flight, now: float) -> None:
         if now >= flight.deadline:
             self._time_out(flight, now)
-        elif flight.phase is Phase.PAUSING and now >= flight.resume_at:
-            flight.phase = Phase.WAITING
+        elif flight.phase is flights.Phase.PAUSING and now >= flight.resume_at:
+            flight.phase = flights.Phase.WAITING
             self._send_reserve(flight, now)
-        elif flight.phase is Phase.WAITING and now >= flight.sent_at + RESERVE_RESEND_SECONDS:
+        elif (
+            flight.phase is flights.Phase.WAITING and now >= flight.sent_at + RESERVE_RESEND_SECONDS
+        ):
             self._send_reserve(flight, now)
             if now - flight.arrived > LONG_WAIT_SECONDS:
                 self._begin_answer(flight)
-        elif flight.phase is Phase.CLAIMING and now >= flight.sent_at + CLAIM_RESEND_SECONDS:
+        elif (
+            flight.phase is flights.Phase.CLAIMING and now >= flight.sent_at + CLAIM_RESEND_SECONDS
+        ):
             self._send_claim(flight, now)
 
-    def _time_out(self, flight: Flight, now: float) -> None:
-        ran = flight.ran or flight.phase is Phase.RUNNING
+    def _time_out(self, flight: flights.Flight, now: float) -> None:
+        ran = flight.ran or flight.phase is flights.Phase.RUNNING
         if ran and not flight.spec.idempotent:
             error: errors.FlamingorampError = errors.OutcomeUnknownError(
                 "the time limit passed while the request ran"
@@ -506,12 +468,12 @@
         if flight is None:
             return
         self._note("caller.gone", flight)
-        if flight.phase is Phase.RUNNING and not flight.spec.idempotent:
+        if flight.phase is flights.Phase.RUNNING and not flight.spec.idempotent:
             return  # it may not run again: let it finish and record the outcome
         self._give_up(flight, errors.BackendFailedError("the caller went away"), now)
 
-    def _give_up(self, flight: Flight, error: errors.FlamingorampError, now: float) -> None:
-        if flight.phase is Phase.RUNNING:
+    def _give_up(self, flight: flights.Flight, error: errors.FlamingorampError, now: float) -> None:
+        if flight.phase is flights.Phase.RUNNING:
             self._cancel_transfer(flight)
             self._send_release(flight.grant, "cancelled")
             self._settle(flight, "outcome_unknown", 0, b"")
@@ -520,30 +482,30 @@
             self._settle(flight, "not_run", 0, b"")
         self._finish(flight, self._error_effect(flight, error))
 
-    def _withdraw(self, flight: Flight) -> None:
+    def _withdraw(self, flight: flights.Flight) -> None:
         release = messages.Release(
             flight.spec.request_id, flight.attempt, flight.shard, "cancelled", ""
         )
         self._emit(requests.SendToOwner(flight.shard, release))
 
-    def _finish(self, flight: Flight, answer: Any) -> None:
+    def _finish(self, flight: flights.Flight, answer: Any) -> None:
         del self._flights[flight.spec.request_id]
         self._emit(answer)
         self._note("request.finished", flight, answer=type(answer).__name__)
 
     def _error_effect(
-        self, flight: Flight, error: errors.FlamingorampError
+        self, flight: flights.Flight, error: errors.FlamingorampError
     ) -> requests.CallerError:
         if flight.ran and error.outcome is errors.Outcome.NOT_RUN:
             # A refusal speaks for its own attempt only; an earlier one ran.
             error.outcome = errors.Outcome.FAILED
         return requests.CallerError(flight.spec, error, flight.begun)
 
-    def _cancel_transfer(self, flight: Flight) -> None:
+    def _cancel_transfer(self, flight: flights.Flight) -> None:
         urls = tuple(flight.grant.urls)
         self._emit(requests.CancelTransfer(flight.spec.request_id, flight.attempt, urls))
 
-    def _cancel_segments(self, flight: Flight) -> None:
+    def _cancel_segments(self, flight: flights.Flight) -> None:
         """Free the segments of a group that the last engine no longer needs."""
         segments = tuple(flight.grant.urls[:-1])
         if segments:
@@ -556,7 +518,7 @@
         )
         self._emit(requests.SendToOwner(grant.shard, release))
 
-    def _settle(self, flight: Flight, outcome: str, status: int, body: bytes) -> None:
+    def _settle(self, flight: flights.Flight, outcome: str, status: int, body: bytes) -> None:
         if not flight.claimed:
             return
         flight.claimed = False
@@ -573,7 +535,7 @@
     return found.get(url, grant.servers[-1])
 
 
-def _describe_held(flight: Flight, *, full: bool) -> messages.HeldReservation:
+def _describe_held(flight: flights.Flight, *, full: bool) -> messages.HeldReservation:
     if not full:
         return messages.HeldReservation(flight.spec.request_id, flight.attempt)
     return messages.HeldReservation(
--- /dev/null
+++ b/flamingoramp/dispatch/flights.py
@@ -0,0 +1,51 @@
+"""Requests in progress at an entry."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from flamingoramp.dispatch import requests
+from flamingoramp.protocol import messages
+
+
+class Phase(enum.Enum):
+    """Where a request is."""
+
+    CLAIMING = "claiming"
+    PAUSING = "pausing"
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+@attrs.define
+class Flight:
+    """A request in progress; times on this process's clock, in seconds."""
+
+    spec: requests.RequestSpec
+    arrived: float
+    deadline: float
+    phase: Phase
+    shard: str
+    attempt: int = 1
+    sent_at: float = 0.0
+    resume_at: float = 0.0
+    grant: messages.Grant | None = None
+    ran: bool = False
+    dispatched_at: float = 0.0
+    first_token_at: float = 0.0
+    resumes: int = 0
+    heard: bool = False
+    crash_seen: bool = False
+    failed_server: str = ""
+    begun: bool = False
+    claimed: bool = False
+    excluded: tuple[str, ...] = ()
+    pieces: list[str] = attrs.field(factory=list)
+    length: int = 0
+
+    @property
+    def text(self) -> str:
+        """All text that was delivered."""
+        return "".join(self.pieces)
--- /dev/null
+++ b/flamingoramp/routing/prediction.py
@@ -0,0 +1,73 @@
+"""Predictions of how long a request will wait and run."""
+
+from __future__ import annotations
+
+from flamingoramp.intent import declarations
+from flamingoramp.protocol import messages
+from flamingoramp.routing import choice, queue
+from flamingoramp.routing import fleet as fleets
+
+DEFAULT_SERVICE_SECONDS = 0.05
+
+
+def judge(
+    fleet: fleets.Fleet,
+    reserve: messages.Reserve,
+    policy: declarations.PolicyDeclaration,
+    now: float,
+) -> queue.Waiting:
+    """Predict a request's work and put it in its class.
+
+    Returns
+    -------
+    queue.Waiting
+        Not ``judged`` if no live server offers what it needs.
+    """
+    servers = [one for one in fleet.directory.live(now) if choice.offers(one, reserve)]
+    work = min((fleet.prefill_seconds(one, reserve) for one in servers), default=0.0)
+    decode = min((one.decode_seconds for one in servers), default=0.0)
+    service = work + decode * reserve.output_tokens or DEFAULT_SERVICE_SECONDS
+    return queue.Waiting(
+        reserve,
+        arrived=now,
+        deadline=now + reserve.remaining,
+        length_class=classify(work, policy),
+        work=work,
+        service_seconds=service,
+        listed=now,
+        judged=bool(servers),
+    )
+
+
+def classify(work: float, policy: declarations.PolicyDeclaration) -> queue.LengthClass:
+    """Return the class of a predicted prefill in seconds."""
+    if work <= policy.short_seconds:
+        return queue.LengthClass.SHORT
+    if work < policy.long_seconds:
+        return queue.LengthClass.MEDIUM
+    return queue.LengthClass.LONG
+
+
+def wait_seconds(
+    fleet: fleets.Fleet,
+    waiting_queue: queue.WaitingQueue,
+    waiting: queue.Waiting,
+    servers: list[messages.Announcement],
+    long_servers: frozenset[str],
+    now: float,
+) -> float:
+    """Predict how long a request waits for its prefill to begin.
+
+    Parameters
+    ----------
+    servers : list of Announcement
+        Those that offer what it needs.
+    long_servers : frozenset of str
+        Those that long prompts may use.
+    """
+    length_class = waiting.length_class
+    usable = servers
+    if length_class is queue.LengthClass.LONG:
+        usable = [one for one in servers if one.server in long_servers] or servers
+    running = sum(fleet.backlog_seconds(one.server, length_class, now) for one in usable)
+    return (running + waiting_queue.work_ahead(length_class)) / len(usable)
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -15,7 +15,7 @@
 from flamingoramp.intent import declarations
 from flamingoramp.membership import directory as directories
 from flamingoramp.protocol import messages
-from flamingoramp.routing import choice, effects, isolation, ledger, queue
+from flamingoramp.routing import choice, effects, isolation, ledger, prediction, queue
 from flamingoramp.routing import fleet as fleets
 
 REBUILD_SECONDS = 1.5
@@ -23,7 +23,6 @@
 MIX_HALF_LIFE_SECONDS = 30.0
 STARVING_SECONDS = 1.0
 PUMP_LIMIT = 64
-DEFAULT_SERVICE_SECONDS = 0.05
 
 
 class Scheduler:
@@ -205,27 +204,7 @@
         self._queue.add(waiting, workspace.weight)
 
     def _judge(self, reserve: messages.Reserve, now: float) -> queue.Waiting:
-        servers = [one for one in self._fleet.directory.live(now) if choice.offers(one, reserve)]
-        policy = self._declaration.policy
-        work = min((self._fleet.prefill_seconds(one, reserve) for one in servers), default=0.0)
-        decode = min((one.decode_seconds for one in servers), default=0.0)
-        if work <= policy.short_seconds:
-            length_class = queue.LengthClass.SHORT
-        elif work < policy.long_seconds:
-            length_class = queue.LengthClass.MEDIUM
-        else:
-            length_class = queue.LengthClass.LONG
-        service = work + decode * reserve.output_tokens or DEFAULT_SERVICE_SECONDS
-        return queue.Waiting(
-            reserve,
-            arrived=now,
-            deadline=now + reserve.remaining,
-            length_class=length_class,
-            work=work,
-            service_seconds=service,
-            listed=now,
-            judged=bool(servers),
-        )
+        return prediction.judge(self._fleet, reserve, self._declaration.policy, now)
 
     def _settle(self, now: float) -> None:
         """Judge again what came before all servers had announced themselves."""
@@ -275,24 +254,17 @@
                 f"workspace {workspace.name} has {workspace.max_waiting} requests waiting",
                 retry_after=1.0,
             )
-        late_by = self._predicted_wait(waiting, servers, now) - waiting.slack(now)
+        long_servers = self._constraints(now).long_servers
+        ahead = prediction.wait_seconds(
+            self._fleet, self._queue, waiting, servers, long_servers, now
+        )
+        late_by = ahead - waiting.slack(now)
         if late_by > 0:
             return errors.OverloadedError(
                 "the request can't finish within its time limit", retry_after=max(0.1, late_by)
             )
         return None
 
-    def _predicted_wait(
-        self, waiting: queue.Waiting, servers: list[messages.Announcement], now: float
-    ) -> float:
-        length_class = waiting.length_class
-        usable = servers
-        if length_class is queue.LengthClass.LONG:
-            long_servers = self._constraints(now).long_servers
-            usable = [one for one in servers if one.server in long_servers] or servers
-        running = sum(self._fleet.backlog_seconds(one.server, length_class, now) for one in usable)
-        return (running + self._queue.work_ahead(length_class)) / len(usable)
-
     def _handle_release(self, message: messages.Release, now: float) -> None:
         key = (message.request_id, message.attempt)
         self._queue.remove(key)
--- a/flamingoramp/tests/scenarios.py
+++ b/flamingoramp/tests/scenarios.py
@@ -14,7 +14,7 @@
 from flamingoramp.intent import commands, declarations
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import settings as settings_module
-from flamingoramp.tests import backends, worlds
+from flamingoramp.tests import backends, faults, worlds
 from standins import batch
 
 CONTROL_HOSTS = 5
@@ -143,12 +143,13 @@
         self._revisions: dict[tuple[str, int], int] = {}
         self._operations: list[Operation] = []
         self._number = 0
-        self._disks: dict[str, worlds.VirtualDisk] = {}
+        self.disks: dict[str, worlds.VirtualDisk] = {}
         self._callers: dict[str, VirtualCallers] = {}
         self.servers: dict[str, backends.VirtualServer] = {}
         self._settings = self._make_settings()
         self._loading = True
         self._start()
+        self.faults = faults.Faults(self)
 
     def _make_settings(self) -> settings_module.Settings:
         hosts = []
@@ -170,7 +171,7 @@
         self.control = [self.world.add_node(f"control{n}") for n in range(CONTROL_HOSTS)]
         self.entries = [self.world.add_node(f"entry{n}") for n in range(ENTRY_HOSTS)]
         for node in self.control:
-            self._disks[node.name] = worlds.VirtualDisk()
+            self.disks[node.name] = worlds.VirtualDisk()
             self.start_control(node)
         for node in self.entries:
             self.start_entry(node)
@@ -192,7 +193,7 @@
             self._settings,
             host,
             make_process=functools.partial(worlds.VirtualProcess, self.world, node),
-            store=self._disks[node.name],
+            store=self.disks[node.name],
         )
 
     def start_entry(self, node: worlds.Node) -> None:
@@ -362,7 +363,7 @@
 
     def operate(self) -> None:
         """Let an operator change the declaration, by plan and confirm."""
-        leading = [node for node in self.control if node.alive and self._leads(node)]
+        leading = [node for node in self.control if node.alive and self.leads(node)]
         if not leading:
             return
         state = self.rng.choice(leading).daemon.state
@@ -373,14 +374,15 @@
         plan = commands.StorePlan(operation.plan_id, state.revision, document, 1e12, 0.0)
         self._propose(plan, lambda _result: self._confirm(operation))
 
-    def _leads(self, node: worlds.Node) -> bool:
+    def leads(self, node: worlds.Node) -> bool:
+        """Tell whether a control node leads with a lease."""
         daemon = node.daemon
         return daemon.replica.holds_lease(daemon.process.loop.now())
 
     def _propose(self, command: Any, done: Any) -> None:
         alive = [node for node in self.control if node.alive]
         for node in self.rng.sample(alive, len(alive)):
-            if node.frozen_until <= self.world.now and self._leads(node):
+            if node.frozen_until <= self.world.now and self.leads(node):
                 propose = functools.partial(node.daemon.propose, command, done)
                 self.world.at(0.001, node, lambda: propose(lambda _error: None))  # noqa: B023
                 return
@@ -411,7 +413,7 @@
 
     def _await_in_force(self, revision: int) -> None:
         for node in self.control:
-            if not node.alive or node.frozen_until > self.world.now or not self._leads(node):
+            if not node.alive or node.frozen_until > self.world.now or not self.leads(node):
                 continue
             daemon = node.daemon
             if daemon.sessions.in_force(revision, daemon.process.loop.now()):
@@ -419,132 +421,6 @@
                 return
         self.world.at(0.1, None, lambda: self._await_in_force(revision))
 
-    # Faults.
-
-    def fault(self) -> None:
-        """Provoke a random fault; most mend after a while."""
-        self.rng.choice(
-            [
-                self._kill_entry,
-                self._kill_control,
-                self._kill_engine,
-                self._freeze,
-                self._cut_pair,
-                self._isolate,
-                self._lose_disk,
-                self._leave_server,
-                self._stop_entry,
-                self._poison,
-            ]
-        )()
-
-    def _kill_entry(self) -> None:
-        node = self.rng.choice(self.entries)
-        if node.alive:
-            node.alive = False
-            self._lose_streams(node)
-            self.world.at(self.rng.uniform(0.2, 8), None, lambda: self.start_entry(node))
-
-    def _lose_streams(self, node: worlds.Node) -> None:
-        for server in self.servers.values():
-            for work in server.work.values():
-                if work.runner is not None and work.runner._node is node:
-                    work.runner = None
-                    work.lost_at = self.world.now
-
-    def _kill_control(self) -> None:
-        node = self.rng.choice(self.control)
-        if node.alive and sum(one.alive for one in self.control) > CONTROL_HOSTS // 2 + 1:
-            node.alive = False
-            self.world.at(self.rng.uniform(0.2, 8), None, lambda: self.start_control(node))
-
-    def _lose_disk(self) -> None:
-        """Lose one disk while all other voters are up; the replica comes back as a new one."""
-        voters = self._voters()
-        whole = len(voters) == CONTROL_HOSTS and all(one.alive for one in self.control)
-        if not whole:
-            return
-        node = self.rng.choice(self.control)
-        node.alive = False
-        self._disks[node.name] = worlds.VirtualDisk()
-        self.world.at(self.rng.uniform(0.2, 3), None, lambda: self.start_control(node))
-
-    def _voters(self) -> tuple[str, ...]:
-        for node in self.control:
-            if node.alive and self._leads(node):
-                daemon = node.daemon
-                identities = {one.daemon.replica.identity for one in self.control if one.alive}
-                membership = daemon.replica.membership
-                return tuple(one for one in membership.voters if one in identities)
-        return ()
-
-    def _kill_engine(self) -> None:
-        server = self.rng.choice(list(self.servers.values()))
-        if server.node.alive and not server.leaving:
-            server.crash()
-            self.world.at(self.rng.uniform(0.2, 6), None, server.begin_life)
-
-    def _freeze(self) -> None:
-        node = self.rng.choice(list(self.world.nodes.values()))
-        node.frozen_until = self.world.now + self.rng.choice([0.3, 1.5, 6.0])
-
-    def _cut_pair(self) -> None:
-        one, other = self.rng.sample(list(self.world.nodes), 2)
-        self._cut({frozenset((one, other))}, self.rng.uniform(1, 10))
-
-    def _isolate(self) -> None:
-        """Put the processes of one host on the far side of a silent partition."""
-        number = self.rng.randrange(CONTROL_HOSTS)
-        far = {f"control{number}", f"entry{number}"}
-        pairs = {
-            frozenset((one, other))
-            for one in far & set(self.world.nodes)
-            for other in set(self.world.nodes) - far
-        }
-        self._cut(pairs, self.rng.uniform(1, 15))
-
-    def _cut(self, pairs: set[frozenset[str]], seconds: float) -> None:
-        self.world.cut |= pairs
-
-        def _heal() -> None:
-            self.world.cut -= pairs
-
-        self.world.at(seconds, None, _heal)
-
-    def _leave_server(self) -> None:
-        server = self.rng.choice(list(self.servers.values()))
-        same = [one for one in self.servers.values() if one.service == server.service]
-        if server.node.alive and sum(one.node.alive and not one.leaving for one in same) > 2:
-            self.world.at(0, server.node, server.leave)
-            self.world.at(self.rng.uniform(10, 15), None, functools.partial(self._return, server))
-
-    def _return(self, server: backends.VirtualServer) -> None:
-        if server.leaving:
-            server.begin_life()
-
-    def _stop_entry(self) -> None:
-        node = self.rng.choice(self.entries)
-        if node.alive:
-            daemon = node.daemon
-            life = node.life
-            self.world.at(0, node, daemon.begin_stop)
-            self.world.at(40, None, lambda: self._restart_stopped(node, life))
-
-    def _restart_stopped(self, node: worlds.Node, life: int) -> None:
-        if node.life == life:
-            if node.alive:
-                raise worlds.Violation(f"{node.name} did not end its planned stop")
-            self.start_entry(node)
-
-    def _poison(self) -> None:
-        content = f"{backends.POISON} {self.rng.randrange(3)}"
-        for _ in range(self.rng.randint(1, 6)):
-            self.world.at(
-                self.rng.uniform(0, 10),
-                None,
-                lambda: self.submit(tokens=500, poison=content, limit=10.0),
-            )
-
     # The run.
 
     def run(self, steps: int) -> None:
@@ -555,7 +431,7 @@
         self.load(steps / 10, rate=6.0)
         for _ in range(steps):
             if self.rng.random() < 0.06:
-                self.fault()
+                self.faults.provoke()
             if self.rng.random() < 0.03:
                 self.operate()
             self.world.run(0.1)
@@ -648,7 +524,7 @@
         states = {node.daemon.state.dump() for node in self.control}
         if len(states) != 1:
             raise worlds.Violation("replicas differ after quiet")
-        leading = [node for node in self.control if self._leads(node)]
+        leading = [node for node in self.control if self.leads(node)]
         if len(leading) != 1:
             raise worlds.Violation(f"{len(leading)} leaders after quiet")
         voters = leading[0].daemon.replica.membership.voters
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,7 +6,6 @@
 import json
 import os
 import random
-import signal
 import time
 from concurrent import futures
 from typing import Any
@@ -19,7 +18,7 @@
 from flamingoramp.runtime import http_server
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import stream as streams
-from standins import announcer, batch
+from standins import announcer, batch, serving
 
 HEARTBEAT_SECONDS = 0.4
 RESUME_GRACE_SECONDS = 3.0
@@ -111,15 +110,7 @@
 
     def run(self) -> None:
         """Serve until a planned stop is complete."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda _number, _frame: self._loop.post(self._leave))
-        pool = futures.ThreadPoolExecutor(1)
-        served = self._http.start(pool)
-        self._loop.run()
-        self._http.stop()
-        served.result()
-        pool.shutdown()
-        self._loop.close()
+        serving.serve(self._loop, self._http, self._leave)
 
     # Announcements.
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import random
-import signal
 import threading
 import time
-from concurrent import futures
 from typing import Any
 
 import attrs
@@ -14,7 +12,7 @@
 
 from flamingoramp.runtime import http_server
 from flamingoramp.runtime import loop as loops
-from standins import announcer
+from standins import announcer, serving
 
 
 @attrs.frozen
@@ -63,15 +61,7 @@
 
     def run(self) -> None:
         """Serve until a planned stop is complete."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda _number, _frame: self._loop.post(self._leave))
-        pool = futures.ThreadPoolExecutor(1)
-        served = self._http.start(pool)
-        self._loop.run()
-        self._http.stop()
-        served.result()
-        pool.shutdown()
-        self._loop.close()
+        serving.serve(self._loop, self._http, self._leave)
 
     def _describe(self) -> dict[str, Any]:
         return {
