--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.path
 
 clean:
 	rm -rf $(VENV) build *.egg-info .ruff_cache
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -103,9 +103,6 @@
         store=worlds.VirtualDisk(),
     )
     node.daemon = daemon
-    # A cluster of one forms at once from the answer to its own probe.
-    form = messages.Form("c", (daemon.replica.identity,))
-    daemon._carry_out(daemon.replica.handle("h0#0", form, daemon.process.loop.now()))
     world.run(3)
     shards = max(1, entries * 600 // 330 // ENGINES_PER_SHARD)
     service = declarations.ServiceDeclaration("llm", shards=shards)
--- a/bench/client.py
+++ b/bench/client.py
@@ -75,11 +75,11 @@
 class AddressBook:
     """The addresses that callers use, kept for the time that the system allows."""
 
-    def __init__(self, loop: loops.Loop, first: list[str], rng: random.Random):
+    def __init__(self, loop: loops.Loop, first: list[str], rng: random.Random, *, fixed: bool):
         self._loop = loop
         self._known = list(first)
         self._rng = rng
-        self._fresh_until = 0.0
+        self._fresh_until = float("inf") if fixed else 0.0
 
     def choose(self) -> str:
         """Return the base URL of an entry."""
@@ -108,12 +108,14 @@
     entries : list of str
         Base URLs to ask for addresses first.
     seed : int
+    fixed : bool
+        Whether to use the given addresses alone.
     """
 
-    def __init__(self, entries: list[str], seed: int):
+    def __init__(self, entries: list[str], seed: int, *, fixed: bool = False):
         self.loop = loops.Loop()
         self._transfers = transfers.Transfers(self.loop)
-        self._book = AddressBook(self.loop, entries, random.Random(seed))
+        self._book = AddressBook(self.loop, entries, random.Random(seed), fixed=fixed)
         self.results: list[Result] = []
         self._open = 0
 
--- a/flamingoramp/consensus/founding.py
+++ b/flamingoramp/consensus/founding.py
@@ -45,6 +45,10 @@
             self._cluster_exists = True
             return None
         self._empty[host] = reply.replica
+        return self.form()
+
+    def form(self) -> messages.Form | None:
+        """Return the first membership if this replica is the one that forms the cluster."""
         complete = set(self._empty) == set(self._hosts)
         if self._cluster_exists or not complete or self._host != min(self._hosts):
             return None
--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -173,6 +173,7 @@
         """Act on timeouts that have passed."""
         if not self.cluster:
             self._effects += self._founding.tick(now)
+            self._found(self._founding.form(), now)
         elif self._leads:
             self._tick_leader(now)
         elif self._identity not in self.membership.voters:
@@ -242,12 +243,16 @@
     def _handle_founding_reply(self, reply: messages.FoundingReply, now: float) -> None:
         if self.cluster:
             return
-        formed = self._founding.handle_reply(reply)
-        if formed is not None:
-            self._handle_form(formed, now)
-            for replica in formed.replicas:
-                if replica != self._identity:
-                    self._send(replica, formed)
+        self._found(self._founding.handle_reply(reply), now)
+
+    def _found(self, formed: messages.Form | None, now: float) -> None:
+        """Found the cluster, if it is complete, and tell the others."""
+        if formed is None:
+            return
+        self._handle_form(formed, now)
+        for replica in formed.replicas:
+            if replica != self._identity:
+                self._send(replica, formed)
 
     def _handle_form(self, form: messages.Form, now: float) -> None:
         if self.cluster or self._identity not in form.replicas:
--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -130,6 +130,12 @@
         for host in HOSTS:
             self.assertEqual(cluster.payloads(host), [b"x"])
 
+    def test_a_cluster_of_one(self):
+        cluster = Cluster(("a",))
+        cluster.run(2)
+        self.assertTrue(cluster.propose(b"x"))
+        self.assertEqual(cluster.payloads("a"), [b"x"])
+
     def test_no_cluster_forms_while_a_host_is_silent(self):
         cluster = Cluster()
         cluster.stop("e")
