--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -39,6 +39,7 @@
 ENGINE_SIZES = (8, 16, 32, 64)
 CLAIM_SIZES = (10_000, 20_000, 40_000, 80_000)
 ANNOUNCING_SIZES = (8, 16, 32, 64)
+WORKSPACE_SIZES = (1000, 2000, 4000, 8500)
 FLIGHT_SIZES = (25, 50, 100, 200)
 ROUNDS = 5
 
@@ -290,6 +291,23 @@
     ]
 
 
+def measure_declaration() -> list[Slope]:
+    """Size of a declaration and the time an entry takes to read it, by workspaces."""
+    lengths, times = [], []
+    for count in WORKSPACE_SIZES:
+        workspaces = tuple(
+            declarations.WorkspaceDeclaration(f"workspace-{number}") for number in range(count)
+        )
+        text = declarations.render(declarations.Declaration(workspaces=workspaces))
+        lengths.append(float(len(text)))
+        times.append(time_calls(functools.partial(declarations.parse, text, "x"), 1) / 1000)
+    sizes = [float(size) for size in WORKSPACE_SIZES]
+    return [
+        Slope("declaration: size, by workspaces", "bytes", sizes, lengths),
+        Slope("entry: reading a declaration, by workspaces", "ms", sizes, times),
+    ]
+
+
 def resource_bytes() -> int:
     """Return this process's resident memory."""
     pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
@@ -379,6 +397,7 @@
     """Measure all slopes and print them as tables."""
     OUT.mkdir(exist_ok=True)
     found = measure_leader() + measure_owner() + [measure_hold_reports()]
+    found += measure_declaration()
     found += measure_claims() + measure_log() + measure_announcing()
     print("| what | size: cost | slope | base | r | unit |\n|---|---|---|---|---|---|")
     for slope in found:
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -22,7 +22,7 @@
 from flamingoramp.runtime import settings as settings_module
 from flamingoramp.runtime import transport as transports
 
-TICK_SECONDS = 0.02
+TICK_SECONDS = 0.05
 SETTLE_RESEND_SECONDS = 0.5
 ANNOUNCE_SECONDS = 0.5
 NOT_READY_PATIENCE_SECONDS = 3.0
--- a/flamingoramp/routing/choice.py
+++ b/flamingoramp/routing/choice.py
@@ -40,7 +40,7 @@
     closed : frozenset of str
         Servers that take no new work.
     drained : frozenset of str
-        Servers that are kept for a request which waits for their memory.
+        Servers that are kept for a request which waits for their memory; short ones may pass.
     long_servers : frozenset of str
         Servers that long prompts may use.
     """
@@ -125,17 +125,19 @@
     now: float,
 ) -> bool:
     name = server.server
-    if name in constraints.closed or name in constraints.drained:
+    if name in constraints.closed:
+        return False
+    if name in constraints.drained and waiting.length_class is not queue.LengthClass.SHORT:
         return False
     if not offers(server, waiting.reserve) or fleet.free_slots(server) <= 0:
         return False
     if server.memory_tokens and fleet.free_tokens(server, now) < need:
         return False
-    if waiting.length_class is not queue.LengthClass.LONG:
+    if waiting.length_class is queue.LengthClass.SHORT:
         return True
-    if fleet.runs_long(name):
+    if waiting.length_class is queue.LengthClass.LONG and fleet.runs_long(name):
         return False
-    if name in constraints.long_servers:
+    if name in constraints.long_servers or waiting.is_urgent(now):
         return True
     return _short_side_idle(fleet, server, constraints)
 
@@ -143,14 +145,13 @@
 def _short_side_idle(
     fleet: fleets.Fleet, server: messages.Announcement, constraints: Constraints
 ) -> bool:
-    """Tell whether long work may use a server of the short side, for lack of short work."""
-    live = fleet.directory.members()
+    """Tell whether longer work may use a server of the short side, for lack of short work."""
     short_side = [
         one.announcement.server
-        for one in live
+        for one in fleet.directory.members()
         if not one.lapsed and one.announcement.server not in constraints.long_servers
     ]
-    idle = [name for name in short_side if not fleet.ledger.count_on(name)]
+    idle = [name for name in short_side if not fleet.is_prefilling(name)]
     return server.server in idle and len(idle) > max(1, len(short_side) * IDLE_SPILL_SHARE)
 
 
@@ -167,7 +168,7 @@
     short_side = server.server not in constraints.long_servers
     match waiting.length_class:
         case queue.LengthClass.SHORT:
-            if fleet.runs_long(server.server):
+            if fleet.prefills_beyond(server.server, waiting.length_class):
                 cost += LONG_CHUNK_SECONDS * policy.short_weight
         case queue.LengthClass.MEDIUM | queue.LengthClass.LONG:
             if short_side:
@@ -182,24 +183,25 @@
     constraints: Constraints,
     now: float,
 ) -> Placement | None:
-    """Choose the engines that together hold a prompt; None if they aren't all free."""
+    """Choose the engines that together hold a prompt; None if they aren't all free.
+
+    The long side is left only if it could never hold the prompt.
+    """
     need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
-    usable = [
+    offering = [
         server
         for server in servers
-        if server.server not in constraints.closed
-        and offers(server, waiting.reserve)
-        and fleet.free_slots(server) > 0
-        and not fleet.runs_long(server.server)
+        if server.server not in constraints.closed and offers(server, waiting.reserve)
     ]
-    usable.sort(
-        key=lambda server: (
-            fleet.free_tokens(server, now),
-            server.server in constraints.long_servers,
-            server.server,
-        ),
-        reverse=True,
-    )
+    long_side = [server for server in offering if server.server in constraints.long_servers]
+    if fleets.group_size(need, [server.memory_tokens for server in long_side]):
+        offering = long_side
+    usable = [
+        server
+        for server in offering
+        if fleet.free_slots(server) > 0 and not fleet.runs_long(server.server)
+    ]
+    usable.sort(key=lambda server: (-fleet.free_tokens(server, now), server.server))
     size = fleets.group_size(need, [server.memory_tokens for server in usable])
     if not size:
         return None
@@ -233,18 +235,48 @@
     fleet: fleets.Fleet,
     servers: list[messages.Announcement],
     waiting: queue.Waiting,
-    closed: frozenset[str],
-    count: int,
+    constraints: Constraints,
     now: float,
 ) -> frozenset[str]:
-    """Choose the servers whose memory is kept for a request that has waited for long."""
+    """Choose the servers whose memory is kept for a request that has waited for it.
+
+    Returns
+    -------
+    frozenset of str
+        Empty if it waits for something else than memory.
+    """
+    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
     usable = [
         server
         for server in servers
-        if server.server not in closed and offers(server, waiting.reserve)
+        if server.server not in constraints.closed and offers(server, waiting.reserve)
     ]
+    if waiting.length_class is queue.LengthClass.LONG:
+        long_side = [server for server in usable if server.server in constraints.long_servers]
+        if fleets.group_size(need, [server.memory_tokens for server in long_side]):
+            usable = long_side
     usable.sort(key=lambda server: (-fleet.free_tokens(server, now), server.server))
-    return frozenset(server.server for server in usable[:count])
+    count = fleets.group_size(need, [server.memory_tokens for server in usable])
+    chosen = usable[:count]
+    if count == 1 and fleet.free_tokens(chosen[0], now) >= need:
+        return frozenset()
+    return frozenset(server.server for server in chosen)
+
+
+def choose_to_empty(
+    fleet: fleets.Fleet,
+    servers: list[messages.Announcement],
+    waiting: queue.Waiting,
+    constraints: Constraints,
+) -> frozenset[str]:
+    """Choose the server that is emptied for a request which must run alone."""
+    usable = [
+        server
+        for server in servers
+        if server.server not in constraints.closed and offers(server, waiting.reserve)
+    ]
+    usable.sort(key=lambda server: (fleet.ledger.count_on(server.server), server.server))
+    return frozenset(server.server for server in usable[:1])
 
 
 def choose_naive(
--- a/flamingoramp/routing/fleet.py
+++ b/flamingoramp/routing/fleet.py
@@ -68,6 +68,16 @@
         """Tell whether a long prefill is under way on a server."""
         return any(one.long and not one.prefill_done for one in self.ledger.on(server))
 
+    def prefills_beyond(self, server: str, priority: int) -> bool:
+        """Tell whether a prefill of a lower priority is under way on a server."""
+        return any(
+            one.priority > priority and not one.prefill_done for one in self.ledger.on(server)
+        )
+
+    def is_prefilling(self, server: str) -> bool:
+        """Tell whether any prefill is under way on a server."""
+        return any(not one.prefill_done for one in self.ledger.on(server))
+
     def reserve(self, reservation: ledgers.Reservation, hashes: tuple[int, ...]) -> None:
         """Take memory on the servers of a reservation."""
         for server in reservation.servers:
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -60,6 +60,7 @@
         self._queue = queue.WaitingQueue()
         self._isolation = suspects
         self._drained: frozenset[str] = frozenset()
+        self._emptied: frozenset[str] = frozenset()
         self._drained_for: ledger.Key | None = None
         self._rebuilding_until = 0.0
         self._settled_at = 0.0
@@ -415,7 +416,7 @@
             or self._fleet.breaker.is_open(one.server, now)
         }
         return choice.Constraints(
-            closed=frozenset(isolated | failing),
+            closed=frozenset(isolated | failing | self._emptied),
             drained=self._drained,
             long_servers=choice.long_set(servers, long_share=share, policy=policy),
         )
@@ -435,7 +436,7 @@
         self._judge_again(now)
         live = {server.server for server in servers}
         if self._drained_for not in self._queue or not self._drained <= live:
-            self._drained, self._drained_for = frozenset(), None
+            self._stop_draining()
         constraints = self._constraints(now)
         running = self._running_fingerprints()
         failed = dict.fromkeys(queue.LengthClass, 0)
@@ -450,13 +451,22 @@
             if placement is None:
                 failed[waiting.length_class] += 1
                 self._consider_drain(waiting, servers, constraints, now)
-                constraints = attrs.evolve(constraints, drained=self._drained)
+                constraints = attrs.evolve(
+                    constraints,
+                    closed=constraints.closed | self._emptied,
+                    drained=self._drained,
+                )
                 continue
             self._grant(waiting, placement, isolated, now)
             running.add(waiting.reserve.fingerprint)
             if isolated:
                 constraints = self._constraints(now)
 
+    def _stop_draining(self) -> None:
+        self._drained = frozenset()
+        self._emptied = frozenset()
+        self._drained_for = None
+
     def _running_fingerprints(self) -> set[str]:
         return {one.fingerprint for one in self._fleet.ledger.all()}
 
@@ -475,7 +485,8 @@
         if fingerprint in running and not self._isolation.is_cleared(fingerprint):
             return None, False
         if self._drained_for == waiting.key:
-            constraints = attrs.evolve(constraints, drained=frozenset())
+            closed = constraints.closed - self._emptied
+            constraints = attrs.evolve(constraints, closed=closed, drained=frozenset())
         if self._isolation.is_held(fingerprint):
             return None, True
         if self._isolation.is_suspect(fingerprint):
@@ -511,16 +522,17 @@
         reserve = waiting.reserve
         if reserve.fingerprint in self._running_fingerprints():
             return
-        need = reserve.prompt_tokens + reserve.output_tokens
-        memories = [one.memory_tokens for one in servers if choice.offers(one, reserve)]
-        count = 1
-        if any(memories):
-            count = fleets.group_size(need, memories) or 1
-        if count >= len(servers) > 1 and waiting.length_class is queue.LengthClass.SHORT:
+        if self._isolation.is_held(reserve.fingerprint):
             return
-        self._drained = choice.choose_to_drain(
-            self._fleet, servers, waiting, constraints.closed, count, now
-        )
+        alone = self._isolation.is_suspect(reserve.fingerprint)
+        if alone:
+            chosen = choice.choose_to_empty(self._fleet, servers, waiting, constraints)
+        else:
+            chosen = choice.choose_to_drain(self._fleet, servers, waiting, constraints, now)
+        if not chosen:
+            return
+        self._drained = chosen
+        self._emptied = chosen if alone else frozenset()
         self._drained_for = waiting.key
         self._note("servers.drained", reserve.request_id, servers=sorted(self._drained))
 
@@ -546,7 +558,7 @@
         self._queue.start(waiting)
         self._fleet.reserve(reservation, reserve.prefix_hashes)
         if self._drained_for == waiting.key:
-            self._drained, self._drained_for = frozenset(), None
+            self._stop_draining()
         self._send_grant(reservation, now, placement.cached_tokens)
         self._note(
             "request.granted",
--- a/flamingoramp/runtime/settings.py
+++ b/flamingoramp/runtime/settings.py
@@ -198,10 +198,22 @@
             f"{path}: hosts: no host has a control_inner_port; name 3, 5 or 7"
         )
     utils.check_unique([host.name for host in settings.hosts], "host", str(path))
-    timing = settings.timing
-    if timing.election_max_seconds <= timing.election_min_seconds:
-        raise errors.SettingsError(
-            f"{path}: timing.election_max_seconds: found {timing.election_max_seconds}, "
-            "takes more than timing.election_min_seconds"
-        )
+    _check_timing(settings.timing, str(path))
     return settings
+
+
+def _check_timing(timing: TimingSettings, source: str) -> None:
+    """Refuse times that can't work together."""
+    at_least = [
+        ("election_max_seconds", "election_min_seconds", 1.2),
+        ("election_min_seconds", "replica_heartbeat_seconds", 3.0),
+        ("session_lease_seconds", "session_heartbeat_seconds", 3.0),
+        ("reservation_expiry_seconds", "hold_report_seconds", 3.0),
+    ]
+    for name, other, factor in at_least:
+        found, bound = getattr(timing, name), factor * getattr(timing, other)
+        if found < bound:
+            raise errors.SettingsError(
+                f"{source}: timing.{name}: found {found}, "
+                f"takes at least {bound:g}, {factor:g} times timing.{other}"
+            )
