--- a/bench/load.py
+++ b/bench/load.py
@@ -25,6 +25,7 @@
 ENGINES = 8
 PHASE_SECONDS = 20.0
 DRAIN_SECONDS = 60.0
+WARM_UP_SECONDS = 5.0
 TIME_LIMIT_SECONDS = 60.0
 OVERLOAD_LIMIT_SECONDS = 8.0
 SHORT_TOKENS = 4_000
@@ -91,6 +92,13 @@
         self.fleet.leader()
         self.fleet.apply(declaration)
         self._wait()
+        self._warm_up()
+
+    def _warm_up(self) -> None:
+        """Send requests that don't count, so that the first phase meets no cold process."""
+        plan = workload.make_plan(self._mix, seed=1, seconds=WARM_UP_SECONDS, rate=20.0)
+        shorts = [one for one in plan if one.prompt_tokens < SHORT_TOKENS]
+        client.LoadClient(self.fleet.entry_urls, 1).run(shorts)
 
     def _wait(self) -> None:
         self.fleet.wait_ready()
@@ -111,7 +119,9 @@
             phase.plan, actions=phase.actions, deadline_seconds=PHASE_SECONDS + DRAIN_SECONDS
         )
         seconds = time.monotonic() - begun
-        figures = report.summarize(results, planned=len(phase.plan), seconds=seconds)
+        figures = report.summarize(
+            results, planned=len(phase.plan), seconds=seconds, rate=PREFILL_RATE / TIME_SCALE
+        )
         self._pool.submit(lambda: None).result()
         for process in self.fleet.ended():
             self.fleet.restart(process)
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -276,8 +276,7 @@
         match message.result:
             case "done":
                 self._fleet.breaker.succeed(message.server)
-                report = self._isolation.clear(reservation.fingerprint)
-                self._commit_suspects(report)
+                self._commit_suspects(self._isolation.clear(reservation.fingerprint))
             case "rejected":
                 self._fleet.breaker.fail(message.server, now)
             case "silent" | "crashed":
