--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -369,8 +369,11 @@
             report.cleared,
             self._process.wall_time(),
         )
-        acknowledgement = messages.Settled(f"suspects/{report.report_id}")
-        self.propose(command, lambda _done: connection.send(acknowledgement), lambda _error: None)
+
+        def _done(version: int) -> None:
+            connection.send(messages.Settled(f"suspects/{report.report_id}", version))
+
+        self.propose(command, _done, lambda _error: None)
 
     # Operators.
 
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -155,12 +155,12 @@
                 self._handle_grant(message)
             case messages.ClaimReply() | messages.Refuse() | messages.Grant():
                 self._dispatch(message)
-            case messages.Settled(identifier):
+            case messages.Settled(identifier, version):
                 kind, _, settled = identifier.partition("/")
                 if kind == "claim":
                     self._settles.pop(settled, None)
                 else:
-                    self._owner.handle_settled(settled)
+                    self._owner.handle_settled(settled, version)
             case messages.HoldUnknown(shard, generation):
                 if generation == self._generation_of(shard):
                     self._send_full_report(shard)
--- a/flamingoramp/daemons/owner.py
+++ b/flamingoramp/daemons/owner.py
@@ -116,7 +116,7 @@
     def load_suspects(self) -> None:
         """Use newer committed suspects."""
         for one in self._isolations.values():
-            one.load(self._session.suspects)
+            one.load(self._session.suspects, self._session.suspects_version)
 
     def handle(self, shard: str, message: Any) -> None:
         """Process a message for a shard; one for a shard that isn't owned is dropped."""
@@ -129,11 +129,11 @@
         if isinstance(message, messages.Announcement):
             self._reconcile(shard, now)
 
-    def handle_settled(self, report_id: str) -> None:
+    def handle_settled(self, report_id: str, version: int) -> None:
         """Note that a suspect report is committed."""
         self._reports.pop(report_id, None)
         for one in self._isolations.values():
-            one.settle(report_id)
+            one.settle(report_id, version)
 
     def tick(self) -> None:
         """Let leases and deadlines pass."""
@@ -153,7 +153,7 @@
         )
         entries = {entry.name for entry in self._session.entries}
         begun.begin(owner.generation, entries, now)
-        self._isolations[owner.shard].load(self._session.suspects)
+        self._isolations[owner.shard].load(self._session.suspects, self._session.suspects_version)
         self._schedulers[owner.shard] = begun
         # Engines that ignore fencing may still act on an earlier owner's order.
         wait = timing.session_lease_seconds * (1 + timing.clock_rate_bound)
@@ -200,7 +200,7 @@
 
     def _reconcile(self, shard: str, now: float) -> None:
         service = self._session.declaration.find_service(shard.partition("/")[0])
-        if service is None or not service.models:
+        if service is None or not service.models or self._schedulers[shard].suspended:
             return
         live = self._schedulers[shard].fleet.directory.live(now)
         for order in self._reconcilers[shard].decide(service, live, now):
--- a/flamingoramp/dispatch/claims.py
+++ b/flamingoramp/dispatch/claims.py
@@ -28,7 +28,7 @@
 class Limits:
     """Bounds of the table; times in seconds."""
 
-    max_claims: int = 200_000
+    max_claims: int = 100_000
     retention_seconds: float = 86_400.0
     clock_error_seconds: float = 1.0
 
--- a/flamingoramp/membership/session.py
+++ b/flamingoramp/membership/session.py
@@ -76,6 +76,11 @@
         """Committed crash suspects."""
         return self._suspects
 
+    @property
+    def suspects_version(self) -> int:
+        """Version of the committed suspects."""
+        return self._quarantine_version
+
     @property
     def drain_ordered(self) -> bool:
         """Whether an operator asked this entry to stop."""
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -219,9 +219,10 @@
 
 @attrs.frozen
 class Settled:
-    """Acknowledges a committed command."""
+    """Acknowledges a committed command; ``version`` is that of the suspects."""
 
     id: str = ""
+    version: int = 0
 
 
 @attrs.frozen
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -22,7 +22,7 @@
 struct ClaimReply { requestId @0 :Text; status @1 :Text; httpStatus @2 :UInt32; body @3 :Text; }
 struct ClaimSettle { requestId @0 :Text; workspace @1 :Text; key @2 :Text; outcome @3 :Text; httpStatus @4 :UInt32; body @5 :Text; }
 struct SuspectReport { reportId @0 :Text; service @1 :Text; fingerprints @2 :List(Text); lonely @3 :List(Text); cleared @4 :List(Text); }
-struct Settled { id @0 :Text; }
+struct Settled { id @0 :Text; version @1 :UInt64; }
 
 struct Reserve { requestId @0 :Text; attempt @1 :UInt32; service @2 :Text; shard @3 :Text; generation @4 :UInt64; workspace @5 :Text; model @6 :Text; promptTokens @7 :UInt32; outputTokens @8 :UInt32; prefixHashes @9 :List(UInt64); remaining @10 :Float64; entry @11 :Text; entryAddress @12 :Text; zone @13 :Text; excluded @14 :List(Text); fingerprint @15 :Text; idempotent @16 :Bool; }
 struct Grant { requestId @0 :Text; attempt @1 :UInt32; shard @2 :Text; generation @3 :UInt64; servers @4 :List(Text); urls @5 :List(Text); tokens @6 :List(UInt32); priority @7 :Int32; predictedPrefill @8 :Float64; cachedTokens @9 :UInt32; }
--- a/flamingoramp/routing/isolation.py
+++ b/flamingoramp/routing/isolation.py
@@ -65,18 +65,28 @@
         self._reports = 0
         self._crashes: dict[str, int] = {}
         self._pending: dict[str, Report] = {}
+        self._settled: dict[str, tuple[int, Report]] = {}
         self._cleared: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._watches: dict[str, _CrashWatch] = {}
 
-    def load(self, listing: tuple[messages.Suspect, ...]) -> None:
-        """Take the committed suspects, then what is reported but not committed yet."""
+    def load(self, listing: tuple[messages.Suspect, ...], version: int) -> None:
+        """Take the committed suspects, then what is reported but not in this version yet."""
         self._crashes = {one.fingerprint: one.crashes for one in listing}
+        self._settled = {
+            report_id: settled
+            for report_id, settled in self._settled.items()
+            if settled[0] > version
+        }
+        for _, report in self._settled.values():
+            self._apply(report)
         for report in self._pending.values():
             self._apply(report)
 
-    def settle(self, report_id: str) -> None:
-        """Note that a report is committed."""
-        self._pending.pop(report_id, None)
+    def settle(self, report_id: str, version: int) -> None:
+        """Note that a report is committed; older listings may still be under way."""
+        report = self._pending.pop(report_id, None)
+        if report is not None:
+            self._settled[report_id] = (version, report)
 
     def is_confirmed(self, fingerprint: str) -> bool:
         """Tell whether a content is refused."""
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -99,7 +99,7 @@
                     self.cancelled.append(effect)
                 case effects.ReportCrash():
                     self.reports.append(effect)
-                    self.scheduler.isolation.settle(effect.report.report_id)
+                    self.scheduler.isolation.settle(effect.report.report_id, 1)
 
     def send(self, *sent) -> None:
         """Hand messages to the scheduler."""
@@ -404,6 +404,25 @@
         self.assertFalse(owned.scheduler.isolation.is_suspect("r"))
 
 
+class TestIsolation(unittest.TestCase):
+    """Suspicions survive lists of suspects that are older than they."""
+
+    def test_late_list_does_not_take_a_crash_back(self):
+        found = isolation.Isolation("test")
+        last = announce("e0")
+        first = found.watch("e0", {"f": False}, last, broke=True)
+        found.settle(first.report_id, 1)
+        found.confirm("e0", {})
+        second = found.watch("e1", {"f": True}, last, broke=True)
+        found.settle(second.report_id, 3)
+        found.load((messages.Suspect("f", 0, False, "llm"),), 2)
+        third = found.watch("e2", {"f": True}, last, broke=True)
+        found.settle(third.report_id, 4)
+        self.assertTrue(found.is_confirmed("f"))
+        found.load((messages.Suspect("f", 2, True, "llm"),), 4)
+        self.assertTrue(found.is_confirmed("f"))
+
+
 class TestLedger(unittest.TestCase):
     """The ledger against a plain sum."""
 
--- a/flamingoramp/runtime/settings.py
+++ b/flamingoramp/runtime/settings.py
@@ -120,7 +120,7 @@
     max_time_limit_seconds: float = attrs.field(
         default=3600.0, validator=utils.between(0.1, 86400, "seconds")
     )
-    max_claims: int = attrs.field(default=200_000, validator=utils.between(1, 10**8, "claims"))
+    max_claims: int = attrs.field(default=100_000, validator=utils.between(1, 10**8, "claims"))
     claim_retention_seconds: float = attrs.field(
         default=86_400.0, validator=utils.between(1, 10**7, "seconds")
     )
--- a/flamingoramp/tests/test_worlds.py
+++ b/flamingoramp/tests/test_worlds.py
@@ -8,6 +8,9 @@
 
 SEEDS = range(1, 13)
 STEPS = 300
+# Found by `make soak`: crashes that went uncounted (264, 311, 633), and an order of an owner whose
+# lease had lapsed (269).
+FAILED_ONCE = (264, 269, 311, 633)
 
 
 class TestScenarios(unittest.TestCase):
@@ -18,6 +21,11 @@
             with self.subTest(seed=seed):
                 scenarios.Scenario(seed).run(STEPS)
 
+    def test_seeds_that_failed_once(self):
+        for seed in FAILED_ONCE:
+            with self.subTest(seed=seed):
+                scenarios.Scenario(seed).run(400)
+
     def test_same_seed_gives_the_same_run(self):
         runs = []
         for _ in range(2):
