--- a/standins/engine.py
+++ b/standins/engine.py
@@ -87,6 +87,7 @@
         self._incarnation = time.time_ns()
         self._leaving = False
         self._models = options.models
+        self._role = "mixed"
         self._highest_fence = 0
         self._orders: list[dict[str, Any]] = []
         self._rng = random.Random(f"{options.seed}/{options.name}")
@@ -136,6 +137,7 @@
             "running": running,
             "memory_used": memory,
             "highest_fence": self._highest_fence,
+            "role": self._role,
         }
         described.update(self._cache_events())
         return described
@@ -378,6 +380,7 @@
         if wrong or stale:
             return False
         self._highest_fence = max(self._highest_fence, body["fence"])
+        self._role = body.get("role", self._role)
         missing = [name for name in body["models"] if name not in self._models]
         self._fetch(missing, tuple(body["models"]))
         return True
