Hold the ports of a fleet until it is closed

Ports were taken from the kernel, given back at once and listened on seconds later, when another process's connection could have them (the entry's log was deleted with its folder; the cause is inferred). Now a bound socket holds each port.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -24,13 +24,12 @@
 STOP_TIMEOUT_SECONDS = 30.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+def hold_port() -> socket.socket:
+    """Return a bound socket whose port a process may listen on, but the kernel gives to nobody."""
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", 0))
+    return held
 
 
 @attrs.frozen
@@ -64,6 +63,7 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._commands: dict[str, list[str]] = {}
         self._urls: dict[str, str] = {}
+        self._held: list[socket.socket] = []
         self._settings_path = folder / "settings.json"
         self._settings_path.write_text(json.dumps(self._assign_ports(document), indent=2))
         self.settings = settings.load(self._settings_path)
@@ -89,11 +89,15 @@
         for host in document["hosts"]:
             for name in list(host):
                 if name.endswith("_port"):
-                    host[name] = free_ports(1)[0]
+                    host[name] = self._take_port()
             if host.get("data_folder"):
                 host["data_folder"] = str(self._folder / "data" / host["name"])
         return document
 
+    def _take_port(self) -> int:
+        self._held.append(hold_port())
+        return self._held[-1].getsockname()[1]
+
     def start_daemons(self) -> None:
         """Start all control replicas and entries."""
         for host in self.settings.control_hosts:
@@ -115,7 +119,7 @@
                 self._start_server(group, name, self.zones[number % len(self.zones)])
 
     def _start_server(self, group: EngineGroup, name: str, zone: str) -> None:
-        address = f"127.0.0.1:{free_ports(1)[0]}"
+        address = f"127.0.0.1:{self._take_port()}"
         self._urls[name] = f"http://{address}"
         options = dict(group.options)
         if group.kind == "engine":
@@ -127,7 +131,7 @@
 
     def start_weight_store(self, *, at_once: int, seconds: float) -> str:
         """Start the stand-in for the weight store and return its URL."""
-        address = f"127.0.0.1:{free_ports(1)[0]}"
+        address = f"127.0.0.1:{self._take_port()}"
         command = ["-m", "standins.main", "weight-store", address]
         self._start("weight-store", [*command, f"--at_once={at_once}", f"--seconds={seconds}"])
         return f"http://{address}"
@@ -228,6 +232,8 @@
                 process.kill()
         for process in self._processes.values():
             process.wait()
+        for held in self._held:
+            held.close()
 
     def memory_bytes(self) -> int:
         """Return the memory that the processes hold."""
