End a demo's processes also when its start fails

Cause: a failed start left 40 processes; among them one entry of nine was missing, which fits a port that was taken.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -58,29 +58,33 @@
     engines = next(iter(_engine_services(examples)))
     document = json.loads((examples / "settings.json").read_text())
     fleet = fleets.Fleet(folder, document, time_scale=TIME_SCALE)
-    say(
-        f"starting {len(fleet.settings.entry_hosts)} entries, "
-        f"{len(fleet.settings.control_hosts)} control replicas, "
-        f"{ENGINES[deployment]} engines, 3 of {mix.service}"
-    )
-    fleet.start_daemons()
-    store = fleet.start_weight_store(at_once=2, seconds=0.2)
-    fleet.start_servers(
-        [
-            fleets.EngineGroup(
-                engines,
-                ENGINES[deployment],
-                options={"models": f"{mix.model}@1", "weight_store": store},
-            ),
-            fleets.EngineGroup(mix.service, 3, kind="service"),
-        ]
-    )
-    say(f"control leads from {fleet.leader()}")
-    answer = fleet.apply(json.loads((examples / "declaration.json").read_text()))
-    say(f"revision {answer['revision']} in force: {answer['in_force']}")
-    fleet.wait_ready()
-    fleet.wait_servers(engines, ENGINES[deployment])
-    fleet.wait_servers(mix.service, 3)
+    try:
+        say(
+            f"starting {len(fleet.settings.entry_hosts)} entries, "
+            f"{len(fleet.settings.control_hosts)} control replicas, "
+            f"{ENGINES[deployment]} engines, 3 of {mix.service}"
+        )
+        fleet.start_daemons()
+        store = fleet.start_weight_store(at_once=2, seconds=0.2)
+        fleet.start_servers(
+            [
+                fleets.EngineGroup(
+                    engines,
+                    ENGINES[deployment],
+                    options={"models": f"{mix.model}@1", "weight_store": store},
+                ),
+                fleets.EngineGroup(mix.service, 3, kind="service"),
+            ]
+        )
+        say(f"control leads from {fleet.leader()}")
+        answer = fleet.apply(json.loads((examples / "declaration.json").read_text()))
+        say(f"revision {answer['revision']} in force: {answer['in_force']}")
+        fleet.wait_ready()
+        fleet.wait_servers(engines, ENGINES[deployment])
+        fleet.wait_servers(mix.service, 3)
+    except BaseException:
+        fleet.close()
+        raise
     return fleet
 
 
