Let a crash suspect that needs a group run alone on a group

Cause: found by reading, after a demo in which one request waited to its limit: a suspect was placed on one engine only, so that a prompt larger than an engine could never run again once an engine of its group had died. A test provokes it. Scheduler tests pass; the demo and the soak were not run again.

--- a/flamingoramp/routing/choice.py
+++ b/flamingoramp/routing/choice.py
@@ -218,9 +218,14 @@
     servers: list[messages.Announcement],
     waiting: queue.Waiting,
     constraints: Constraints,
+    now: float,
 ) -> Placement | None:
-    """Choose an engine on which nothing else runs."""
+    """Choose an engine, or a group of them, on which nothing else runs."""
     need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    offering = [one for one in servers if offers(one, waiting.reserve)]
+    if need > max((one.memory_tokens for one in offering), default=0) > 0:
+        empty = [one for one in offering if not fleet.ledger.count_on(one.server)]
+        return choose_group(fleet, empty, waiting, constraints, now)
     for server in servers:
         if server.server in constraints.closed or not offers(server, waiting.reserve):
             continue
@@ -269,14 +274,16 @@
     waiting: queue.Waiting,
     constraints: Constraints,
 ) -> frozenset[str]:
-    """Choose the server that is emptied for a request which must run alone."""
+    """Choose the servers that are emptied for a request which must run alone."""
     usable = [
         server
         for server in servers
         if server.server not in constraints.closed and offers(server, waiting.reserve)
     ]
     usable.sort(key=lambda server: (fleet.ledger.count_on(server.server), server.server))
-    return frozenset(server.server for server in usable[:1])
+    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    count = fleets.group_size(need, [server.memory_tokens for server in usable]) or 1
+    return frozenset(server.server for server in usable[:count])
 
 
 def choose_naive(
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -491,7 +491,7 @@
         if self._isolation.is_suspect(fingerprint):
             if self._isolated_count() >= max(1, len(servers) // 4):
                 return None, True
-            return choice.choose_isolated(self._fleet, servers, waiting, constraints), True
+            return choice.choose_isolated(self._fleet, servers, waiting, constraints, now), True
         need = reserve.prompt_tokens + reserve.output_tokens
         if self._needs_group(servers, reserve, need):
             return choice.choose_group(self._fleet, servers, waiting, constraints, now), False
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -395,6 +395,14 @@
             del owned.grants[running[0]]
         self.assertEqual(owned.refusals, {})
 
+    def test_suspect_that_needs_a_group_runs_again(self):
+        owned = Owned(4)
+        owned.send(reserve("big", 250_000))
+        self.crash(owned, "big")
+        del owned.grants["big"]
+        owned.send(reserve("big", 250_000, attempt=2))
+        self.assertEqual(len(owned.grants["big"].servers), 3)
+
     def test_broken_connection_of_a_living_engine_is_forgiven(self):
         owned = Owned(3)
         owned.send(reserve("r"))
