Find the leader past silent control hosts

An operator's client asked the control hosts in turn with 20 s each; a frozen leader that came last used the whole wait up, although another replica led since 2 s. The test then left the frozen leader frozen, and killed two more hosts. Ruled out: ports (every process had its own and listened), the election (the logs show the new leader after 2.1 s). Whether it failed hung on which replica happened to lead, so it passed before.

Now all hosts are asked at once who leads, with 1 s each, and only that one is asked. The failing test thaws its leader whatever happens.

--- a/flamingoramp/cli/operator.py
+++ b/flamingoramp/cli/operator.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from concurrent import futures
 from typing import Any
 
 from flamingoramp import errors
@@ -11,15 +12,18 @@
 from flamingoramp.runtime import settings as settings_module
 
 LEADER_WAIT_SECONDS = 10.0
+PROBE_TIMEOUT_SECONDS = 1.0
 RETRY_SECONDS = 0.3
 CONFIRM_TIMEOUT_SECONDS = 20.0
+ANSWER_WAIT_SECONDS = 45.0
 
 
 class ControlClient:
     """Finds the leading control replica and asks it.
 
-    A change is sent again with the same operation id until an answer comes, which is safe because
-    control remembers the ids.
+    All control hosts are asked at once who leads, so that a silent one holds nobody up. A change
+    is sent again with the same operation id until an answer comes, which is safe because control
+    remembers the ids.
     """
 
     def __init__(self, settings: settings_module.Settings):
@@ -33,37 +37,56 @@
         flamingoramp.errors.FlamingorampError
             The leader's refusal, or the last failure if no replica leads.
         """
+        failure: errors.FlamingorampError = errors.NotLeaderError("no control replica leads")
         deadline = time.monotonic() + LEADER_WAIT_SECONDS
+        last = time.monotonic() + ANSWER_WAIT_SECONDS
         while True:
-            failure: errors.FlamingorampError = errors.NotLeaderError("no control replica leads")
-            for url in self._urls:
+            url = self._find_leader()
+            if url:
+                started = time.monotonic()
                 try:
                     return _ask_one(url, method, path, body)
                 except (errors.NotLeaderError, errors.BackendFailedError) as error:
                     failure = error
+                # A leader that went silent must not use up the time to find the next one.
+                deadline = min(last, deadline + time.monotonic() - started)
             if time.monotonic() > deadline:
                 raise failure
             time.sleep(RETRY_SECONDS)
 
     def status(self) -> list[Any]:
-        """Return the status of each control replica that answers."""
-        found = []
-        for url in self._urls:
-            try:
-                found.append(_ask_one(url, "GET", "/v1/status", None))
-            except errors.FlamingorampError as error:
-                found.append({"url": url, "error": error.code})
-        return found
+        """Return the status of each control replica, or why it gave none."""
+        with futures.ThreadPoolExecutor(max(1, len(self._urls))) as pool:
+            return list(pool.map(_probe, self._urls))
 
+    def _find_leader(self) -> str:
+        found = zip(self._urls, self.status(), strict=True)
+        leading = [(one["term"], url) for url, one in found if one.get("leads")]
+        return max(leading)[1] if leading else ""
 
-def _ask_one(url: str, method: str, path: str, body: Any) -> Any:
+
+def _probe(url: str) -> Any:
+    try:
+        return _ask_one(url, "GET", "/v1/status", None, timeout_seconds=PROBE_TIMEOUT_SECONDS)
+    except errors.FlamingorampError as error:
+        return {"url": url, "error": error.code}
+
+
+def _ask_one(
+    url: str,
+    method: str,
+    path: str,
+    body: Any,
+    *,
+    timeout_seconds: float = CONFIRM_TIMEOUT_SECONDS,
+) -> Any:
     data = b"" if body is None else json.dumps(body).encode()
     answer = http_client.fetch(
         url + path,
         method=method,
         body=data,
         headers=("Content-Type: application/json",),
-        timeout_seconds=CONFIRM_TIMEOUT_SECONDS,
+        timeout_seconds=timeout_seconds,
     )
     document = answer.json()
     if answer.status >= 400:
--- /dev/null
+++ b/flamingoramp/cli/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests."""
--- a/flamingoramp/tests/test_failures.py
+++ b/flamingoramp/tests/test_failures.py
@@ -81,6 +81,7 @@
 
     def test_frozen_leader_wakes_and_reverts_nothing(self):
         leader = small.fleet.leader()
+        self.addCleanup(small.fleet.signal, f"control-{leader}", signal.SIGCONT)
         small.fleet.signal(f"control-{leader}", signal.SIGSTOP)
         answer = small.fleet.apply(declare(9.0))
         small.fleet.signal(f"control-{leader}", signal.SIGCONT)
