Count retention in cluster time, which no wall clock can make jump

Cause: the leader's Unix time decided when claims and quarantines are forgotten. Also found: a timed key from a caller's clock ahead was granted again once its claim was dropped.

The steps stay in all random runs.

--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -18,7 +18,7 @@
 from flamingoramp.consensus import driver, effects, replica, storage
 from flamingoramp.daemons import process
 from flamingoramp.dispatch import claims
-from flamingoramp.intent import changes, commands, declarations, state
+from flamingoramp.intent import changes, cluster_time, commands, declarations, state
 from flamingoramp.membership import sessions
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import http_server
@@ -28,6 +28,7 @@
 TICK_SECONDS = 0.02
 OWNER_CHECK_SECONDS = 0.2
 PLAN_LIFETIME_SECONDS = 3600.0
+TIME_MARK_SECONDS = 60.0
 SNAPSHOT_ENTRIES = 5000
 COMMIT_TIMEOUT_SECONDS = 8.0
 IN_FORCE_TIMEOUT_SECONDS = 8.0
@@ -94,6 +95,7 @@
         self._draining: set[str] = set()
         self._proposals: dict[int, _Proposal] = {}
         self._assigning = False
+        self._clock = cluster_time.ClusterClock()
         self._inner = {one.name: one.control_inner for one in settings.control_hosts}
         self._store = store or self._open_storage()
         self._process = make_process(
@@ -117,6 +119,7 @@
         loop = self._process.loop
         loop.call_every(TICK_SECONDS, self._tick)
         loop.call_every(OWNER_CHECK_SECONDS, self._assign_shards)
+        loop.call_every(TIME_MARK_SECONDS, self._mark_time)
 
     @property
     def replica(self) -> replica.Replica:
@@ -220,7 +223,9 @@
     def _handle_leader_changed(self, change: effects.LeaderChanged) -> None:
         self._process.log_change("leader.changed", leader=change.leader, term=change.term)
         if change.leads:
-            self._sessions.begin(self._process.loop.now())
+            now = self._process.loop.now()
+            self._sessions.begin(now)
+            self._clock.begin(self._state.time, now)
             return
         pending = list(self._proposals.values())
         self._proposals.clear()
@@ -251,6 +256,15 @@
         self._proposals[index] = _Proposal(self._replica.term, done, failed)
         self._carry_out(batch)
 
+    def _cluster_time(self) -> float:
+        return self._clock.read(self._process.wall_time(), self._process.loop.now())
+
+    def _mark_time(self) -> None:
+        """Let the log carry the time on while nothing else is proposed."""
+        if self._replica.holds_lease(self._process.loop.now()):
+            mark = commands.AssignShards((), self._cluster_time())
+            self.propose(mark, lambda _owners: None, lambda _error: None)
+
     # Sessions of entries.
 
     def _answer_heartbeat(
@@ -299,7 +313,7 @@
             return
         self._assigning = True
         self.propose(
-            commands.AssignShards(owners, self._process.wall_time()),
+            commands.AssignShards(owners, self._cluster_time()),
             done=lambda _owners: self._handle_assigned(owners),
             failed=lambda _error: self._handle_assigned(()),
         )
@@ -315,7 +329,7 @@
     def _handle_claim(
         self, request: messages.ClaimRequest, connection: transports.Connection
     ) -> None:
-        now = self._process.wall_time()
+        now = self._cluster_time()
 
         def _done(result: claims.ClaimResult) -> None:
             claim = result.claim
@@ -353,7 +367,7 @@
             outcome=settle.outcome,
             http_status=settle.http_status,
             body=settle.body,
-            now=self._process.wall_time(),
+            now=self._cluster_time(),
         )
         acknowledgement = messages.Settled(f"claim/{settle.request_id}")
         self.propose(command, lambda _done: connection.send(acknowledgement), lambda _error: None)
@@ -367,7 +381,7 @@
             report.fingerprints,
             report.lonely,
             report.cleared,
-            self._process.wall_time(),
+            self._cluster_time(),
         )
 
         def _done(version: int) -> None:
@@ -440,7 +454,7 @@
         document = declarations.render(declaration)
         base_revision, current = self._process.call(self._read_confirmed)
         found = changes.compare(declarations.parse(current, "log"), declaration)
-        now = self._process.wall_time()
+        now = self._process.call(self._cluster_time)
         plan = commands.StorePlan(
             plan_id=uuid.uuid4().hex[:12],
             base_revision=base_revision,
@@ -472,7 +486,8 @@
         operation_id = body.get("operation_id") or f"confirm/{body['plan']}"
         if not isinstance(operation_id, str):
             raise errors.BadRequestError("operation_id: takes a text")
-        command = commands.ConfirmPlan(body["plan"], operation_id, self._process.wall_time())
+        now = self._process.call(self._cluster_time)
+        command = commands.ConfirmPlan(body["plan"], operation_id, now)
         result: state.ConfirmResult = self._commit(command)
         if result.error:
             raise errors.make_error(
--- a/flamingoramp/dispatch/claims.py
+++ b/flamingoramp/dispatch/claims.py
@@ -9,6 +9,8 @@
 import attrs
 import cattrs
 
+from flamingoramp.intent import cluster_time
+
 _converter = cattrs.Converter()
 
 
@@ -26,7 +28,7 @@
 
 @attrs.frozen
 class Limits:
-    """Bounds of the table; times in seconds."""
+    """Bounds of the table; times in seconds of cluster time."""
 
     max_claims: int = 100_000
     retention_seconds: float = 86_400.0
@@ -35,7 +37,7 @@
 
 @attrs.frozen
 class Claim:
-    """A claimed key and, once settled, its outcome; times are Unix seconds."""
+    """A claimed key and, once settled, its outcome; times are cluster time."""
 
     request_id: str
     fingerprint: str
@@ -148,9 +150,18 @@
         return ClaimResult(ClaimStatus.UNKNOWN, known)
 
     def _drop_old(self, now: float) -> None:
-        horizon = now - self._limits.retention_seconds - self._limits.clock_error_seconds
+        kept = self._limits.retention_seconds * (1 + cluster_time.SLEW_RATIO)
+        horizon = now - kept - self._limits.clock_error_seconds
         while self._claims:
             place, claim = next(iter(self._claims.items()))
-            if max(claim.made, claim.deadline) > horizon:
+            if max(claim.made, claim.deadline, self._issued(place, claim)) > horizon:
                 return
             del self._claims[place]
+
+    def _issued(self, place: tuple[str, str], claim: Claim) -> float:
+        """Return when a key was issued, at most a retention after its claim.
+
+        A caller's clock may be ahead: its key must not pass for a fresh one once it is dropped.
+        """
+        issued = key_time(place[1]) or 0.0
+        return min(issued, claim.made + self._limits.retention_seconds)
--- a/flamingoramp/dispatch/tests/test_claims.py
+++ b/flamingoramp/dispatch/tests/test_claims.py
@@ -48,6 +48,14 @@
         self.assertEqual(result.status, claims.ClaimStatus.RECORDED)
         self.assertEqual((result.claim.outcome, result.claim.body), ("done", "body"))
 
+    def test_key_from_a_clock_ahead_is_never_granted_twice(self):
+        made = 1_700_000_000.0
+        key = f"{int(made) + 60}-a"
+        self.assert_status(make(key, now=made), claims.ClaimStatus.GRANTED)
+        for later in range(0, 400, 5):
+            result = self.table.make(make(key, "r2", made + later))
+            self.assertNotEqual(result.status, claims.ClaimStatus.GRANTED, later)
+
     def test_not_run_frees_the_key(self):
         self.table.make(make("k"))
         self.table.settle(settle("k", "not_run"))
--- /dev/null
+++ b/flamingoramp/intent/cluster_time.py
@@ -0,0 +1,59 @@
+"""Time of the replicated state, which no host's wrong clock can make jump.
+
+Retention of claims and quarantines is counted in this time. It starts at the first leader's Unix
+time; from then on the leader's monotonic clock moves it, and its wall clock only bends its rate.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+SLEW_RATIO = 0.1
+
+
+@attrs.define
+class ClusterClock:
+    """Cluster time as one leader gives it out, in Unix seconds.
+
+    Parameters
+    ----------
+    slew_ratio : float
+        Largest difference between the rates of cluster time and of the leader's clock.
+    """
+
+    slew_ratio: float = SLEW_RATIO
+    _last: float = 0.0
+    _read_at: float = 0.0
+
+    def begin(self, reached: float, now: float) -> None:
+        """Go on from the time that the state has reached, 0 if it has none yet.
+
+        Parameters
+        ----------
+        reached : float
+            Latest time of an applied command.
+        now : float
+            The leader's monotonic clock, in seconds.
+        """
+        self._last = max(self._last, reached)
+        self._read_at = now
+
+    def read(self, wall_time: float, now: float) -> float:
+        """Return the cluster time.
+
+        Examples
+        --------
+        >>> clock = ClusterClock()
+        >>> clock.begin(1000.0, 50.0)
+        >>> clock.read(999_999.0, 60.0)
+        1011.0
+        """
+        elapsed = max(0.0, now - self._read_at)
+        earliest = self._last + elapsed * (1 - self.slew_ratio)
+        latest = self._last + elapsed * (1 + self.slew_ratio)
+        if self._last:
+            self._last = min(max(wall_time, earliest), latest)
+        else:
+            self._last = wall_time
+        self._read_at = now
+        return self._last
--- a/flamingoramp/intent/commands.py
+++ b/flamingoramp/intent/commands.py
@@ -1,6 +1,6 @@
 """Commands of the replicated state machine and their encoding in log entries.
 
-Each command carries ``now``, the leader's Unix time in seconds at the proposal, so that replicas
+Each command carries ``now``, the cluster time in seconds at the proposal, so that replicas
 that apply it later come to the same result.
 """
 
@@ -82,7 +82,7 @@
     cleared : tuple of str
         Those that finished or whose engine lives; they are suspects no more.
     now : float
-        Unix time in seconds.
+        Cluster time in seconds.
     """
 
     report_id: str
--- a/flamingoramp/intent/state.py
+++ b/flamingoramp/intent/state.py
@@ -61,6 +61,7 @@
         self._operations: dict[str, ConfirmResult] = {}
         self._owners: dict[str, messages.ShardOwner] = {}
         self._generation = 0
+        self._time = 0.0
         self.claims = claims.ClaimTable(self._claim_limits)
         self.suspects = suspects.SuspectTable()
 
@@ -74,6 +75,11 @@
         """The declaration in force, as JSON."""
         return self._document
 
+    @property
+    def time(self) -> float:
+        """Cluster time that the commands have reached, Unix seconds; it only grows."""
+        return self._time
+
     @property
     def owners(self) -> dict[str, messages.ShardOwner]:
         """Owner of each shard."""
@@ -90,6 +96,8 @@
 
     def apply(self, command: Any) -> Any:
         """Apply a committed command and return its result."""
+        self._time = max(self._time, command.now)
+        command = attrs.evolve(command, now=self._time)
         match command:
             case commands.StorePlan():
                 return self._store_plan(command)
@@ -111,6 +119,7 @@
             "revision": self._revision,
             "document": self._document,
             "generation": self._generation,
+            "time": self._time,
             "plans": _converter.unstructure(self._plans),
             "operations": _converter.unstructure(self._operations),
             "owners": _converter.unstructure(self._owners),
@@ -134,6 +143,7 @@
         self._revision = state["revision"]
         self._document = state["document"]
         self._generation = state["generation"]
+        self._time = state["time"]
         self._plans = _converter.structure(state["plans"], dict[str, Plan])
         self._operations = _converter.structure(state["operations"], dict[str, ConfirmResult])
         self._owners = _converter.structure(state["owners"], dict[str, messages.ShardOwner])
--- /dev/null
+++ b/flamingoramp/intent/tests/test_cluster_time.py
@@ -0,0 +1,51 @@
+"""Tests of the time that retention is counted in."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from flamingoramp.intent import cluster_time
+
+START = 1_700_000_000.0
+
+
+class TestClusterClock(unittest.TestCase):
+    """No wall clock makes it jump or go back."""
+
+    def test_starts_at_the_first_leaders_clock(self):
+        clock = cluster_time.ClusterClock()
+        clock.begin(0.0, 5.0)
+        self.assertEqual(clock.read(START, 6.0), START)
+
+    def test_new_leader_goes_on_from_the_state(self):
+        clock = cluster_time.ClusterClock()
+        clock.begin(START, 0.0)
+        self.assertEqual(clock.read(START + 1e8, 100.0), START + 110.0)
+
+    @hypothesis.given(
+        steps=strategies.lists(
+            strategies.tuples(strategies.floats(0, 1000), strategies.floats(-1e9, 1e9)), max_size=50
+        )
+    )
+    @hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+    def test_rate_stays_within_the_slew(self, steps):
+        clock = cluster_time.ClusterClock()
+        clock.begin(START, 0.0)
+        now = 0.0
+        last = START
+        for elapsed, error in steps:
+            now += elapsed
+            time = clock.read(START + now + error, now)
+            moved = time - last
+            self.assertGreaterEqual(moved, elapsed * (1 - cluster_time.SLEW_RATIO) - 1e-5)
+            self.assertLessEqual(moved, elapsed * (1 + cluster_time.SLEW_RATIO) + 1e-5)
+            last = time
+
+    def test_right_clock_is_reached_again(self):
+        clock = cluster_time.ClusterClock()
+        clock.begin(START - 60.0, 0.0)
+        times = [clock.read(START + now, float(now)) for now in range(1, 1000)]
+        self.assertEqual(times[-1], START + 999)
--- a/flamingoramp/tests/faults.py
+++ b/flamingoramp/tests/faults.py
@@ -11,6 +11,9 @@
     from flamingoramp.tests import scenarios
 
 
+CLOCK_STEPS_SECONDS = (-4e6, -3600.0, 3600.0, 4e6)
+
+
 class Faults:
     """Provokes faults in a scenario's processes.
 
@@ -37,6 +40,7 @@
                 self._leave_server,
                 self._stop_entry,
                 self._poison,
+                self._step_clock,
             ]
         )()
 
@@ -49,6 +53,11 @@
                 self._world.rng.uniform(0.2, 8), None, lambda: self._scenario.start_entry(node)
             )
 
+    def _step_clock(self) -> None:
+        """Set a control host's wall clock wrong, as a mistaken time server does."""
+        node = self._world.rng.choice(self._scenario.control)
+        node.wall_error += self._world.rng.choice(CLOCK_STEPS_SECONDS)
+
     def _lose_streams(self, node: worlds.Node) -> None:
         for server in self._scenario.servers.values():
             for work in server.work.values():
--- a/flamingoramp/tests/worlds.py
+++ b/flamingoramp/tests/worlds.py
@@ -24,6 +24,7 @@
 MESSAGE_LATE = 0.02
 CLOCK_RATE_ERROR = 0.02
 WALL_CLOCK_ERROR_SECONDS = 0.4
+WALL_CLOCK_START = 1_700_000_000.0
 
 
 class Violation(AssertionError):  # noqa: N818
@@ -244,7 +245,7 @@
 
     def wall_time(self) -> float:
         """Return Unix time, off by the node's error."""
-        return 1_000_000 + self._world.now + self._node.wall_error
+        return WALL_CLOCK_START + self._world.now + self._node.wall_error
 
     def new_incarnation(self) -> str:
         """Return a name for a new life."""
