Offer requests to other shards, and renumber shards when their number changes

Cause: a request was bound to the shard that its hash named; if that had no engine or too little memory, it was refused although another shard could run it. A change of the number now gives the service's shards new generations in the same log entry.

--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -225,7 +225,7 @@
         if change.leads:
             now = self._process.loop.now()
             self._sessions.begin(now)
-            self._clock.begin(self._state.time, now)
+            self._clock.begin(now)
             return
         pending = list(self._proposals.values())
         self._proposals.clear()
@@ -257,7 +257,12 @@
         self._carry_out(batch)
 
     def _cluster_time(self) -> float:
-        return self._clock.read(self._process.wall_time(), self._process.loop.now())
+        now = self._process.loop.now()
+        if not self._replica.holds_lease(now):
+            # Entries of earlier terms may not be applied yet: the state doesn't tell the time.
+            return self._state.time
+        wall_time = self._process.wall_time()
+        return self._clock.read(wall_time, now, reached=self._state.time)
 
     def _mark_time(self) -> None:
         """Let the log carry the time on while nothing else is proposed."""
@@ -307,8 +312,7 @@
         if self._assigning or not self._replica.holds_lease(now):
             return
         declaration = declarations.parse(self._state.document, "log")
-        shards = sessions.shard_names(declaration)
-        owners = self._sessions.choose_owners(shards, self._state.owners, now)
+        owners = self._sessions.choose_owners(declaration.shard_names, self._state.owners, now)
         if not owners:
             return
         self._assigning = True
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -143,6 +143,10 @@
         found = self._session.shards.get(shard)
         return found.generation if found else 0
 
+    def _home_of(self, service: str, server: str) -> str:
+        found = self._session.declaration.find_service(service)
+        return sessions.choose_shard(found, server) if found else f"{service}/0"
+
     def _shards_of(self, service: str) -> int:
         found = self._session.declaration.find_service(service)
         return found.shards if found else 1
@@ -205,6 +209,7 @@
         learned = self._session.handle(grant, now)
         if learned.declaration:
             self._owner.configure(self._session.declaration)
+            self._dispatcher.follow_shards(self._home_of)
             self._process.log_change("intent.in_force", revision=self._session.revision)
         self._owner.refresh(now)
         if learned.suspects:
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -9,8 +9,11 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from flamingoramp import errors
 from flamingoramp.dispatch import budget, claims, flights, requests
+from flamingoramp.intent import declarations
 from flamingoramp.membership import sessions
 from flamingoramp.protocol import messages
 
@@ -21,6 +24,7 @@
 ANSWER_MARGIN_SECONDS = 0.05
 FROZEN_SECONDS = 1.0
 LONG_WAIT_SECONDS = 10.0
+MAX_SHARDS_TRIED = 3
 
 
 _NOT_RUN_RESULTS = {
@@ -28,6 +32,8 @@
     requests.TransferResult.UNREACHED: "silent",
     requests.TransferResult.REJECTED: "rejected",
 }
+# Another shard of the service may still take the request.
+_SPILLING = (errors.OverloadedError, errors.NoBackendError, errors.PromptTooLongError)
 
 
 class Dispatcher:
@@ -137,6 +143,19 @@
                 self._send_reserve(flight, now)
         return self._take_effects()
 
+    def follow_shards(self, home_of: Callable[[str, str], str]) -> None:
+        """Report what runs to the shards that its servers now belong to.
+
+        Parameters
+        ----------
+        home_of : callable
+            Takes a service and a server, returns the shard.
+        """
+        for flight in self._flights.values():
+            if flight.phase is flights.Phase.RUNNING:
+                flight.shard = home_of(flight.spec.service, flight.grant.servers[0])
+                flight.grant = attrs.evolve(flight.grant, shard=flight.shard)
+
     def _take_effects(self) -> list[Any]:
         taken = self._effects
         self._effects = []
@@ -156,7 +175,7 @@
             arrived=now,
             deadline=now + spec.time_limit - min(ANSWER_MARGIN_SECONDS, spec.time_limit / 10),
             phase=flights.Phase.CLAIMING if spec.key else flights.Phase.WAITING,
-            shard=self._choose_shard(spec),
+            shard=self._rank_shards(spec)[0],
         )
         self._flights[spec.request_id] = flight
         self._budget.earn(spec.service, self._retry_ratio())
@@ -166,11 +185,13 @@
         else:
             self._send_reserve(flight, now)
 
-    def _choose_shard(self, spec: requests.RequestSpec) -> str:
-        names = [f"{spec.service}/{number}" for number in range(self._shards_of(spec.service))]
-        # Prompts that share their first block meet in the shard that has it cached.
-        affinity = spec.prefix_hashes[0] if spec.prefix_hashes else spec.request_id
-        return max(names, key=lambda name: sessions.rendezvous_score(name, str(affinity)))
+    def _rank_shards(self, spec: requests.RequestSpec) -> list[str]:
+        """Return the shards of a request's service in the order in which it asks them."""
+        names = declarations.service_shards(spec.service, self._shards_of(spec.service))
+        affinity = _affinity(spec)
+        return sorted(
+            names, key=lambda name: sessions.rendezvous_score(name, affinity), reverse=True
+        )
 
     def _send_claim(self, flight: flights.Flight, now: float) -> None:
         flight.sent_at = now
@@ -285,8 +306,36 @@
         if flight.phase is not flights.Phase.WAITING:
             return
         error = errors.make_error(refusal.code, refusal.text, retry_after=refusal.retry_after)
+        if isinstance(error, _SPILLING) and not isinstance(error, errors.QuotaExceededError):
+            flight.refusal = _milder(flight.refusal, error)
+            flight.shards_tried = (*flight.shards_tried, flight.shard)
+            if self._ask_next_shard(flight, now):
+                return
+            error = flight.refusal
         self._give_up(flight, error, now)
 
+    def _ask_next_shard(self, flight: flights.Flight, now: float) -> bool:
+        """Ask another shard for a place; False if enough were asked."""
+        if len(flight.shards_tried) >= MAX_SHARDS_TRIED:
+            return False
+        left = [one for one in self._rank_shards(flight.spec) if one not in flight.shards_tried]
+        if not left:
+            return False
+        flight.shard = left[0]
+        # The attempt has another number, so that a late grant of the first shard is given back.
+        flight.attempt += 1
+        self._note("request.spilled", flight, shard=flight.shard)
+        self._send_reserve(flight, now)
+        return True
+
+    def _leave_removed_shard(self, flight: flights.Flight) -> None:
+        """Choose another shard if a newer declaration has fewer of them."""
+        names = self._rank_shards(flight.spec)
+        if flight.shard not in names:
+            flight.shards_tried = (*flight.shards_tried, flight.shard)
+            flight.shard = names[0]
+            flight.attempt += 1
+
     def _current(self, message: Any) -> flights.Flight | None:
         """Return the flight that a transfer's message belongs to, None if it is stale."""
         flight = self._flights.get(message.request_id)
@@ -309,8 +358,6 @@
             if not text:
                 self._note("chunk.repeated", flight)
                 return
-        if not flight.first_token_at:
-            flight.first_token_at = now
         if not flight.heard:
             flight.heard = True
             self._report_prefill(flight, now)
@@ -426,7 +473,8 @@
         flight.grant = None
         if excluded:
             flight.excluded = (*flight.excluded[-2:], excluded)
-        allowed = flight.attempt <= MAX_ATTEMPTS and self._budget.spend(flight.spec.service)
+        tries = flight.attempt - len(flight.shards_tried)
+        allowed = tries <= MAX_ATTEMPTS and self._budget.spend(flight.spec.service)
         if not allowed:
             outcome = errors.Outcome.FAILED if flight.ran else errors.Outcome.NOT_RUN
             error = errors.BackendFailedError(
@@ -447,6 +495,7 @@
         elif (
             flight.phase is flights.Phase.WAITING and now >= flight.sent_at + RESERVE_RESEND_SECONDS
         ):
+            self._leave_removed_shard(flight)
             self._send_reserve(flight, now)
             if now - flight.arrived > LONG_WAIT_SECONDS:
                 self._begin_answer(flight)
@@ -549,6 +598,28 @@
     )
 
 
+def _affinity(spec: requests.RequestSpec) -> str:
+    """Return what decides a request's first shard.
+
+    Prompts that share their first block meet in the shard that has it cached; equal contents meet
+    in one shard, which runs them one at a time if they crash engines.
+    """
+    if spec.prefix_hashes:
+        return str(spec.prefix_hashes[0])
+    plain = spec.kind is requests.RequestKind.PLAIN
+    return spec.request_id if plain else spec.fingerprint
+
+
+def _milder(
+    known: errors.FlamingorampError | None, other: errors.FlamingorampError
+) -> errors.FlamingorampError:
+    """Return the refusal that promises the caller more: the sooner retry, if there is any."""
+    if known is None:
+        return other
+    ranked = sorted((known, other), key=lambda one: one.retry_after or float("inf"))
+    return ranked[0]
+
+
 def _claim_error(status: claims.ClaimStatus) -> errors.FlamingorampError:
     match status:
         case claims.ClaimStatus.IN_PROGRESS:
--- a/flamingoramp/dispatch/flights.py
+++ b/flamingoramp/dispatch/flights.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from flamingoramp import errors
 from flamingoramp.dispatch import requests
 from flamingoramp.protocol import messages
 
@@ -29,12 +30,13 @@
     phase: Phase
     shard: str
     attempt: int = 1
+    shards_tried: tuple[str, ...] = ()
+    refusal: errors.FlamingorampError | None = None
     sent_at: float = 0.0
     resume_at: float = 0.0
     grant: messages.Grant | None = None
     ran: bool = False
     dispatched_at: float = 0.0
-    first_token_at: float = 0.0
     resumes: int = 0
     heard: bool = False
     crash_seen: bool = False
--- a/flamingoramp/intent/cluster_time.py
+++ b/flamingoramp/intent/cluster_time.py
@@ -25,35 +25,36 @@
     _last: float = 0.0
     _read_at: float = 0.0
 
-    def begin(self, reached: float, now: float) -> None:
-        """Go on from the time that the state has reached, 0 if it has none yet.
+    def begin(self, now: float) -> None:
+        """Start to count on this leader's monotonic clock, in seconds."""
+        self._read_at = now
+
+    def read(self, wall_time: float, now: float, *, reached: float) -> float:
+        """Return the cluster time.
 
         Parameters
         ----------
-        reached : float
-            Latest time of an applied command.
+        wall_time : float
+            The leader's Unix time.
         now : float
-            The leader's monotonic clock, in seconds.
-        """
-        self._last = max(self._last, reached)
-        self._read_at = now
-
-    def read(self, wall_time: float, now: float) -> float:
-        """Return the cluster time.
+            The leader's monotonic clock.
+        reached : float
+            Latest time of an applied command, 0 if there was none yet.
 
         Examples
         --------
         >>> clock = ClusterClock()
-        >>> clock.begin(1000.0, 50.0)
-        >>> clock.read(999_999.0, 60.0)
+        >>> clock.begin(50.0)
+        >>> clock.read(999_999.0, 60.0, reached=1000.0)
         1011.0
         """
+        last = max(self._last, reached)
         elapsed = max(0.0, now - self._read_at)
-        earliest = self._last + elapsed * (1 - self.slew_ratio)
-        latest = self._last + elapsed * (1 + self.slew_ratio)
-        if self._last:
+        self._read_at = now
+        if last:
+            earliest = last + elapsed * (1 - self.slew_ratio)
+            latest = last + elapsed * (1 + self.slew_ratio)
             self._last = min(max(wall_time, earliest), latest)
         else:
             self._last = wall_time
-        self._read_at = now
         return self._last
--- a/flamingoramp/intent/declarations.py
+++ b/flamingoramp/intent/declarations.py
@@ -98,6 +98,15 @@
     workspaces: tuple[WorkspaceDeclaration, ...] = ()
     policy: PolicyDeclaration = attrs.field(factory=PolicyDeclaration)
 
+    @property
+    def shard_names(self) -> tuple[str, ...]:
+        """Names of all shards."""
+        return tuple(
+            shard
+            for service in self.services
+            for shard in service_shards(service.name, service.shards)
+        )
+
     def find_service(self, name: str) -> ServiceDeclaration | None:
         """Return a service, None if there is none of that name."""
         return next((one for one in self.services if one.name == name), None)
@@ -115,6 +124,11 @@
         return next((one for one in self.workspaces if one.name == name), None)
 
 
+def service_shards(service: str, count: int) -> list[str]:
+    """Return the names of a service's shards, ``service/number``."""
+    return [f"{service}/{number}" for number in range(count)]
+
+
 def parse(text: str, source: str) -> Declaration:
     """Read a declaration from JSON and check it.
 
--- a/flamingoramp/intent/state.py
+++ b/flamingoramp/intent/state.py
@@ -143,7 +143,7 @@
         self._revision = state["revision"]
         self._document = state["document"]
         self._generation = state["generation"]
-        self._time = state["time"]
+        self._time = state.get("time", 0.0)
         self._plans = _converter.structure(state["plans"], dict[str, Plan])
         self._operations = _converter.structure(state["operations"], dict[str, ConfirmResult])
         self._owners = _converter.structure(state["owners"], dict[str, messages.ShardOwner])
@@ -175,9 +175,29 @@
             return ConfirmResult(self._revision, errors.RevisionConflictError.code)
         if plan.document != self._document:
             self._revision += 1
+            self._renumber_shards(self._document, plan.document)
             self._document = plan.document
         return ConfirmResult(self._revision)
 
+    def _renumber_shards(self, before: str, after: str) -> None:
+        """Give the shards of services whose number of shards changes new generations.
+
+        Backend servers move between them, and must never get orders with lower fencing numbers.
+        """
+        old = declarations.parse(before, "log")
+        new = declarations.parse(after, "log")
+        names = set(new.shard_names)
+        self._owners = {shard: one for shard, one in self._owners.items() if shard in names}
+        for service in new.services:
+            known = old.find_service(service.name)
+            if known is None or known.shards == service.shards:
+                continue
+            for shard in declarations.service_shards(service.name, service.shards):
+                if shard in self._owners:
+                    self._generation += 1
+                    owner = self._owners[shard]
+                    self._owners[shard] = attrs.evolve(owner, generation=self._generation)
+
     def _assign(self, command: commands.AssignShards) -> dict[str, messages.ShardOwner]:
         for shard, owner, address in command.owners:
             self._generation += 1
--- a/flamingoramp/intent/tests/test_state.py
+++ b/flamingoramp/intent/tests/test_state.py
@@ -72,6 +72,38 @@
         self.assertEqual(len(self.state.operations), state.OPERATIONS_KEPT)
 
 
+class TestShardCount(StateCase):
+    """Generations only grow for a server that moves between shards."""
+
+    def declare(self, shards: int) -> None:
+        service = declarations.ServiceDeclaration("llm", shards=shards)
+        text = declarations.render(declarations.Declaration(services=(service,)))
+        name = f"to {shards} after {self.state.revision}"
+        self.state.apply(commands.StorePlan(name, self.state.revision, text, 1000.0, 0.0))
+        self.assertEqual(self.confirm(name, name).error, "")
+
+    def own(self, *shards: str) -> None:
+        owners = tuple((shard, f"e{shard}#1", "a:1") for shard in shards)
+        self.state.apply(commands.AssignShards(owners, 1.0))
+
+    def test_more_shards(self):
+        self.declare(1)
+        self.own("llm/0")
+        before = self.state.owners["llm/0"]
+        self.declare(2)
+        after = self.state.owners["llm/0"]
+        self.assertEqual(after.owner, before.owner)
+        self.assertGreater(after.generation, before.generation)
+
+    def test_fewer_shards(self):
+        self.declare(2)
+        self.own("llm/0", "llm/1")
+        highest = self.state.owners["llm/1"].generation
+        self.declare(1)
+        self.assertEqual(set(self.state.owners), {"llm/0"})
+        self.assertGreater(self.state.owners["llm/0"].generation, highest)
+
+
 class TestSnapshot(StateCase):
     """A loaded snapshot behaves as the state that it was taken from."""
 
--- a/flamingoramp/membership/session.py
+++ b/flamingoramp/membership/session.py
@@ -141,11 +141,14 @@
 
     def _learn_shards(self, shards: tuple[messages.ShardOwner, ...]) -> tuple[str, ...]:
         moved = []
+        learned = {}
         for owner in shards:
             known = self._shards.get(owner.shard)
-            if known is None or owner.generation > known.generation:
-                self._shards[owner.shard] = owner
+            newer = known is None or owner.generation > known.generation
+            learned[owner.shard] = owner if newer else known
+            if newer:
                 moved.append(owner.shard)
+        self._shards = learned
         return tuple(moved)
 
     def _follow_hint(self, grant: messages.SessionGrant, now: float) -> None:
--- a/flamingoramp/membership/sessions.py
+++ b/flamingoramp/membership/sessions.py
@@ -26,18 +26,9 @@
         return f"{self.heartbeat.entry}#{self.heartbeat.incarnation}"
 
 
-def shard_names(declaration: declarations.Declaration) -> tuple[str, ...]:
-    """Return the names of all shards, ``service/number``."""
-    return tuple(
-        f"{service.name}/{number}"
-        for service in declaration.services
-        for number in range(service.shards)
-    )
-
-
 def choose_shard(service: declarations.ServiceDeclaration, server: str) -> str:
     """Return the shard that a backend server belongs to."""
-    shards = [f"{service.name}/{number}" for number in range(service.shards)]
+    shards = declarations.service_shards(service.name, service.shards)
     return max(shards, key=lambda shard: rendezvous_score(shard, server))
 
 
