--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -192,6 +192,7 @@
         if waiting is not None:
             waiting.listed = now
             return
+        self._end_earlier_attempt(reserve, now)
         workspace = self._declaration.find_workspace(reserve.workspace)
         if workspace is None:
             self._refuse(reserve, errors.UnknownWorkspaceError("the workspace was removed"))
@@ -204,6 +205,21 @@
         self._count_mix(waiting, now)
         self._queue.add(waiting, workspace.weight)
 
+    def _end_earlier_attempt(self, reserve: messages.Reserve, now: float) -> None:
+        """Take a new attempt for the end of the earlier one, whose release may be lost.
+
+        How it ended is unknown, so its server counts as crashed until it goes on announcing itself.
+        """
+        earlier = self._fleet.ledger.find((reserve.request_id, reserve.attempt - 1))
+        failed = set(earlier.servers) & set(reserve.excluded) if earlier else set()
+        for server in sorted(failed):
+            self._handle_release(
+                messages.Release(
+                    reserve.request_id, reserve.attempt - 1, self._shard, "crashed", server
+                ),
+                now,
+            )
+
     def _judge(self, reserve: messages.Reserve, now: float) -> queue.Waiting:
         return prediction.judge(self._fleet, reserve, self._declaration.policy, now)
 
@@ -290,8 +306,13 @@
         last = member.announcement if member else messages.Announcement(server=server)
         report = self._isolation.watch(server, _describe_running(ran), last, broke=broke)
         self._commit_suspects(report)
-        if member is None or member.lapsed:
-            self._report_crash(server, [])
+        if self._is_gone(server):
+            # Whatever else ran there may be the cause; its entry may be cut off from here.
+            self._report_crash(server, self._fleet.ledger.on(server))
+
+    def _is_gone(self, server: str) -> bool:
+        member = self._fleet.directory.find(server)
+        return member is None or member.lapsed
 
     def _handle_hold_report(self, report: messages.HoldReport, now: float) -> None:
         listed = self._renew(report, now)
@@ -349,8 +370,9 @@
         """Take memory back whose attempt ended in a way that this owner never learned."""
         self._fleet.release(reservation.key, now)
         self._cancel(reservation)
-        if reservation.isolated:
-            self._watch(reservation.servers[0], [reservation], broke=False)
+        server = reservation.servers[-1]
+        if reservation.isolated or self._is_gone(server):
+            self._watch(server, [reservation], broke=False)
 
     def _list_waiting(self, report: messages.HoldReport, now: float) -> None:
         still = set(report.waiting)
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -376,6 +376,23 @@
         codes = {one.code for one in owned.refusals.values()}
         self.assertEqual(codes, {errors.RequestQuarantinedError.code})
 
+    def test_lost_report_of_a_crash_is_learned_from_the_next_attempt(self):
+        owned = Owned(4)
+        owned.send(reserve("r0", fingerprint="poison"))
+        (server,) = owned.grants.pop("r0").servers
+        owned.send(reserve("r0", attempt=2, fingerprint="poison", excluded=(server,)))
+        self.assertTrue(owned.scheduler.isolation.is_suspect("poison"))
+        self.assertNotIn(("r0", 1), owned.scheduler.fleet.ledger)
+
+    def test_engine_gone_for_good_makes_suspects_of_all_that_ran_there(self):
+        owned = Owned(1)
+        owned.send(reserve("r0", fingerprint="poison"), reserve("r1", fingerprint="other"))
+        owned.names.clear()
+        owned.advance(3.0)
+        owned.finish("r1", "silent")
+        self.assertTrue(owned.scheduler.isolation.is_suspect("other"))
+        self.assertTrue(owned.scheduler.isolation.is_suspect("poison"))
+
     def test_innocent_neighbours_are_cleared_and_run_again(self):
         owned = Owned(1)
         for number in range(5):
