Let a new owner use what came just before it learned of its ownership

Cause: entries learn a new owner at their own heartbeats, some before the owner itself does. Their full reports and requests were dropped there, so that it waited the whole 1.5 s for reports that had come, and requests were asked for again only after 0.5 s. Ruled out: election, assignment (0.16 s), engines' announcements (0.5 s).

--- a/flamingoramp/cli/tests/test_operator.py
+++ b/flamingoramp/cli/tests/test_operator.py
@@ -91,7 +91,3 @@
         silent, leads = client.status()
         self.assertEqual(silent["error"], "backend_failed")
         self.assertTrue(leads["leads"])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -431,7 +431,7 @@
             self._process.metrics.count("announcements_of_unknown_services")
             return
         shard = sessions.choose_shard(service, announcement.server)
-        if shard in self._owner.schedulers:
+        if forwarded or shard in self._owner.schedulers:
             self._owner.handle(shard, announcement)
-        elif not forwarded:
+        else:
             self._send_owner(shard, announcement)
--- a/flamingoramp/daemons/owner.py
+++ b/flamingoramp/daemons/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,8 @@
 from flamingoramp.routing import effects, isolation, scheduler
 
 RESEND_SECONDS = 1.0
+EARLY_SECONDS = 1.0
+EARLY_KEPT = 4096
 
 
 class Owner:
@@ -59,6 +62,10 @@
         self._orders = make_order_sender(process.loop, self._handle_order_result)
         self._reports: dict[str, messages.SuspectReport] = {}
         self._ended = False
+        # What came for shards that others know to be owned here before this entry does.
+        self._early: collections.deque[tuple[float, str, Any]] = collections.deque(
+            maxlen=EARLY_KEPT
+        )
         process.loop.call_every(RESEND_SECONDS, self._resend_reports)
 
     @property
@@ -119,12 +126,13 @@
             one.load(self._session.suspects, self._session.suspects_version)
 
     def handle(self, shard: str, message: Any) -> None:
-        """Process a message for a shard; one for a shard that isn't owned is dropped."""
+        """Process a message for a shard; one for a shard that isn't owned is kept for a moment."""
         owned = self._schedulers.get(shard)
+        now = self._process.loop.now()
         if owned is None:
             self._process.metrics.count("messages_for_other_owners")
+            self._early.append((now, shard, message))
             return
-        now = self._process.loop.now()
         self._carry_out(shard, owned.handle(message, now))
         if isinstance(message, messages.Announcement):
             self._reconcile(shard, now)
@@ -161,6 +169,17 @@
             fence=owner.generation, begun=now, flight_seconds=wait + timing.order_flight_seconds
         )
         self._process.log_change("shard.owned", shard=owner.shard, generation=owner.generation)
+        self._take_early(owner.shard, now)
+
+    def _take_early(self, shard: str, now: float) -> None:
+        """Process what came just before this ownership began, in its order."""
+        early = list(self._early)
+        self._early.clear()
+        for came, target, message in early:
+            if target == shard and now - came <= EARLY_SECONDS:
+                self.handle(shard, message)
+            elif target != shard:
+                self._early.append((came, target, message))
 
     def _isolation_of(self, shard: str) -> isolation.Isolation:
         if shard not in self._isolations:
