--- a/flamingoramp/runtime/settings.py
+++ b/flamingoramp/runtime/settings.py
@@ -68,7 +68,7 @@
         default=0.25, validator=utils.between(0.05, 10, "seconds")
     )
     session_lease_seconds: float = attrs.field(
-        default=2.5, validator=utils.between(0.5, 30, "seconds")
+        default=2.0, validator=utils.between(0.5, 30, "seconds")
     )
     announcement_lease_seconds: float = attrs.field(
         default=2.5, validator=utils.between(0.5, 30, "seconds")
@@ -92,10 +92,10 @@
         default=5.0, validator=utils.between(0, 3600, "seconds")
     )
     election_min_seconds: float = attrs.field(
-        default=0.6, validator=utils.between(0.1, 30, "seconds")
+        default=0.4, validator=utils.between(0.1, 30, "seconds")
     )
     election_max_seconds: float = attrs.field(
-        default=1.2, validator=utils.between(0.2, 60, "seconds")
+        default=0.8, validator=utils.between(0.2, 60, "seconds")
     )
     replica_heartbeat_seconds: float = attrs.field(
         default=0.1, validator=utils.between(0.01, 10, "seconds")
