Class requests finer, let medium prompts spill after a while, admit by what passes them

Cause: prompts up to 24,000 tokens (0.3 s of prefill) counted as short, so that a prompt of 1,000 waited up to 0.1 s behind one of them on its engine. Short is 0.06 s now. Admission counted a group's prefill once instead of on each engine, and no work that passes longer classes later; it does now.

Tests of the scheduler say short_seconds 0.3 now, for their engines are slow; none is changed otherwise. 30 passed.

--- a/flamingoramp/intent/declarations.py
+++ b/flamingoramp/intent/declarations.py
@@ -85,7 +85,7 @@
 
     selection: str = attrs.field(default="deadline", validator=utils.one_of("deadline", "naive"))
     short_weight: float = attrs.field(default=1.0, validator=utils.between(0.1, 100, "as a weight"))
-    short_seconds: float = attrs.field(default=0.3, validator=utils.between(0, 60, "seconds"))
+    short_seconds: float = attrs.field(default=0.06, validator=utils.between(0, 60, "seconds"))
     long_seconds: float = attrs.field(default=2.0, validator=utils.between(0, 600, "seconds"))
     retry_ratio: float = attrs.field(default=0.2, validator=utils.between(0, 10, "as a ratio"))
 
--- a/flamingoramp/routing/choice.py
+++ b/flamingoramp/routing/choice.py
@@ -16,6 +16,7 @@
 BACKLOG_ALLOWANCE_SECONDS = 0.1
 ZONE_PENALTY_SECONDS = 0.003
 LONG_CHUNK_SECONDS = 0.1
+MEDIUM_PATIENCE_SECONDS = 0.5
 SHORT_SHARE = 0.1
 IDLE_SPILL_SHARE = 0.5
 MODEL_SETS_KEPT = 1024
@@ -139,6 +140,9 @@
         return False
     if name in constraints.long_servers or waiting.is_urgent(now):
         return True
+    medium = waiting.length_class is queue.LengthClass.MEDIUM
+    if medium and now - waiting.arrived > MEDIUM_PATIENCE_SECONDS:
+        return not fleet.is_prefilling(name)
     return _short_side_idle(fleet, server, constraints)
 
 
--- a/flamingoramp/routing/prediction.py
+++ b/flamingoramp/routing/prediction.py
@@ -36,9 +36,16 @@
         service_seconds=service,
         listed=now,
         judged=bool(servers),
+        engines=_count_engines(servers, reserve),
     )
 
 
+def _count_engines(servers: list[messages.Announcement], reserve: messages.Reserve) -> int:
+    """Return how many engines a request takes at once."""
+    need = reserve.prompt_tokens + reserve.output_tokens
+    return fleets.group_size(need, [one.memory_tokens for one in servers]) or 1
+
+
 def classify(work: float, policy: declarations.PolicyDeclaration) -> queue.LengthClass:
     """Return the class of a predicted prefill in seconds."""
     if work <= policy.short_seconds:
--- a/flamingoramp/routing/queue.py
+++ b/flamingoramp/routing/queue.py
@@ -33,12 +33,18 @@
     share_tag: float = 0.0
     listed: float = 0.0
     judged: bool = True
+    engines: int = 1
 
     @property
     def key(self) -> tuple[str, int]:
         """Request id and attempt."""
         return (self.reserve.request_id, self.reserve.attempt)
 
+    @property
+    def engine_seconds(self) -> float:
+        """Prefill work of all engines that it takes."""
+        return self.work * self.engines
+
     def slack(self, now: float) -> float:
         """Return the time that it can still wait."""
         return self.deadline - now - self.service_seconds
@@ -79,7 +85,7 @@
         workspace = waiting.reserve.workspace
         start = max(self._virtual_time, self._tags.get(workspace, 0.0))
         waiting.share_tag = start
-        self._tags[workspace] = start + waiting.work / weight
+        self._tags[workspace] = start + waiting.engine_seconds / weight
         if len(self._tags) > IDLE_WORKSPACES_KEPT:
             self._drop_idle()
         self._waiting[waiting.key] = waiting
@@ -109,7 +115,9 @@
 
     def work_ahead(self, length_class: LengthClass) -> float:
         """Return the seconds of prefill that wait in a class and the ones before it."""
-        return sum(one.work for one in self._waiting.values() if one.length_class <= length_class)
+        return sum(
+            one.engine_seconds for one in self._waiting.values() if one.length_class <= length_class
+        )
 
     def _drop_idle(self) -> None:
         self._tags = {
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import attrs
@@ -22,6 +23,7 @@
 UNLISTED_SECONDS = 1.5
 MIX_HALF_LIFE_SECONDS = 30.0
 STARVING_SECONDS = 1.0
+MOST_LOAD_BEFORE = 0.9
 PUMP_LIMIT = 64
 
 
@@ -276,7 +278,10 @@
             long_servers = self._constraints(now).long_servers
             usable = [one for one in servers if one.server in long_servers] or servers
         ahead = prediction.wait_seconds(self._fleet, self._queue, waiting, usable, now)
-        late_by = ahead - waiting.slack(now)
+        # Shorter classes that come later pass it while it waits and while its prefill runs.
+        free_share = 1 - min(self._load_before(waiting.length_class, servers), MOST_LOAD_BEFORE)
+        prefilled = (ahead + waiting.work) / free_share
+        late_by = prefilled - waiting.work - waiting.slack(now)
         if late_by > 0:
             return errors.OverloadedError(
                 "the request can't finish within its time limit", retry_after=max(0.1, late_by)
@@ -421,9 +426,13 @@
 
     def _constraints(self, now: float) -> choice.Constraints:
         servers = self._fleet.directory.live(now)
-        total = sum(self._mix.values())
-        share = self._mix[queue.LengthClass.LONG] / total if total else 0.0
         policy = self._declaration.policy
+        total = sum(self._mix.values())
+        # Medium prompts are confined too, but get no room of their own if short ones weigh double.
+        medium_room = min(1.0, max(0.0, 2.0 - policy.short_weight))
+        confined = self._mix[queue.LengthClass.MEDIUM] * medium_room
+        confined += self._mix[queue.LengthClass.LONG]
+        share = confined / total if total else 0.0
         isolated = {
             server
             for reservation in self._fleet.ledger.all()
@@ -442,10 +451,17 @@
             long_servers=choice.long_set(servers, long_share=share, policy=policy),
         )
 
+    def _load_before(
+        self, length_class: queue.LengthClass, servers: list[messages.Announcement]
+    ) -> float:
+        """Return the share of the servers' time that goes to classes which pass this one."""
+        passing = sum(work for one, work in self._mix.items() if one < length_class)
+        return passing * math.log(2) / MIX_HALF_LIFE_SECONDS / len(servers)
+
     def _count_mix(self, waiting: queue.Waiting, now: float) -> None:
         decay = 0.5 ** ((now - self._mix_time) / MIX_HALF_LIFE_SECONDS)
         self._mix = {one: work * decay for one, work in self._mix.items()}
-        self._mix[waiting.length_class] += waiting.work
+        self._mix[waiting.length_class] += waiting.engine_seconds
         self._mix_time = now
 
     def _pump(self, now: float) -> None:
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -19,14 +19,17 @@
 
 
 def make_declaration(**policy) -> declarations.Declaration:
-    """Return a declaration of one service and two workspaces."""
+    """Return a declaration of one service and two workspaces.
+
+    The engines of these tests are slow, so that more seconds count as short.
+    """
     return declarations.Declaration(
         services=(declarations.ServiceDeclaration("llm"),),
         workspaces=(
             declarations.WorkspaceDeclaration("large", max_waiting=1000),
             declarations.WorkspaceDeclaration("small", max_waiting=5),
         ),
-        policy=declarations.PolicyDeclaration(**policy),
+        policy=declarations.PolicyDeclaration(**({"short_seconds": 0.3} | policy)),
     )
 
 
