--- a/flamingoramp/tests/faults.py
+++ b/flamingoramp/tests/faults.py
@@ -111,7 +111,9 @@
 
     def _freeze(self) -> None:
         node = self._world.rng.choice(list(self._world.nodes.values()))
-        node.frozen_until = self._world.now + self._world.rng.choice([0.3, 1.5, 6.0])
+        until = self._world.now + self._world.rng.choice([0.3, 1.5, 6.0])
+        # What was put off by an earlier, longer freeze waits for its end.
+        node.frozen_until = max(node.frozen_until, until)
 
     def _cut_pair(self) -> None:
         one, other = self._world.rng.sample(list(self._world.nodes), 2)
