Change the number of shards under real processes; one way to put relays before control

test_failures TestShardCount: 40 requests while the number goes from 1 to 2, and back; all whole, memory back to zero. The relays before control stood twice (test and bench) and are one function now.

--- a/bench/in_force.py
+++ b/bench/in_force.py
@@ -14,7 +14,7 @@
 import fire
 
 from bench import fleet as fleets
-from flamingoramp.runtime import http_client, settings
+from flamingoramp.runtime import http_client
 from flamingoramp.tests import relays
 
 OUT = fleets.ROOT / "out"
@@ -54,23 +54,9 @@
     def __init__(self):
         self.fleet = fleets.Fleet(OUT / "fleet-in-force", make_settings())
         self._cut = self.fleet.settings.entry_hosts[-1]
-        self._relays = self._make_relays()
+        self._relays, self._cut_path = relays.put_before_control(self.fleet.settings_path)
         self._start()
 
-    def _make_relays(self) -> list[relays.Relay]:
-        """Put a relay between the host that is cut off and each control host."""
-        document = json.loads(self.fleet.settings_path.read_text())
-        made = []
-        for host in document["hosts"]:
-            if host.get("control_inner_port"):
-                made.append(relays.Relay(f"127.0.0.1:{host['control_inner_port']}"))
-                host["control_inner_port"] = made[-1].port
-                made[-1].start()
-        self._cut_path = self.fleet.settings_path.with_name("cut.json")
-        self._cut_path.write_text(json.dumps(document))
-        settings.load(self._cut_path)
-        return made
-
     def _start(self) -> None:
         for host in self.fleet.settings.control_hosts:
             self.fleet.start_daemon("control", host.name)
--- a/flamingoramp/tests/relays.py
+++ b/flamingoramp/tests/relays.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import pathlib
 import selectors
 import socket
 import threading
@@ -101,3 +103,26 @@
         elif not self._all_silent and source not in self._silent:
             with contextlib.suppress(OSError):
                 target.sendall(data)
+
+
+def put_before_control(settings_path: pathlib.Path) -> tuple[list[Relay], pathlib.Path]:
+    """Start a relay before each control replica.
+
+    Returns
+    -------
+    list of Relay
+        They run until closed.
+    pathlib.Path
+        Settings by which a process reaches control through them.
+    """
+    document = json.loads(settings_path.read_text())
+    started = []
+    for host in document["hosts"]:
+        if host.get("control_inner_port"):
+            relay = Relay(f"127.0.0.1:{host['control_inner_port']}")
+            relay.start()
+            started.append(relay)
+            host["control_inner_port"] = relay.port
+    path = settings_path.with_name("cut.json")
+    path.write_text(json.dumps(document))
+    return started, path
--- a/flamingoramp/tests/test_failures.py
+++ b/flamingoramp/tests/test_failures.py
@@ -122,15 +122,7 @@
 
     def test_entry_cut_off_from_control(self):
         host = small.fleet.settings.entry_hosts[3]
-        document = json.loads(small.fleet.settings_path.read_text())
-        cut = []
-        for one in document["hosts"]:
-            if one.get("control_inner_port"):
-                cut.append(relays.Relay(f"127.0.0.1:{one['control_inner_port']}"))
-                one["control_inner_port"] = cut[-1].port
-                cut[-1].start()
-        path = small.fleet.settings_path.with_name("cut.json")
-        path.write_text(json.dumps(document))
+        cut, path = relays.put_before_control(small.fleet.settings_path)
         small.fleet.kill(f"entry-{host.name}")
         small.fleet.start_daemon("entry", host.name, path)
         small.fleet.wait_ready()
@@ -203,6 +195,34 @@
         self.assertNotEqual(self.owner(), "")
 
 
+class TestShardCount(unittest.TestCase):
+    """The number of shards changes while requests run."""
+
+    def change(self, shards: int) -> list[client.Result]:
+        declaration = declare(20.0 + shards)
+        declaration["services"][0]["shards"] = shards
+        plan = [
+            small_fleets.planned(f"to {shards} {n}", at=n / 20, tokens=2000, output=100)
+            for n in range(40)
+        ]
+        applied = []
+
+        def apply() -> None:
+            applied.append(small.fleet.apply(declaration))
+
+        caller = client.LoadClient(small.fleet.entry_urls, 5)
+        results = caller.run(plan, actions=[(0.5, apply)])
+        self.assertTrue(applied[0]["in_force"])
+        small.wait_quiet()
+        return results
+
+    def test_more_then_fewer(self):
+        small_fleets.assert_whole(self, self.change(2), 40)
+        small.fleet.wait_servers("design-llm", 3)
+        small_fleets.assert_whole(self, self.change(1), 40)
+        small.fleet.wait_servers("design-llm", 3)
+
+
 class TestNonIdempotentUnderFailure(unittest.TestCase):
     """A key runs at most once, whatever dies."""
 
