Let no test leave a process behind or an engine dead for the next one

Two control processes of test runs outlived them: the leader was killed by a timer that could fire after its restart, so that the restart began a second process of the same host and the first stayed. The test waits for the timer now, and a fleet refuses to start a name that still runs. Ended engines are looked for once more, and counted against the bound of 3 as well, which is stricter.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -137,6 +137,8 @@
         return f"http://{address}"
 
     def _start(self, name: str, command: list[str]) -> None:
+        if name in self._processes and self.is_running(name):
+            raise RuntimeError(f"{name} still runs; end it before it is started again")
         self._commands[name] = command
         with open(self._folder / "logs" / f"{name}.log", "ab") as log:
             self._processes[name] = subprocess.Popen(
--- a/flamingoramp/tests/test_failures.py
+++ b/flamingoramp/tests/test_failures.py
@@ -240,9 +240,11 @@
 
         with futures.ThreadPoolExecutor(8) as pool:
             jobs = [pool.submit(hold, k, url) for k in keys for url in small.fleet.entry_urls]
-            threading.Timer(0.05, small.fleet.kill, [f"control-{leader}"]).start()
+            death = threading.Timer(0.05, small.fleet.kill, [f"control-{leader}"])
+            death.start()
             for job in jobs:
                 job.result()
+        death.join()
         small.fleet.restart(f"control-{leader}")
         runs: list[str] = []
         for name, url in small.fleet.server_urls.items():
@@ -266,13 +268,16 @@
         crashes = 0
         stopped = threading.Event()
 
-        def revive() -> None:
+        def revive_ended() -> None:
             nonlocal crashes
+            for name in names:
+                if small.fleet.has_ended(name):
+                    crashes += 1
+                    small.fleet.restart(name)
+
+        def revive() -> None:
             while not stopped.is_set():
-                for name in names:
-                    if small.fleet.has_ended(name):
-                        crashes += 1
-                        small.fleet.restart(name)
+                revive_ended()
                 time.sleep(0.1)
 
         supervisor = threading.Thread(target=revive)
@@ -285,6 +290,7 @@
             )
         stopped.set()
         supervisor.join()
+        revive_ended()
         self.assertLessEqual(crashes, 3)
         codes = {answer.json()["error"]["code"] for answer in answers}
         self.assertIn("request_quarantined", codes)
