Say things once: the lease, the parsed declaration, predictions, groups, moves between shards

The state parses it once for each revision, and plans, owners and the renumbering of shards use that. - An owner's lease was copied into its scheduler at two places, the second added when the first proved stale. The scheduler asks the session; the copy is gone. - A later judgement of a waiting request copied its fields by hand and missed the number of engines of a group, so that such a group counted as one engine.

--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -311,8 +311,8 @@
         self._refresh_table()
         if self._assigning or not self._replica.holds_lease(now):
             return
-        declaration = declarations.parse(self._state.document, "log")
-        owners = self._sessions.choose_owners(declaration.shard_names, self._state.owners, now)
+        shards = self._state.declaration.shard_names
+        owners = self._sessions.choose_owners(shards, self._state.owners, now)
         if not owners:
             return
         self._assigning = True
@@ -457,7 +457,7 @@
         declaration = declarations.parse(request.get_data(as_text=True), "declaration")
         document = declarations.render(declaration)
         base_revision, current = self._process.call(self._read_confirmed)
-        found = changes.compare(declarations.parse(current, "log"), declaration)
+        found = changes.compare(current, declaration)
         now = self._process.call(self._cluster_time)
         plan = commands.StorePlan(
             plan_id=uuid.uuid4().hex[:12],
@@ -476,12 +476,12 @@
             }
         )
 
-    def _read_confirmed(self) -> tuple[int, str]:
+    def _read_confirmed(self) -> tuple[int, declarations.Declaration]:
         if not self._replica.holds_lease(self._process.loop.now()):
             raise errors.NotLeaderError(
                 self._leader_url() or "no leader; ask again", retry_after=0.5
             )
-        return self._state.revision, self._state.document
+        return self._state.revision, self._state.declaration
 
     def _respond_confirm(self, request: werkzeug.Request) -> werkzeug.Response:
         body = request.get_json(force=True, silent=True)
--- a/flamingoramp/daemons/owner.py
+++ b/flamingoramp/daemons/owner.py
@@ -89,7 +89,7 @@
         ]
 
     def refresh(self, now: float) -> None:
-        """Begin, suspend and end ownership as the session's table and lease tell.
+        """Begin and end ownership as the session's table and lease tell.
 
         An ownership whose lease lapsed grants nothing, but keeps its state: if the generation is
         still the same once the lease is back, nobody else owned the shard meanwhile.
@@ -106,8 +106,6 @@
         for shard, owner in owned.items():
             if shard not in self._schedulers and holds_lease:
                 self._begin(owner, now)
-        for known in self._schedulers.values():
-            known.suspended = not holds_lease
 
     def end_all(self) -> None:
         """Give up all shards before a planned stop."""
@@ -133,8 +131,6 @@
             self._process.metrics.count("messages_for_other_owners")
             self._early.append((now, shard, message))
             return
-        # A process that was frozen handles messages before its next tick.
-        owned.suspended = not self._session.holds_lease(now)
         self._carry_out(shard, owned.handle(message, now))
         if isinstance(message, messages.Announcement):
             self._reconcile(shard, now)
@@ -160,6 +156,7 @@
             lease_seconds=timing.announcement_lease_seconds,
             reservation_expiry_seconds=timing.reservation_expiry_seconds,
             suspects=self._isolation_of(owner.shard),
+            holds_lease=self._session.holds_lease,
         )
         entries = {entry.name for entry in self._session.entries}
         begun.begin(owner.generation, entries, now)
@@ -221,7 +218,7 @@
 
     def _reconcile(self, shard: str, now: float) -> None:
         service = self._session.declaration.find_service(shard.partition("/")[0])
-        if service is None or not service.models or self._schedulers[shard].suspended:
+        if service is None or not service.models or not self._session.holds_lease(now):
             return
         live = self._schedulers[shard].fleet.directory.live(now)
         for order in self._reconcilers[shard].decide(service, live, now):
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -298,7 +298,6 @@
         error = errors.make_error(refusal.code, refusal.text, retry_after=refusal.retry_after)
         if shards.may_spill(error):
             flight.refusal = shards.milder(flight.refusal, error)
-            flight.shards_tried = (*flight.shards_tried, flight.shard)
             if self._ask_next_shard(flight, now):
                 return
             error = flight.refusal
@@ -306,14 +305,11 @@
 
     def _ask_next_shard(self, flight: flights.Flight, now: float) -> bool:
         """Ask another shard for a place; False if enough were asked."""
-        if len(flight.shards_tried) >= shards.MAX_TRIED:
+        tried = (*flight.shards_tried, flight.shard)
+        left = [one for one in self._rank_shards(flight.spec) if one not in tried]
+        if not left or len(tried) >= shards.MAX_TRIED:
             return False
-        left = [one for one in self._rank_shards(flight.spec) if one not in flight.shards_tried]
-        if not left:
-            return False
-        flight.shard = left[0]
-        # The attempt has another number, so that a late grant of the first shard is given back.
-        flight.attempt += 1
+        flight.move_to(left[0])
         self._note("request.spilled", flight, shard=flight.shard)
         self._send_reserve(flight, now)
         return True
@@ -322,9 +318,7 @@
         """Choose another shard if a newer declaration has fewer of them."""
         names = self._rank_shards(flight.spec)
         if flight.shard not in names:
-            flight.shards_tried = (*flight.shards_tried, flight.shard)
-            flight.shard = names[0]
-            flight.attempt += 1
+            flight.move_to(names[0])
 
     def _current(self, message: Any) -> flights.Flight | None:
         """Return the flight that a transfer's message belongs to, None if it is stale."""
@@ -463,8 +457,7 @@
         flight.grant = None
         if excluded:
             flight.excluded = (*flight.excluded[-2:], excluded)
-        tries = flight.attempt - len(flight.shards_tried)
-        allowed = tries <= MAX_ATTEMPTS and self._budget.spend(flight.spec.service)
+        allowed = flight.tries <= MAX_ATTEMPTS and self._budget.spend(flight.spec.service)
         if not allowed:
             outcome = errors.Outcome.FAILED if flight.ran else errors.Outcome.NOT_RUN
             error = errors.BackendFailedError(
--- a/flamingoramp/dispatch/flights.py
+++ b/flamingoramp/dispatch/flights.py
@@ -47,7 +47,21 @@
     pieces: list[str] = attrs.field(factory=list)
     length: int = 0
 
+    @property
+    def tries(self) -> int:
+        """Attempts, but for those that only moved to another shard."""
+        return self.attempt - len(self.shards_tried)
+
     @property
     def text(self) -> str:
         """All text that was delivered."""
         return "".join(self.pieces)
+
+    def move_to(self, shard: str) -> None:
+        """Ask another shard from now on.
+
+        The attempt has another number, so that a late grant of the first shard is given back.
+        """
+        self.shards_tried = (*self.shards_tried, self.shard)
+        self.shard = shard
+        self.attempt += 1
--- a/flamingoramp/intent/cluster_time.py
+++ b/flamingoramp/intent/cluster_time.py
@@ -8,20 +8,14 @@
 
 import attrs
 
+# Largest difference between the rates of cluster time and of the leader's clock.
 SLEW_RATIO = 0.1
 
 
 @attrs.define
 class ClusterClock:
-    """Cluster time as one leader gives it out, in Unix seconds.
+    """Cluster time as one leader gives it out, in Unix seconds."""
 
-    Parameters
-    ----------
-    slew_ratio : float
-        Largest difference between the rates of cluster time and of the leader's clock.
-    """
-
-    slew_ratio: float = SLEW_RATIO
     _last: float = 0.0
     _read_at: float = 0.0
 
@@ -52,8 +46,8 @@
         elapsed = max(0.0, now - self._read_at)
         self._read_at = now
         if last:
-            earliest = last + elapsed * (1 - self.slew_ratio)
-            latest = last + elapsed * (1 + self.slew_ratio)
+            earliest = last + elapsed * (1 - SLEW_RATIO)
+            latest = last + elapsed * (1 + SLEW_RATIO)
             self._last = min(max(wall_time, earliest), latest)
         else:
             self._last = wall_time
--- a/flamingoramp/intent/state.py
+++ b/flamingoramp/intent/state.py
@@ -57,6 +57,7 @@
     def _reset(self) -> None:
         self._revision = 0
         self._document = EMPTY_DOCUMENT
+        self._declaration: declarations.Declaration | None = None
         self._plans: dict[str, Plan] = {}
         self._operations: dict[str, ConfirmResult] = {}
         self._owners: dict[str, messages.ShardOwner] = {}
@@ -75,6 +76,13 @@
         """The declaration in force, as JSON."""
         return self._document
 
+    @property
+    def declaration(self) -> declarations.Declaration:
+        """The declaration in force; it is parsed once for each revision."""
+        if self._declaration is None:
+            self._declaration = declarations.parse(self._document, "log")
+        return self._declaration
+
     @property
     def time(self) -> float:
         """Cluster time that the commands have reached, Unix seconds; it only grows."""
@@ -175,21 +183,23 @@
             return ConfirmResult(self._revision, errors.RevisionConflictError.code)
         if plan.document != self._document:
             self._revision += 1
-            self._renumber_shards(self._document, plan.document)
+            before = self.declaration
             self._document = plan.document
+            self._declaration = None
+            self._renumber_shards(before, self.declaration)
         return ConfirmResult(self._revision)
 
-    def _renumber_shards(self, before: str, after: str) -> None:
+    def _renumber_shards(
+        self, before: declarations.Declaration, after: declarations.Declaration
+    ) -> None:
         """Give the shards of services whose number of shards changes new generations.
 
         Backend servers move between them, and must never get orders with lower fencing numbers.
         """
-        old = declarations.parse(before, "log")
-        new = declarations.parse(after, "log")
-        names = set(new.shard_names)
+        names = set(after.shard_names)
         self._owners = {shard: one for shard, one in self._owners.items() if shard in names}
-        for service in new.services:
-            known = old.find_service(service.name)
+        for service in after.services:
+            known = before.find_service(service.name)
             if known is None or known.shards == service.shards:
                 continue
             for shard in declarations.service_shards(service.name, service.shards):
--- a/flamingoramp/routing/choice.py
+++ b/flamingoramp/routing/choice.py
@@ -91,6 +91,11 @@
     return frozenset(loaded.partition("@")[0] for loaded in models)
 
 
+def needs_group(offering: list[messages.Announcement], need: int) -> bool:
+    """Tell whether a request is larger than any single server's memory, in tokens."""
+    return need > max((one.memory_tokens for one in offering), default=0) > 0
+
+
 def choose_single(
     fleet: fleets.Fleet,
     servers: list[messages.Announcement],
@@ -101,7 +106,7 @@
 ) -> Placement | None:
     """Choose the server on which a request gets its first token first; None if it must wait."""
     best: tuple[float, Placement] | None = None
-    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    need = waiting.tokens
     for server in servers:
         if not _may_use(fleet, server, waiting, constraints, need, now):
             continue
@@ -191,7 +196,7 @@
 
     The long side is left only if it could never hold the prompt.
     """
-    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    need = waiting.tokens
     offering = [
         server
         for server in servers
@@ -225,9 +230,9 @@
     now: float,
 ) -> Placement | None:
     """Choose an engine, or a group of them, on which nothing else runs."""
-    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    need = waiting.tokens
     offering = [one for one in servers if offers(one, waiting.reserve)]
-    if need > max((one.memory_tokens for one in offering), default=0) > 0:
+    if needs_group(offering, need):
         empty = [one for one in offering if not fleet.ledger.count_on(one.server)]
         return choose_group(fleet, empty, waiting, constraints, now)
     for server in servers:
@@ -254,7 +259,7 @@
     frozenset of str
         Empty if it waits for something else than memory.
     """
-    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    need = waiting.tokens
     usable = [
         server
         for server in servers
@@ -285,7 +290,7 @@
         if server.server not in constraints.closed and offers(server, waiting.reserve)
     ]
     usable.sort(key=lambda server: (fleet.ledger.count_on(server.server), server.server))
-    need = waiting.reserve.prompt_tokens + waiting.reserve.output_tokens
+    need = waiting.tokens
     count = fleets.group_size(need, [server.memory_tokens for server in usable]) or 1
     return frozenset(server.server for server in usable[:count])
 
--- a/flamingoramp/routing/ledger.py
+++ b/flamingoramp/routing/ledger.py
@@ -102,3 +102,9 @@
             if not account.keys:
                 del self._accounts[server]
         return reservation
+
+
+def parse_key(text: str) -> Key:
+    """Return the key that a hold report names as ``request/attempt``."""
+    request_id, _, attempt = text.rpartition("/")
+    return request_id, int(attempt)
--- a/flamingoramp/routing/prediction.py
+++ b/flamingoramp/routing/prediction.py
@@ -8,6 +8,7 @@
 from flamingoramp.routing import fleet as fleets
 
 DEFAULT_SERVICE_SECONDS = 0.05
+MOST_LOAD_BEFORE = 0.9
 
 
 def judge(
@@ -72,3 +73,21 @@
     length_class = waiting.length_class
     running = sum(fleet.backlog_seconds(one.server, length_class, now) for one in servers)
     return (running + waiting_queue.work_ahead(length_class)) / len(servers)
+
+
+def late_by_seconds(waiting: queue.Waiting, ahead: float, load_before: float, now: float) -> float:
+    """Predict by how much a request misses its deadline; negative if it meets it.
+
+    Parameters
+    ----------
+    waiting : queue.Waiting
+    ahead : float
+        Wait for its prefill to begin, in seconds, if nothing passed it.
+    load_before : float
+        Share of the servers' time that goes to classes which pass it, while it waits and while
+        its prefill runs.
+    now : float
+    """
+    free_share = 1 - min(load_before, MOST_LOAD_BEFORE)
+    prefilled = (ahead + waiting.work) / free_share
+    return prefilled - waiting.work - waiting.slack(now)
--- a/flamingoramp/routing/queue.py
+++ b/flamingoramp/routing/queue.py
@@ -40,11 +40,24 @@
         """Request id and attempt."""
         return (self.reserve.request_id, self.reserve.attempt)
 
+    @property
+    def tokens(self) -> int:
+        """Memory that it needs, of prompt and answer."""
+        return self.reserve.prompt_tokens + self.reserve.output_tokens
+
     @property
     def engine_seconds(self) -> float:
         """Prefill work of all engines that it takes."""
         return self.work * self.engines
 
+    def take_prediction(self, judged: Waiting) -> None:
+        """Use the prediction of a later judgement."""
+        self.length_class = judged.length_class
+        self.work = judged.work
+        self.service_seconds = judged.service_seconds
+        self.engines = judged.engines
+        self.judged = judged.judged
+
     def slack(self, now: float) -> float:
         """Return the time that it can still wait."""
         return self.deadline - now - self.service_seconds
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -21,7 +22,6 @@
 REBUILD_SECONDS = 1.5
 UNLISTED_SECONDS = 1.5
 STARVING_SECONDS = 1.0
-MOST_LOAD_BEFORE = 0.9
 PUMP_LIMIT = 64
 
 
@@ -38,6 +38,9 @@
         Silence of an entry after which its reservations are cancelled.
     suspects : isolation.Isolation
         Crash suspects as this entry knows them.
+    holds_lease : callable
+        Takes the time, tells whether nobody else may own the shard; without the lease nothing is
+        granted, also by a process that was frozen and handles messages before its next tick.
     """
 
     def __init__(
@@ -48,13 +51,14 @@
         lease_seconds: float,
         reservation_expiry_seconds: float,
         suspects: isolation.Isolation,
+        holds_lease: Callable[[float], bool] = lambda _now: True,
     ):
         self._shard = shard
         self._service = shard.partition("/")[0]
         self._declaration = declaration
         self._expiry = reservation_expiry_seconds
         self._generation = 0
-        self.suspended = False
+        self._holds_lease = holds_lease
         self._lease_seconds = lease_seconds
         self._fleet = fleets.Fleet(lease_seconds)
         self._queue = queue.WaitingQueue()
@@ -210,14 +214,10 @@
         How it ended is unknown, so its server counts as crashed until it goes on announcing itself.
         """
         earlier = self._fleet.ledger.find((reserve.request_id, reserve.attempt - 1))
-        failed = set(earlier.servers) & set(reserve.excluded) if earlier else set()
-        for server in sorted(failed):
-            self._handle_release(
-                messages.Release(
-                    reserve.request_id, reserve.attempt - 1, self._shard, "crashed", server
-                ),
-                now,
-            )
+        failed = [one for one in earlier.servers if one in reserve.excluded] if earlier else []
+        if failed:
+            lost = messages.Release(*earlier.key, self._shard, "crashed", failed[0])
+            self._handle_release(lost, now)
 
     def _judge(self, reserve: messages.Reserve, now: float) -> queue.Waiting:
         return prediction.judge(self._fleet, reserve, self._declaration.policy, now)
@@ -236,11 +236,7 @@
         """Predict the work of requests that came when no server was known."""
         for waiting in self._queue.all():
             if not waiting.judged:
-                judged = self._judge(waiting.reserve, now)
-                waiting.judged = judged.judged
-                waiting.length_class = judged.length_class
-                waiting.work = judged.work
-                waiting.service_seconds = judged.service_seconds
+                waiting.take_prediction(self._judge(waiting.reserve, now))
 
     def _find_refusal(
         self,
@@ -251,7 +247,7 @@
         reserve = waiting.reserve
         if self._isolation.is_confirmed(reserve.fingerprint):
             return _quarantined()
-        if self.suspended or now < self._settled_at:
+        if not self._holds_lease(now) or now < self._settled_at:
             return None  # not all servers have announced themselves to this owner yet
         if self._declaration.policy.selection == "naive":
             return None
@@ -260,7 +256,7 @@
             if reserve.attempt > 1:
                 return None  # servers may come back within the time limit
             return errors.NoBackendError("no live backend server for this request", retry_after=1.0)
-        need = reserve.prompt_tokens + reserve.output_tokens
+        need = waiting.tokens
         memories = [one.memory_tokens for one in servers]
         if any(memories) and not fleets.group_size(need, memories):
             total = sum(memories)
@@ -272,15 +268,11 @@
             )
         usable = servers
         if waiting.length_class is queue.LengthClass.LONG:
-            long_servers = self._constraints(now).long_servers
+            long_servers = self._long_servers(self._fleet.directory.live(now))
             usable = [one for one in servers if one.server in long_servers] or servers
         ahead = prediction.wait_seconds(self._fleet, self._queue, waiting, usable, now)
-        # Shorter classes that come later pass it while it waits and while its prefill runs.
-        free_share = 1 - min(
-            self._mix.load_before(waiting.length_class, len(servers)), MOST_LOAD_BEFORE
-        )
-        prefilled = (ahead + waiting.work) / free_share
-        late_by = prefilled - waiting.work - waiting.slack(now)
+        load_before = self._mix.load_before(waiting.length_class, len(servers))
+        late_by = prediction.late_by_seconds(waiting, ahead, load_before, now)
         if late_by > 0:
             return errors.OverloadedError(
                 "the request can't finish within its time limit", retry_after=max(0.1, late_by)
@@ -333,7 +325,7 @@
     def _renew(self, report: messages.HoldReport, now: float) -> set[ledger.Key]:
         """Renew what a report lists and return its keys."""
         held = {(one.request_id, one.attempt): one for one in report.held}
-        listed = set(held) | {_parse_key(text) for text in report.renewed}
+        listed = set(held) | {ledger.parse_key(text) for text in report.renewed}
         unknown = [key for key in listed if key not in self._fleet.ledger]
         for key in listed:
             known = self._fleet.ledger.find(key)
@@ -425,7 +417,6 @@
 
     def _constraints(self, now: float) -> choice.Constraints:
         servers = self._fleet.directory.live(now)
-        policy = self._declaration.policy
         isolated = {
             server
             for reservation in self._fleet.ledger.all()
@@ -441,15 +432,17 @@
         return choice.Constraints(
             closed=frozenset(isolated | failing | self._emptied),
             drained=self._drained,
-            long_servers=choice.long_set(
-                servers, long_share=self._mix.long_share(policy), policy=policy
-            ),
+            long_servers=self._long_servers(servers),
         )
 
+    def _long_servers(self, servers: list[messages.Announcement]) -> frozenset[str]:
+        policy = self._declaration.policy
+        return choice.long_set(servers, long_share=self._mix.long_share(policy), policy=policy)
+
     def _pump(self, now: float) -> None:
         """Give places to waiting requests, in their order, as far as there are any."""
         idle = not len(self._queue) or not self._generation
-        if idle or self.suspended or now < self._rebuilding_until:
+        if idle or not self._holds_lease(now) or now < self._rebuilding_until:
             return
         servers = self._fleet.directory.live(now)
         self._judge_again(now)
@@ -509,25 +502,17 @@
         if self._isolation.is_held(fingerprint):
             return None, True
         if self._isolation.is_suspect(fingerprint):
-            if self._isolated_count() >= max(1, len(servers) // 4):
+            isolated = sum(one.isolated for one in self._fleet.ledger.all())
+            if isolated >= max(1, len(servers) // 4):
                 return None, True
             return choice.choose_isolated(self._fleet, servers, waiting, constraints, now), True
-        need = reserve.prompt_tokens + reserve.output_tokens
-        if self._needs_group(servers, reserve, need):
+        offering = [one for one in servers if choice.offers(one, reserve)]
+        if choice.needs_group(offering, waiting.tokens):
             return choice.choose_group(self._fleet, servers, waiting, constraints, now), False
         policy = self._declaration.policy
         placement = choice.choose_single(self._fleet, servers, waiting, constraints, policy, now)
         return placement, False
 
-    def _isolated_count(self) -> int:
-        return sum(one.isolated for one in self._fleet.ledger.all())
-
-    def _needs_group(
-        self, servers: list[messages.Announcement], reserve: messages.Reserve, need: int
-    ) -> bool:
-        memories = [one.memory_tokens for one in servers if choice.offers(one, reserve)]
-        return bool(memories) and max(memories) > 0 and need > max(memories)
-
     def _consider_drain(
         self,
         waiting: queue.Waiting,
@@ -613,8 +598,3 @@
     return errors.RequestQuarantinedError(
         "this content crashed several backend servers; it is refused for an hour"
     )
-
-
-def _parse_key(text: str) -> ledger.Key:
-    request_id, _, attempt = text.rpartition("/")
-    return request_id, int(attempt)
