--- a/flamingoramp/consensus/founding.py
+++ b/flamingoramp/consensus/founding.py
@@ -1,7 +1,8 @@
 """How empty replicas form a cluster, or ask to join the one that exists.
 
 A replica with an empty data folder can't tell a new deployment from a lost disk. It forms a
-cluster only if every control host answers, in this incarnation, that it is empty too.
+cluster only if it is allowed to, and every founder answers, in this incarnation, that it is empty
+too. The founders are named by the settings; other control hosts join later.
 """
 
 from __future__ import annotations
@@ -17,11 +18,15 @@
 class Founding:
     """The search of an empty replica for its cluster."""
 
-    def __init__(self, *, identity: str, hosts: tuple[str, ...], rng: random.Random):
+    def __init__(
+        self, *, identity: str, hosts: tuple[str, ...], rng: random.Random, may_form: bool = True
+    ):
         self._identity = identity
         self._host = identity.partition("#")[0]
         self._hosts = hosts
+        self._known = set(hosts)
         self._rng = rng
+        self._may_form = may_form
         self._empty = {self._host: identity}
         self._cluster_exists = False
         self._due = 0.0
@@ -43,14 +48,21 @@
         host = reply.replica.partition("#")[0]
         if reply.cluster:
             self._cluster_exists = True
+            self.learn(reply.members)
             return None
         self._empty[host] = reply.replica
         return self.form()
 
+    def learn(self, replicas: tuple[str, ...]) -> None:
+        """Remember the hosts of a cluster's replicas, to ask them too."""
+        self._known |= {replica.partition("#")[0] for replica in replicas}
+
     def form(self) -> messages.Form | None:
         """Return the first membership if this replica is the one that forms the cluster."""
         complete = set(self._empty) == set(self._hosts)
-        if self._cluster_exists or not complete or self._host != min(self._hosts):
+        if not self._may_form or self._cluster_exists or not complete:
+            return None
+        if self._host != min(self._hosts):
             return None
         cluster = f"{self._rng.getrandbits(64):016x}"
         return messages.Form(cluster, tuple(sorted(self._empty.values())))
@@ -59,4 +71,4 @@
         if now < self._due:
             return []
         self._due = now + PROBE_SECONDS
-        return [effects.Send(host, message) for host in self._hosts if host != self._host]
+        return [effects.Send(host, message) for host in sorted(self._known) if host != self._host]
--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -25,6 +25,10 @@
     election_min_seconds: float = 0.6
     election_max_seconds: float = 1.2
     clock_rate_bound: float = 0.05
+    # A voter that is silent for this long gives its place to a host that waits for one.
+    voter_silence_seconds: float = 8.0
+    # A replica that hears no leader for this long may have lost its membership; it asks for it.
+    rejoin_seconds: float = 3.0
 
     @property
     def lease_seconds(self) -> float:
@@ -52,7 +56,9 @@
     identity : str
         ``host#incarnation``; a replica that lost its disk gets a new one.
     hosts : tuple of str
-        All control hosts of the settings.
+        The control hosts that found the cluster, which are asked first.
+    may_form : bool
+        Whether this replica may found a cluster at all.
     recovered : entry_log.Recovered
         What storage held at the start.
     rng : random.Random
@@ -70,6 +76,7 @@
         rng: random.Random,
         now: float,
         timing: Timing | None = None,
+        may_form: bool = True,
     ):
         self._identity = identity
         self._rng = rng
@@ -77,7 +84,9 @@
         self._hard = recovered.hard_state
         self._log = entry_log.EntryLog(recovered.snapshot, recovered.entries)
         self._memberships = self._read_memberships()
-        self._founding = founding.Founding(identity=identity, hosts=hosts, rng=rng)
+        self._founding = founding.Founding(
+            identity=identity, hosts=hosts, rng=rng, may_form=may_form
+        )
         self._commit_index = recovered.snapshot.last_index
         self._applied_index = self._commit_index
         self._leader = ""
@@ -143,6 +152,26 @@
             return False
         return now < self._quorum_contact(now) + self._timing.lease_seconds
 
+    def request_read(self, now: float) -> list[Any]:
+        """Ask a quorum to confirm that this replica still leads, for a read asked for at ``now``.
+
+        Unlike `holds_lease`, this needs no clock to run while the process is suspended.
+        """
+        self._replicate_all(now)
+        return self._take_effects()
+
+    def confirms_read(self, asked_at: float) -> bool:
+        """Tell whether a quorum confirmed the leadership after ``asked_at``."""
+        if not self._leads or self._commit_index < self._term_start_index:
+            return False
+        return self._quorum_contact(asked_at) >= asked_at
+
+    def hears_leader(self, now: float) -> bool:
+        """Tell whether this replica leads with a quorum, or follows one that does."""
+        if self._leads:
+            return self.holds_lease(now)
+        return bool(self.cluster) and now < self._leader_contact + self._timing.election_max_seconds
+
     def propose(self, kind: str, payload: bytes, now: float) -> tuple[int, list[Any]]:
         """Append a command; it counts once it is applied at the returned index and term.
 
@@ -178,8 +207,12 @@
             self._tick_leader(now)
         elif self._identity not in self.membership.voters:
             self._effects += self._founding.ask_to_join(now)
-        elif now >= self._election_deadline:
-            self._start_election(now, pre=True)
+        else:
+            if now >= self._election_deadline:
+                self._start_election(now, pre=True)
+            if now >= self._leader_contact + self._timing.rejoin_seconds:
+                self._founding.learn(self.membership.voters)
+                self._effects += self._founding.ask_to_join(now)
         return self._take_effects()
 
     def handle(self, sender: str, message: Any, now: float) -> list[Any]:
@@ -192,7 +225,10 @@
         """
         match message:
             case messages.FoundingProbe():
-                reply = messages.FoundingReply(self._identity, self.cluster, message.replica)
+                known = self.membership.voters + self.membership.learners
+                reply = messages.FoundingReply(
+                    self._identity, self.cluster, message.replica, known if self.cluster else ()
+                )
                 self._send(sender, reply)
             case messages.FoundingReply():
                 self._handle_founding_reply(message, now)
@@ -310,6 +346,24 @@
                 self._change_membership(effects.Membership(voters, rest), now)
                 return
 
+    def _retire_silent_voter(self, now: float) -> None:
+        """Remove a voter that is gone, once another host can take its place.
+
+        An even number of voters tolerates no more losses than one voter less.
+        """
+        membership = self.membership
+        replaceable = membership.learners or len(membership.voters) % 2 == 0
+        if not replaceable or len(membership.voters) <= 3 or not self._may_change_membership():
+            return
+        for voter in membership.voters:
+            if voter == self._identity:
+                continue
+            heard_at = max(self._peers[voter].acknowledged_at, self._elected_at)
+            if now - heard_at > self._timing.voter_silence_seconds:
+                voters = tuple(one for one in membership.voters if one != voter)
+                self._change_membership(effects.Membership(voters, membership.learners), now)
+                return
+
     def _read_memberships(self) -> list[tuple[int, effects.Membership]]:
         snapshot = self._log.snapshot
         found = [(snapshot.last_index, snapshot.membership)]
@@ -452,6 +506,7 @@
             return
         if now >= self._heartbeat_due:
             self._replicate_all(now)
+            self._retire_silent_voter(now)
             self._promote_learners(now)
 
     def _quorum_contact(self, now: float) -> float:
--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -2,9 +2,9 @@
 
 ``identity`` names the incarnation; ``snapshot`` holds the last snapshot and the number of the log
 that follows it; ``log.<number>`` holds the hard state and the entries, as records of length,
-checksum and payload. Replacing ``snapshot`` switches both at once. A record that is cut
-off or fails its checksum at the very end of the log was never acknowledged and is dropped; one that
-others follow is an error.
+checksum and payload. Replacing ``snapshot`` switches both at once. All that is synced together
+is one record, so that a write that was torn anywhere is one bad record at the very end of the log;
+it was never acknowledged and is dropped. A bad record that others follow is an error.
 """
 
 from __future__ import annotations
@@ -27,6 +27,8 @@
 _HARD = 1
 _ENTRY = 2
 _TRUNCATE = 3
+_BATCH = 4
+_ITEM_LENGTH = struct.Struct(">I")
 _ENTRY_HEAD = struct.Struct(">QQH")
 
 _converter = cattrs.Converter()
@@ -37,6 +39,29 @@
     return _RECORD.pack(len(body), zlib.crc32(body)) + body
 
 
+def _pack_batch(items: list[tuple[int, bytes]]) -> bytes:
+    parts = []
+    for tag, payload in items:
+        parts.append(_ITEM_LENGTH.pack(len(payload) + 1) + bytes([tag]) + payload)
+    return _record(_BATCH, b"".join(parts))
+
+
+def _unpack_batches(records: list[bytes]) -> list[bytes]:
+    """Return the tag and payload of each item, also of records that stand alone."""
+    items = []
+    for record in records:
+        if record[0] != _BATCH:
+            items.append(record)
+            continue
+        position = 1
+        while position < len(record):
+            (length,) = _ITEM_LENGTH.unpack_from(record, position)
+            position += _ITEM_LENGTH.size
+            items.append(record[position : position + length])
+            position += length
+    return items
+
+
 def _pack_entry(entry: messages.LogEntry) -> bytes:
     kind = entry.kind.encode()
     return _ENTRY_HEAD.pack(entry.index, entry.term, len(kind)) + kind + entry.payload
@@ -96,7 +121,7 @@
 def _replay(records: list[bytes], snapshot: effects.Snapshot) -> entry_log.Recovered:
     hard = effects.HardState()
     entries: list[messages.LogEntry] = []
-    for record in records:
+    for record in _unpack_batches(records):
         tag, body = record[0], record[1:]
         if tag == _HARD:
             hard = _converter.structure(json.loads(body), effects.HardState)
@@ -145,15 +170,19 @@
 
     def recover(self) -> entry_log.Recovered:
         """Read snapshot and log, and open the log for appending."""
+        if self._file is not None:
+            self._file.close()
         snapshot = self._read_snapshot()
         path = self._log_path()
         data = path.read_bytes() if path.exists() else b""
         records, end = read_records(data, str(path))
-        self._file = open(path, "ab")  # noqa: SIM115
-        self._write(lambda: self._file.truncate(end))
-        self._sync_folder()
+        self._write(lambda: self._open_log(path, end))
         return _replay(records, snapshot)
 
+    def check_writable(self) -> None:
+        """Write and sync a small file, to learn whether the disk takes anything."""
+        self._replace(self._folder / "probe", b"writable")
+
     def persist(self, batch: list[effects.Persist]) -> None:
         """Append the records of a batch and sync them once."""
         self._write(lambda: self._append(batch))
@@ -166,19 +195,20 @@
     ) -> None:
         """Replace snapshot and log together."""
         previous = self._log_path()
-        self._log_number += 1
+        number = self._log_number + 1
         head = json.dumps(
             {
                 "last_index": snapshot.last_index,
                 "last_term": snapshot.last_term,
                 "membership": attrs.asdict(snapshot.membership),
-                "log_number": self._log_number,
+                "log_number": number,
             }
         ).encode()
         records = [_record(_HARD, json.dumps(attrs.asdict(hard_state)).encode())]
         records += [_record(_ENTRY, _pack_entry(entry)) for entry in entries]
-        self._replace(self._log_path(), b"".join(records))
+        self._replace(self._folder / f"log.{number}", b"".join(records))
         self._replace(self._folder / "snapshot", _record(1, head) + _record(2, snapshot.data))
+        self._log_number = number
         if self._file is not None:
             self._file.close()
         self._file = open(self._log_path(), "ab")  # noqa: SIM115
@@ -190,14 +220,19 @@
             self._file.close()
         self._lock.close()
 
+    def _open_log(self, path: pathlib.Path, end: int) -> None:
+        self._file = open(path, "ab")  # noqa: SIM115
+        self._file.truncate(end)
+        self._sync_folder()
+
     def _append(self, batch: list[effects.Persist]) -> None:
-        records = []
+        items = []
         for item in batch:
-            records.append(_record(_HARD, json.dumps(attrs.asdict(item.hard_state)).encode()))
+            items.append((_HARD, json.dumps(attrs.asdict(item.hard_state)).encode()))
             if item.truncate_from:
-                records.append(_record(_TRUNCATE, item.truncate_from.to_bytes(8, "big")))
-            records += [_record(_ENTRY, _pack_entry(entry)) for entry in item.entries]
-        self._file.write(b"".join(records))
+                items.append((_TRUNCATE, item.truncate_from.to_bytes(8, "big")))
+            items += [(_ENTRY, _pack_entry(entry)) for entry in item.entries]
+        self._file.write(_pack_batch(items))
         self._file.flush()
         os.fsync(self._file.fileno())
 
@@ -259,6 +294,9 @@
         """Return the empty state."""
         return entry_log.Recovered()
 
+    def check_writable(self) -> None:
+        """Do nothing."""
+
     def persist(self, batch: list[effects.Persist]) -> None:
         """Do nothing: the replica's own memory is all there is."""
 
--- /dev/null
+++ b/flamingoramp/daemons/node_process.py
@@ -0,0 +1,105 @@
+"""What a daemon that is told only of itself is wired from: loop, transport, logs, metrics."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+from flamingoramp import errors
+from flamingoramp.http import messages as http_messages
+from flamingoramp.http import server as http_server
+from flamingoramp.runtime import clock, event_log, loop, metrics, node_settings, transport
+
+METRICS_PATH = "/metrics"
+FLUSH_SECONDS = 0.2
+
+
+class NodeProcess:
+    """The parts of one daemon.
+
+    Parameters
+    ----------
+    settings : node_settings.NodeSettings
+    role : str
+        What the process is on the time line and in the logs.
+    inner : str
+        ``ip:port`` for other processes.
+    deliver : callable
+        Takes sender, message and connection of each inner message.
+    """
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        *,
+        role: str,
+        inner: str,
+        deliver: Callable[[str, Any, transport.Connection], None],
+    ):
+        self.name = f"{role}-{settings.name}"
+        self.settings = settings
+        self.loop = loop.Loop()
+        self.metrics = metrics.Metrics()
+        self.log = event_log.EventLog(self.name)
+        self.transport = transport.Transport(
+            self.loop,
+            name=self.name,
+            listen=inner,
+            clock=clock.HybridClock(),
+            deliver=deliver,
+            on_protocol_error=self.note_protocol_error,
+        )
+        self.servers: list[http_server.Server] = []
+        if settings.listen.metrics:
+            self.serve(settings.listen.metrics, self._answer_metrics)
+        self.loop.after_each_batch(self.log.flush)
+
+    def serve(
+        self, listen: str, handler: Callable[[http_server.Exchange], None], **options: Any
+    ) -> http_server.Server:
+        """Listen for HTTP on an address."""
+
+        def _count(status: int) -> None:
+            self.metrics.count("refused_bytes", status=str(status))
+
+        made = http_server.Server(self.loop, listen, handler, on_refused=_count, **options)
+        self.servers.append(made)
+        return made
+
+    def wall_time(self) -> float:
+        """Return Unix time in seconds."""
+        return time.time()
+
+    def new_incarnation(self) -> str:
+        """Return a name that no earlier start of any process had."""
+        return secrets.token_hex(6)
+
+    def note_protocol_error(self, error: errors.ProtocolError) -> None:
+        """Count and log bytes of another process that can't be read."""
+        self.metrics.count("protocol_errors")
+        self.log.write("protocol.error", text=str(error))
+
+    def run(self, *, on_stop: Callable[[], None], on_reload: Callable[[], None]) -> None:
+        """Serve until the loop stops; signals to stop or reload call back in the loop."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda _number, _frame: self.loop.post(on_stop))
+        signal.signal(signal.SIGHUP, lambda _number, _frame: self.loop.post(on_reload))
+        try:
+            self.loop.run()
+        finally:
+            self.log.write("process.stopped")
+            self.log.flush()
+            for server in self.servers:
+                server.close()
+            self.transport.close()
+            self.loop.close()
+
+    def _answer_metrics(self, exchange: http_server.Exchange) -> None:
+        if exchange.request.path != METRICS_PATH:
+            exchange.answer(http_messages.Answer(404))
+            return
+        kind = (b"content-type", b"text/plain; version=0.0.4")
+        exchange.answer(http_messages.Answer(200, (kind,), self.metrics.render()))
--- a/flamingoramp/errors.py
+++ b/flamingoramp/errors.py
@@ -79,6 +79,26 @@
     status = 413
 
 
+class InvalidDeclarationError(BadRequestError):
+    """A declaration contradicts itself or can't be read in full."""
+
+    code = "invalid_declaration"
+
+
+class UnknownKeyError(BadRequestError):
+    """No workspace holds the request's key."""
+
+    code = "unknown_key"
+    status = 401
+
+
+class UnknownRouteError(BadRequestError):
+    """No route of the host begins the request's path."""
+
+    code = "unknown_route"
+    status = 404
+
+
 class PromptTooLongError(BadRequestError):
     """No set of engines holds a prompt of this length."""
 
@@ -129,6 +149,12 @@
     status = 504
 
 
+class RouteTimeoutError(TimeLimitExceededError):
+    """The route's timeout passed before the answer was whole."""
+
+    code = "route_timeout"
+
+
 class BackendFailedError(FlamingorampError):
     """The backend server failed and no further attempt was allowed."""
 
--- /dev/null
+++ b/flamingoramp/http/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP connections."""
--- /dev/null
+++ b/flamingoramp/platform/speech.py
@@ -0,0 +1,124 @@
+"""The platform's calls, as the daemons use them."""
+
+from __future__ import annotations
+
+from urllib import parse
+
+from flamingoramp import dialect, errors
+from flamingoramp.http import client, messages
+from flamingoramp.intent import traffic
+from flamingoramp.platform import backends, declarations, names
+
+
+class Speech:
+    """An implementation of `flamingoramp.dialect.Dialect`."""
+
+    def decode_control_call(self, request: messages.Request) -> dialect.ControlCall:
+        """Decode a call to a control host."""
+        found = names.SERVER_PATH.match(request.path)
+        match (request.method, found is not None, request.path):
+            case (b"PUT", True, _):
+                server = parse.unquote(found[1])
+                return dialect.Announce(backends.decode_announcement(server, request.body))
+            case (b"DELETE", True, _):
+                return dialect.Withdraw(parse.unquote(found[1]))
+            case (b"PUT", _, names.DECLARATION_PATH):
+                version = declarations.read_version(declarations.load(request.body))
+                return dialect.Declare(version, request.body)
+            case (b"GET", _, names.DECLARATION_PATH):
+                return dialect.ReadDeclaration()
+        raise errors.UnknownRouteError(f"no such call: {request.path}")
+
+    def decode_declaration(self, document: bytes) -> traffic.TrafficDeclaration:
+        """Decode a declaration and check it."""
+        return declarations.decode(document)
+
+    def encode_error(self, error: errors.FlamingorampError) -> messages.Answer:
+        """Encode a refusal or failure."""
+        status = error.status
+        if isinstance(error, errors.RequestQuarantinedError):
+            status = 400  # the only kind of status that the callers here don't repeat
+        if isinstance(error, errors.OverloadedError):
+            status = 503
+        headers: messages.Headers = ()
+        if error.retry_after:
+            headers = ((names.RETRY_AFTER, f"{error.retry_after:.3f}".encode()),)
+        body = {"code": error.code, "message": str(error), "outcome": error.outcome.value}
+        return messages.json_answer(body, status=status, headers=headers)
+
+    def encode_acknowledgement(self) -> messages.Answer:
+        """Encode that a call took effect."""
+        return messages.json_answer({})
+
+    def encode_document(self, document: bytes) -> messages.Answer:
+        """Encode the declaration in force, as the operator sent it."""
+        return messages.Answer(200, ((b"content-type", b"application/json"),), document)
+
+    def is_readiness_call(self, request: messages.Request) -> bool:
+        """Tell whether the platform asks if this process is ready."""
+        return request.method == b"GET" and request.path == names.READY_PATH
+
+    def decode_directory_call(self, request: messages.Request) -> str:
+        """Return the availability zone of a caller that asks where to connect."""
+        if request.method != b"GET" or request.path != names.DIRECTORY_PATH:
+            raise errors.UnknownRouteError(f"no such call: {request.path}")
+        return parse.parse_qs(request.query).get("zone", [""])[0]
+
+    def encode_directory(self, addresses: list[str], seconds: float) -> messages.Answer:
+        """Encode where callers may connect, and how long they may keep the answer."""
+        return messages.json_answer({"addrs": addresses, "ttl_s": seconds})
+
+    def decode_request(self, request: messages.Request) -> dialect.CallerRequest:
+        """Decode a caller's request.
+
+        Raises
+        ------
+        flamingoramp.errors.BadRequestError
+            If it names itself not at all, or gives numbers that can't be read.
+        """
+
+        def _text(name: bytes) -> str:
+            return (request.header(name) or b"").decode("latin-1")
+
+        request_id = _text(names.REQUEST_ID)
+        if not request_id:
+            raise errors.BadRequestError("the request has no id")
+        host = _text(b"host").lower()
+        key = request.header(names.AUTHORIZATION) or b""
+        has_key = key[: len(names.KEY_SCHEME)].lower() == names.KEY_SCHEME
+        tokens = _text(names.TOKENS)
+        prompt, _, output = tokens.partition(",")
+        try:
+            deadline = request.header(names.DEADLINE)
+            return dialect.CallerRequest(
+                request_id=request_id,
+                host=host.partition(":")[0],
+                path=request.path,
+                key=key[len(names.KEY_SCHEME) :].strip().decode("latin-1") if has_key else "",
+                time_left=int(deadline) / 1000 if deadline else None,
+                prompt_tokens=max(0, int(prompt)) if prompt else 0,
+                output_tokens=max(0, int(output)) if output else 0,
+                last_event_id=_text(names.LAST_EVENT_ID),
+            )
+        except ValueError as error:
+            raise errors.BadRequestError("a header takes a whole number") from error
+
+    def encode_forward(self, forward: dialect.Forward) -> messages.Request:
+        """Encode the request to a backend server."""
+        return backends.encode_forward(forward)
+
+    def read_answer(self, head: client.Head, request_id: str) -> dialect.Reading:
+        """Decode the head of a backend server's answer."""
+        return backends.read_answer(head, request_id)
+
+    def encode_reserve(
+        self, server: str, ticket: str, tokens: int, seconds: float
+    ) -> messages.Request:
+        """Encode a reservation of an engine's memory, or its renewal."""
+        hold = int(seconds * 1000)
+        body = {"op": "reserve", "id": ticket, "tokens": tokens, "hold_ms": hold}
+        return backends.encode_order(server, body)
+
+    def encode_release(self, server: str, ticket: str) -> messages.Request:
+        """Encode the end of a reservation."""
+        return backends.encode_order(server, {"op": "release", "id": ticket})
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -99,6 +99,7 @@
     replica: str = ""
     cluster: str = ""
     probe: str = ""
+    members: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -355,6 +356,147 @@
     highest_fence: int = 0
 
 
+@attrs.frozen
+class EntryRecord:
+    """An entry as it last reported itself; ``born`` is Unix time, ``age`` seconds since heard."""
+
+    entry: str = ""
+    incarnation: str = ""
+    callers: str = ""
+    inner: str = ""
+    zone: str = ""
+    ready: bool = False
+    leaving: bool = False
+    sequence: int = 0
+    age: float = 0.0
+    born: float = 0.0
+
+
+@attrs.frozen
+class ServerRecord:
+    """A backend server as it last announced itself.
+
+    ``sequence`` grows with each announcement since its start, ``born`` is the Unix time of that
+    start in milliseconds (0 if unknown), and ``age`` is in seconds since the announcement.
+    """
+
+    server: str = ""
+    service: str = ""
+    address: str = ""
+    zone: str = ""
+    software: str = ""
+    slots: int = 0
+    leaving: bool = False
+    cold_seconds: float = 0.0
+    sequence: int = 0
+    born: int = 0
+    age: float = 0.0
+    gone: bool = False
+
+
+@attrs.frozen
+class CrashRecord:
+    """A request content that was running when a backend server broke off; ``age`` in seconds."""
+
+    fingerprint: str = ""
+    server: str = ""
+    born: int = 0
+    age: float = 0.0
+
+
+@attrs.frozen
+class Subscribe:
+    """Ask a control host for updates; carries what the subscriber reports."""
+
+    name: str = ""
+    version: int = 0
+    is_control: bool = False
+    entries: tuple[EntryRecord, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    control: str = ""
+
+
+@attrs.frozen
+class ClusterUpdate:
+    """What changed since the last update on this connection.
+
+    ``confirmed`` says that the sender hears the leader, so that its version is not an old one.
+    """
+
+    version: int = 0
+    document: bytes = b""
+    confirmed: bool = False
+    controls: tuple[str, ...] = ()
+    servers: tuple[ServerRecord, ...] = ()
+    entries: tuple[EntryRecord, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+
+
+@attrs.frozen
+class DeclareRequest:
+    """Forward an operator's declaration to the leader."""
+
+    request_id: str = ""
+    version: int = 0
+    document: bytes = b""
+
+
+@attrs.frozen
+class DeclareReply:
+    """The leader's answer to a forwarded declaration."""
+
+    request_id: str = ""
+    accepted: bool = False
+    version: int = 0
+    code: str = ""
+    text: str = ""
+
+
+@attrs.frozen
+class ReadRequest:
+    """Ask the leader for the newest declaration, confirmed by a quorum."""
+
+    request_id: str = ""
+
+
+@attrs.frozen
+class ReadReply:
+    """The newest declaration, if a quorum confirmed the leader."""
+
+    request_id: str = ""
+    confirmed: bool = False
+    version: int = 0
+    document: bytes = b""
+
+
+@attrs.frozen
+class EngineLoad:
+    """What one entry has running on a backend server.
+
+    ``strict``, ``relaxed`` and ``patient`` count answers by the pauses that they tolerate;
+    ``reading_seconds`` is prompt reading ahead, of which ``part_seconds`` is the longest piece.
+    """
+
+    server: str = ""
+    strict: int = 0
+    relaxed: int = 0
+    patient: int = 0
+    reading_seconds: float = 0.0
+    part_seconds: float = 0.0
+    memory_tokens: int = 0
+    helping: int = 0
+
+
+@attrs.frozen
+class LoadReport:
+    """All that one entry has running."""
+
+    entry: str = ""
+    incarnation: str = ""
+    sequence: int = 0
+    engines: tuple[EngineLoad, ...] = ()
+
+
 @attrs.frozen
 class Ping:
     """Liveness check of a connection."""
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -8,7 +8,7 @@
 struct AppendReply { term @0 :UInt64; ok @1 :Bool; matchIndex @2 :UInt64; sentAt @3 :Float64; }
 struct InstallSnapshot { term @0 :UInt64; leader @1 :Text; lastIndex @2 :UInt64; lastTerm @3 :UInt64; replicas @4 :List(Text); learners @5 :List(Text); data @6 :Data; sentAt @7 :Float64; cluster @8 :Text; }
 struct FoundingProbe { replica @0 :Text; }
-struct FoundingReply { replica @0 :Text; cluster @1 :Text; probe @2 :Text; }
+struct FoundingReply { replica @0 :Text; cluster @1 :Text; probe @2 :Text; members @3 :List(Text); }
 struct Form { cluster @0 :Text; replicas @1 :List(Text); }
 struct JoinRequest { replica @0 :Text; }
 
@@ -36,6 +36,18 @@
 struct Ping { sequence @0 :UInt64; }
 struct Pong { sequence @0 :UInt64; }
 
+struct EntryRecord { entry @0 :Text; incarnation @1 :Text; callers @2 :Text; inner @3 :Text; zone @4 :Text; ready @5 :Bool; leaving @6 :Bool; sequence @7 :UInt64; age @8 :Float64; born @9 :Float64; }
+struct ServerRecord { server @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; software @4 :Text; slots @5 :UInt32; leaving @6 :Bool; coldSeconds @7 :Float64; sequence @8 :UInt64; born @9 :UInt64; age @10 :Float64; gone @11 :Bool; }
+struct CrashRecord { fingerprint @0 :Text; server @1 :Text; born @2 :UInt64; age @3 :Float64; }
+struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; }
+struct ClusterUpdate { version @0 :UInt64; document @1 :Data; confirmed @2 :Bool; controls @3 :List(Text); servers @4 :List(ServerRecord); entries @5 :List(EntryRecord); crashes @6 :List(CrashRecord); }
+struct DeclareRequest { requestId @0 :Text; version @1 :UInt64; document @2 :Data; }
+struct DeclareReply { requestId @0 :Text; accepted @1 :Bool; version @2 :UInt64; code @3 :Text; text @4 :Text; }
+struct ReadRequest { requestId @0 :Text; }
+struct ReadReply { requestId @0 :Text; confirmed @1 :Bool; version @2 :UInt64; document @3 :Data; }
+struct EngineLoad { server @0 :Text; strict @1 :UInt32; relaxed @2 :UInt32; patient @3 :UInt32; readingSeconds @4 :Float32; partSeconds @5 :Float32; memoryTokens @6 :UInt32; helping @7 :UInt32; }
+struct LoadReport { entry @0 :Text; incarnation @1 :Text; sequence @2 :UInt64; engines @3 :List(EngineLoad); }
+
 struct Frame {
   sender @0 :Text;
   clock @27 :UInt64;
@@ -66,5 +78,12 @@
     announcement @24 :Announcement;
     ping @25 :Ping;
     pong @26 :Pong;
+    subscribe @28 :Subscribe;
+    clusterUpdate @29 :ClusterUpdate;
+    declareRequest @30 :DeclareRequest;
+    declareReply @31 :DeclareReply;
+    readRequest @32 :ReadRequest;
+    readReply @33 :ReadReply;
+    loadReport @34 :LoadReport;
   }
 }
--- a/flamingoramp/protocol/tests/test_codec.py
+++ b/flamingoramp/protocol/tests/test_codec.py
@@ -39,6 +39,7 @@
 
     def test_every_framed_kind(self):
         nested = {"LogEntry", "Suspect", "ShardOwner", "EntryAddress", "HeldReservation"}
+        nested |= {"EntryRecord", "ServerRecord", "CrashRecord", "EngineLoad"}
         for kind in ALL_KINDS:
             if kind.__name__ in nested:
                 continue
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -10,6 +10,8 @@
 
 READ_BYTES = 256 * 1024
 UNACKNOWLEDGED_LIMIT_MS = 10_000
+# Time for the other end to read the last answer before the connection is closed.
+DRAIN_SECONDS = 1.0
 
 
 class Stream:
@@ -46,6 +48,9 @@
         self._finishing = False
         self._open = True
         self._writing = True
+        self._draining = False
+        self._sent_bytes = 0
+        self._was_reset = False
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -62,6 +67,16 @@
         """Bytes that are not handed to the system yet."""
         return len(self._buffer)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes that were handed to the system."""
+        return self._sent_bytes
+
+    @property
+    def was_reset(self) -> bool:
+        """Whether the connection ended by an error rather than by the other end's close."""
+        return self._was_reset
+
     def write(self, data: bytes) -> None:
         """Queue bytes for sending."""
         if not self._open:
@@ -79,6 +94,27 @@
         if self._open and not self._buffer:
             self.close()
 
+    def shut_down(self) -> None:
+        """Send what is queued, end the writing side, and drop what still comes in.
+
+        Closing with unread bytes would reset the connection and could destroy the last answer.
+        """
+        if not self._open or self._finishing:
+            return
+        self._finishing = True
+        self._draining = True
+        self._loop.call_later(DRAIN_SECONDS, self.close)
+        if not self._buffer:
+            self._end_writing()
+
+    def _end_writing(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()  # the other end is gone already
+            return
+        self._want_write(False)
+
     def close(self) -> None:
         """Close at once, without a call to ``on_closed``."""
         if not self._open:
@@ -104,8 +140,11 @@
         except BlockingIOError:
             return
         except OSError:
+            self._was_reset = True
             self._fail()
             return
+        if data and self._draining:
+            return
         if data:
             self._on_data(data)
         elif not self._finishing:
@@ -117,14 +156,18 @@
         try:
             while self._buffer:
                 sent = self._sock.send(self._buffer)
+                self._sent_bytes += sent
                 del self._buffer[:sent]
         except BlockingIOError:
             self._want_write(True)
             return
         except OSError:
+            self._was_reset = True
             self._fail()
             return
-        if self._finishing:
+        if self._draining:
+            self._end_writing()
+        elif self._finishing:
             self.close()
         else:
             self._want_write(False)
