Weigh a placement by what it puts at risk, also for requests still to come

A giant prompt split over all engines made every short answer pause and every arrival wait; a group whose members wait for memory held its first token for 7 s. The planner now counts the time in which too few engines are free, what a part does to prompts that wait there, and asks for memory to be held evenly.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -22,7 +22,7 @@
 from flamingoramp.intent import traffic
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages as inner
-from flamingoramp.routing import load_book, observations, placement
+from flamingoramp.routing import load_book, observations, placement, rates
 from flamingoramp.runtime import datagrams, node_settings
 from flamingoramp.runtime import transport as transports
 
@@ -87,6 +87,7 @@
         self._peers_heard: dict[str, float] = {}
         self._observations = observations.Observations()
         self._allowances: dict[str, allowance.RetryAllowance] = {}
+        self._arrivals: dict[str, rates.RateMeter] = {}
         self._active: set[forwarding.Forwarding] = set()
         self.book = load_book.LoadBook()
         self.pool = client.Pool(self.loop)
@@ -426,8 +427,16 @@
             objective=admitted.route.objective,
             pause=admitted.route.pause_objective,
             zone=self._settings.availability_zone,
+            limit=admitted.time_limit,
+        )
+        now = self.loop.now()
+        meter = self._arrivals.setdefault(service.name, rates.RateMeter())
+        if not excluded:
+            meter.add(job.credit, now)
+        entries = 1 + len(self._peer_addresses())
+        found = self._planner(service.name).place(
+            job, candidates, arriving=entries * meter.rate(now)
         )
-        found = self._planner(service.name).place(job, candidates)
         if found is None:
             raise errors.OverloadedError("no engine has room", retry_after=RETRY_AFTER_SECONDS)
         return self._to_target(found, job, records)
@@ -550,6 +559,12 @@
             self._crashes.setdefault(record.fingerprint, set()).add((server.server, server.born))
             self._new_crashes.append(record)
 
+    def note_silent(self, server: inner.ServerRecord) -> None:
+        """Note that a server kept silent, unless it is known to read a long prompt."""
+        now = self.loop.now()
+        if self.book.load(server.server, now).reading_seconds <= 0:
+            self._observations.note_broken(_key(server), now)
+
     def note_answer(self, server: inner.ServerRecord, failed: bool) -> None:
         """Note a whole answer."""
         self._observations.note_answer(_key(server), failed=failed, now=self.loop.now())
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -24,13 +24,16 @@
 from flamingoramp.routing import load_book
 from flamingoramp.runtime import loop as loops
 
-# A first piece that is this many times later than predicted, and later than this share of the
-# objective, has another server try.
+# A first piece that is this many times later than predicted, and later than this many seconds, has
+# another server try. An earlier try costs an engine more than it gains the caller.
 PATIENCE_FACTOR = 3.0
-PATIENCE_SHARE = 1.5
-# A stream that pauses for this many tolerated pauses, and for this long, is taken up elsewhere.
+PATIENCE_SECONDS = 0.8
+# A stream that pauses for this many tolerated pauses, and for this long, is taken up elsewhere;
+# callers give up after 2 s.
 SILENCE_FACTOR = 3.0
-SILENCE_SECONDS = 1.0
+SILENCE_SECONDS = 1.4
+# A plain call that takes this many times its objective has another server try.
+PLAIN_PATIENCE_SHARE = 1.5
 # A retry needs this much time to be of use.
 SMALLEST_TIME_LEFT = 0.05
 # Placements tried for a prompt whose memory was refused.
@@ -102,6 +105,9 @@
     def note_broken(self, admitted: Admitted, server: inner.ServerRecord, crashed: bool) -> None:
         """Note that a server broke off or couldn't be reached."""
 
+    def note_silent(self, server: inner.ServerRecord) -> None:
+        """Note that a server kept silent for longer than predicted."""
+
     def note_answer(self, server: inner.ServerRecord, failed: bool) -> None:
         """Note a whole answer."""
 
@@ -303,27 +309,40 @@
             self._watch(attempt, self._patience(target))
 
     def _patience(self, target: Target) -> float:
-        objective = self._admitted.route.objective
-        return max(PATIENCE_FACTOR * target.predicted_seconds, PATIENCE_SHARE * objective)
+        route = self._admitted.route
+        if not route.streams:
+            return PLAIN_PATIENCE_SHARE * route.objective
+        return max(PATIENCE_FACTOR * target.predicted_seconds, PATIENCE_SECONDS)
 
     def _watch(self, attempt: _Attempt, patience: float) -> None:
         """Look after an attempt once it should have been heard of."""
-        due = attempt.heard_at + patience
+        loop = self._around.loop
 
         def _check() -> None:
             if self._current is not attempt or not attempt.is_current:
                 return
-            if self._around.loop.now() < attempt.heard_at + patience - 0.001:
+            silent = loop.now() - attempt.heard_at
+            if silent < patience - 0.001 or not self._replace_silent(attempt, silent):
                 self._watch(attempt, patience)
-            elif self._can_retry():
-                self._around.note_step(
-                    self._admitted, "request.silent", server=attempt.target.server.server
-                )
-                self._around.note_broken(self._admitted, attempt.target.server, crashed=False)
-                self._may_have_run = True
-                self._retry("silent")
 
-        self._around.loop.call_later(max(0.0, due - self._around.loop.now()), _check)
+        due = max(attempt.heard_at + patience, loop.now() + 0.25 * patience)
+        loop.call_later(due - loop.now(), _check)
+
+    def _replace_silent(self, attempt: _Attempt, silent: float) -> bool:
+        """Have another server take over; False if the silent one is the best there is."""
+        if not self._can_retry():
+            return False
+        try:
+            self._around.choose(self._admitted, self._tried)
+        except errors.FlamingorampError:
+            return False
+        server = attempt.target.server
+        self._around.note_step(
+            self._admitted, "request.silent", server=server.server, silent=round(silent, 3)
+        )
+        self._around.note_silent(server)
+        self._may_have_run = True
+        return self._retry("silent")
 
     def _can_retry(self) -> bool:
         """Tell whether a further send is allowed and of use."""
--- a/flamingoramp/dispatch/tickets.py
+++ b/flamingoramp/dispatch/tickets.py
@@ -14,8 +14,8 @@
 from flamingoramp.runtime import loop as loops
 
 # An engine frees what is not renewed for this long; a dead entry leaves no memory behind.
-HOLD_SECONDS = 3.0
-RENEW_SECONDS = 0.9
+HOLD_SECONDS = 3.5
+RENEW_SECONDS = 1.4
 # An engine that doesn't answer an order within this time is taken to have refused it.
 ANSWER_SECONDS = 0.4
 RELEASE_TRIES = 4
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -18,9 +18,11 @@
 
 # Counts of engines that share the reading of one prompt; a power of two and a half step between.
 GROUP_SIZES = (1, 2, 3, 4, 6, 8, 11, 14, 17)
-# A first token within this share of the objective is safely on time, one beyond the other is late.
-SAFE_SHARE = 0.4
-LATE_SHARE = 0.92
+# A first token is safely on time if it is predicted this much before the objective: a share of it
+# for what the model leaves out, and seconds for what happens between two load reports.
+SAFE_SHARE = 0.75
+SAFE_SECONDS = 0.08
+LATE_SHARE = 0.95
 # Likewise for pauses, of which the prediction is sharper.
 SAFE_PAUSE_SHARE = 0.72
 LATE_PAUSE_SHARE = 1.05
@@ -29,17 +31,38 @@
 # Credit grows more slowly than length.
 CREDIT_EXPONENT = 0.8
 # Preferences that decide between placements of about equal risk, in units of risk.
-PACKING_BONUS = 0.015
+PACKING_BONUS = 0.03
 OTHER_ZONE_COST = 0.01
 ENGINE_COST = 0.04
 SILENT_COST = 5.0
 # Requests beyond its slots that an engine may be given; it queues a few.
 QUEUE_PLACES = 2
 QUEUE_COST = 1.0
+# Slots that packing leaves free for requests that other entries place at the same moment, and the
+# cost of using each of them.
+SPARE_SLOTS = 3
+SPARE_SLOT_COST = 0.09
 # Share of an engine's memory that placements may fill; the rest covers growing answers.
 MEMORY_SHARE = 0.94
-# Pause after which a long answer's own reading piece no longer fits (see `reading_pause`).
-LARGEST_GROUP = 16
+# An engine with more prompt reading ahead than this is no good place for a short prompt.
+BLOCKED_SECONDS = 0.15
+# Arriving requests are served on time while at least this share of the engines isn't blocked.
+FREE_SHARE = 0.45
+# Longest time for which arrivals are predicted.
+HORIZON_SECONDS = 12.0
+# Credit that a late answer loses; the rest is lost only if it doesn't come at all.
+LATE_LOSS = 0.75
+# A first token within these shares of the time that the caller waits is surely, and never, served.
+SERVED_SHARE = 0.7
+UNSERVED_SHARE = 0.92
+# Credit of a prompt that waits to be read, by the seconds of reading ahead, and its most.
+WAITING_CREDIT = 8.0
+MOST_WAITING_CREDIT = 16.0
+# A part that is read ahead of it delays it by this much without harm, and with full harm.
+DELAY_SAFE_SECONDS = 0.15
+DELAY_LATE_SECONDS = 1.0
+# A prompt beyond this share of an engine's memory is held by several, to leave room for others.
+WHOLE_SHARE = 0.55
 
 
 @attrs.frozen
@@ -60,13 +83,14 @@
 
 @attrs.frozen
 class Job:
-    """What is to be placed; times in seconds."""
+    """What is to be placed; times in seconds, ``limit`` is how long the caller waits."""
 
     prompt_tokens: int
     output_tokens: int
     objective: float
     pause: float
     zone: str
+    limit: float = 30.0
 
     @property
     def credit(self) -> float:
@@ -110,6 +134,16 @@
     return (value - low) / (high - low)
 
 
+def lateness_risk(first_token: float, objective: float) -> float:
+    """Return how likely a predicted first token is late.
+
+    Beyond the objective it still grows a little, so that of late placements the earliest is taken.
+    """
+    safe = SAFE_SHARE * objective - SAFE_SECONDS
+    risk = ramp(first_token, min(safe, 0.9 * objective), LATE_SHARE * objective)
+    return risk + 0.05 * max(0.0, first_token / objective - 1.0)
+
+
 def pause_risk(pause: float, tolerated: float) -> float:
     """Return how likely a pause makes an answer late that tolerates some seconds."""
     return ramp(pause, SAFE_PAUSE_SHARE * tolerated, LATE_PAUSE_SHARE * tolerated)
@@ -135,20 +169,38 @@
 PATIENT_TOLERANCE = 1.0
 
 
-def harm(load: load_book.ServerLoad, pause: float) -> float:
-    """Return the risk that a pause puts on the answers of a server."""
+def harm(load: load_book.ServerLoad, pause: float, part: float) -> float:
+    """Return the risk that reading a part, with the pause it makes, puts on a server's work.
+
+    Answers that are being written pause; prompts that wait there are read later.
+    """
+    waiting = min(MOST_WAITING_CREDIT, WAITING_CREDIT * load.reading_seconds)
     return (
         load.strict * STRICT_CREDIT * pause_risk(pause, STRICT_TOLERANCE)
         + load.relaxed * RELAXED_CREDIT * pause_risk(pause, RELAXED_TOLERANCE)
         + load.patient * PATIENT_CREDIT * pause_risk(pause, PATIENT_TOLERANCE)
+        + waiting * ramp(part, DELAY_SAFE_SECONDS, DELAY_LATE_SECONDS)
     )
 
 
+def shortage(free: float) -> float:
+    """Return the share of arriving requests that are late while a share of engines is free."""
+    return ramp(FREE_SHARE - free, 0.0, FREE_SHARE) ** 2
+
+
 def _preference(server: str) -> int:
     """Return an order of servers that all entries agree on."""
     return zlib.crc32(server.encode())
 
 
+def _free_share(one: Candidate, seconds: float) -> float:
+    """Return the share of some seconds in which an engine has no long reading ahead."""
+    if one.is_doubtful:
+        return 0.0
+    blocked = one.load.reading_seconds
+    return 1.0 - min(1.0, blocked / seconds) if blocked > BLOCKED_SECONDS else 1.0
+
+
 class Planner:
     """Places requests on the engines of one service.
 
@@ -159,9 +211,23 @@
 
     def __init__(self, model: traffic.EngineModel):
         self._model = model
+        self._arriving = 0.0
+        self._candidates: list[Candidate] = []
 
-    def place(self, job: Job, candidates: list[Candidate]) -> Placement | None:
-        """Return the placement of least risk, None if no engine has room."""
+    def place(
+        self, job: Job, candidates: list[Candidate], *, arriving: float = 0.0
+    ) -> Placement | None:
+        """Return the placement of least risk, None if no engine has room.
+
+        Parameters
+        ----------
+        job : Job
+        candidates : list of Candidate
+        arriving : float
+            Credit of the requests that arrive in a second, over all entries.
+        """
+        self._arriving = arriving
+        self._candidates = candidates
         usable = [one for one in candidates if self._has_seat(one)]
         if not usable:
             return None
@@ -196,8 +262,12 @@
             for position, one in enumerate(candidates)
             if one.load.helping < self._model.slots
         )
+        needed = job.prompt_tokens + job.output_tokens
+        roomy = [one for one in usable if self._room(one) >= needed // size]
+        if not roomy:
+            return None
         first = min(
-            usable,
+            roomy,
             key=lambda one: (
                 self._cost_of_part(one, job, part, pause) + self._cost_of_answer(one, job),
                 _preference(one.server),
@@ -220,10 +290,10 @@
         """Return the risk of reading a part on an engine."""
         paced = pause * one.pace
         wait = self._wait(one) + part * one.pace
-        late = job.credit * ramp(wait, SAFE_SHARE * job.objective, LATE_SHARE * job.objective)
+        late = job.credit * LATE_LOSS * lateness_risk(wait, job.objective)
         zone = OTHER_ZONE_COST if one.zone != job.zone else 0.0
         doubt = SILENT_COST if one.is_doubtful else 0.0
-        return late + harm(one.load, paced) + zone + doubt + 0.2 * one.load.reading_seconds
+        return late + harm(one.load, paced, part) + zone + doubt + 0.2 * one.load.reading_seconds
 
     def _cost_of_answer(self, one: Candidate, job: Job) -> float:
         """Return the risk of writing the answer on an engine."""
@@ -241,7 +311,9 @@
             )
         )
         full = QUEUE_COST if load.answers >= self._model.slots else 0.0
-        packing = PACKING_BONUS * min(load.strict, self._model.slots - 2)
+        packed = self._model.slots - SPARE_SLOTS
+        packing = PACKING_BONUS * min(load.strict, packed)
+        packing -= SPARE_SLOT_COST * max(0, load.answers - packed)
         if job.pause > load_book.STRICT_PAUSE_SECONDS:
             packing = -PACKING_BONUS * load.answers  # long answers stay apart
         return pauses + full - packing
@@ -260,45 +332,53 @@
         part: float,
         pause: float,
         held: tuple[int, ...],
-    ) -> Placement:
+    ) -> Placement | None:
         group = (first, *helpers)
         tail = max(self._model.pass_seconds if one.load.answers else 0.0 for one in group)
         first_token = max(self._wait(one) + part * one.pace for one in group) + tail
-        late = job.credit * ramp(
-            first_token, SAFE_SHARE * job.objective, LATE_SHARE * job.objective
+        if first_token > UNSERVED_SHARE * job.limit:
+            return None  # work in vain, which others would wait for
+        late = LATE_LOSS * lateness_risk(first_token, job.objective)
+        late += (1 - LATE_LOSS) * ramp(
+            first_token, SERVED_SHARE * job.limit, UNSERVED_SHARE * job.limit
         )
-        harmed = sum(harm(one.load, pause * one.pace) for one in group)
+        harmed = sum(harm(one.load, pause * one.pace, part) for one in group)
         zones = sum(OTHER_ZONE_COST for one in group if one.zone != job.zone)
         doubts = sum(SILENT_COST for one in group if one.is_doubtful)
-        risk = late + harmed + zones + doubts + ENGINE_COST * len(helpers)
+        risk = job.credit * late + harmed + zones + doubts + ENGINE_COST * len(helpers)
+        risk += self._blocking(group, part)
         risk += self._cost_of_answer(first, job)
         if held:
             risk += 0.1  # reservations take a round trip and may be refused
         return Placement(first, helpers, part, first_token, held, risk)
 
+    def _blocking(self, group: tuple[Candidate, ...], part: float) -> float:
+        """Return the risk for requests that arrive while the group reads."""
+        if part <= BLOCKED_SECONDS:
+            return 0.0
+        seconds = min(part, HORIZON_SECONDS)
+        taken = {one.server for one in group}
+        free = {one.server: _free_share(one, seconds) for one in self._candidates}
+        before = sum(free.values()) / len(free)
+        after = sum(share for server, share in free.items() if server not in taken) / len(free)
+        return self._arriving * LATE_LOSS * seconds * (shortage(after) - shortage(before))
+
     def _divide_memory(
         self, job: Job, first: Candidate, helpers: list[Candidate]
     ) -> tuple[int, ...] | None:
         """Return what each helper must hold; None if the memory isn't there."""
         needed = job.prompt_tokens + job.output_tokens
-        room = self._room(first)
-        if needed <= room:
+        if needed <= min(self._room(first), WHOLE_SHARE * self._model.memory_tokens):
             return ()
-        rest = needed - room
-        held = []
-        for index, helper in enumerate(helpers):
-            share = -(-rest // (len(helpers) - index)) if rest > 0 else 0
-            share = min(share, max(0, self._room(helper)))
-            held.append(share)
-            rest -= share
-        # What the last ones had no room for goes to those before them.
-        for index, helper in enumerate(helpers):
-            if rest <= 0:
-                break
-            more = min(rest, max(0, self._room(helper) - held[index]))
-            held[index] += more
-            rest -= more
-        return tuple(held) if rest <= 0 else None
+        if not helpers:
+            return () if needed <= self._room(first) else None
+        holders = min(len(helpers), int(needed / (WHOLE_SHARE * self._model.memory_tokens)) or 1)
+        for count in range(holders, len(helpers) + 1):
+            share = -(-needed // (count + 1))
+            held = [min(share, max(0, self._room(one))) for one in helpers[:count]]
+            if needed - sum(held) <= min(self._room(first), 1.5 * share):
+                return (*held, *([0] * (len(helpers) - count)))
+        return None
 
     def _room(self, one: Candidate) -> int:
         return int(self._model.memory_tokens * MEMORY_SHARE) - one.load.memory_tokens
