--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -63,16 +63,28 @@
     ----------
     settings : node_settings.NodeSettings
     dialect : dialects.Dialect
+    log_descriptor : int
+        Where log lines go.
     """
 
-    def __init__(self, settings: node_settings.NodeSettings, dialect: dialects.Dialect):
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        dialect: dialects.Dialect,
+        *,
+        log_descriptor: int = 1,
+    ):
         self._settings = settings
         self._dialect = dialect
         self._state = declared.DeclaredState()
         self._registry = registry.Registry()
         self._publisher = subscriptions.Publisher(self._registry)
         self._process = node_process.NodeProcess(
-            settings, role="control", inner=settings.control_inner, deliver=self._deliver
+            settings,
+            role="control",
+            inner=settings.control_inner,
+            deliver=self._deliver,
+            log_descriptor=log_descriptor,
         )
         self._log = self._process.log
         self._metrics = self._process.metrics
@@ -83,6 +95,7 @@
         self._urgent = False
         self._stopping = False
         self._node = self._make_node()
+        self._process.at_end(self._node.close)
         self._process.transport.name = self._node.identity or settings.control_inner
         if settings.listen.operators:
             self._process.serve(settings.listen.operators, self._handle_call)
@@ -110,8 +123,7 @@
     def run(self) -> None:
         """Serve until told to stop."""
         self._log.write("process.started", role="control", host=self._settings.control_inner)
-        self._process.run(on_stop=self._begin_stop, on_reload=self._reload)
-        self._node.close()
+        self._process.run(on_stop=self.begin_stop, on_reload=self._reload)
 
     def _make_node(self) -> node.Node:
         settings = self._settings
@@ -146,7 +158,8 @@
         self._log.write("storage.failed", text=str(error))
         self._metrics.count("storage_failures")
 
-    def _begin_stop(self) -> None:
+    def begin_stop(self) -> None:
+        """Begin a planned stop."""
         if self._stopping:
             return
         self._stopping = True
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -60,17 +60,28 @@
     dialect : dialects.Dialect
     path : str
         The settings file, which is read again when it changes; empty for none.
+    log_descriptor : int
+        Where log lines go.
     """
 
     def __init__(
-        self, settings: node_settings.NodeSettings, dialect: dialects.Dialect, *, path: str = ""
+        self,
+        settings: node_settings.NodeSettings,
+        dialect: dialects.Dialect,
+        *,
+        path: str = "",
+        log_descriptor: int = 1,
     ):
         self._settings = settings
         self._path = path
         self._path_read = _stamp(path)
         self.dialect = dialect
         self._process = node_process.NodeProcess(
-            settings, role="entry", inner=settings.entry_inner, deliver=self._deliver
+            settings,
+            role="entry",
+            inner=settings.entry_inner,
+            deliver=self._deliver,
+            log_descriptor=log_descriptor,
         )
         self.loop = self._process.loop
         self._log = self._process.log
@@ -102,6 +113,8 @@
             deliver=self._handle_datagram,
             on_protocol_error=self._process.note_protocol_error,
         )
+        self._process.at_end(self._datagrams.close)
+        self._process.at_end(self.pool.close)
         listen = settings.listen
         self._front = self._process.serve(
             listen.callers, self._handle_request, limits=self._caller_limits
@@ -133,6 +146,11 @@
         """Backend servers and entries as known here."""
         return self._registry
 
+    @property
+    def controls(self) -> tuple[str, ...]:
+        """Control hosts as last confirmed."""
+        return self._controls
+
     @property
     def front(self) -> http_server.Server:
         """The server that callers connect to."""
@@ -142,7 +160,6 @@
         """Serve until a planned stop is complete."""
         self._log.write("process.started", role="entry", callers=self._settings.listen.callers)
         self._process.run(on_stop=self.begin_stop, on_reload=self._reload)
-        self._datagrams.close()
 
     # Control.
 
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -29,6 +29,8 @@
         ``ip:port`` for other processes.
     deliver : callable
         Takes sender, message and connection of each inner message.
+    log_descriptor : int
+        Where log lines go.
     """
 
     def __init__(
@@ -38,12 +40,13 @@
         role: str,
         inner: str,
         deliver: Callable[[str, Any, transport.Connection], None],
+        log_descriptor: int = 1,
     ):
         self.name = f"{role}-{settings.name}"
         self.settings = settings
         self.loop = loop.Loop()
         self.metrics = metrics.Metrics()
-        self.log = event_log.EventLog(self.name)
+        self.log = event_log.EventLog(self.name, descriptor=log_descriptor)
         self.transport = transport.Transport(
             self.loop,
             name=self.name,
@@ -53,6 +56,7 @@
             on_protocol_error=self.note_protocol_error,
         )
         self.servers: list[http_server.Server] = []
+        self._closers: list[Callable[[], None]] = []
         if settings.listen.metrics:
             self.serve(settings.listen.metrics, self._answer_metrics)
         self.loop.after_each_batch(self.log.flush)
@@ -69,6 +73,10 @@
         self.servers.append(made)
         return made
 
+    def at_end(self, close: Callable[[], None]) -> None:
+        """Have something closed after the loop has stopped."""
+        self._closers.append(close)
+
     def wall_time(self) -> float:
         """Return Unix time in seconds."""
         return time.time()
@@ -87,6 +95,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda _number, _frame: self.loop.post(on_stop))
         signal.signal(signal.SIGHUP, lambda _number, _frame: self.loop.post(on_reload))
+        self.serve_until_stopped()
+
+    def serve_until_stopped(self) -> None:
+        """Serve until the loop stops, then close everything."""
         try:
             self.loop.run()
         finally:
@@ -95,6 +107,8 @@
             for server in self.servers:
                 server.close()
             self.transport.close()
+            for close in self._closers:
+                close()
             self.loop.close()
 
     def _answer_metrics(self, exchange: http_server.Exchange) -> None:
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -145,14 +145,15 @@
         except h11.RemoteProtocolError:
             self._break(Failure.UNREADABLE)
             return
-        self._advance()
+        self._advance(Failure.UNREADABLE)
 
-    def _advance(self) -> None:
+    def _advance(self, failure: Failure) -> None:
+        """Take out of the parser what is whole; bytes that can't go on are a failure."""
         while self._receiver is not None:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError:
-                self._break(Failure.UNREADABLE)
+                self._break(failure)
                 return
             match event:
                 case h11.Response():
@@ -207,7 +208,7 @@
         except h11.RemoteProtocolError:
             self._fail(Failure.CLOSED)
             return
-        self._advance()
+        self._advance(Failure.CLOSED)
         if self._receiver is not None:
             self._fail(Failure.CLOSED)
 
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -261,6 +261,11 @@
 
     def _take_head(self, head: h11.Request) -> bool:
         headers = head.headers
+        # The parser bounds only heads that come in several pieces.
+        size = len(head.target) + sum(len(name) + len(value) + 4 for name, value in headers)
+        if size > self._server.limits.header_bytes:
+            self._refuse(431)
+            return False
         names = [name for name, _ in headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             # Two framings of one body are how requests are smuggled past a server.
--- /dev/null
+++ b/flamingoramp/platform/tests/test_speech.py
@@ -0,0 +1,85 @@
+"""Tests of the calls that daemons take from outside."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from flamingoramp import dialect, errors
+from flamingoramp.http import messages
+from flamingoramp.platform import speech
+from flamingoramp.platform.tests import test_backends, test_declarations
+
+
+class TestControlCalls(unittest.TestCase):
+    """Calls to a control host."""
+
+    def decode(self, method: bytes, target: bytes, body: bytes = b"") -> dialect.ControlCall:
+        return speech.Speech().decode_control_call(messages.Request(method, target, (), body))
+
+    def test_declare_and_read(self):
+        document = json.dumps(test_declarations.make_document()).encode()
+        expected = dialect.Declare(7, document)
+        self.assertEqual(self.decode(b"PUT", b"/v1/config", document), expected)
+        self.assertEqual(self.decode(b"GET", b"/v1/config"), dialect.ReadDeclaration())
+
+    def test_announce_and_withdraw(self):
+        body = json.dumps(test_backends.BODY).encode()
+        found = self.decode(b"PUT", b"/v1/instances/i-7f%2B3", body)
+        self.assertEqual(found.record.server, "i-7f+3")
+        self.assertEqual(self.decode(b"DELETE", b"/v1/instances/i-7"), dialect.Withdraw("i-7"))
+
+    def test_unknown_calls(self):
+        for method, target in [(b"GET", b"/"), (b"POST", b"/v1/config"), (b"PUT", b"/v1/other")]:
+            with self.assertRaises(errors.UnknownRouteError):
+                self.decode(method, target)
+
+
+class TestRequests(unittest.TestCase):
+    """Callers' requests."""
+
+    def decode(self, **headers: bytes) -> dialect.CallerRequest:
+        named = tuple((key.replace("_", "-").encode(), value) for key, value in headers.items())
+        return speech.Speech().decode_request(messages.Request(b"POST", b"/a/b?c", named))
+
+    def test_everything(self):
+        found = self.decode(
+            host=b"FICU95.example:80",
+            x_attempt_id=b"9c",
+            authorization=b"token k1",
+            x_deadline_ms=b"1500",
+            x_token_count=b"1460,80",
+            last_event_id=b"12",
+        )
+        expected = dialect.CallerRequest(
+            request_id="9c",
+            host="ficu95.example",
+            path="/a/b",
+            key="k1",
+            time_left=1.5,
+            prompt_tokens=1460,
+            output_tokens=80,
+            last_event_id="12",
+        )
+        self.assertEqual(found, expected)
+
+    def test_other_schemes_carry_no_key(self):
+        self.assertEqual(self.decode(x_attempt_id=b"9", authorization=b"Basic k1").key, "")
+
+    def test_bad_numbers_and_no_id(self):
+        for headers in ({}, {"x_attempt_id": b"1", "x_deadline_ms": b"soon"}):
+            with self.assertRaises(errors.BadRequestError):
+                self.decode(**headers)
+
+
+class TestErrors(unittest.TestCase):
+    """Refusals and failures as callers see them."""
+
+    def test_a_refusal_tells_when_to_come_back(self):
+        answer = speech.Speech().encode_error(errors.OverloadedError("full", retry_after=0.4))
+        self.assertEqual(answer.status, 503)
+        self.assertIn((b"retry-after", b"0.400"), answer.headers)
+
+    def test_what_may_have_run_is_not_said_not_to(self):
+        for error in (errors.BackendFailedError("x"), errors.RouteTimeoutError("x")):
+            self.assertIn(speech.Speech().encode_error(error).status, (502, 504))
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -373,11 +373,14 @@
         if not helpers:
             return () if needed <= self._room(first) else None
         holders = min(len(helpers), int(needed / (WHOLE_SHARE * self._model.memory_tokens)) or 1)
+        roomiest = sorted(range(len(helpers)), key=lambda index: -self._room(helpers[index]))
         for count in range(holders, len(helpers) + 1):
             share = -(-needed // (count + 1))
-            held = [min(share, max(0, self._room(one))) for one in helpers[:count]]
+            held = [0] * len(helpers)
+            for index in roomiest[:count]:
+                held[index] = min(share, max(0, self._room(helpers[index])))
             if needed - sum(held) <= min(self._room(first), 1.5 * share):
-                return (*held, *([0] * (len(helpers) - count)))
+                return tuple(held)
         return None
 
     def _room(self, one: Candidate) -> int:
