--- /dev/null
+++ b/flamingoramp/consensus/tests/test_node.py
@@ -0,0 +1,114 @@
+"""Tests of a replica that outlives failures of its disk."""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import tempfile
+import unittest
+from unittest import mock
+
+from flamingoramp import errors
+from flamingoramp.consensus import node, replica, storage
+from flamingoramp.intent import declared
+
+
+class NodeCase(unittest.TestCase):
+    """A cluster of one, on a clock that the test turns."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name) / "data"
+        self.now = 0.0
+        self.failures: list[errors.StorageFailedError | None] = []
+        self.results: list[object] = []
+        self.state = declared.DeclaredState()
+        self.store = storage.Storage(self.folder)
+        self.node = self.open()
+
+    def open(self) -> node.Node:
+        made = node.Node(
+            place=node.Place("a", ("a",), may_form=True),
+            store=self.store,
+            machine=self.state,
+            send=lambda _host, _message: None,
+            on_leader_changed=lambda _change: None,
+            on_storage=self.failures.append,
+            new_incarnation=lambda: "1",
+            rng=random.Random(1),
+            now=lambda: self.now,
+            timing=replica.Timing(),
+        )
+        self.addCleanup(made.close)
+        return made
+
+    def run_for(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.05)):
+            self.now += 0.05
+            self.node.tick()
+
+    def declare(self, version: int) -> None:
+        payload = declared.encode(version, b"document %d" % version)
+        self.node.propose(declared.KIND_DECLARE, payload, self.results.append, self.results.append)
+
+
+class TestDisk(NodeCase):
+    """A disk that refuses writes, and takes them again."""
+
+    def test_a_full_disk_stops_promises_but_not_the_process(self):
+        self.run_for(3)
+        self.declare(1)
+        self.assertEqual(self.results, [declared.Declared(1)])
+        with mock.patch("os.fsync", side_effect=OSError(28, "no space left")):
+            self.declare(2)
+            self.assertIsInstance(self.results[-1], errors.NotLeaderError)
+            self.run_for(3)
+            self.assertFalse(self.node.leads)
+            self.declare(2)
+            self.assertIsInstance(self.results[-1], errors.NotLeaderError)
+        self.run_for(5)
+        self.declare(3)
+        self.assertEqual(self.results[-1], declared.Declared(3))
+        self.assertIsInstance(self.failures[1], errors.StorageFailedError)
+        self.assertIsNone(self.failures[-1])
+
+    def test_what_was_acknowledged_is_there_after_a_restart(self):
+        self.run_for(3)
+        for version in range(1, 50):
+            self.declare(version)
+        self.node.close()
+        self.state = declared.DeclaredState()
+        self.store = storage.Storage(self.folder)
+        self.node = self.open()
+        self.run_for(3)
+        self.assertEqual(self.state.version, 49)
+
+    def test_a_long_log_becomes_a_snapshot(self):
+        self.run_for(3)
+        with mock.patch.object(node, "SNAPSHOT_ENTRIES", 20):
+            for version in range(1, 100):
+                self.declare(version)
+                self.run_for(0.05)
+        self.assertLess(len(self.node.replica.log.entries), 30)
+        self.assertEqual(self.state.version, 99)
+
+    def test_a_torn_batch_of_several_records_is_dropped_whole(self):
+        self.run_for(3)
+        self.declare(1)
+        path = next(self.folder.glob("log.*"))
+        before = path.read_bytes()
+        self.declare(2)
+        after = path.read_bytes()
+        self.node.close()
+        for position in range(len(before), len(after), 7):
+            torn = bytearray(after)
+            torn[position : position + 5] = b"\0" * 5
+            if torn == bytearray(after):
+                continue
+            path.write_bytes(bytes(torn))
+            store = storage.Storage(self.folder)
+            recovered = store.recover()
+            store.close()
+            kept = [one for one in recovered.entries if one.kind == declared.KIND_DECLARE]
+            self.assertEqual(len(kept), 1)
--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -19,10 +19,17 @@
 class Cluster:
     """Replicas whose messages a test may hold back, lose or repeat."""
 
-    def __init__(self, hosts: tuple[str, ...] = HOSTS, seed: int = 1):
+    def __init__(
+        self,
+        hosts: tuple[str, ...] = HOSTS,
+        seed: int = 1,
+        *,
+        founders: tuple[str, ...] = (),
+    ):
         self.rng = random.Random(seed)
         self.now = 0.0
         self.hosts = hosts
+        self.founders = founders or hosts
         self.disks = {host: worlds.VirtualDisk() for host in hosts}
         self.replicas: dict[str, replica.Replica] = {}
         self.applied: dict[str, list[messages.LogEntry]] = {}
@@ -33,19 +40,20 @@
         for host in hosts:
             self.start(host)
 
-    def start(self, host: str) -> None:
+    def start(self, host: str, *, first_start: bool = True) -> None:
         """Start a replica on its disk."""
         self.lives += 1
-        disk = self.disks[host]
+        disk = self.disks.setdefault(host, worlds.VirtualDisk())
         identity = disk.load_identity(host, f"{self.lives}")
         recovered = disk.recover()
         self.applied[host] = []
         self.replicas[host] = replica.Replica(
             identity=identity,
-            hosts=self.hosts,
+            hosts=self.founders,
             recovered=recovered,
             rng=random.Random(f"{host}{self.lives}"),
             now=self.now,
+            may_form=first_start and host in self.founders,
         )
 
     def stop(self, host: str) -> None:
--- a/flamingoramp/platform/tests/test_path.py
+++ b/flamingoramp/platform/tests/test_path.py
@@ -40,9 +40,7 @@
         sent.update({name.replace("_", "-"): value for name, value in headers.items()})
         method = "GET" if route == "read" else "POST"
         body = b"" if method == "GET" else b"body"
-        return fleets.ask(
-            front or fleet.front(), method, f"/{route}/x", headers=sent, body=body
-        )
+        return fleets.ask(front or fleet.front(), method, f"/{route}/x", headers=sent, body=body)
 
 
 class TestRequests(FleetCase):
@@ -92,9 +90,7 @@
 
     def test_a_request_that_may_not_repeat_is_sent_once(self):
         fleet = self.start(entries=1)
-        desks = [
-            fleet.add_backend(name, "desk", standin.Behaviour(foreign=True)) for name in "ab"
-        ]
+        desks = [fleet.add_backend(name, "desk", standin.Behaviour(foreign=True)) for name in "ab"]
         self.assertEqual(self.ask(fleet, "hold").status, 502)
         self.assertEqual(sum(len(desk.requests) for desk in desks), 1)
 
