--- a/flamingoramp/consensus/tests/test_joining.py
+++ b/flamingoramp/consensus/tests/test_joining.py
@@ -112,7 +112,7 @@
             cluster.run(6)
             cluster.propose(b"kept")
             cluster.run(1)
-            wiped, *dark = rng.sample([h for h in test_replica.HOSTS], 3)
+            wiped, *dark = rng.sample(list(test_replica.HOSTS), 3)
             for host in (wiped, *dark):
                 cluster.stop(host)
             cluster.disks[wiped] = worlds.VirtualDisk()
