--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -17,7 +17,6 @@
 import zlib
 
 import attrs
-import cattrs
 
 from flamingoramp import errors
 from flamingoramp.consensus import effects, entry_log
@@ -31,8 +30,6 @@
 _ITEM_LENGTH = struct.Struct(">I")
 _ENTRY_HEAD = struct.Struct(">QQH")
 
-_converter = cattrs.Converter()
-
 
 def _record(tag: int, payload: bytes) -> bytes:
     body = bytes([tag]) + payload
@@ -124,7 +121,7 @@
     for record in _unpack_batches(records):
         tag, body = record[0], record[1:]
         if tag == _HARD:
-            hard = _converter.structure(json.loads(body), effects.HardState)
+            hard = effects.HardState(**json.loads(body))
         elif tag == _TRUNCATE:
             first = int.from_bytes(body, "big")
             entries = [entry for entry in entries if entry.index < first]
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -20,7 +20,7 @@
 from flamingoramp.daemons import node_process
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import declared
-from flamingoramp.membership import registry, subscriptions
+from flamingoramp.membership import entry_directory, registry, subscriptions
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import node_settings
 from flamingoramp.runtime import transport as transports
@@ -78,6 +78,7 @@
         self._dialect = dialect
         self._state = declared.DeclaredState()
         self._registry = registry.Registry()
+        self._directory = entry_directory.EntryDirectory(self._registry)
         self._publisher = subscriptions.Publisher(self._registry)
         self._process = node_process.NodeProcess(
             settings,
@@ -99,6 +100,8 @@
         self._process.transport.name = self._node.identity or settings.control_inner
         if settings.listen.operators:
             self._process.serve(settings.listen.operators, self._handle_call)
+        if settings.listen.directory:
+            self._process.serve(settings.listen.directory, self._handle_directory)
         self._loop.call_every(TICK_SECONDS, self._tick)
         self._loop.call_every(PUBLISH_SECONDS, self._publish_urgent)
         self._loop.call_every(RENEWAL_SECONDS, self._publish)
@@ -183,7 +186,10 @@
                 if self._state.version != before:
                     self._note_version()
             case messages.Subscribe():
-                self._publisher.handle(connection, message, self._loop.now())
+                now = self._loop.now()
+                self._publisher.handle(connection, message, now)
+                for entry in message.entries:
+                    self._directory.note_heard(entry.entry, now)
                 self._urgent = True
             case messages.ClusterUpdate():
                 self._merge(message)
@@ -368,6 +374,16 @@
             )
             exchange.answer(self._dialect.encode_error(error))
 
+    def _handle_directory(self, exchange: http_server.Exchange) -> None:
+        try:
+            self._dialect.decode_directory_call(exchange.request)
+            addresses = self._directory.addresses(self._loop.now())
+        except errors.FlamingorampError as error:
+            exchange.answer(self._dialect.encode_error(error))
+            return
+        seconds = self._settings.bounds.address_seconds
+        exchange.answer(self._dialect.encode_directory(addresses, seconds))
+
     def _answer_call(self, call: dialects.ControlCall, exchange: http_server.Exchange) -> None:
         match call:
             case dialects.Announce(record):
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -9,6 +9,7 @@
 import hashlib
 import itertools
 import os
+import random
 from typing import Any
 
 import attrs
@@ -20,7 +21,7 @@
 from flamingoramp.http import client, messages
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import traffic
-from flamingoramp.membership import registry
+from flamingoramp.membership import entry_directory, registry
 from flamingoramp.protocol import messages as inner
 from flamingoramp.routing import load_book, observations, placement, rates
 from flamingoramp.runtime import datagrams, node_settings
@@ -30,8 +31,6 @@
 # Load reports go out this soon after a change, so that several changes share one.
 REPORT_DELAY_SECONDS = 0.008
 REPORT_SECONDS = 0.3
-# An entry that reported no load for this long is not named to callers.
-ENTRY_SILENCE_SECONDS = 1.3
 FORGET_SECONDS = 1.0
 SETTINGS_CHECK_SECONDS = 2.0
 STOP_CHECK_SECONDS = 0.05
@@ -46,7 +45,11 @@
 QUARANTINE_CRASHES = 3
 # A refused caller comes back after about the time that an answer takes.
 RETRY_AFTER_SECONDS = 0.4
+# A restarted entry knows a declaration after about this long if all of control restarted with it.
+EXPECTED_READY_SECONDS = 2.5
 NOT_READY_RETRY_SECONDS = 0.5
+# Part of a time to return by which callers are spread, so that they don't all return at once.
+RETURN_SPREAD = 0.3
 # Most urgent and least urgent rank that engines know.
 LEAST_URGENT = 9
 
@@ -95,7 +98,7 @@
         self._control_heard: dict[str, float] = {}
         self._crashes: dict[str, set[tuple[str, int]]] = {}
         self._new_crashes: list[inner.CrashRecord] = []
-        self._peers_heard: dict[str, float] = {}
+        self._directory = entry_directory.EntryDirectory(self._registry)
         self._observations = observations.Observations()
         self._allowances: dict[str, allowance.RetryAllowance] = {}
         self._arrivals: dict[str, rates.RateMeter] = {}
@@ -165,7 +168,18 @@
 
     def _subscribe(self) -> None:
         self._record_number += 1
-        record = inner.EntryRecord(
+        message = inner.Subscribe(
+            name=self._process.name,
+            version=self._declaration.version if self._declaration else 0,
+            entries=(self._own_record(),),
+            crashes=tuple(self._new_crashes),
+        )
+        self._new_crashes.clear()
+        for host in dict.fromkeys((*self._controls, *self._settings.seed_hosts)):
+            self._process.transport.send(host, message)
+
+    def _own_record(self) -> inner.EntryRecord:
+        return inner.EntryRecord(
             entry=self._settings.name,
             incarnation=self._incarnation,
             callers=self._settings.listen.callers,
@@ -174,18 +188,11 @@
             ready=self.is_ready,
             leaving=bool(self._stopping_since),
             # Grows with what it says, and now and then; each growth is passed on to all entries.
-            sequence=2 * (self._record_number // 20) + bool(self._stopping_since),
+            sequence=4 * (self._record_number // 20)
+            + 2 * bool(self._stopping_since)
+            + (self._declaration is not None),
             born=self._born,
         )
-        message = inner.Subscribe(
-            name=self._process.name,
-            version=self._declaration.version if self._declaration else 0,
-            entries=(record,),
-            crashes=tuple(self._new_crashes),
-        )
-        self._new_crashes.clear()
-        for host in dict.fromkeys((*self._controls, *self._settings.seed_hosts)):
-            self._process.transport.send(host, message)
 
     def _deliver(self, sender: str, message: Any, _connection: transports.Connection) -> None:
         match message:
@@ -279,13 +286,13 @@
         self._front.begin_closing()
         self._subscribe()
         bounds = self._settings.bounds
-        self.loop.call_later(bounds.address_seconds + 0.3, self._front.stop_accepting)
+        self.loop.call_later(bounds.accept_seconds, self._front.stop_accepting)
         self.loop.call_every(STOP_CHECK_SECONDS, self._consider_exit)
 
     def _consider_exit(self) -> None:
         bounds = self._settings.bounds
         stopping = self.loop.now() - self._stopping_since
-        promised = stopping > bounds.address_seconds + 0.5
+        promised = stopping > bounds.accept_seconds
         idle = not self._active and not self._front.busy
         if (promised and idle) or stopping > bounds.stop_seconds - STOP_RESERVE_SECONDS:
             self.loop.stop()
@@ -316,7 +323,7 @@
         match message:
             case inner.LoadReport():
                 now = self.loop.now()
-                self._peers_heard[message.entry] = now
+                self._directory.note_heard(message.entry, now)
                 self.book.handle_report(message, now)
 
     def _forget_old(self) -> None:
@@ -334,35 +341,14 @@
 
     def _handle_directory(self, exchange: http_server.Exchange) -> None:
         try:
-            zone = self.dialect.decode_directory_call(exchange.request)
-            addresses = self._entry_addresses(zone)
+            self.dialect.decode_directory_call(exchange.request)
+            addresses = self._directory.addresses(self.loop.now(), own=self._own_record())
         except errors.FlamingorampError as error:
             exchange.answer(self.dialect.encode_error(error))
             return
         seconds = self._settings.bounds.address_seconds
         exchange.answer(self.dialect.encode_directory(addresses, seconds))
 
-    def _entry_addresses(self, _zone: str) -> list[str]:
-        now = self.loop.now()
-        own = self._settings.name
-        known = [
-            one
-            for one in self._registry.entries(now, silence=registry.ENTRY_SILENCE_SECONDS)
-            if one.entry != own and one.ready and not one.leaving
-        ]
-        heard = [
-            one
-            for one in known
-            if now - self._peers_heard.get(one.entry, float("-inf")) < ENTRY_SILENCE_SECONDS
-        ]
-        chosen = heard or known
-        addresses = [one.callers for one in chosen]
-        if self.is_ready:
-            addresses.append(self._settings.listen.callers)
-        if not addresses:
-            raise errors.NotReadyError("no entry is ready", retry_after=NOT_READY_RETRY_SECONDS)
-        return sorted(addresses)[:64]
-
     # Requests.
 
     def _caller_limits(self) -> http_server.Limits:
@@ -398,8 +384,11 @@
         """
         declaration = self._declaration
         if declaration is None:
+            expected = self._started_at + EXPECTED_READY_SECONDS - self.loop.now()
+            spread = 1 + RETURN_SPREAD * random.random()
             raise errors.NotReadyError(
-                "this entry knows no declaration yet", retry_after=NOT_READY_RETRY_SECONDS
+                "this entry knows no declaration yet",
+                retry_after=spread * max(NOT_READY_RETRY_SECONDS, expected),
             )
         caller = self.dialect.decode_request(exchange.request)
         route = declaration.find_route(caller.host, caller.path)
--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -171,7 +171,7 @@
             ),
             bounds=node_settings.BoundSettings(
                 announce_milliseconds=standin.ANNOUNCE_SECONDS * 1000,
-                address_seconds=0.3,
+                accept_seconds=0.4,
                 stop_seconds=6.0,
             ),
         )
--- a/flamingoramp/runtime/metrics.py
+++ b/flamingoramp/runtime/metrics.py
@@ -1,11 +1,20 @@
-"""Counters, gauges and histograms of one process."""
+"""Counters, gauges and histograms of one process.
+
+They are kept as plain numbers and handed to `prometheus_client` when they are asked for: loading
+that library takes a tenth of a small host's start, and counting through it a tenth of a request.
+"""
 
 from __future__ import annotations
 
-import prometheus_client
+import bisect
+
+import attrs
 
 LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.74, 1, 2.5, 5, 10, 30, 60, 120)
 LENGTH_BOUNDS_TOKENS = (4_000, 16_000, 64_000, 100_000, 250_000, 500_000, 1_000_000)
+PREFIX = "flamingoramp_"
+
+Labels = tuple[tuple[str, str], ...]
 
 
 def length_bucket(tokens: int) -> str:
@@ -16,47 +25,82 @@
     return f">{LENGTH_BOUNDS_TOKENS[-1]}"
 
 
+@attrs.define
+class _Histogram:
+    counts: list[int] = attrs.field(factory=lambda: [0] * (len(LATENCY_BUCKETS_SECONDS) + 1))
+    total: float = 0.0
+
+    def observe(self, seconds: float) -> None:
+        self.counts[bisect.bisect_left(LATENCY_BUCKETS_SECONDS, seconds)] += 1
+        self.total += seconds
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return the cumulative count up to each bound."""
+        bounds = [*(str(float(bound)) for bound in LATENCY_BUCKETS_SECONDS), "+Inf"]
+        found = []
+        below = 0
+        for bound, count in zip(bounds, self.counts, strict=True):
+            below += count
+            found.append((bound, below))
+        return found
+
+
 class Metrics:
     """The metrics of one process, created on first use."""
 
     def __init__(self):
-        self.registry = prometheus_client.CollectorRegistry()
-        self._counters: dict[str, prometheus_client.Counter] = {}
-        self._gauges: dict[str, prometheus_client.Gauge] = {}
-        self._histograms: dict[str, prometheus_client.Histogram] = {}
+        self._counters: dict[str, dict[Labels, float]] = {}
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, dict[Labels, _Histogram]] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
-        counter = self._counters.get(name)
-        if counter is None:
-            counter = prometheus_client.Counter(
-                f"flamingoramp_{name}", name, tuple(labels), registry=self.registry
-            )
-            self._counters[name] = counter
-        (counter.labels(**labels) if labels else counter).inc(amount)
+        series = self._counters.setdefault(name, {})
+        key = tuple(labels.items())
+        series[key] = series.get(key, 0) + amount
 
     def set(self, name: str, value: float) -> None:
         """Set a gauge."""
-        gauge = self._gauges.get(name)
-        if gauge is None:
-            gauge = prometheus_client.Gauge(f"flamingoramp_{name}", name, registry=self.registry)
-            self._gauges[name] = gauge
-        gauge.set(value)
+        self._gauges[name] = value
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add to a histogram of seconds."""
-        histogram = self._histograms.get(name)
+        series = self._histograms.setdefault(name, {})
+        key = tuple(labels.items())
+        histogram = series.get(key)
         if histogram is None:
-            histogram = prometheus_client.Histogram(
-                f"flamingoramp_{name}",
-                name,
-                tuple(labels),
-                buckets=LATENCY_BUCKETS_SECONDS,
-                registry=self.registry,
-            )
-            self._histograms[name] = histogram
-        (histogram.labels(**labels) if labels else histogram).observe(seconds)
+            histogram = series[key] = _Histogram()
+        histogram.observe(seconds)
 
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
-        return prometheus_client.generate_latest(self.registry)
+        # Loaded here, and not with the module, since a start must not wait for it.
+        import prometheus_client
+        from prometheus_client import registry
+
+        collected = registry.CollectorRegistry()
+        collected.register(self)
+        return prometheus_client.generate_latest(collected)
+
+    def collect(self) -> list:
+        """Return all metrics as families of `prometheus_client`."""
+        from prometheus_client import core
+
+        families = []
+        for name, counters in self._counters.items():
+            family = core.CounterMetricFamily(PREFIX + name, name, labels=_names(counters))
+            for key, value in counters.items():
+                family.add_metric([text for _, text in key], value)
+            families.append(family)
+        for name, value in self._gauges.items():
+            families.append(core.GaugeMetricFamily(PREFIX + name, name, value=value))
+        for name, histograms in self._histograms.items():
+            family = core.HistogramMetricFamily(PREFIX + name, name, labels=_names(histograms))
+            for key, one in histograms.items():
+                family.add_metric([text for _, text in key], one.buckets(), one.total)
+            families.append(family)
+        return families
+
+
+def _names(series: dict[Labels, object]) -> list[str]:
+    return [name for name, _ in next(iter(series))]
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -27,7 +27,10 @@
     announce_milliseconds : float
         How often backend servers announce themselves.
     address_seconds : float
-        How long callers may keep an answer of the directory.
+        How long callers may keep an answer of the directory. Longer answers cost callers fewer
+        questions, which take a second each while a host of the directory is dark.
+    accept_seconds : float
+        How long a stopping entry still takes new connections.
     stop_seconds : float
         Time from the signal to stop until the process is killed.
     drain_milliseconds : float
@@ -44,7 +47,8 @@
     announce_milliseconds: float = attrs.field(
         default=1200.0, validator=utils.between(50, 60_000, "milliseconds")
     )
-    address_seconds: float = attrs.field(default=2.0, validator=utils.between(0.1, 60, "seconds"))
+    address_seconds: float = attrs.field(default=5.0, validator=utils.between(0.1, 60, "seconds"))
+    accept_seconds: float = attrs.field(default=2.5, validator=utils.between(0.1, 60, "seconds"))
     stop_seconds: float = attrs.field(default=8.0, validator=utils.between(0.5, 600, "seconds"))
     drain_milliseconds: float = attrs.field(
         default=2000.0, validator=utils.between(50, 600_000, "milliseconds")
