--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -23,7 +23,7 @@
 from flamingoramp.intent import traffic
 from flamingoramp.membership import entry_directory, registry
 from flamingoramp.protocol import messages as inner
-from flamingoramp.routing import load_book, observations, placement, rates
+from flamingoramp.routing import load_book, observations, placement, rates, report_targets
 from flamingoramp.runtime import datagrams, node_settings
 from flamingoramp.runtime import transport as transports
 
@@ -31,6 +31,9 @@
 # Load reports go out this soon after a change, so that several changes share one.
 REPORT_DELAY_SECONDS = 0.008
 REPORT_SECONDS = 0.3
+# Summaries of a zone go out this often; a placement in another zone is the exception.
+SUMMARY_SECONDS = 0.05
+TARGETS_SECONDS = 0.2
 FORGET_SECONDS = 1.0
 SETTINGS_CHECK_SECONDS = 2.0
 STOP_CHECK_SECONDS = 0.05
@@ -103,11 +106,13 @@
         self._allowances: dict[str, allowance.RetryAllowance] = {}
         self._arrivals: dict[str, rates.RateMeter] = {}
         self._active: set[forwarding.Forwarding] = set()
-        self.book = load_book.LoadBook()
+        self.book = load_book.LoadBook(settings.availability_zone)
         self.pool = client.Pool(self.loop)
         self._report_numbers = itertools.count(1)
         self._record_number = 0
         self._report_planned = False
+        self._targets = report_targets.Targets([])
+        self._entries = 1
         self._stopping_since = 0.0
         self._datagrams = datagrams.Datagrams(
             self.loop,
@@ -130,6 +135,8 @@
         loop.call_later(0.0, self._subscribe)
         loop.call_every(SUBSCRIBE_SECONDS, self._subscribe)
         loop.call_every(REPORT_SECONDS, self._send_report)
+        loop.call_every(SUMMARY_SECONDS, self._send_summary)
+        loop.call_every(TARGETS_SECONDS, self._choose_targets)
         loop.call_every(FORGET_SECONDS, self._forget_old)
         loop.call_every(SETTINGS_CHECK_SECONDS, self._check_settings)
         loop.after_each_batch(self._plan_report)
@@ -306,18 +313,39 @@
 
     def _send_report(self) -> None:
         self._report_planned = False
-        report = self.book.make_report(
+        reports = self.book.make_reports(
             entry=self._settings.name,
             incarnation=self._incarnation,
             sequence=next(self._report_numbers),
             now=self.loop.now(),
         )
-        self._datagrams.send(self._peer_addresses(), report)
+        for report in reports:
+            self._datagrams.send(self._targets.direct, report)
 
-    def _peer_addresses(self) -> list[str]:
-        own = self._settings.name
-        known = self._registry.entries(self.loop.now(), silence=registry.ENTRY_SILENCE_SECONDS)
-        return [one.inner for one in known if one.entry != own]
+    def _send_summary(self) -> None:
+        """Tell the relays of other zones what this zone has running."""
+        if not self._targets.far:
+            return
+        summaries = self.book.make_summary(
+            entry=self._settings.name,
+            incarnation=self._incarnation,
+            sequence=next(self._report_numbers),
+            now=self.loop.now(),
+        )
+        for summary in summaries:
+            self._datagrams.send(self._targets.far, summary)
+
+    def _choose_targets(self) -> None:
+        now = self.loop.now()
+        known = self._registry.entries(now, silence=registry.ENTRY_SILENCE_SECONDS)
+        others = [one for one in known if one.entry != self._settings.name]
+        self._entries = 1 + len(others)
+        self._targets = report_targets.choose_targets(
+            self._settings.name,
+            self._settings.availability_zone,
+            others,
+            {one.entry for one in others if self._directory.hears(one.entry, now)},
+        )
 
     def _handle_datagram(self, _sender: str, message: Any) -> None:
         match message:
@@ -325,6 +353,9 @@
                 now = self.loop.now()
                 self._directory.note_heard(message.entry, now)
                 self.book.handle_report(message, now)
+                far = message.zone != self._settings.availability_zone
+                if message.is_summary and far and self._targets.near:
+                    self._datagrams.send(self._targets.near, message)
 
     def _forget_old(self) -> None:
         now = self.loop.now()
@@ -342,7 +373,8 @@
     def _handle_directory(self, exchange: http_server.Exchange) -> None:
         try:
             self.dialect.decode_directory_call(exchange.request)
-            addresses = self._directory.addresses(self.loop.now(), own=self._own_record())
+            own = self._own_record()
+            addresses = self._directory.addresses(self.loop.now(), own=own)
         except errors.FlamingorampError as error:
             exchange.answer(self.dialect.encode_error(error))
             return
@@ -439,9 +471,8 @@
         meter = self._arrivals.setdefault(service.name, rates.RateMeter())
         if not excluded:
             meter.add(job.credit, now)
-        entries = 1 + len(self._peer_addresses())
         found = self._planner(service.name).place(
-            job, candidates, arriving=entries * meter.rate(now)
+            job, candidates, arriving=self._entries * meter.rate(now)
         )
         if found is None:
             raise errors.OverloadedError("no engine has room", retry_after=RETRY_AFTER_SECONDS)
@@ -456,7 +487,8 @@
     ) -> tuple[list[placement.Candidate], dict[str, inner.ServerRecord]]:
         now = self.loop.now()
         listening = self._hears_control(now)
-        silence = MISSED_ANNOUNCEMENTS * self._settings.bounds.announce_seconds
+        silence = registry.RENEWAL_SECONDS
+        silence += MISSED_ANNOUNCEMENTS * self._settings.bounds.announce_seconds
         candidates = []
         records = {}
         for record in self._registry.servers():
@@ -539,8 +571,7 @@
 
     def take_retry(self, service: str) -> bool:
         """Take a repeated send out of the allowance."""
-        entries = 1 + len(self._peer_addresses())
-        return self._allowance(service).take(self.loop.now(), entries=entries)
+        return self._allowance(service).take(self.loop.now(), entries=self._entries)
 
     def _allowance(self, service: str) -> allowance.RetryAllowance:
         found = self._allowances.get(service)
--- a/flamingoramp/membership/entry_directory.py
+++ b/flamingoramp/membership/entry_directory.py
@@ -28,6 +28,10 @@
         """Note that an entry was heard of."""
         self._heard[entry] = now
 
+    def hears(self, entry: str, now: float) -> bool:
+        """Tell whether an entry was heard of lately."""
+        return now - self._heard.get(entry, float("-inf")) < SILENCE_SECONDS
+
     def addresses(self, now: float, *, own: messages.EntryRecord | None = None) -> list[str]:
         """Return the addresses that callers may use.
 
@@ -53,11 +57,7 @@
             known[own.entry] = own
             self._heard[own.entry] = now
         ready = [one for one in known.values() if one.ready and not one.leaving]
-        heard = [
-            one
-            for one in ready
-            if now - self._heard.get(one.entry, float("-inf")) < SILENCE_SECONDS
-        ]
+        heard = [one for one in ready if self.hears(one.entry, now)]
         addresses = sorted(one.callers for one in heard or ready)
         if not addresses:
             raise errors.NotReadyError("no entry is ready", retry_after=RETRY_AFTER_SECONDS)
--- a/flamingoramp/membership/registry.py
+++ b/flamingoramp/membership/registry.py
@@ -13,6 +13,8 @@
 
 # How long the end of a server is remembered, longer than any report may be under way.
 TOMBSTONE_SECONDS = 120.0
+# A mere renewal is passed on at most this often; that a server went silent is seen by its answers.
+RENEWAL_SECONDS = 3.0
 # An entry that is silent for longer has ended; its last report is dropped.
 ENTRY_SILENCE_SECONDS = 30.0
 
@@ -24,6 +26,7 @@
     record: messages.ServerRecord | messages.EntryRecord
     heard_at: float
     change: int = 0
+    told_at: float = float("-inf")
 
 
 class Registry:
@@ -82,11 +85,14 @@
             record = _merge(before, record)
             if record is before:
                 return False
-            if relayed and _is_renewal(before, record):
+            renewal = _is_renewal(before, record)
+            if renewal and (relayed or now - held.told_at < RENEWAL_SECONDS):
                 held.record, held.heard_at = attrs.evolve(record, age=0.0), heard_at
                 return True
         self._change += 1
-        self._servers[record.server] = _Held(attrs.evolve(record, age=0.0), heard_at, self._change)
+        self._servers[record.server] = _Held(
+            attrs.evolve(record, age=0.0), heard_at, self._change, now
+        )
         self._retire_predecessors(record)
         return True
 
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -102,12 +102,42 @@
     bytes
         Four bytes of length, then the frame.
     """
+    payload = _build(sender, message, clock).to_bytes()
+    return HEADER.pack(len(payload)) + payload
+
+
+def encode_packed(sender: str, message: Any) -> bytes:
+    """Encode a message as one datagram, without the zero bytes that frames are full of."""
+    return _build(sender, message, 0).to_bytes_packed()
+
+
+def _build(sender: str, message: Any, clock: int) -> Any:
     frame = _schema.Frame.new_message()
     frame.sender = sender
     frame.clock = clock
     _fill(frame.init(_UNION[type(message)]), message)
-    payload = frame.to_bytes()
-    return HEADER.pack(len(payload)) + payload
+    return frame
+
+
+def decode_packed(data: bytes) -> Envelope:
+    """Decode one datagram.
+
+    Raises
+    ------
+    flamingoramp.errors.ProtocolError
+        If the bytes are no packed frame of the schema.
+    """
+    try:
+        frame = _schema.Frame.from_bytes_packed(data, traversal_limit_in_words=2**20)
+        return _read(frame)
+    except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as error:
+        raise errors.ProtocolError(f"unreadable datagram of {len(data)} bytes") from error
+
+
+def _read(frame: Any) -> Envelope:
+    union = str(frame.which())
+    message = _structure(_BY_UNION[union], getattr(frame, union))
+    return Envelope(frame.sender, frame.clock, message)
 
 
 def decode(payload: bytes) -> Envelope:
@@ -120,10 +150,7 @@
     """
     try:
         with _schema.Frame.from_bytes(payload, traversal_limit_in_words=2**26) as frame:
-            union = str(frame.which())
-            kind = _BY_UNION[union]
-            message = _structure(kind, getattr(frame, union))
-            return Envelope(frame.sender, frame.clock, message)
+            return _read(frame)
     except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as error:
         raise errors.ProtocolError(f"unreadable frame of {len(payload)} bytes") from error
 
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -489,12 +489,18 @@
 
 @attrs.frozen
 class LoadReport:
-    """All that one entry has running."""
+    """What one entry has running, or all entries of an availability zone (``is_summary``).
+
+    A report of many servers comes in parts, each of which replaces the one of its number.
+    """
 
     entry: str = ""
     incarnation: str = ""
     sequence: int = 0
     engines: tuple[EngineLoad, ...] = ()
+    zone: str = ""
+    is_summary: bool = False
+    part: int = 0
 
 
 @attrs.frozen
--- a/flamingoramp/routing/load_book.py
+++ b/flamingoramp/routing/load_book.py
@@ -11,6 +11,8 @@
 RELAXED_PAUSE_SECONDS = 0.8
 # An entry that is silent for longer has ended, and its work with it.
 REPORT_SILENCE_SECONDS = 1.5
+# Servers of one report; a packed record takes about 25 bytes, and a datagram carries 1,400.
+SERVERS_PER_PART = 45
 
 
 @attrs.define
@@ -92,15 +94,29 @@
     incarnation: str
     sequence: int
     heard_at: float
+    zone: str
+    is_summary: bool
     engines: dict[str, messages.EngineLoad]
 
 
 class LoadBook:
-    """The work on all servers; times are monotonic seconds."""
+    """The work on all servers; times are monotonic seconds.
 
-    def __init__(self):
+    Entries of one availability zone report to each other. Of the other zones either each entry
+    reports, or one summary for all of a zone comes; a summary counts before single reports.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this entry.
+    """
+
+    def __init__(self, zone: str = ""):
+        self._zone = zone
+        self._parts = 0
         self._own: dict[str, dict[int, Work]] = {}
-        self._others: dict[str, _Reported] = {}
+        self._others: dict[tuple[str, int], _Reported] = {}
+        self._summarized: dict[str, float] = {}
         self._changed = False
 
     @property
@@ -132,47 +148,97 @@
         for work in self._own.get(server, {}).values():
             total.add(work, now)
         for reported in self._others.values():
-            age = now - reported.heard_at
             found = reported.engines.get(server)
-            if found is not None and age < REPORT_SILENCE_SECONDS:
-                total.add_report(found, age)
+            if found is not None and self._counts(reported, now):
+                total.add_report(found, now - reported.heard_at)
         return total
 
+    def _counts(self, reported: _Reported, now: float) -> bool:
+        if now - reported.heard_at >= REPORT_SILENCE_SECONDS:
+            return False
+        if reported.is_summary:
+            return reported.zone != self._zone
+        summarized = self._summarized.get(reported.zone, float("-inf"))
+        return reported.zone == self._zone or now - summarized >= REPORT_SILENCE_SECONDS
+
     def handle_report(self, report: messages.LoadReport, now: float) -> None:
         """Take another entry's report in, unless a newer one came before."""
-        held = self._others.get(report.entry)
+        key = (f"zone/{report.zone}" if report.is_summary else report.entry, report.part)
+        held = self._others.get(key)
         same_life = held is not None and held.incarnation == report.incarnation
         if same_life and report.sequence <= held.sequence:
             return
+        if report.is_summary:
+            self._summarized[report.zone] = now
         engines = {one.server: one for one in report.engines}
-        self._others[report.entry] = _Reported(report.incarnation, report.sequence, now, engines)
+        self._others[key] = _Reported(
+            report.incarnation, report.sequence, now, report.zone, report.is_summary, engines
+        )
 
     def forget_silent(self, now: float) -> None:
         """Drop what silent entries reported."""
-        for entry, reported in list(self._others.items()):
+        for key, reported in list(self._others.items()):
             if now - reported.heard_at > REPORT_SILENCE_SECONDS:
-                del self._others[entry]
+                del self._others[key]
 
-    def make_report(
+    def make_reports(
         self, *, entry: str, incarnation: str, sequence: int, now: float
-    ) -> messages.LoadReport:
-        """Return the report of all own work."""
+    ) -> list[messages.LoadReport]:
+        """Return the report of all own work, in parts."""
         self._changed = False
-        engines = []
+        totals: dict[str, ServerLoad] = {}
         for server, held in self._own.items():
-            total = ServerLoad()
+            total = totals[server] = ServerLoad()
             for work in held.values():
                 total.add(work, now)
-            engines.append(
-                messages.EngineLoad(
-                    server=server,
-                    strict=total.strict,
-                    relaxed=total.relaxed,
-                    patient=total.patient,
-                    reading_seconds=total.reading_seconds,
-                    part_seconds=total.part_seconds,
-                    memory_tokens=total.memory_tokens,
-                    helping=total.helping,
-                )
+        base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone)
+        return self._cut(base, totals)
+
+    def make_summary(
+        self, *, entry: str, incarnation: str, sequence: int, now: float
+    ) -> list[messages.LoadReport]:
+        """Return the report of all work of this entry's availability zone, in parts."""
+        totals: dict[str, ServerLoad] = {}
+        for server, held in self._own.items():
+            total = totals.setdefault(server, ServerLoad())
+            for work in held.values():
+                total.add(work, now)
+        for reported in self._others.values():
+            if reported.is_summary or reported.zone != self._zone:
+                continue
+            age = now - reported.heard_at
+            if age >= REPORT_SILENCE_SECONDS:
+                continue
+            for server, found in reported.engines.items():
+                totals.setdefault(server, ServerLoad()).add_report(found, age)
+        base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone, is_summary=True)
+        return self._cut(base, totals)
+
+    def _cut(
+        self, base: messages.LoadReport, totals: dict[str, ServerLoad]
+    ) -> list[messages.LoadReport]:
+        """Cut a report into parts; parts that were sent before are sent again, also if empty."""
+        engines = [_to_message(server, total) for server, total in totals.items()]
+        count = max(1, -(-len(engines) // SERVERS_PER_PART))
+        self._parts = max(self._parts, count)
+        return [
+            attrs.evolve(
+                base,
+                part=part,
+                engines=tuple(engines[part * SERVERS_PER_PART : (part + 1) * SERVERS_PER_PART]),
             )
-        return messages.LoadReport(entry, incarnation, sequence, tuple(engines))
+            for part in range(self._parts)
+        ]
+
+
+def _to_message(server: str, total: ServerLoad) -> messages.EngineLoad:
+    return messages.EngineLoad(
+        server=server,
+        strict=total.strict,
+        relaxed=total.relaxed,
+        patient=total.patient,
+        reading_seconds=total.reading_seconds,
+        part_seconds=total.part_seconds,
+        memory_tokens=total.memory_tokens,
+        helping=total.helping,
+    )
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -32,7 +32,7 @@
 CREDIT_EXPONENT = 0.8
 # Preferences that decide between placements of about equal risk, in units of risk.
 PACKING_BONUS = 0.03
-OTHER_ZONE_COST = 0.01
+OTHER_ZONE_COST = 0.1
 ENGINE_COST = 0.04
 SILENT_COST = 5.0
 # Requests beyond its slots that an engine may be given; it queues a few.
@@ -257,11 +257,13 @@
         part = whole / size
         tokens = -(-job.prompt_tokens // size)
         pause = reading_pause(part, tokens, self._model)
-        ranked = sorted(
-            (self._cost_of_part(one, job, part, pause), _preference(one.server), position)
-            for position, one in enumerate(candidates)
-            if one.load.helping < self._model.slots
-        )
+        ranked = []
+        if size > 1:
+            ranked = sorted(
+                (self._cost_of_part(one, job, part, pause), _preference(one.server), position)
+                for position, one in enumerate(candidates)
+                if one.load.helping < self._model.slots
+            )
         needed = job.prompt_tokens + job.output_tokens
         roomy = [one for one in usable if self._room(one) >= needed // size]
         if not roomy:
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -7,7 +7,8 @@
 import attrs
 
 from flamingoramp.dispatch import allowance
-from flamingoramp.routing import load_book, observations, rates
+from flamingoramp.protocol import messages
+from flamingoramp.routing import load_book, observations, rates, report_targets
 
 
 class TestLoadBook(unittest.TestCase):
@@ -19,10 +20,10 @@
         self.work = load_book.Work("e1", 0.25, 5000, part_seconds=0.5, reading_until=10.5)
 
     def report(self, sequence: int, now: float, incarnation: str = "i") -> None:
-        made = self.other.make_report(
+        for made in self.other.make_reports(
             entry="other", incarnation=incarnation, sequence=sequence, now=now
-        )
-        self.book.handle_report(made, now)
+        ):
+            self.book.handle_report(made, now)
 
     def test_own_work_is_counted_until_it_ends(self):
         self.book.add(self.work)
@@ -73,6 +74,99 @@
         self.assertEqual(load.answers, 3)
 
 
+class TestSummaries(unittest.TestCase):
+    """Reports of whole availability zones."""
+
+    def make(self, zone: str, *servers: str) -> load_book.LoadBook:
+        book = load_book.LoadBook(zone)
+        for server in servers:
+            book.add(load_book.Work(server, 0.25))
+        return book
+
+    def send(self, reports, *books: load_book.LoadBook) -> None:
+        for report in reports:
+            for book in books:
+                book.handle_report(report, 0.0)
+
+    def summary(self, book: load_book.LoadBook, sequence: int = 1):
+        return book.make_summary(entry="r", incarnation="i", sequence=sequence, now=0.0)
+
+    def reports(self, book: load_book.LoadBook, entry: str, sequence: int = 1):
+        return book.make_reports(entry=entry, incarnation="i", sequence=sequence, now=0.0)
+
+    def test_a_summary_holds_all_work_of_the_zone(self):
+        relay, near, far = self.make("a", "e1"), self.make("a", "e1"), self.make("b")
+        self.send(self.reports(near, "near"), relay)
+        self.send(self.summary(relay), far)
+        self.assertEqual(far.load("e1", 0.0).strict, 2)
+
+    def test_work_counts_once_if_it_is_reported_both_ways(self):
+        relay, near, far = self.make("a", "e1"), self.make("a", "e1"), self.make("b")
+        self.send(self.reports(near, "near"), relay, far)
+        self.assertEqual(far.load("e1", 0.0).strict, 1)
+        self.send(self.summary(relay), far, near)
+        self.assertEqual(far.load("e1", 0.0).strict, 2)
+        self.assertEqual(near.load("e1", 0.0).strict, 1, "its own zone has single reports")
+
+    def test_single_reports_count_again_once_summaries_end(self):
+        relay, near, far = self.make("a", "e1"), self.make("a", "e1"), self.make("b")
+        self.send(self.summary(relay), far)
+        late = load_book.REPORT_SILENCE_SECONDS + 0.1
+        for report in self.reports(near, "near"):
+            far.handle_report(report, late)
+        self.assertEqual(far.load("e1", late).strict, 1)
+
+    def test_a_long_report_comes_in_parts_and_shrinks_again(self):
+        servers = [f"e{number}" for number in range(2 * load_book.SERVERS_PER_PART + 1)]
+        one, other = self.make("a", *servers), self.make("a")
+        reports = self.reports(one, "one")
+        self.assertEqual(len(reports), 3)
+        self.send(reports, other)
+        self.assertTrue(all(other.load(server, 0.0).strict == 1 for server in servers))
+        for held in list(one._own.values()):
+            for work in list(held.values()):
+                one.remove(work)
+        self.send(self.reports(one, "one", sequence=2), other)
+        self.assertFalse(any(other.load(server, 0.0).strict for server in servers))
+
+
+class TestReportTargets(unittest.TestCase):
+    """Who gets reports, by the number of entries."""
+
+    def entries(self, count: int) -> list[messages.EntryRecord]:
+        return [
+            messages.EntryRecord(entry=f"{zone}{n:02}", inner=f"{zone}{n:02}:1", zone=zone)
+            for zone in "abc"
+            for n in range(count)
+        ]
+
+    def targets(self, own: str, known, dead: frozenset[str] = frozenset()):
+        others = [one for one in known if one.entry != own]
+        living = {one.entry for one in others} - dead
+        return report_targets.choose_targets(own, own[0], others, living)
+
+    def test_a_few_report_to_all(self):
+        found = self.targets("a00", self.entries(3))
+        self.assertEqual((len(found.direct), found.far), (8, []))
+
+    def test_many_report_within_their_zone(self):
+        found = self.targets("a05", self.entries(20))
+        self.assertEqual({address[0] for address in found.direct}, {"a"})
+        self.assertEqual(found.far, [])
+
+    def test_one_of_each_zone_relays(self):
+        known = self.entries(20)
+        relays = [one.entry for one in known if self.targets(one.entry, known).far]
+        self.assertEqual(relays, ["a00", "b00", "c00"])
+        found = self.targets("a00", known)
+        self.assertEqual(found.far, ["b00:1", "b01:1", "c00:1", "c01:1"])
+        self.assertEqual(len(found.near), 19)
+
+    def test_the_next_one_relays_when_the_first_is_silent(self):
+        found = self.targets("a01", self.entries(20), frozenset({"a00"}))
+        self.assertTrue(found.far)
+
+
 class TestRates(unittest.TestCase):
     """Rates follow a change of the mix within seconds."""
 
--- a/flamingoramp/runtime/datagrams.py
+++ b/flamingoramp/runtime/datagrams.py
@@ -12,8 +12,6 @@
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import transport as transports
 
-# Stays below the smallest usual path limit, so that no datagram is cut into pieces.
-MAX_DATAGRAM_BYTES = 1400
 RECEIVES_PER_TURN = 256
 
 
@@ -60,7 +58,7 @@
 
     def send(self, addresses: list[str], message: Any) -> None:
         """Send one message to several addresses."""
-        data = codec.encode(self._name, message)[codec.HEADER.size :]
+        data = codec.encode_packed(self._name, message)
         for address in addresses:
             try:
                 self._socket.sendto(data, transports.parse_address(address))
@@ -79,7 +77,7 @@
             except OSError:
                 return  # nothing waits
             try:
-                envelope = codec.decode(data)
+                envelope = codec.decode_packed(data)
             except errors.ProtocolError as error:
                 self._on_protocol_error(error)
                 continue
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -15,7 +15,7 @@
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import stream as streams
 
-PING_SECONDS = 0.5
+PING_SECONDS = 0.8
 SILENCE_SECONDS = 2.0
 RECONNECT_SECONDS = 0.2
 BUFFER_LIMIT_BYTES = 32 * 1024 * 1024
