--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -32,7 +32,7 @@
 REPORT_DELAY_SECONDS = 0.008
 REPORT_SECONDS = 0.3
 # Summaries of a zone go out this often; a placement in another zone is the exception.
-SUMMARY_SECONDS = 0.05
+SUMMARY_SECONDS = 0.2
 TARGETS_SECONDS = 0.2
 FORGET_SECONDS = 1.0
 SETTINGS_CHECK_SECONDS = 2.0
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -30,6 +30,7 @@
     name: str
     stored: str
     nested: type | None
+    is_list: bool
 
 
 def _describe(kind: type) -> tuple[_Field, ...]:
@@ -38,7 +39,7 @@
     for attribute in attrs.fields(kind):
         arguments = get_args(hints[attribute.name])
         nested = arguments[0] if arguments and attrs.has(arguments[0]) else None
-        fields.append(_Field(attribute.name, _camel(attribute.name), nested))
+        fields.append(_Field(attribute.name, _camel(attribute.name), nested, bool(arguments)))
     return tuple(fields)
 
 
@@ -65,15 +66,17 @@
 
 
 def _structure(kind: type, stored: Any) -> Any:
-    values = {}
+    """Read the fields of a kind in their order, which is also that of its constructor."""
+    values = []
     for field in _FIELDS[kind]:
         value = getattr(stored, field.stored)
         if field.nested is not None:
-            value = tuple(_structure(field.nested, item) for item in value)
-        elif not isinstance(value, str | bytes | int | float):
+            nested = field.nested
+            value = tuple([_structure(nested, item) for item in value])
+        elif field.is_list:
             value = tuple(value)
-        values[field.name] = value
-    return kind(**values)
+        values.append(value)
+    return kind(*values)
 
 
 @attrs.frozen
