--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -389,12 +389,16 @@
         return _to_server_limits(self._declaration.limits)
 
     def _handle_request(self, exchange: http_server.Exchange) -> None:
+        request_id = ""
         try:
-            admitted = self._admit(exchange)
+            caller = self.dialect.decode_request(exchange.request)
+            request_id = caller.request_id
+            admitted = self._admit(exchange, caller)
         except errors.FlamingorampError as error:
             self._metrics.count("requests_refused", code=error.code)
             self._log.write(
                 "request.refused",
+                request_id,
                 path=exchange.request.path,
                 code=error.code,
                 version=self._declaration.version if self._declaration else 0,
@@ -406,7 +410,9 @@
         self._active.add(started)
         started.start()
 
-    def _admit(self, exchange: http_server.Exchange) -> forwarding.Admitted:
+    def _admit(
+        self, exchange: http_server.Exchange, caller: dialects.CallerRequest
+    ) -> forwarding.Admitted:
         """Check a request against the declaration.
 
         Raises
@@ -422,7 +428,6 @@
                 "this entry knows no declaration yet",
                 retry_after=spread * max(NOT_READY_RETRY_SECONDS, expected),
             )
-        caller = self.dialect.decode_request(exchange.request)
         route = declaration.find_route(caller.host, caller.path)
         if route is None:
             raise errors.UnknownRouteError(f"no route for {caller.host}{caller.path}")
