--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -27,6 +27,12 @@
     clock_rate_bound: float = 0.05
     # A voter that is silent for this long gives its place to a host that waits for one.
     voter_silence_seconds: float = 8.0
+    # Whether anything rests on `holds_lease`. A restarted voter then waits before it votes, for it
+    # may have promised a leader its patience just before it stopped.
+    uses_leases: bool = True
+    # Without leases a restarted replica asks for votes this often until it hears a leader.
+    restart_min_seconds: float = 0.08
+    restart_max_seconds: float = 0.3
     # A replica that hears no leader for this long may have lost its membership; it asks for it.
     rejoin_seconds: float = 3.0
 
@@ -97,8 +103,8 @@
         self._heartbeat_due = 0.0
         self._term_start_index = 0
         self._elected_at = now
-        # A restarted voter may have promised a leader its patience just before it stopped.
-        self._leader_contact = now
+        self._leader_contact = now if self._timing.uses_leases else float("-inf")
+        self._started_at = now
         self._effects: list[Any] = []
         self._reset_election(now)
 
@@ -210,7 +216,8 @@
         else:
             if now >= self._election_deadline:
                 self._start_election(now, pre=True)
-            if now >= self._leader_contact + self._timing.rejoin_seconds:
+            heard_at = max(self._leader_contact, self._started_at)
+            if now >= heard_at + self._timing.rejoin_seconds:
                 self._founding.learn(self.membership.voters)
                 self._effects += self._founding.ask_to_join(now)
         return self._take_effects()
@@ -379,8 +386,12 @@
 
     def _reset_election(self, now: float) -> None:
         timing = self._timing
-        wait = self._rng.uniform(timing.election_min_seconds, timing.election_max_seconds)
-        self._election_deadline = now + wait
+        shortest, longest = timing.election_min_seconds, timing.election_max_seconds
+        if not timing.uses_leases and self._leader_contact == float("-inf"):
+            # Since the start no leader was heard of. Asking early and often disturbs nobody: those
+            # who hear a leader refuse, and those who are not up yet are asked again.
+            shortest, longest = timing.restart_min_seconds, timing.restart_max_seconds
+        self._election_deadline = now + self._rng.uniform(shortest, longest)
 
     def _start_election(self, now: float, *, pre: bool) -> None:
         self._reset_election(now)
--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -25,11 +25,13 @@
         seed: int = 1,
         *,
         founders: tuple[str, ...] = (),
+        timing: replica.Timing | None = None,
     ):
         self.rng = random.Random(seed)
         self.now = 0.0
         self.hosts = hosts
         self.founders = founders or hosts
+        self.timing = timing
         self.disks = {host: worlds.VirtualDisk() for host in hosts}
         self.replicas: dict[str, replica.Replica] = {}
         self.applied: dict[str, list[messages.LogEntry]] = {}
@@ -54,6 +56,7 @@
             rng=random.Random(f"{host}{self.lives}"),
             now=self.now,
             may_form=first_start and host in self.founders,
+            timing=self.timing,
         )
 
     def stop(self, host: str) -> None:
@@ -203,6 +206,29 @@
         replies = [one.message for one in batch if isinstance(one, effects.Send)]
         self.assertEqual([one.granted for one in replies], [False])
 
+    def test_without_leases_a_restarted_cluster_has_a_leader_soon(self):
+        timing = replica.Timing(uses_leases=False)
+        for seed in range(10):
+            cluster = Cluster(seed=seed, timing=timing)
+            cluster.run(3)
+            cluster.propose(b"x")
+            cluster.run(1)
+            for host in HOSTS:
+                cluster.start(host)
+            cluster.run(timing.election_min_seconds)
+            self.assertNotEqual(cluster.leader(), "")
+            self.assertTrue(cluster.propose(b"y"))
+
+    def test_without_leases_one_restarted_replica_disturbs_nobody(self):
+        cluster = Cluster(timing=replica.Timing(uses_leases=False))
+        cluster.run(3)
+        leader = cluster.leader()
+        term = cluster.replicas[leader].term
+        for _ in range(5):
+            cluster.start(next(host for host in HOSTS if host != leader))
+            cluster.run(2)
+        self.assertEqual((cluster.leader(), cluster.replicas[leader].term), (leader, term))
+
     def test_proposal_elsewhere_names_the_leader(self):
         cluster = Cluster()
         cluster.run(3)
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -36,7 +36,12 @@
 # A stopping replica waits this long for calls in hand.
 STOP_SECONDS = 0.5
 
-TIMING = replica.Timing(heartbeat_seconds=0.12, election_min_seconds=0.6, election_max_seconds=1.1)
+TIMING = replica.Timing(
+    heartbeat_seconds=0.12,
+    election_min_seconds=0.45,
+    election_max_seconds=0.9,
+    uses_leases=False,
+)
 
 
 @attrs.define
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -28,6 +28,8 @@
 from flamingoramp.runtime import transport as transports
 
 SUBSCRIBE_SECONDS = 0.5
+# An entry that knows no declaration asks this often, as control hosts may start beside it.
+HURRIED_SUBSCRIBE_SECONDS = 0.1
 # Load reports go out this soon after a change, so that several changes share one.
 REPORT_DELAY_SECONDS = 0.008
 REPORT_SECONDS = 0.3
@@ -49,7 +51,7 @@
 # A refused caller comes back after about the time that an answer takes.
 RETRY_AFTER_SECONDS = 0.4
 # A restarted entry knows a declaration after about this long if all of control restarted with it.
-EXPECTED_READY_SECONDS = 2.5
+EXPECTED_READY_SECONDS = 2.0
 NOT_READY_RETRY_SECONDS = 0.5
 # Part of a time to return by which callers are spread, so that they don't all return at once.
 RETURN_SPREAD = 0.3
@@ -134,6 +136,7 @@
         loop = self.loop
         loop.call_later(0.0, self._subscribe)
         loop.call_every(SUBSCRIBE_SECONDS, self._subscribe)
+        loop.call_every(HURRIED_SUBSCRIBE_SECONDS, self._subscribe_hurriedly)
         loop.call_every(REPORT_SECONDS, self._send_report)
         loop.call_every(SUMMARY_SECONDS, self._send_summary)
         loop.call_every(TARGETS_SECONDS, self._choose_targets)
@@ -185,6 +188,10 @@
         for host in dict.fromkeys((*self._controls, *self._settings.seed_hosts)):
             self._process.transport.send(host, message)
 
+    def _subscribe_hurriedly(self) -> None:
+        if self._declaration is None:
+            self._subscribe()
+
     def _own_record(self) -> inner.EntryRecord:
         return inner.EntryRecord(
             entry=self._settings.name,
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -17,7 +17,7 @@
 
 PING_SECONDS = 0.8
 SILENCE_SECONDS = 2.0
-RECONNECT_SECONDS = 0.2
+RECONNECT_SECONDS = 0.1
 BUFFER_LIMIT_BYTES = 32 * 1024 * 1024
 
 
