--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -192,9 +192,9 @@
                     self._note_version()
             case messages.Subscribe():
                 now = self._loop.now()
-                self._publisher.handle(connection, message, now)
-                for entry in message.entries:
-                    self._directory.note_heard(entry.entry, now)
+                entry = self._publisher.handle(connection, message, now)
+                if entry:
+                    self._directory.note_heard(entry, now)
                 self._urgent = True
             case messages.ClusterUpdate():
                 self._merge(message)
@@ -213,7 +213,7 @@
         for server in update.servers:
             self._registry.update_server(server, now, relayed=True)
         for entry in update.entries:
-            self._registry.update_entry(entry, now)
+            self._registry.update_entry(entry, now, relayed=True)
         self._publisher.add_crashes(update.crashes, now)
         self._urgent = self._urgent or self._registry.change != before
 
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -28,6 +28,9 @@
 from flamingoramp.runtime import transport as transports
 
 SUBSCRIBE_SECONDS = 0.5
+# Renewals of a subscription after which one control host gets a renewed record of the entry.
+RECORD_RENEWAL = 16
+RECORD_STEP = 2**40
 # An entry that knows no declaration asks this often, as control hosts may start beside it.
 HURRIED_SUBSCRIBE_SECONDS = 0.1
 # Load reports go out this soon after a change, so that several changes share one.
@@ -111,7 +114,9 @@
         self.book = load_book.LoadBook(settings.availability_zone)
         self.pool = client.Pool(self.loop)
         self._report_numbers = itertools.count(1)
-        self._record_number = 0
+        self._subscriptions = 0
+        self._told_record: inner.EntryRecord | None = None
+        self._told_hosts: set[str] = set()
         self._report_planned = False
         self._targets = report_targets.Targets([])
         self._entries = 1
@@ -177,16 +182,31 @@
     # Control.
 
     def _subscribe(self) -> None:
-        self._record_number += 1
-        message = inner.Subscribe(
-            name=self._process.name,
-            version=self._declaration.version if self._declaration else 0,
-            entries=(self._own_record(),),
-            crashes=tuple(self._new_crashes),
-        )
+        """Subscribe to all control hosts, or renew that; one of them also gets a renewed record."""
+        record = self._own_record()
+        if record != self._told_record:
+            self._told_record = record
+            self._told_hosts.clear()
+        self._subscriptions += 1
+        hosts = list(dict.fromkeys((*self._controls, *self._settings.seed_hosts)))
+        renewed = hosts[(self._subscriptions // RECORD_RENEWAL) % len(hosts)]
+        for host in hosts:
+            entries: tuple[inner.EntryRecord, ...] = ()
+            if host not in self._told_hosts or not self._process.transport.is_connected(host):
+                entries = (record,)
+            elif host == renewed and self._subscriptions % RECORD_RENEWAL == 0:
+                entries = (attrs.evolve(record, sequence=record.sequence + self._subscriptions),)
+            message = inner.Subscribe(
+                name=self._process.name,
+                version=self._declaration.version if self._declaration else 0,
+                entries=entries,
+                crashes=tuple(self._new_crashes),
+            )
+            if self._process.transport.send(host, message):
+                self._told_hosts.add(host)
+            else:
+                self._told_hosts.discard(host)
         self._new_crashes.clear()
-        for host in dict.fromkeys((*self._controls, *self._settings.seed_hosts)):
-            self._process.transport.send(host, message)
 
     def _subscribe_hurriedly(self) -> None:
         if self._declaration is None:
@@ -201,10 +221,8 @@
             zone=self._settings.availability_zone,
             ready=self.is_ready,
             leaving=bool(self._stopping_since),
-            # Grows with what it says, and now and then; each growth is passed on to all entries.
-            sequence=4 * (self._record_number // 20)
-            + 2 * bool(self._stopping_since)
-            + (self._declaration is not None),
+            # Grows with what it says, by more than renewals ever add.
+            sequence=RECORD_STEP * (2 * bool(self._stopping_since) + self.is_ready),
             born=self._born,
         )
 
--- a/flamingoramp/membership/registry.py
+++ b/flamingoramp/membership/registry.py
@@ -14,7 +14,7 @@
 # How long the end of a server is remembered, longer than any report may be under way.
 TOMBSTONE_SECONDS = 120.0
 # A mere renewal is passed on at most this often; that a server went silent is seen by its answers.
-RENEWAL_SECONDS = 3.0
+RENEWAL_SECONDS = 5.0
 # An entry that is silent for longer has ended; its last report is dropped.
 ENTRY_SILENCE_SECONDS = 30.0
 
@@ -96,15 +96,26 @@
         self._retire_predecessors(record)
         return True
 
-    def update_entry(self, record: messages.EntryRecord, now: float) -> bool:
-        """Take an entry's report in; return whether it told anything new."""
+    def update_entry(
+        self, record: messages.EntryRecord, now: float, *, relayed: bool = False
+    ) -> bool:
+        """Take an entry's report in; return whether it told anything new.
+
+        Parameters
+        ----------
+        relayed : bool
+            Whether another control host took the report, and tells the others of mere renewals.
+        """
         held = self._entries.get(record.entry)
+        heard_at = now - record.age
         if held is not None:
             before = held.record
             if (record.born, record.sequence) <= (before.born, before.sequence):
                 return False
+            if relayed and _is_renewal(before, record):
+                held.record, held.heard_at = attrs.evolve(record, age=0.0), heard_at
+                return True
         self._change += 1
-        heard_at = now - record.age
         self._entries[record.entry] = _Held(attrs.evolve(record, age=0.0), heard_at, self._change)
         return True
 
@@ -156,7 +167,10 @@
     return before
 
 
-def _is_renewal(before: messages.ServerRecord, after: messages.ServerRecord) -> bool:
+def _is_renewal(
+    before: messages.ServerRecord | messages.EntryRecord,
+    after: messages.ServerRecord | messages.EntryRecord,
+) -> bool:
     return attrs.evolve(after, sequence=0, age=0.0) == attrs.evolve(before, sequence=0, age=0.0)
 
 
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -22,6 +22,7 @@
 class _Subscriber:
     is_control: bool
     heard_at: float
+    entry: str = ""
     change: int = 0
     version: int = 0
     controls: tuple[str, ...] = ()
@@ -51,8 +52,14 @@
         """Number of subscribers."""
         return len(self._subscribers)
 
-    def handle(self, connection: Any, message: messages.Subscribe, now: float) -> None:
-        """Take a subscription or its renewal in."""
+    def handle(self, connection: Any, message: messages.Subscribe, now: float) -> str:
+        """Take a subscription or its renewal in.
+
+        Returns
+        -------
+        str
+            The entry that subscribes, as it said on this connection; empty for a control host.
+        """
         subscriber = self._subscribers.get(connection)
         if subscriber is None:
             subscriber = _Subscriber(message.is_control, now)
@@ -60,8 +67,10 @@
         subscriber.heard_at = now
         subscriber.version = max(subscriber.version, message.version)
         for record in message.entries:
+            subscriber.entry = record.entry
             self._registry.update_entry(record, now)
         self.add_crashes(message.crashes, now)
+        return subscriber.entry
 
     def add_crashes(self, records: tuple[messages.CrashRecord, ...], now: float) -> None:
         """Remember crashes that are not known yet."""
@@ -121,6 +130,7 @@
         servers, entries = self._registry.changed_since(subscriber.change, now)
         crashes = tuple(record for _, record in self._crashes[subscriber.crashes :])
         newer = version > subscriber.version
+        moved = controls != subscriber.controls
         same = (controls, confirmed) == (subscriber.controls, subscriber.confirmed)
         quiet = now - subscriber.sent_at < registry_heartbeat(subscriber.is_control)
         if not (servers or entries or crashes or newer) and same and quiet:
@@ -134,7 +144,7 @@
             version=version,
             document=document if newer else b"",
             confirmed=confirmed,
-            controls=controls,
+            controls=controls if moved else (),
             servers=servers,
             entries=entries,
             crashes=crashes,
--- a/flamingoramp/membership/tests/test_registry.py
+++ b/flamingoramp/membership/tests/test_registry.py
@@ -122,6 +122,17 @@
                 merged.update_entry(record, 0.0)
             self.assertEqual(merged.entries(0.0, silence=1.0), [reborn])
 
+    def test_relayed_renewals_are_not_passed_on(self):
+        merged = registry.Registry()
+        base = messages.EntryRecord(entry="e", sequence=1, ready=True)
+        merged.update_entry(base, 0.0)
+        change = merged.change
+        merged.update_entry(attrs.evolve(base, sequence=2), 20.0, relayed=True)
+        self.assertEqual(merged.change, change)
+        self.assertEqual(len(merged.entries(21.0, silence=2.0)), 1)
+        merged.update_entry(attrs.evolve(base, sequence=3, leaving=True), 21.0, relayed=True)
+        self.assertGreater(merged.change, change)
+
     def test_a_silent_entry_is_left_out_and_forgotten(self):
         merged = registry.Registry()
         merged.update_entry(messages.EntryRecord(entry="e", sequence=1), 0.0)
--- a/flamingoramp/membership/tests/test_subscriptions.py
+++ b/flamingoramp/membership/tests/test_subscriptions.py
@@ -72,6 +72,17 @@
         self.update(0.1)
         self.assertEqual(self.publisher.count, 0)
 
+    def test_control_hosts_are_told_once(self):
+        self.assertEqual(self.update(0.0).controls, ("c",))
+        self.assertEqual(self.update(0.6).controls, ())
+
+    def test_a_renewal_needs_no_record_to_name_its_entry(self):
+        record = messages.EntryRecord(entry="e1", sequence=1)
+        message = messages.Subscribe(name="x", entries=(record,))
+        self.assertEqual(self.publisher.handle(self.connection, message, 0.0), "e1")
+        renewal = messages.Subscribe(name="x")
+        self.assertEqual(self.publisher.handle(self.connection, renewal, 0.5), "e1")
+
     def test_crashes_are_told_once(self):
         record = messages.CrashRecord("f", "s", 1)
         self.subscribe(0.0, crashes=(record, record))
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -173,6 +173,10 @@
         connection.send(message)
         return True
 
+    def is_connected(self, address: str) -> bool:
+        """Tell whether there is a connection to an address that was opened by `send`."""
+        return address in self._outgoing
+
     def drop(self, address: str) -> None:
         """Close the connection to an address, so that the next message opens a new one."""
         connection = self._outgoing.pop(address, None)
