--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -15,7 +15,7 @@
 import werkzeug
 
 from flamingoramp import errors
-from flamingoramp.consensus import driver, effects, replica, storage
+from flamingoramp.consensus import driver, effects, node, replica, storage
 from flamingoramp.daemons import process
 from flamingoramp.dispatch import claims
 from flamingoramp.intent import changes, cluster_time, commands, declarations, state
@@ -34,18 +34,6 @@
 IN_FORCE_TIMEOUT_SECONDS = 8.0
 POLL_SECONDS = 0.05
 
-_CONSENSUS = (
-    messages.FoundingProbe,
-    messages.FoundingReply,
-    messages.Form,
-    messages.JoinRequest,
-    messages.VoteRequest,
-    messages.VoteReply,
-    messages.AppendRequest,
-    messages.AppendReply,
-    messages.InstallSnapshot,
-)
-
 
 @attrs.frozen
 class _Proposal:
@@ -185,7 +173,7 @@
                 self._handle_settle(message, connection)
             case messages.SuspectReport():
                 self._handle_suspects(message, connection)
-            case _ if isinstance(message, _CONSENSUS):
+            case _ if isinstance(message, node.CONSENSUS_MESSAGES):
                 self._carry_out(self._replica.handle(sender, message, now))
 
     def _send(self, host: str, message: Any) -> None:
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import functools
 import hashlib
 import itertools
 import os
@@ -23,7 +22,7 @@
 from flamingoramp.intent import declared, traffic
 from flamingoramp.membership import entry_directory, registry
 from flamingoramp.protocol import messages as inner
-from flamingoramp.routing import load_book, observations, placement, rates, report_targets
+from flamingoramp.routing import load_book, observations, report_targets, selection
 from flamingoramp.runtime import datagrams, node_settings
 from flamingoramp.runtime import transport as transports
 
@@ -46,15 +45,12 @@
 STOP_RESERVE_SECONDS = 0.3
 # A version from a control host that doesn't hear the leader counts only after this wait.
 UNCONFIRMED_SECONDS = 1.5
-# Announcements missed in a row before a server is used only if no other is left.
-MISSED_ANNOUNCEMENTS = 3.5
-REGISTRY_SILENCE_SECONDS = 60.0
 # A request that broke off this many servers is refused.
 QUARANTINE_CRASHES = 3
-# A refused caller comes back after about the time that an answer takes.
-RETRY_AFTER_SECONDS = 0.4
+# Contents whose crashes are remembered; the oldest is forgotten first.
+MOST_CRASHED_CONTENTS = 4096
 # A restarted entry knows a declaration after about this long if all of control restarted with it.
-EXPECTED_READY_SECONDS = 2.0
+EXPECTED_READY_SECONDS = 1.5
 NOT_READY_RETRY_SECONDS = 0.5
 # Part of a time to return by which callers are spread, so that they don't all return at once.
 RETURN_SPREAD = 0.3
@@ -107,12 +103,18 @@
         self._crashes: dict[str, set[tuple[str, int]]] = {}
         self._new_crashes: list[inner.CrashRecord] = []
         self._directory = entry_directory.EntryDirectory(self._registry)
-        self._observations = observations.Observations()
         self._allowances: dict[str, allowance.RetryAllowance] = {}
-        self._arrivals: dict[str, rates.RateMeter] = {}
         self._active: set[forwarding.Forwarding] = set()
         self.book = load_book.LoadBook(settings.availability_zone)
         self.pool = client.Pool(self.loop)
+        self._observations = observations.Observations()
+        self._selection = selection.Selection(
+            self._registry,
+            self.book,
+            self._observations,
+            zone=settings.availability_zone,
+            announce_seconds=settings.bounds.announce_seconds,
+        )
         self._report_numbers = itertools.count(1)
         self._subscriptions = 0
         self._told_record: inner.EntryRecord | None = None
@@ -282,7 +284,6 @@
             return
         was_ready = self.is_ready
         self._declaration = declaration
-        self._planner.cache_clear()
         self._metrics.set("declaration_version", version)
         self._log.write("declaration.in_force", version=version, source=source)
         if not was_ready:
@@ -386,6 +387,11 @@
         now = self.loop.now()
         self.book.forget_silent(now)
         self._registry.forget_old(now)
+        self._observations.keep_only(
+            {observations.name_life(record) for record in self._registry.servers()}
+        )
+        while len(self._crashes) > MOST_CRASHED_CONTENTS:
+            del self._crashes[next(iter(self._crashes))]
 
     # Calls beside requests.
 
@@ -481,118 +487,21 @@
 
     def choose(self, admitted: forwarding.Admitted, excluded: set[str]) -> forwarding.Target:
         """Choose where the next attempt of a request goes."""
-        service = self._declaration.find_service(admitted.service)
-        candidates, records = self._candidates(admitted.service, excluded)
-        if service is None or not candidates:
-            raise errors.NoBackendError(
-                f"no server of {admitted.service} is known", retry_after=RETRY_AFTER_SECONDS
-            )
-        if service.engine is None or not admitted.caller.prompt_tokens:
-            return self._choose_plain(candidates, records)
-        job = placement.Job(
-            prompt_tokens=admitted.caller.prompt_tokens,
-            output_tokens=admitted.caller.output_tokens,
-            objective=admitted.route.objective,
-            pause=admitted.route.pause_objective,
-            zone=self._settings.availability_zone,
-            limit=admitted.time_limit,
-        )
         now = self.loop.now()
-        meter = self._arrivals.setdefault(service.name, rates.RateMeter())
-        if not excluded:
-            meter.add(job.credit, now)
-        found = self._planner(service.name).place(
-            job, candidates, arriving=self._entries * meter.rate(now)
+        return self._selection.choose(
+            self._declaration,
+            admitted,
+            excluded,
+            now=now,
+            hears_control=self._hears_control(now),
+            entries=self._entries,
         )
-        if found is None:
-            raise errors.OverloadedError("no engine has room", retry_after=RETRY_AFTER_SECONDS)
-        return self._to_target(found, job, records)
-
-    @functools.lru_cache(maxsize=64)  # noqa: B019 - one gateway lives as long as its process
-    def _planner(self, service: str) -> placement.Planner:
-        return placement.Planner(self._declaration.find_service(service).engine)
-
-    def _candidates(
-        self, service: str, excluded: set[str]
-    ) -> tuple[list[placement.Candidate], dict[str, inner.ServerRecord]]:
-        now = self.loop.now()
-        listening = self._hears_control(now)
-        silence = registry.RENEWAL_SECONDS
-        silence += MISSED_ANNOUNCEMENTS * self._settings.bounds.announce_seconds
-        candidates = []
-        records = {}
-        for record in self._registry.servers():
-            if record.service != service or record.leaving or record.server in excluded:
-                continue
-            key = _key(record)
-            silent = listening and self._registry.silence(record.server, now) > silence
-            paused = self._observations.is_paused(key, now)
-            records[record.server] = record
-            candidates.append(
-                placement.Candidate(
-                    server=record.server,
-                    address=record.address,
-                    zone=record.zone,
-                    load=self.book.load(record.server, now),
-                    pace=self._observations.pace(key, now),
-                    is_doubtful=silent or paused or self._observations.is_doubtful(key, now),
-                )
-            )
-        sound = [one for one in candidates if not one.is_doubtful]
-        return sound or candidates, records
 
     def _hears_control(self, now: float) -> bool:
         """Tell whether announcements would reach this entry."""
         heard = sum(now - at < 2 * SUBSCRIBE_SECONDS + 1 for at in self._control_heard.values())
         return 2 * heard > len(self._controls)
 
-    def _choose_plain(
-        self, candidates: list[placement.Candidate], records: dict[str, inner.ServerRecord]
-    ) -> forwarding.Target:
-        zone = self._settings.availability_zone
-        chosen = min(
-            candidates, key=lambda one: (one.load.answers + 0.5 * (one.zone != zone), one.server)
-        )
-        work = load_book.Work(server=chosen.server)
-        return forwarding.Target(records[chosen.server], works=(work,))
-
-    def _to_target(
-        self,
-        found: placement.Placement,
-        job: placement.Job,
-        records: dict[str, inner.ServerRecord],
-    ) -> forwarding.Target:
-        now = self.loop.now()
-        until = now + found.first_token_seconds
-        held = found.held_tokens
-        own = job.prompt_tokens + job.output_tokens - sum(held)
-        works = [
-            load_book.Work(
-                server=found.first.server,
-                pause=job.pause,
-                memory_tokens=own,
-                part_seconds=found.part_seconds,
-                reading_until=until,
-            )
-        ]
-        for index, helper in enumerate(found.helpers):
-            works.append(
-                load_book.Work(
-                    server=helper.server,
-                    memory_tokens=held[index] if held else 0,
-                    part_seconds=found.part_seconds,
-                    reading_until=until,
-                    is_helper=True,
-                )
-            )
-        return forwarding.Target(
-            server=records[found.first.server],
-            helpers=tuple(records[one.server] for one in found.helpers),
-            held_tokens=held,
-            works=tuple(works),
-            predicted_seconds=found.first_token_seconds,
-        )
-
     # What requests report.
 
     def note_first_send(self, service: str) -> None:
@@ -619,7 +528,7 @@
         self, admitted: forwarding.Admitted, server: inner.ServerRecord, crashed: bool
     ) -> None:
         """Note that a server broke off or couldn't be reached."""
-        self._observations.note_broken(_key(server), self.loop.now())
+        self._observations.note_broken(observations.name_life(server), self.loop.now())
         self._metrics.count("servers_broken")
         if crashed:
             record = inner.CrashRecord(admitted.fingerprint, server.server, server.born)
@@ -630,11 +539,13 @@
         """Note that a server kept silent, unless it is known to read a long prompt."""
         now = self.loop.now()
         if self.book.load(server.server, now).reading_seconds <= 0:
-            self._observations.note_broken(_key(server), now)
+            self._observations.note_broken(observations.name_life(server), now)
 
     def note_answer(self, server: inner.ServerRecord, failed: bool) -> None:
         """Note a whole answer."""
-        self._observations.note_answer(_key(server), failed=failed, now=self.loop.now())
+        self._observations.note_answer(
+            observations.name_life(server), failed=failed, now=self.loop.now()
+        )
 
     def note_pace(self, service: str, server: inner.ServerRecord, gaps: list[float]) -> None:
         """Note the pauses between the events of a stream."""
@@ -643,7 +554,7 @@
             return
         usual = sorted(gaps)[len(gaps) // 4]
         pace = usual / declared.engine.pass_seconds
-        self._observations.note_pace(_key(server), pace, self.loop.now())
+        self._observations.note_pace(observations.name_life(server), pace, self.loop.now())
 
     def note_end(self, admitted: forwarding.Admitted, outcome: str, **fields: Any) -> None:
         """Log and count how a request ended."""
@@ -674,11 +585,6 @@
         return 0.0  # it is being replaced; the next look finds it
 
 
-def _key(record: inner.ServerRecord) -> str:
-    """Return what names one life of a server."""
-    return f"{record.server}/{record.born}"
-
-
 def _fingerprint(caller: dialects.CallerRequest, body: bytes) -> str:
     """Return what names the content of a request, whoever sends it again."""
     digest = hashlib.blake2b(body, digest_size=12)
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -102,13 +102,11 @@
 
     @property
     def is_open(self) -> bool:
+        """Whether the connection can be written to."""
         return self._stream.is_open
 
-    @property
-    def is_idle(self) -> bool:
-        return self._receiver is None
-
     def begin(self, request: messages.Request, receiver: Receiver) -> None:
+        """Send a request whose answer a receiver takes."""
         self._receiver = receiver
         self._sent_before = self._stream.sent_bytes
         headers = list(request.headers)
@@ -122,15 +120,18 @@
         self._stream.write(data)
 
     def give_up_connecting(self) -> None:
+        """Fail the request if nothing of it could be sent yet."""
         if self._receiver is not None and self._stream.sent_bytes == 0:
             self._stream.close()
             self._fail(Failure.TIMED_OUT)
 
     def cancel(self) -> None:
+        """Close without telling the receiver."""
         self._receiver = None
         self.close()
 
     def close(self) -> None:
+        """Close, and leave the pool."""
         self._stream.close()
         self._pool.forget(self)
 
--- a/flamingoramp/routing/observations.py
+++ b/flamingoramp/routing/observations.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from flamingoramp.protocol import messages
 from flamingoramp.routing import breaker
 
 # Weight of one new observation.
@@ -18,6 +19,11 @@
 SMALLEST_PACE = 1.3
 
 
+def name_life(record: messages.ServerRecord) -> str:
+    """Return what names one life of a server."""
+    return f"{record.server}/{record.born}"
+
+
 @attrs.define
 class _Server:
     pace: float = 1.0
@@ -71,6 +77,11 @@
         recent = now - server.erred_at < ERRORS_MEMORY_SECONDS
         return recent and server.errors > DOUBTFUL_ERRORS
 
+    def keep_only(self, keys: set[str]) -> None:
+        """Forget all servers but these."""
+        self._servers = {key: one for key, one in self._servers.items() if key in keys}
+        self._breaker.keep_only(keys)
+
     def _server(self, key: str) -> _Server:
         found = self._servers.get(key)
         if found is None:
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -198,6 +198,13 @@
         seen.note_answer("a", failed=False, now=1.6)
         self.assertFalse(seen.is_paused("a", 1.7))
 
+    def test_servers_that_are_gone_are_forgotten(self):
+        seen = observations.Observations()
+        for key in ("a", "b"):
+            seen.note_broken(key, 1.0)
+        seen.keep_only({"b"})
+        self.assertEqual((seen.is_paused("a", 1.1), seen.is_paused("b", 1.1)), (False, True))
+
     def test_failing_often_makes_doubtful(self):
         seen = observations.Observations()
         for number in range(40):
--- a/flamingoramp/runtime/metrics.py
+++ b/flamingoramp/runtime/metrics.py
@@ -31,6 +31,7 @@
     total: float = 0.0
 
     def observe(self, seconds: float) -> None:
+        """Count an observation."""
         self.counts[bisect.bisect_left(LATENCY_BUCKETS_SECONDS, seconds)] += 1
         self.total += seconds
 
