--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -50,7 +50,7 @@
 # Contents whose crashes are remembered; the oldest is forgotten first.
 MOST_CRASHED_CONTENTS = 4096
 # A restarted entry knows a declaration after about this long if all of control restarted with it.
-EXPECTED_READY_SECONDS = 1.5
+EXPECTED_READY_SECONDS = 2.0
 NOT_READY_RETRY_SECONDS = 0.5
 # Part of a time to return by which callers are spread, so that they don't all return at once.
 RETURN_SPREAD = 0.3
