Send nothing twice because all are slow

A server that is known to be busy, or another that is predicted to be no faster, is no reason to send again.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -535,11 +535,17 @@
             self._crashes.setdefault(record.fingerprint, set()).add((server.server, server.born))
             self._new_crashes.append(record)
 
+    def explains_silence(self, admitted: forwarding.Admitted, server: inner.ServerRecord) -> bool:
+        """Tell whether an engine reads long prompts, or has more requests than slots."""
+        service = self._declaration.find_service(admitted.service)
+        if service is None or service.engine is None:
+            return False
+        load = self.book.load(server.server, self.loop.now())
+        return load.reading_seconds > 0 or load.answers > service.engine.slots
+
     def note_silent(self, server: inner.ServerRecord) -> None:
-        """Note that a server kept silent, unless it is known to read a long prompt."""
-        now = self.loop.now()
-        if self.book.load(server.server, now).reading_seconds <= 0:
-            self._observations.note_broken(observations.name_life(server), now)
+        """Note that a server kept silent for longer than predicted."""
+        self._observations.note_broken(observations.name_life(server), self.loop.now())
 
     def note_answer(self, server: inner.ServerRecord, failed: bool) -> None:
         """Note a whole answer."""
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -32,6 +32,8 @@
 # callers give up after 2 s.
 SILENCE_FACTOR = 3.0
 SILENCE_SECONDS = 1.4
+# Another server is worth the work if it is predicted to answer within this share of the silence.
+WORTHWHILE_SHARE = 0.5
 # A plain call that takes this many times its objective has another server try.
 PLAIN_PATIENCE_SHARE = 1.5
 # A retry needs this much time to be of use.
@@ -105,6 +107,9 @@
     def note_broken(self, admitted: Admitted, server: inner.ServerRecord, crashed: bool) -> None:
         """Note that a server broke off or couldn't be reached."""
 
+    def explains_silence(self, admitted: Admitted, server: inner.ServerRecord) -> bool:
+        """Tell whether a server is silent because of what it is known to have to do."""
+
     def note_silent(self, server: inner.ServerRecord) -> None:
         """Note that a server kept silent for longer than predicted."""
 
@@ -329,14 +334,20 @@
         loop.call_later(due - loop.now(), _check)
 
     def _replace_silent(self, attempt: _Attempt, silent: float) -> bool:
-        """Have another server take over; False if the silent one is the best there is."""
-        if not self._can_retry():
+        """Have another server take over; False if the silent one is the best there is.
+
+        Work that waits because all are busy must not be sent a second time: that would keep them
+        busy.
+        """
+        server = attempt.target.server
+        if not self._can_retry() or self._around.explains_silence(self._admitted, server):
             return False
         try:
-            self._around.choose(self._admitted, self._tried)
+            other = self._around.choose(self._admitted, self._tried)
         except errors.FlamingorampError:
             return False
-        server = attempt.target.server
+        if other.predicted_seconds > WORTHWHILE_SHARE * silent:
+            return False
         self._around.note_step(
             self._admitted, "request.silent", server=server.server, silent=round(silent, 3)
         )
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -146,6 +146,8 @@
         self.book = load_book.LoadBook()
         self.servers = ["s1", "s2", "s3"]
         self.retries = 100
+        self.explained: set[str] = set()
+        self.predicted = 0.1
         self.ends: list[tuple[str, dict[str, Any]]] = []
         self.broken: list[tuple[str, bool]] = []
 
@@ -154,7 +156,7 @@
             if name not in excluded:
                 record = inner.ServerRecord(server=name, address=f"{name}:1")
                 work = load_book.Work(name, part_seconds=0.1, reading_until=0.1)
-                return forwarding.Target(record, works=(work,), predicted_seconds=0.1)
+                return forwarding.Target(record, works=(work,), predicted_seconds=self.predicted)
         raise errors.NoBackendError("none left", retry_after=0.4)
 
     def note_first_send(self, service) -> None:
@@ -167,6 +169,9 @@
     def note_broken(self, admitted, server, crashed) -> None:
         self.broken.append((server.server, crashed))
 
+    def explains_silence(self, admitted, server) -> bool:
+        return server.server in self.explained
+
     def note_silent(self, server) -> None:
         """Do nothing."""
 
@@ -386,6 +391,18 @@
         self.complete()
         self.check_over(200)
 
+    def test_a_server_that_is_known_to_be_busy_is_not_replaced(self):
+        self.entry.explained = {"s1"}
+        self.start(STREAM)
+        self.entry.loop.advance(8.0)
+        self.assertEqual(len(self.calls), 1)
+
+    def test_nothing_is_sent_twice_while_all_are_slow(self):
+        self.start(STREAM)
+        self.entry.predicted = 5.0
+        self.entry.loop.advance(2.0)
+        self.assertEqual(len(self.calls), 1)
+
     def test_a_late_answer_of_a_replaced_server_reaches_nobody(self):
         self.start(STREAM)
         self.entry.loop.advance(forwarding.PATIENCE_SECONDS + 0.1)
