--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -35,8 +35,11 @@
 OTHER_ZONE_COST = 0.1
 ENGINE_COST = 0.04
 SILENT_COST = 5.0
-# Requests beyond its slots that an engine may be given; it queues a few.
+# Requests beyond its slots that an engine may be given, for prompts whose credit is at least this.
+# A short prompt that waits for a slot is late, and so is each one behind it: it is refused, and the
+# others are on time.
 QUEUE_PLACES = 2
+QUEUE_CREDIT = 2.0
 QUEUE_COST = 1.0
 # Slots that packing leaves free for requests that other entries place at the same moment, and the
 # cost of using each of them.
@@ -228,7 +231,7 @@
         """
         self._arriving = arriving
         self._candidates = candidates
-        usable = [one for one in candidates if self._has_seat(one)]
+        usable = [one for one in candidates if self._has_seat(one, job)]
         if not usable:
             return None
         whole = self._model.reading_seconds(job.prompt_tokens)
@@ -243,8 +246,9 @@
                 break  # smaller parts than a pass gain nothing
         return best
 
-    def _has_seat(self, candidate: Candidate) -> bool:
-        return candidate.load.answers < self._model.slots + QUEUE_PLACES
+    def _has_seat(self, candidate: Candidate, job: Job) -> bool:
+        places = QUEUE_PLACES if job.credit >= QUEUE_CREDIT else 0
+        return candidate.load.answers < self._model.slots + places
 
     def _place_group(
         self,
--- a/flamingoramp/routing/tests/test_placement.py
+++ b/flamingoramp/routing/tests/test_placement.py
@@ -81,6 +81,19 @@
     def test_nothing_is_placed_when_all_queues_are_full(self):
         full = {f"e{n}": load_book.ServerLoad(strict=10) for n in range(3)}
         self.assertIsNone(place(SHORT, make_engines(3, **full)))
+        self.assertIsNone(place(LONG, make_engines(3, **full)))
+
+
+class TestBurstBeyondAllSlots(unittest.TestCase):
+    """More short prompts come than all engines have slots for."""
+
+    def test_what_would_wait_for_a_slot_is_refused(self):
+        full = {f"e{n}": load_book.ServerLoad(strict=8) for n in range(3)}
+        self.assertIsNone(place(SHORT, make_engines(3, **full)))
+
+    def test_a_long_prompt_may_wait(self):
+        full = {f"e{n}": load_book.ServerLoad(strict=8) for n in range(3)}
+        self.assertIsNotNone(place(LONG, make_engines(3, **full)))
 
 
 class TestLongBesideShort(unittest.TestCase):
