--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -171,11 +171,6 @@
         """Control hosts as last confirmed."""
         return self._controls
 
-    @property
-    def front(self) -> http_server.Server:
-        """The server that callers connect to."""
-        return self._front
-
     def run(self) -> None:
         """Serve until a planned stop is complete."""
         self._log.write("process.started", role="entry", callers=self._settings.listen.callers)
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -138,7 +138,7 @@
     def _handle_data(self, data: bytes) -> None:
         if self._receiver is None:
             # Bytes that no request asked for belong to no answer.
-            self._pool.count_stray(self.address)
+            self._pool.count_stray()
             self.close()
             return
         try:
@@ -188,7 +188,7 @@
             and self._parser.their_state is h11.DONE
         )
         if extra:
-            self._pool.count_stray(self.address)
+            self._pool.count_stray()
         if reusable:
             self._parser.start_next_cycle()
             self._pool.keep(self)
@@ -286,7 +286,7 @@
         if idle and connection in idle:
             idle.remove(connection)
 
-    def count_stray(self, _address: str) -> None:
+    def count_stray(self) -> None:
         """Count bytes that no request had asked for."""
         self.stray_answers += 1
 
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -11,8 +11,6 @@
 
 # Announcements missed in a row before a server is used only if no other is left.
 MISSED_ANNOUNCEMENTS = 3.5
-# A refused caller comes back after about the time that an answer takes.
-RETRY_AFTER_SECONDS = 0.4
 # A server of another zone is as good as one with this many requests more.
 OTHER_ZONE_REQUESTS = 0.5
 
@@ -84,7 +82,8 @@
         candidates, records = self._candidates(admitted.service, excluded, now, hears_control)
         if service is None or not candidates:
             raise errors.NoBackendError(
-                f"no server of {admitted.service} is known", retry_after=RETRY_AFTER_SECONDS
+                f"no server of {admitted.service} is known",
+                retry_after=forwarding.RETRY_AFTER_SECONDS,
             )
         if service.engine is None or not admitted.caller.prompt_tokens:
             return self._choose_plain(candidates, records)
@@ -102,7 +101,9 @@
         planner = placement.Planner(service.engine)
         found = planner.place(job, candidates, arriving=entries * meter.rate(now))
         if found is None:
-            raise errors.OverloadedError("no engine has room", retry_after=RETRY_AFTER_SECONDS)
+            raise errors.OverloadedError(
+                "no engine has room", retry_after=forwarding.RETRY_AFTER_SECONDS
+            )
         return _to_target(found, job, records, now)
 
     def _candidates(
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -33,15 +33,9 @@
         How long a stopping entry still takes new connections.
     stop_seconds : float
         Time from the signal to stop until the process is killed.
-    drain_milliseconds : float
-        Time until a leaving backend server gets no new work.
     retry_ratio, retry_slack, retry_window_seconds : float
         Repeated sends allowed to a service in any window, over all entries: a share of the
         requests for it, and a number.
-    hold_milliseconds : float
-        Longest reservation of memory at an engine.
-    stall_milliseconds : float
-        Time after which an engine gives up on another that it depends on.
     """
 
     announce_milliseconds: float = attrs.field(
@@ -50,20 +44,11 @@
     address_seconds: float = attrs.field(default=5.0, validator=utils.between(0.1, 60, "seconds"))
     accept_seconds: float = attrs.field(default=2.5, validator=utils.between(0.1, 60, "seconds"))
     stop_seconds: float = attrs.field(default=8.0, validator=utils.between(0.5, 600, "seconds"))
-    drain_milliseconds: float = attrs.field(
-        default=2000.0, validator=utils.between(50, 600_000, "milliseconds")
-    )
     retry_ratio: float = attrs.field(default=0.2, validator=utils.between(0, 10, "as a ratio"))
     retry_slack: float = attrs.field(default=20.0, validator=utils.between(0, 10**6, "requests"))
     retry_window_seconds: float = attrs.field(
         default=10.0, validator=utils.between(0.1, 600, "seconds")
     )
-    hold_milliseconds: float = attrs.field(
-        default=20_000.0, validator=utils.between(100, 600_000, "milliseconds")
-    )
-    stall_milliseconds: float = attrs.field(
-        default=1500.0, validator=utils.between(50, 60_000, "milliseconds")
-    )
 
     @property
     def announce_seconds(self) -> float:
