--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -58,6 +58,8 @@
         What the attempt adds to the load of each server.
     predicted_seconds : float
         Wait for the first piece.
+    risk : float
+        Credit that the placement puts at risk, in units of `placement`.
     """
 
     server: inner.ServerRecord
@@ -65,6 +67,7 @@
     held_tokens: tuple[int, ...] = ()
     works: tuple[load_book.Work, ...] = ()
     predicted_seconds: float = 0.0
+    risk: float = 0.0
 
 
 @attrs.frozen
@@ -298,7 +301,11 @@
             "request.sent",
             attempt=self._attempts,
             server=target.server.server,
-            helpers=len(target.helpers),
+            prompt_tokens=admitted.caller.prompt_tokens,
+            output_tokens=admitted.caller.output_tokens,
+            helpers=tuple(one.server for one in target.helpers),
+            held_tokens=target.held_tokens,
+            risk=round(target.risk, 2),
             predicted=round(target.predicted_seconds, 3),
             waited=round(now - self._begun_at, 4),
         )
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -179,4 +179,5 @@
         held_tokens=found.held_tokens,
         works=(first, *helping),
         predicted_seconds=found.first_token_seconds,
+        risk=found.risk,
     )
