--- a/bench/client.py
+++ b/bench/client.py
@@ -13,7 +13,7 @@
 from flamingoramp.backends import sse, transfers
 from flamingoramp.runtime import http_client
 from flamingoramp.runtime import loop as loops
-from standins import batch
+from standins import texts
 
 JSON_HEADER = "Content-Type: application/json"
 BYTES_PER_TOKEN = 4
@@ -159,7 +159,7 @@
         result = Result(planned, entry=self._book.choose())
         self.results.append(result)
         prompt = make_prompt(planned)
-        expected = batch.expected_answer(prompt, planned.output_tokens)
+        expected = texts.expected_answer(prompt, planned.output_tokens)
         body = {
             "model": planned.model,
             "prompt": prompt,
--- /dev/null
+++ b/bench/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with the placing of requests, in virtual time."""
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import unittest
 from typing import Any
 
@@ -16,6 +14,7 @@
 from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages as inner
 from flamingoramp.routing import load_book
+from flamingoramp.runtime import virtual_time
 
 STREAM = traffic.Route(
     name="stream",
@@ -35,29 +34,6 @@
 HEAD = ((b"x-id", b"r1"),)
 
 
-class Clock:
-    """Timers in virtual time."""
-
-    def __init__(self):
-        self.time = 0.0
-        self._heap: list[tuple[float, int, Any]] = []
-        self._order = itertools.count()
-
-    def now(self) -> float:
-        return self.time
-
-    def call_later(self, delay: float, callback: Any) -> None:
-        heapq.heappush(self._heap, (self.time + max(0.0, delay), next(self._order), callback))
-
-    def advance(self, seconds: float) -> None:
-        end = self.time + seconds
-        while self._heap and self._heap[0][0] <= end:
-            at, _, callback = heapq.heappop(self._heap)
-            self.time = max(self.time, at)
-            callback()
-        self.time = end
-
-
 @attrs.define
 class Call:
     """A send that a test answers."""
@@ -140,7 +116,7 @@
     """The surroundings of a request: servers ``s1``, ``s2``, ``s3`` in this order."""
 
     def __init__(self):
-        self.loop = Clock()
+        self.loop = virtual_time.VirtualLoop()
         self.pool = Pool()
         self.dialect = Dialect()
         self.book = load_book.LoadBook()
--- a/flamingoramp/tests/backends.py
+++ b/flamingoramp/tests/backends.py
@@ -13,7 +13,7 @@
 from flamingoramp.orders import reconciler
 from flamingoramp.protocol import messages
 from flamingoramp.tests import worlds
-from standins import batch
+from standins import texts
 
 ANNOUNCE_SECONDS = 0.5
 GRACE_SECONDS = 3.0
@@ -259,7 +259,7 @@
             work = _Work(
                 key,
                 tokens if last else member.tokens,
-                batch.expected_answer(start.spec.prompt, start.spec.output_tokens),
+                texts.expected_answer(start.spec.prompt, start.spec.output_tokens),
                 self,
                 emitted=start.offset if last else 0,
                 segment=not last,
--- a/flamingoramp/tests/run.py
+++ b/flamingoramp/tests/run.py
@@ -6,8 +6,8 @@
 import sys
 import unittest
 
-PACKAGE = pathlib.Path(__file__).resolve().parent.parent
-ROOT = PACKAGE.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PACKAGES = ("flamingoramp", "standins", "bench")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -21,7 +21,10 @@
 
 def main() -> int:
     """Run the tests and return the exit code."""
-    suite = unittest.TestLoader().discover(str(PACKAGE), top_level_dir=str(ROOT))
+    suite = unittest.TestSuite(
+        unittest.TestLoader().discover(str(ROOT / package), top_level_dir=str(ROOT))
+        for package in PACKAGES
+    )
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     known = read_known_red()
     failed = {case.id(): case for case, _ in result.failures + result.errors}
--- a/flamingoramp/tests/scenarios.py
+++ b/flamingoramp/tests/scenarios.py
@@ -16,7 +16,7 @@
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import settings as settings_module
 from flamingoramp.tests import backends, faults, worlds
-from standins import batch
+from standins import texts
 
 CONTROL_HOSTS = 5
 ENTRY_HOSTS = 4
@@ -517,7 +517,7 @@
             answer = asked.answer
             match answer:
                 case requests.CallerEnd(spec, text, _):
-                    if text != batch.expected_answer(spec.prompt, spec.output_tokens):
+                    if text != texts.expected_answer(spec.prompt, spec.output_tokens):
                         raise worlds.Violation(f"{spec.request_id} got another's answer")
                 case requests.CallerError(spec, error, _):
                     begun = spec.request_id in self.ledger.begun
--- a/flamingoramp/tests/test_path.py
+++ b/flamingoramp/tests/test_path.py
@@ -14,7 +14,7 @@
 from bench import fleet as fleets
 from flamingoramp.runtime import http_client, transport
 from flamingoramp.tests import fleets as small_fleets
-from standins import batch
+from standins import texts
 
 small: small_fleets.SmallFleet
 
@@ -50,7 +50,7 @@
         body = {"model": "wrap-writer", "prompt": "hello", "max_tokens": 5}
         answer = small_fleets.post(self.url + "/v1/completions", body)
         text = answer.json()["choices"][0]["text"]
-        self.assertEqual(text, batch.expected_answer("hello", 5))
+        self.assertEqual(text, texts.expected_answer("hello", 5))
 
     def test_bad_input_is_refused_with_a_code(self):
         chat = {"model": "wrap-writer", "messages": [{"role": "user", "content": "hi"}]}
@@ -115,7 +115,7 @@
         base = small.fleet.entry_urls[0] + "/v1"
         self.client = openai.OpenAI(base_url=base, api_key="city-buses", max_retries=2)
         self.messages = [{"role": "user", "content": "hello"}]
-        self.expected = batch.expected_answer("user: hello\n", 8)
+        self.expected = texts.expected_answer("user: hello\n", 8)
 
     def tearDown(self):
         self.client.close()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -18,7 +18,7 @@
 from flamingoramp.runtime import http_server
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import stream as streams
-from standins import announcer, batch, serving
+from standins import announcer, batch, serving, texts
 
 HEARTBEAT_SECONDS = 0.4
 RESUME_GRACE_SECONDS = 3.0
@@ -52,9 +52,11 @@
 
 @attrs.define
 class _Output:
-    """Text of one attempt and the connection that reads it."""
+    """Text of one attempt, how far it is written, and the connection that reads it."""
 
     sequence: batch.Sequence
+    text: str = ""
+    emitted: int = 0
     stream: streams.Stream | None = None
     lost_at: float = 0.0
     done_at: float = 0.0
@@ -83,7 +85,7 @@
         self._loop = loops.Loop()
         self._batch = batch.Batch(self._costs)
         self._outputs: dict[tuple[str, int], _Output] = {}
-        self._step: batch.Step | None = None
+        self._pass: batch.Pass | None = None
         self._incarnation = time.time_ns()
         self._leaving = False
         self._models = options.models
@@ -232,20 +234,18 @@
         prompt = body["prompt"]
         if CRASH_MARK in prompt:
             os._exit(1)
-        text = batch.expected_answer(prompt, body["max_tokens"])
+        text = texts.expected_answer(prompt, body["max_tokens"])
         continued = len(body["continuation"]) // 4
         sequence = batch.Sequence(
             request_id=body["request_id"],
             attempt=body["attempt"],
             priority=body["priority"],
             prefill_tokens=max(1, body["prompt_tokens"] + continued - body["held_elsewhere"]),
-            memory_tokens=body["prompt_tokens"] + body["max_tokens"] - body["held_elsewhere"],
-            output_tokens=body["max_tokens"],
-            text=text,
-            emitted=body["offset"],
+            stored_tokens=body["prompt_tokens"] + continued - body["held_elsewhere"],
+            output_tokens=text.count(" ", body["offset"]),
             prefix_hashes=() if body["held_elsewhere"] else tuple(body["prefix_hashes"]),
         )
-        self._begin(sequence, stream)
+        self._begin(sequence, stream, text=text, offset=body["offset"])
 
     def _segment(self, body: dict[str, Any], stream: streams.Stream) -> None:
         sequence = batch.Sequence(
@@ -253,26 +253,29 @@
             attempt=body["attempt"],
             priority=body["priority"],
             prefill_tokens=body["tokens"],
-            memory_tokens=body["tokens"],
-            output_tokens=0,
-            segment=True,
+            stored_tokens=body["tokens"],
+            work=batch.Work.SEGMENT,
         )
         self._begin(sequence, stream)
         if sequence.key in self._outputs:
             hold = self._loop.now() + body["hold_seconds"]
             self._outputs[sequence.key].hold_until = hold
 
-    def _begin(self, sequence: batch.Sequence, stream: streams.Stream) -> None:
+    def _begin(
+        self, sequence: batch.Sequence, stream: streams.Stream, *, text: str = "", offset: int = 0
+    ) -> None:
         if not self._batch.fits(sequence):
             self._reject(stream, 503)
             return
         if sequence.key in self._outputs:
             self._reject(stream, 409)
             return
-        self._outputs[sequence.key] = _Output(sequence, stream, sent_at=self._loop.now())
+        self._outputs[sequence.key] = _Output(
+            sequence, text, offset, stream, sent_at=self._loop.now()
+        )
         stream.write(answers.render_head(200, {"Content-Type": "text/event-stream"}))
         self._batch.add(sequence)
-        self._start_step()
+        self._start_pass()
 
     def _resume(self, body: dict[str, Any], stream: streams.Stream) -> None:
         output = self._outputs.get((body["request_id"], body["attempt"]))
@@ -285,8 +288,7 @@
         output.lost_at = 0.0
         output.sent_at = self._loop.now()
         stream.write(answers.render_head(200, {"Content-Type": "text/event-stream"}))
-        sequence = output.sequence
-        missing = sequence.text[body["offset"] : sequence.emitted]
+        missing = output.text[body["offset"] : output.emitted]
         if missing or output.done_at:
             self._send(output, body["offset"], missing, done=bool(output.done_at))
 
@@ -296,30 +298,32 @@
         if output is not None and output.stream is not None:
             output.stream.close()
 
-    # Steps.
+    # Passes.
 
-    def _start_step(self) -> None:
-        if self._step is not None:
+    def _start_pass(self) -> None:
+        if self._pass is not None:
             return
-        self._step = self._batch.next_step()
-        if self._step is not None:
-            self._loop.call_later(self._step.seconds, self._end_step)
-
-    def _end_step(self) -> None:
-        step, self._step = self._step, None
-        for sequence, offset, text in self._batch.finish_step(step):
-            output = self._outputs.get(sequence.key)
+        self._pass = self._batch.next_pass()
+        if self._pass is not None:
+            self._loop.call_later(self._pass.seconds, self._end_pass)
+
+    def _end_pass(self) -> None:
+        ended, self._pass = self._pass, None
+        for emission in self._batch.finish_pass(ended):
+            output = self._outputs.get(emission.sequence.key)
             if output is None:
                 continue
-            if sequence.segment:
+            if emission.sequence.work is batch.Work.SEGMENT:
                 self._send_ready(output)
                 continue
-            done = sequence.emitted >= len(sequence.text)
+            start = output.emitted
+            output.emitted = texts.skip_words(output.text, start, emission.tokens)
+            done = output.emitted >= len(output.text)
             if done:
                 output.done_at = self._loop.now()
-                self._batch.remove(sequence.key)
-            self._send(output, offset, text, done=done)
-        self._start_step()
+                self._batch.remove(emission.sequence.key)
+            self._send(output, start, output.text[start : output.emitted], done=done)
+        self._start_pass()
 
     def _send(self, output: _Output, offset: int, text: str, *, done: bool) -> None:
         if output.stream is None:
--- /dev/null
+++ b/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
