--- a/bench/experiment/engines.py
+++ b/bench/experiment/engines.py
@@ -93,6 +93,11 @@
         """Requests that wait for a slot or for memory."""
         return self._batch.waiting
 
+    @property
+    def memory_used(self) -> int:
+        """Tokens that requests and reservations hold."""
+        return self._batch.memory_used
+
     def crash(self, seconds: float) -> None:
         """End at once, and start again empty after some seconds."""
         self.is_up = False
--- a/bench/experiment/main.py
+++ b/bench/experiment/main.py
@@ -16,7 +16,7 @@
 
 from bench.experiment import bounds, figures, simulation, workloads
 
-WORKERS = 4
+WORKERS = 8
 SECONDS = 34.0
 
 
--- /dev/null
+++ b/bench/tests/test_experiment.py
@@ -0,0 +1,162 @@
+"""Tests of the experiment tool: its engines, callers, workloads and bound."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import attrs
+
+from bench.experiment import bounds, callers, figures, main, simulation, workloads
+from flamingoramp.routing import placement
+
+HANBIT = workloads.DEPLOYMENTS["hanbit"]
+CALM = workloads.PATTERNS["calm"]
+SECONDS = 8.0
+
+
+def play(pattern: workloads.Pattern, *, seed: int = 1, **changes) -> simulation.Run:
+    """Play a short run."""
+    deployment = attrs.evolve(HANBIT, **changes)
+    return simulation.Simulation(deployment, pattern, seconds=SECONDS, seed=seed).run()
+
+
+def only(kind: workloads.Kind, **changes) -> tuple[workloads.Kind, ...]:
+    """Return one kind with changes."""
+    return (attrs.evolve(kind, **changes),)
+
+
+class TestWorkloads(unittest.TestCase):
+    """What arrives, and when."""
+
+    def draw(self, pattern: workloads.Pattern, seconds: float = 400.0):
+        return workloads.draw_arrivals(HANBIT, pattern, seconds=seconds, rng=random.Random(5))
+
+    def test_rates_are_as_stated(self):
+        arrivals = self.draw(CALM)
+        for kind in HANBIT.kinds:
+            found = sum(one.kind is kind for one in arrivals) / 400.0
+            self.assertAlmostEqual(found / kind.rate, 1.0, delta=0.2)
+
+    def test_lengths_have_the_stated_mean(self):
+        length = workloads.Length(5000, 0.9, 1e9)
+        rng = random.Random(1)
+        mean = sum(length.draw(rng) for _ in range(20_000)) / 20_000
+        self.assertAlmostEqual(mean / 5000, 1.0, delta=0.05)
+
+    def test_a_burst_multiplies_one_kind(self):
+        burst = workloads.Burst(100.0, 100.0, 3.0, workloads.SHORT)
+        arrivals = self.draw(attrs.evolve(CALM, events=(burst,)))
+        short = [one for one in arrivals if one.kind.name == workloads.SHORT]
+        inside = sum(100 <= one.at < 200 for one in short)
+        before = sum(one.at < 100 for one in short)
+        self.assertAlmostEqual(inside / before, 3.0, delta=0.4)
+
+    def test_a_seed_gives_the_same_arrivals(self):
+        self.assertEqual(self.draw(CALM, 10.0), self.draw(CALM, 10.0))
+
+
+class TestRuns(unittest.TestCase):
+    """Whole runs through the real decisions."""
+
+    def test_a_short_prompt_alone_takes_as_long_as_the_model_says(self):
+        answer = workloads.Length(5, 0.0, 5)
+        prompt = workloads.Length(5000, 0.0, 5000)
+        kinds = only(HANBIT.kinds[0], rate=0.5, prompt=prompt, events=answer)
+        run = play(attrs.evolve(CALM, swing=0.0), kinds=kinds)
+        expected = HANBIT.model.reading_seconds(5000)
+        network = 4 * HANBIT.caller_delay + callers.ENTRY_SECONDS
+        for record in run.records:
+            self.assertIs(record.outcome, callers.Outcome.ON_TIME)
+            self.assertAlmostEqual(record.first_token, expected + network, delta=0.01)
+            self.assertAlmostEqual(record.longest_pause, HANBIT.model.pass_seconds, delta=0.01)
+
+    def test_a_giant_is_read_by_several_engines(self):
+        kinds = only(HANBIT.kinds[2], rate=0.1, prompt=workloads.Length(500_000, 0.0, 500_000))
+        run = play(CALM, kinds=kinds, seed=3)
+        alone = HANBIT.model.reading_seconds(500_000)
+        self.assertTrue(run.records)
+        for record in run.records:
+            self.assertLess(record.first_token, alone / 4)
+            self.assertIs(record.outcome, callers.Outcome.ON_TIME)
+
+    def test_every_request_ends_and_calm_ones_are_on_time(self):
+        run = play(CALM)
+        self.assertGreater(len(run.records), 80)
+        self.assertGreater(figures.share_of_worth(run.records), 0.95)
+
+    def test_crashed_engines_cost_little(self):
+        loss = workloads.EngineLoss(3.0, 3.0, 0.2)
+        run = play(attrs.evolve(CALM, events=(loss,)))
+        failed = [one for one in run.records if one.outcome is callers.Outcome.FAILED]
+        self.assertLessEqual(len(failed), 2)
+
+    def test_leaving_engines_get_nothing_new(self):
+        leave = workloads.EnginesLeave(2.0, 3.0, 0.3)
+        made = simulation.Simulation(
+            HANBIT, attrs.evolve(CALM, events=(leave,)), seconds=SECONDS, seed=1
+        )
+        run = made.run()
+        for engine in made.fleet.engines:
+            self.assertEqual(engine.waiting, 0)
+        failed = [one for one in run.records if one.outcome is callers.Outcome.FAILED]
+        self.assertLessEqual(len(failed), 1)
+
+    def test_a_seed_repeats_a_run(self):
+        first, second = play(CALM, seed=4), play(CALM, seed=4)
+        times = [[one.first_token for one in run.records] for run in (first, second)]
+        self.assertEqual(*times)
+
+    def test_predictions_of_a_calm_run_are_close(self):
+        summary = figures.summarize(play(CALM))
+        for kind in summary["kinds"].values():
+            self.assertLess(abs(kind["prediction_error"]["p50"]), 0.03)
+
+    def test_memory_comes_back(self):
+        made = simulation.Simulation(
+            HANBIT, workloads.PATTERNS["long-burst"], seconds=SECONDS, seed=2
+        )
+        made.run()
+        self.assertEqual([one.memory_used for one in made.fleet.engines], [0] * 14)
+
+
+class TestBound(unittest.TestCase):
+    """What no policy can exceed."""
+
+    def bound(self, arrivals: list[workloads.Arrival], **engines: int) -> float:
+        deployment = attrs.evolve(HANBIT, engines=engines or HANBIT.engines)
+        return bounds.best_worth(deployment, CALM, arrivals, seconds=SECONDS)
+
+    def test_little_load_can_all_be_on_time(self):
+        kind = HANBIT.kinds[0]
+        arrivals = [workloads.Arrival(1.0 * n, kind, "a", 5000, 30) for n in range(5)]
+        self.assertAlmostEqual(self.bound(arrivals), 1.0)
+
+    def test_what_one_engine_can_not_read_in_time_is_late(self):
+        # Each takes 5 s of one engine, and two arrive at once: one of them is late.
+        kind = attrs.evolve(HANBIT.kinds[2], objective=5.0, limit=60.0)
+        arrivals = [workloads.Arrival(0.0, kind, "a", 208_000, 1) for _ in range(2)]
+        expected = (kind.worth + kind.late_worth) / (2 * kind.worth)
+        self.assertAlmostEqual(self.bound(arrivals, a=1), expected, delta=0.05)
+
+    def test_runs_stay_below_it(self):
+        for pattern in ("phases", "losses"):
+            chosen = workloads.PATTERNS[pattern]
+            run = play(chosen, seed=6)
+            arrivals = [one.arrival for one in run.records]
+            bound = bounds.best_worth(HANBIT, chosen, arrivals, seconds=SECONDS)
+            self.assertLessEqual(figures.share_of_worth(run.records), bound + 1e-6)
+
+
+class TestPolicies(unittest.TestCase):
+    """Variants of the decisions."""
+
+    def test_a_constant_is_set_by_name(self):
+        before = placement.FREE_SHARE
+        self.addCleanup(setattr, placement, "FREE_SHARE", before)
+        main.Policy("p", (("routing.placement.FREE_SHARE", 0.9),)).apply()
+        self.assertEqual(placement.FREE_SHARE, 0.9)
+
+    def test_a_constant_that_is_not_there_is_refused(self):
+        with self.assertRaises(ValueError):
+            main.Policy("p", (("routing.placement.NO_SUCH", 1.0),)).apply()
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -170,6 +170,12 @@
 STRICT_TOLERANCE = 0.25
 RELAXED_TOLERANCE = 0.6
 PATIENT_TOLERANCE = 1.0
+# Callers of short prompts leave an answer that pauses for about this long, and ask again; what was
+# written for them is lost. Other callers wait for longer than a part takes to read.
+ABANDON_SAFE_SECONDS = 1.5
+ABANDON_SECONDS = 2.0
+# Credit that such a caller's return costs, beyond that of a late answer.
+ABANDONED_CREDIT = 1.0
 
 
 def harm(load: load_book.ServerLoad, pause: float, part: float) -> float:
@@ -178,8 +184,9 @@
     Answers that are being written pause; prompts that wait there are read later.
     """
     waiting = min(MOST_WAITING_CREDIT, WAITING_CREDIT * load.reading_seconds)
+    left = ABANDONED_CREDIT * ramp(pause, ABANDON_SAFE_SECONDS, ABANDON_SECONDS)
     return (
-        load.strict * STRICT_CREDIT * pause_risk(pause, STRICT_TOLERANCE)
+        load.strict * (STRICT_CREDIT * pause_risk(pause, STRICT_TOLERANCE) + left)
         + load.relaxed * RELAXED_CREDIT * pause_risk(pause, RELAXED_TOLERANCE)
         + load.patient * PATIENT_CREDIT * pause_risk(pause, PATIENT_TOLERANCE)
         + waiting * ramp(part, DELAY_SAFE_SECONDS, DELAY_LATE_SECONDS)
--- a/flamingoramp/routing/tests/test_placement.py
+++ b/flamingoramp/routing/tests/test_placement.py
@@ -113,6 +113,14 @@
         engines = make_engines(6, e0=waiting, e1=waiting)
         self.assertFalse({"e0", "e1"} & servers(place(LONG, engines)))
 
+    def test_callers_of_short_answers_are_not_driven_away(self):
+        writing = {f"e{n}": load_book.ServerLoad(strict=4) for n in range(9)}
+        job = attrs.evolve(LONG, prompt_tokens=285_000)
+        found = place(job, make_engines(9, **writing))
+        tokens = -(-job.prompt_tokens // len(servers(found)))
+        pause = placement.reading_pause(found.part_seconds, tokens, MODEL)
+        self.assertLess(pause, placement.ABANDON_SECONDS)
+
     def test_a_medium_prompt_reads_in_parts_too_short_to_pause_others(self):
         writing = {f"e{n}": load_book.ServerLoad(strict=4) for n in range(6)}
         found = place(MEDIUM, make_engines(6, **writing))
