--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 STEPS ?= 400
 FIRST ?= 1
 SHARDS ?= 1
+RUNS ?= 5
 
-.PHONY: setup test lint demo bench soak capacity clean
+.PHONY: setup test lint demo bench experiment soak capacity clean
 
 setup: $(VENV)/ready
 
@@ -30,6 +31,9 @@
 bench: setup
 	$(BIN)/python -m bench.load --deployment=$(DEPLOYMENT)
 
+experiment: setup
+	$(BIN)/python -m bench.experiment.main --deployment=$(DEPLOYMENT) --seeds=$(RUNS)
+
 soak: setup
 	$(BIN)/python -m bench.soak --seeds=$(SEEDS) --steps=$(STEPS) --first=$(FIRST) --shards=$(SHARDS)
 
--- a/bench/experiment/main.py
+++ b/bench/experiment/main.py
@@ -52,13 +52,14 @@
     pattern: str
     policy: Policy
     seed: int
+    load: float
     with_bound: bool
 
 
 def play(task: Task) -> dict[str, Any]:
     """Play one run in a process of its own and return its figures."""
     task.policy.apply()
-    deployment = workloads.DEPLOYMENTS[task.deployment]
+    deployment = workloads.scale_load(workloads.DEPLOYMENTS[task.deployment], task.load)
     pattern = workloads.PATTERNS[task.pattern]
     run = simulation.Simulation(deployment, pattern, seconds=SECONDS, seed=task.seed).run()
     result = figures.summarize(run)
@@ -78,6 +79,7 @@
     patterns: str | tuple[str, ...] = tuple(workloads.PATTERNS),
     seeds: int = 5,
     first: int = 1,
+    load: float = 1.0,
     bound: bool = True,
     output: str = "build/experiment",
     **policies: str,
@@ -90,6 +92,8 @@
     patterns : str or tuple of str
     seeds, first : int
         How many seeds, and the first.
+    load : float
+        Arrivals as a multiple of the deployment's.
     bound : bool
         Whether to work out what any policy could earn at most.
     output : str
@@ -100,7 +104,7 @@
     chosen = [Policy("present"), *(_parse_policy(*item) for item in policies.items())]
     names = (patterns,) if isinstance(patterns, str) else tuple(patterns)
     tasks = [
-        Task(deployment, pattern, policy, seed, bound and policy.name == "present")
+        Task(deployment, pattern, policy, seed, load, bound and policy.name == "present")
         for pattern in names
         for policy in chosen
         for seed in range(first, first + seeds)
--- a/bench/experiment/workloads.py
+++ b/bench/experiment/workloads.py
@@ -249,6 +249,12 @@
 }
 
 
+def scale_load(deployment: Deployment, factor: float) -> Deployment:
+    """Return a deployment with a multiple of its arrivals."""
+    kinds = tuple(attrs.evolve(kind, rate=factor * kind.rate) for kind in deployment.kinds)
+    return attrs.evolve(deployment, kinds=kinds)
+
+
 def draw_arrivals(
     deployment: Deployment, pattern: Pattern, *, seconds: float, rng: random.Random
 ) -> list[Arrival]:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,4 +1,4 @@
-"""Long randomised runs: many seeds of `flamingoramp.tests.scenarios`, in parallel."""
+"""Long randomised runs: many seeds of the scenarios in `flamingoramp.tests`, in parallel."""
 
 from __future__ import annotations
 
@@ -9,15 +9,21 @@
 
 import fire
 
-from flamingoramp.tests import scenarios
+from flamingoramp.tests import control_scenarios, scenarios
 
 WORKERS = 6
 
 
 def run_seed(seed: int, steps: int, shards: tuple[int, ...]) -> str:
-    """Run one seed and return its failure, empty if there was none."""
+    """Run one seed and return its failure, empty if there was none.
+
+    Without shards, the run is one of control hosts that are replaced.
+    """
     try:
-        scenarios.Scenario(seed, shards=shards).run(steps)
+        if any(shards):
+            scenarios.Scenario(seed, shards=shards).run(steps)
+        else:
+            control_scenarios.ControlScenario(seed).run(steps)
     except Exception:
         return traceback.format_exc(limit=-3)
     return ""
@@ -33,7 +39,8 @@
     seeds, steps, first : int
         How many seeds, steps of each, and the first seed.
     shards : int or tuple of int
-        Shards of the engines' service; with several numbers, by turns with each declaration.
+        Shards of the engines' service; with several numbers, by turns with each declaration. 0
+        for control hosts that find each other by seeds and are replaced.
     """
     counts = (shards,) if isinstance(shards, int) else tuple(shards)
     named = ",".join(map(str, counts))
--- a/flamingoramp/tests/test_worlds.py
+++ b/flamingoramp/tests/test_worlds.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
-from flamingoramp.tests import scenarios
+from flamingoramp.consensus import node
+from flamingoramp.tests import control_scenarios, scenarios, worlds
 
 SEEDS = range(1, 13)
 STEPS = 300
@@ -14,6 +16,8 @@
 SHARD_SEEDS = range(1, 6)
 # Orders with falling fencing numbers, after engines moved between shards.
 RESHARDING_SEEDS = (4, 7, 9)
+CONTROL_SEEDS = range(1, 21)
+CONTROL_STEPS = 150
 
 
 class TestScenarios(unittest.TestCase):
@@ -46,3 +50,22 @@
             scenario.run(100)
             runs.append(scenario.world.events)
         self.assertEqual(runs[0], runs[1])
+
+
+class TestControlScenarios(unittest.TestCase):
+    """Control hosts that are replaced lose nothing that was acknowledged, in these seeds."""
+
+    def test_seeds(self):
+        for seed in CONTROL_SEEDS:
+            with self.subTest(seed=seed):
+                control_scenarios.ControlScenario(seed).run(CONTROL_STEPS)
+
+    def test_an_unconfirmed_read_would_be_found(self):
+        with mock.patch.object(node.Node, "confirms_read", lambda _node, _asked_at: True):
+            violations = 0
+            for seed in CONTROL_SEEDS:
+                try:
+                    control_scenarios.ControlScenario(seed).run(CONTROL_STEPS)
+                except worlds.Violation:
+                    violations += 1
+        self.assertGreater(violations, len(CONTROL_SEEDS) // 2)
