--- a/flamingoramp/dispatch/desk.py
+++ b/flamingoramp/dispatch/desk.py
@@ -183,8 +183,7 @@
         if workspace is None and declaration.workspaces and not route.is_public:
             raise errors.UnknownKeyError("no workspace holds this key")
         fingerprint = _fingerprint(caller, exchange.request.body)
-        if len(self._crashes.get(fingerprint, ())) >= QUARANTINE_CRASHES:
-            raise errors.RequestQuarantinedError("this request broke off several servers")
+        self._check_quarantine(fingerprint)
         limit = route.timeout
         if caller.time_left is not None:
             limit = min(limit, caller.time_left)
@@ -202,10 +201,15 @@
             time_limit=limit,
         )
 
+    def _check_quarantine(self, fingerprint: str) -> None:
+        if len(self._crashes.get(fingerprint, ())) >= QUARANTINE_CRASHES:
+            raise errors.RequestQuarantinedError("this request broke off several servers")
+
     # What requests ask for.
 
     def choose(self, admitted: forwarding.Admitted, excluded: set[str]) -> forwarding.Target:
         """Choose where the next attempt of a request goes."""
+        self._check_quarantine(admitted.fingerprint)
         return self._selection.choose(
             self._declaration,
             admitted,
--- a/flamingoramp/platform/tests/standin.py
+++ b/flamingoramp/platform/tests/standin.py
@@ -36,6 +36,8 @@
         Whether its answers name another request.
     refuse_memory : bool
         Whether it refuses reservations.
+    poison : bytes
+        A request whose body contains it breaks off, as by a crash of the server; empty for none.
     """
 
     events: int = 5
@@ -46,6 +48,7 @@
     silent: bool = False
     foreign: bool = False
     refuse_memory: bool = False
+    poison: bytes = b""
 
 
 class Backend:
@@ -74,6 +77,7 @@
         self._service = service
         self._controls = controls
         self._sequence = 0
+        self._born = 1
         self._state = "ready"
         self._loop = loops.Loop()
         self._pool = client.Pool(self._loop)
@@ -107,7 +111,7 @@
             "state": self._state,
             "cold_left_ms": 0,
             "seq": self._sequence,
-            "born": 1,
+            "born": self._born,
         }
         request = messages.Request(
             b"PUT",
@@ -127,6 +131,12 @@
         exchange.on_gone = self._note_gone
         if self.behaviour.silent:
             return
+        if self.behaviour.poison and self.behaviour.poison in request.body:
+            exchange.abort()
+            # It starts again under its name, as another life.
+            self._born += 1
+            self._announce()
+            return
         request_id = request.header(b"x-attempt-id") or b""
         echoed = b"another" if self.behaviour.foreign else request_id
         headers = ((b"x-attempt-id", echoed),)
--- a/flamingoramp/platform/tests/test_path.py
+++ b/flamingoramp/platform/tests/test_path.py
@@ -4,8 +4,11 @@
 
 import json
 import threading
+import time
 import unittest
 
+from flamingoramp.daemons import gateway
+from flamingoramp.dispatch import desk
 from flamingoramp.platform.tests import fleet as fleets
 from flamingoramp.platform.tests import standin
 
@@ -173,6 +176,37 @@
         self.assertEqual(answer.status, 503)
 
 
+class TestPoison(FleetCase):
+    """A request that breaks off every server that runs it."""
+
+    def send_poison(self, fleet: fleets.Fleet, entry: int) -> int:
+        """Send the request at an entry and return the status, 0 for a cut connection."""
+        headers = {
+            "x-attempt-id": f"p{next(self.numbers)}",
+            "authorization": "Token k1",
+            "x-deadline-ms": "8000",
+            "x-token-count": "1000,100",
+        }
+        front = fleet.front(entry)
+        return fleets.ask(front, "POST", "/stream/x", headers=headers, body=b"poison").status
+
+    def test_it_ends_after_three_servers_at_whichever_entry(self):
+        fleet = self.start(entries=3)
+        engines = [
+            fleet.add_backend(f"e{n}", "llm", standin.Behaviour(poison=b"poison")) for n in range(6)
+        ]
+        for entry in range(3):
+            self.send_poison(fleet, entry)
+            time.sleep(gateway.SUBSCRIBE_SECONDS + 0.3)
+        reached = sum(len(one.requests) for one in engines)
+        self.assertEqual(reached, desk.QUARANTINE_CRASHES)
+        for entry in range(3):
+            self.assertEqual(self.send_poison(fleet, entry), 400)
+        self.assertEqual(sum(len(one.requests) for one in engines), reached)
+        answer = self.ask(fleet, "stream")
+        self.assertEqual((answer.status, answer.body), (200, WHOLE))
+
+
 class TestBackendServers(FleetCase):
     """Servers that leave."""
 
