--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -104,6 +104,7 @@
             listen=settings.entry_inner,
             deliver=self._handle_datagram,
             on_protocol_error=self._process.note_protocol_error,
+            traffic=self._process.transport.traffic,
         )
         self._load_exchange = load_exchange.LoadExchange(
             self.loop,
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -14,7 +14,8 @@
 from flamingoramp.runtime import clock, event_log, loop, metrics, node_settings, transport
 
 METRICS_PATH = "/metrics"
-FLUSH_SECONDS = 0.2
+# How often a process tells what it has used; a line in ten seconds is no load for a log.
+COSTS_SECONDS = 10.0
 
 
 class NodeProcess:
@@ -55,11 +56,13 @@
             deliver=deliver,
             on_protocol_error=self.note_protocol_error,
         )
+        self._started_at = self.loop.now()
         self.servers: list[http_server.Server] = []
         self._closers: list[Callable[[], None]] = []
         if settings.listen.metrics:
             self.serve(settings.listen.metrics, self._answer_metrics)
         self.loop.after_each_batch(self.log.flush)
+        self.loop.call_every(COSTS_SECONDS, self._note_costs)
 
     def serve(
         self, listen: str, handler: Callable[[http_server.Exchange], None], **options: Any
@@ -102,6 +105,7 @@
         try:
             self.loop.run()
         finally:
+            self._note_costs()
             self.log.write("process.stopped")
             self.log.flush()
             for server in self.servers:
@@ -111,6 +115,19 @@
                 close()
             self.loop.close()
 
+    def _note_costs(self) -> None:
+        """Log and publish what the process has used since its start."""
+        traffic = self.transport.traffic
+        costs = {
+            "processor_seconds": round(time.process_time(), 3),
+            "inner_sent_bytes": traffic.sent_bytes,
+            "inner_received_bytes": traffic.received_bytes,
+        }
+        for name, value in costs.items():
+            self.metrics.set(name, value)
+        seconds = round(self.loop.now() - self._started_at, 1)
+        self.log.write("process.costs", seconds=seconds, **costs)
+
     def _answer_metrics(self, exchange: http_server.Exchange) -> None:
         if exchange.request.path != METRICS_PATH:
             exchange.answer(http_messages.Answer(404))
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -155,6 +155,10 @@
         self.check_whole(*under_way)
         self.assertEqual(self.program.process.wait(fleets.WAIT_SECONDS), 0)
         self.assertEqual(len(self.program.events("process.stopped")), 1)
+        costs = self.program.events("process.costs")[-1]
+        self.assertGreater(costs["processor_seconds"], 0.0)
+        self.assertGreater(costs["inner_sent_bytes"], 0)
+        self.assertGreater(costs["inner_received_bytes"], 0)
 
     def test_callers_that_still_come_are_served_for_a_while(self):
         self.program.process.send_signal(signal.SIGTERM)
--- a/flamingoramp/runtime/datagrams.py
+++ b/flamingoramp/runtime/datagrams.py
@@ -29,6 +29,8 @@
         Takes a sender's name and a message.
     on_protocol_error : callable
         Takes an `errors.ProtocolError`.
+    traffic : transports.Traffic
+        Counts the bytes, with those of the process's connections.
     """
 
     def __init__(
@@ -39,11 +41,13 @@
         listen: str,
         deliver: Callable[[str, Any], None],
         on_protocol_error: Callable[[errors.ProtocolError], None],
+        traffic: transports.Traffic,
     ):
         self._loop = loop
         self._name = name
         self._deliver = deliver
         self._on_protocol_error = on_protocol_error
+        self._traffic = traffic
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind(transports.parse_address(listen))
@@ -64,6 +68,9 @@
                 self._socket.sendto(data, transports.parse_address(address))
             except OSError:
                 self.lost += 1  # the next report replaces it
+                continue
+            self._traffic.sent_bytes += len(data)
+            self._traffic.sent_frames += 1
 
     def close(self) -> None:
         """Close the socket."""
@@ -76,6 +83,8 @@
                 data, _ = self._socket.recvfrom(65536)
             except OSError:
                 return  # nothing waits
+            self._traffic.received_bytes += len(data)
+            self._traffic.received_frames += 1
             try:
                 envelope = codec.decode_packed(data)
             except errors.ProtocolError as error:
