--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -126,7 +126,8 @@
         for name, value in costs.items():
             self.metrics.set(name, value)
         seconds = round(self.loop.now() - self._started_at, 1)
-        self.log.write("process.costs", seconds=seconds, **costs)
+        sent = dict(traffic.sent_by_type)
+        self.log.write("process.costs", seconds=seconds, **costs, sent_by_type=sent)
 
     def _answer_metrics(self, exchange: http_server.Exchange) -> None:
         if exchange.request.path != METRICS_PATH:
--- a/flamingoramp/runtime/datagrams.py
+++ b/flamingoramp/runtime/datagrams.py
@@ -69,8 +69,7 @@
             except OSError:
                 self.lost += 1  # the next report replaces it
                 continue
-            self._traffic.sent_bytes += len(data)
-            self._traffic.sent_frames += 1
+            self._traffic.note_sent(message, len(data))
 
     def close(self) -> None:
         """Close the socket."""
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import selectors
 import socket
 from collections.abc import Callable
@@ -29,13 +30,23 @@
 
 @attrs.define
 class Traffic:
-    """Bytes and frames that one process exchanged with its peers."""
+    """Bytes and frames that one process exchanged with its peers.
+
+    ``sent_by_type`` holds the bytes sent by the name of the message.
+    """
 
     sent_bytes: int = 0
     received_bytes: int = 0
     sent_frames: int = 0
     received_frames: int = 0
     reconnects: int = 0
+    sent_by_type: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    def note_sent(self, message: Any, size: int) -> None:
+        """Count a message that was sent."""
+        self.sent_bytes += size
+        self.sent_frames += 1
+        self.sent_by_type[type(message).__name__] += size
 
 
 class Connection:
@@ -68,8 +79,7 @@
         """Send a message; it is lost if the connection breaks."""
         transport = self._transport
         data = codec.encode(transport.name, message, clock=transport.clock.tick())
-        transport.traffic.sent_bytes += len(data)
-        transport.traffic.sent_frames += 1
+        transport.traffic.note_sent(message, len(data))
         self._stream.write(data)
 
     def close(self) -> None:
