--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -100,7 +100,6 @@
         self._stopping_since = 0.0
         self._datagrams = datagrams.Datagrams(
             self.loop,
-            name=self._process.name,
             listen=settings.entry_inner,
             deliver=self._handle_datagram,
             on_protocol_error=self._process.note_protocol_error,
@@ -309,7 +308,7 @@
 
     # Load.
 
-    def _handle_datagram(self, _sender: str, message: Any) -> None:
+    def _handle_datagram(self, message: Any) -> None:
         match message:
             case inner.LoadReport():
                 self._load_exchange.handle_report(message)
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -109,9 +109,12 @@
     return HEADER.pack(len(payload)) + payload
 
 
-def encode_packed(sender: str, message: Any) -> bytes:
-    """Encode a message as one datagram, without the zero bytes that frames are full of."""
-    return _build(sender, message, 0).to_bytes_packed()
+def encode_packed(message: Any) -> bytes:
+    """Encode a message as one datagram, without the zero bytes that frames are full of.
+
+    It carries no sender: what is sent as a datagram says itself whom it is from.
+    """
+    return _build("", message, 0).to_bytes_packed()
 
 
 def _build(sender: str, message: Any, clock: int) -> Any:
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -491,7 +491,8 @@
 class LoadReport:
     """What one entry has running, or all entries of an availability zone (``is_summary``).
 
-    A report of many servers comes in parts, each of which replaces the one of its number.
+    A report of many servers comes in parts, each of which replaces the one of its number. With
+    ``only_changes`` it tells of some servers only, and of the others that nothing changed.
     """
 
     entry: str = ""
@@ -501,6 +502,7 @@
     zone: str = ""
     is_summary: bool = False
     part: int = 0
+    only_changes: bool = False
 
 
 @attrs.frozen
--- a/flamingoramp/routing/load_book.py
+++ b/flamingoramp/routing/load_book.py
@@ -90,13 +90,42 @@
 
 
 @attrs.define
-class _Reported:
-    incarnation: str
+class _Known:
+    """The newest word on one server, and the part of a whole report that it came in."""
+
+    load: messages.EngineLoad
     sequence: int
     heard_at: float
+    part: int
+
+
+@attrs.define
+class _Reported:
+    """What one entry, or one zone, has running."""
+
+    incarnation: str
     zone: str
     is_summary: bool
-    engines: dict[str, messages.EngineLoad]
+    heard_at: float = 0.0
+    engines: dict[str, _Known] = attrs.field(factory=dict)
+    sequences: dict[int, int] = attrs.field(factory=dict)
+
+    def take(self, report: messages.LoadReport, now: float) -> None:
+        """Take a report in, as far as it is newer than what is known."""
+        self.heard_at = now
+        if not report.only_changes:
+            if report.sequence <= self.sequences.get(report.part, -1):
+                return
+            self.sequences[report.part] = report.sequence
+            told = {one.server for one in report.engines}
+            for server, known in list(self.engines.items()):
+                superseded = known.part == report.part and known.sequence < report.sequence
+                if superseded and server not in told:
+                    del self.engines[server]
+        for one in report.engines:
+            known = self.engines.get(one.server)
+            if known is None or known.sequence < report.sequence:
+                self.engines[one.server] = _Known(one, report.sequence, now, report.part)
 
 
 class LoadBook:
@@ -115,30 +144,32 @@
         self._zone = zone
         self._parts = 0
         self._own: dict[str, dict[int, Work]] = {}
-        self._others: dict[tuple[str, int], _Reported] = {}
+        self._others: dict[str, _Reported] = {}
         self._summarized: dict[str, float] = {}
-        self._changed = False
+        # Servers whose work changed since the last report, and before it.
+        self._changed: set[str] = set()
+        self._changed_before: set[str] = set()
 
     @property
     def has_changed(self) -> bool:
         """Whether own work changed since the last report was made."""
-        return self._changed
+        return bool(self._changed)
 
     def add(self, work: Work) -> None:
         """Count a piece of own work in."""
         self._own.setdefault(work.server, {})[id(work)] = work
-        self._changed = True
+        self._changed.add(work.server)
 
     def finish_reading(self, work: Work) -> None:
         """Note that a prompt is read."""
         work.reading_until = 0.0
-        self._changed = True
+        self._changed.add(work.server)
 
     def remove(self, work: Work) -> None:
         """Count a piece of own work out."""
         held = self._own.get(work.server, {})
         if held.pop(id(work), None) is not None:
-            self._changed = True
+            self._changed.add(work.server)
         if not held:
             self._own.pop(work.server, None)
 
@@ -150,7 +181,7 @@
         for reported in self._others.values():
             found = reported.engines.get(server)
             if found is not None and self._counts(reported, now):
-                total.add_report(found, now - reported.heard_at)
+                total.add_report(found.load, now - found.heard_at)
         return total
 
     def _counts(self, reported: _Reported, now: float) -> bool:
@@ -163,17 +194,14 @@
 
     def handle_report(self, report: messages.LoadReport, now: float) -> None:
         """Take another entry's report in, unless a newer one came before."""
-        key = (f"zone/{report.zone}" if report.is_summary else report.entry, report.part)
+        key = f"zone/{report.zone}" if report.is_summary else report.entry
         held = self._others.get(key)
-        same_life = held is not None and held.incarnation == report.incarnation
-        if same_life and report.sequence <= held.sequence:
-            return
+        if held is None or held.incarnation != report.incarnation:
+            held = _Reported(report.incarnation, report.zone, report.is_summary)
+            self._others[key] = held
         if report.is_summary:
             self._summarized[report.zone] = now
-        engines = {one.server: one for one in report.engines}
-        self._others[key] = _Reported(
-            report.incarnation, report.sequence, now, report.zone, report.is_summary, engines
-        )
+        held.take(report, now)
 
     def forget_silent(self, now: float) -> None:
         """Drop what silent entries reported."""
@@ -182,16 +210,33 @@
                 del self._others[key]
 
     def make_reports(
-        self, *, entry: str, incarnation: str, sequence: int, now: float
+        self,
+        *,
+        entry: str,
+        incarnation: str,
+        sequence: int,
+        now: float,
+        only_changes: bool = False,
     ) -> list[messages.LoadReport]:
-        """Return the report of all own work, in parts."""
-        self._changed = False
+        """Return the report of own work, in parts.
+
+        Parameters
+        ----------
+        only_changes : bool
+            Tell only of servers whose work changed. Each change is told in two reports, since one
+            may get lost.
+        """
+        told = self._changed | self._changed_before if only_changes else set(self._own)
+        self._changed_before, self._changed = self._changed, set()
         totals: dict[str, ServerLoad] = {}
-        for server, held in self._own.items():
+        for server in told:
             total = totals[server] = ServerLoad()
-            for work in held.values():
+            for work in self._own.get(server, {}).values():
                 total.add(work, now)
         base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone)
+        if only_changes:
+            engines = tuple(_to_message(server, total) for server, total in totals.items())
+            return [attrs.evolve(base, engines=engines, only_changes=True)]
         return self._cut(base, totals)
 
     def make_summary(
@@ -206,11 +251,11 @@
         for reported in self._others.values():
             if reported.is_summary or reported.zone != self._zone:
                 continue
-            age = now - reported.heard_at
-            if age >= REPORT_SILENCE_SECONDS:
+            if now - reported.heard_at >= REPORT_SILENCE_SECONDS:
                 continue
             for server, found in reported.engines.items():
-                totals.setdefault(server, ServerLoad()).add_report(found, age)
+                total = totals.setdefault(server, ServerLoad())
+                total.add_report(found.load, now - found.heard_at)
         base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone, is_summary=True)
         return self._cut(base, totals)
 
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -12,7 +12,10 @@
 
 # Reports go out this soon after a change, so that several changes share one.
 REPORT_DELAY_SECONDS = 0.008
+# An entry that has nothing to tell shows that it lives this often.
 REPORT_SECONDS = 0.3
+# Reports between two that tell of all servers, which make up for those that were lost.
+CHANGES_BETWEEN_WHOLE = 3
 # Summaries of a zone go out this often; a placement in another zone is the exception.
 SUMMARY_SECONDS = 0.2
 TARGETS_SECONDS = 0.2
@@ -55,9 +58,11 @@
         self._send = send
         self._numbers = itertools.count(1)
         self._planned = False
+        self._beats = 0
+        self._reported_at = loop.now()
         self._targets = report_targets.Targets([])
         self._entries = 1
-        loop.call_every(REPORT_SECONDS, self._report)
+        loop.call_every(REPORT_SECONDS, self._beat)
         loop.call_every(SUMMARY_SECONDS, self._summarize)
         loop.call_every(TARGETS_SECONDS, self._choose_targets)
 
@@ -70,7 +75,7 @@
         """Report soon if own work changed."""
         if self._book.has_changed and not self._planned:
             self._planned = True
-            self._loop.call_later(REPORT_DELAY_SECONDS, self._report)
+            self._loop.call_later(REPORT_DELAY_SECONDS, self._report_changes)
 
     def handle_report(self, report: messages.LoadReport) -> None:
         """Take another entry's report in, and pass a far zone's summary on within this zone."""
@@ -80,13 +85,25 @@
         if report.is_summary and report.zone != self._zone and self._targets.near:
             self._send(self._targets.near, report)
 
-    def _report(self) -> None:
+    def _beat(self) -> None:
+        self._beats += 1
+        if self._beats % (CHANGES_BETWEEN_WHOLE + 1) == 0:
+            self._report(only_changes=False)
+        elif self._loop.now() - self._reported_at > REPORT_SECONDS / 2:
+            self._report(only_changes=True)
+
+    def _report_changes(self) -> None:
         self._planned = False
+        self._report(only_changes=True)
+
+    def _report(self, *, only_changes: bool) -> None:
+        self._reported_at = self._loop.now()
         reports = self._book.make_reports(
             entry=self._name,
             incarnation=self._incarnation,
             sequence=next(self._numbers),
-            now=self._loop.now(),
+            now=self._reported_at,
+            only_changes=only_changes,
         )
         for report in reports:
             self._send(self._targets.direct, report)
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -74,6 +74,81 @@
         self.assertEqual(load.answers, 3)
 
 
+class TestChanges(unittest.TestCase):
+    """Reports of only the servers whose work changed."""
+
+    def setUp(self):
+        self.book = load_book.LoadBook()
+        self.other = load_book.LoadBook()
+        self.sequence = 0
+        self.works = {name: load_book.Work(name, 0.25) for name in ("e1", "e2", "e3")}
+
+    def make(self, *, only_changes: bool = True) -> list[messages.LoadReport]:
+        self.sequence += 1
+        return self.other.make_reports(
+            entry="other",
+            incarnation="i",
+            sequence=self.sequence,
+            now=1.0,
+            only_changes=only_changes,
+        )
+
+    def take(self, reports: list[messages.LoadReport], now: float = 1.0) -> None:
+        for report in reports:
+            self.book.handle_report(report, now)
+
+    def seen(self, now: float = 1.0) -> dict[str, int]:
+        return {name: self.book.load(name, now).strict for name in self.works}
+
+    def test_only_what_changed_is_told(self):
+        for work in self.works.values():
+            self.other.add(work)
+        self.take(self.make(only_changes=False))
+        self.make()
+        self.other.remove(self.works["e2"])
+        (report,) = self.make()
+        self.assertEqual([one.server for one in report.engines], ["e2"])
+        self.take([report])
+        self.assertEqual(self.seen(), {"e1": 1, "e2": 0, "e3": 1})
+
+    def test_each_change_is_told_twice(self):
+        self.other.add(self.works["e1"])
+        self.make()  # is lost
+        self.other.add(self.works["e2"])
+        self.take(self.make())
+        self.assertEqual(self.seen(), {"e1": 1, "e2": 1, "e3": 0})
+
+    def test_a_whole_report_makes_up_for_what_was_lost(self):
+        self.other.add(self.works["e1"])
+        self.take(self.make(only_changes=False))
+        self.other.remove(self.works["e1"])
+        self.other.add(self.works["e2"])
+        for _ in range(3):
+            self.make()  # all are lost
+        self.take(self.make(only_changes=False))
+        self.assertEqual(self.seen(), {"e1": 0, "e2": 1, "e3": 0})
+
+    def test_reports_out_of_order(self):
+        self.other.add(self.works["e1"])
+        whole = self.make(only_changes=False)
+        self.other.remove(self.works["e1"])
+        change = self.make()
+        self.take(change)
+        self.take(whole)
+        self.assertEqual(self.seen()["e1"], 0)
+
+    def test_an_empty_report_shows_that_the_entry_lives(self):
+        self.other.add(self.works["e1"])
+        self.take(self.make(only_changes=False), 1.0)
+        self.make()
+        self.make()
+        (report,) = self.make()
+        self.assertEqual(report.engines, ())
+        late = 1.0 + load_book.REPORT_SILENCE_SECONDS
+        self.take([report], late)
+        self.assertEqual(self.seen(late)["e1"], 1)
+
+
 class TestSummaries(unittest.TestCase):
     """Reports of whole availability zones."""
 
--- a/flamingoramp/runtime/datagrams.py
+++ b/flamingoramp/runtime/datagrams.py
@@ -21,12 +21,10 @@
     Parameters
     ----------
     loop : loops.Loop
-    name : str
-        Name under which messages are sent.
     listen : str
         ``ip:port``; port 0 takes a free one.
     deliver : callable
-        Takes a sender's name and a message.
+        Takes a message.
     on_protocol_error : callable
         Takes an `errors.ProtocolError`.
     traffic : transports.Traffic
@@ -37,14 +35,12 @@
         self,
         loop: loops.Loop,
         *,
-        name: str,
         listen: str,
-        deliver: Callable[[str, Any], None],
+        deliver: Callable[[Any], None],
         on_protocol_error: Callable[[errors.ProtocolError], None],
         traffic: transports.Traffic,
     ):
         self._loop = loop
-        self._name = name
         self._deliver = deliver
         self._on_protocol_error = on_protocol_error
         self._traffic = traffic
@@ -62,7 +58,7 @@
 
     def send(self, addresses: list[str], message: Any) -> None:
         """Send one message to several addresses."""
-        data = codec.encode_packed(self._name, message)
+        data = codec.encode_packed(message)
         for address in addresses:
             try:
                 self._socket.sendto(data, transports.parse_address(address))
@@ -89,4 +85,4 @@
             except errors.ProtocolError as error:
                 self._on_protocol_error(error)
                 continue
-            self._deliver(envelope.sender, envelope.message)
+            self._deliver(envelope.message)
