--- a/flamingoramp/dispatch/desk.py
+++ b/flamingoramp/dispatch/desk.py
@@ -27,8 +27,6 @@
 # A restarted entry knows a declaration after about this long if all of control restarted with it.
 EXPECTED_READY_SECONDS = 2.0
 NOT_READY_RETRY_SECONDS = 0.5
-# Part of a time to return by which callers are spread, so that they don't all return at once.
-RETURN_SPREAD = 0.3
 # Most urgent and least urgent rank that engines know.
 LEAST_URGENT = 9
 # Pauses of a stream that are enough to judge an engine's pace by.
@@ -171,7 +169,7 @@
         declaration = self._declaration
         if declaration is None:
             expected = self._started_at + EXPECTED_READY_SECONDS - self.loop.now()
-            spread = 1 + RETURN_SPREAD * random.random()
+            spread = 1 + selection.RETURN_SPREAD * random.random()
             raise errors.NotReadyError(
                 "this entry knows no declaration yet",
                 retry_after=spread * max(NOT_READY_RETRY_SECONDS, expected),
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -41,6 +41,8 @@
 QUEUE_PLACES = 2
 QUEUE_CREDIT = 2.0
 QUEUE_COST = 1.0
+# A request is refused if its placement puts more at risk than this multiple of its own credit.
+MOST_RISK = 1.0
 # Slots that packing leaves free for requests that other entries place at the same moment, and the
 # cost of using each of them.
 SPARE_SLOTS = 3
@@ -86,7 +88,10 @@
 
 @attrs.frozen
 class Job:
-    """What is to be placed; times in seconds, ``limit`` is how long the caller waits."""
+    """What is to be placed; times in seconds.
+
+    ``limit`` is how long the caller waits for the whole answer, ``patience`` for its first token.
+    """
 
     prompt_tokens: int
     output_tokens: int
@@ -94,6 +99,12 @@
     pause: float
     zone: str
     limit: float = 30.0
+    patience: float = 30.0
+
+    @property
+    def longest_wait(self) -> float:
+        """Wait for the first token after which the caller is gone."""
+        return min(self.limit, self.patience)
 
     @property
     def credit(self) -> float:
@@ -203,12 +214,22 @@
     return zlib.crc32(server.encode())
 
 
-def _free_share(one: Candidate, seconds: float) -> float:
-    """Return the share of some seconds in which an engine has no long reading ahead."""
+def _blocked_seconds(one: Candidate) -> float:
+    """Return for how long an engine is no good place for a short prompt."""
     if one.is_doubtful:
-        return 0.0
-    blocked = one.load.reading_seconds
-    return 1.0 - min(1.0, blocked / seconds) if blocked > BLOCKED_SECONDS else 1.0
+        return HORIZON_SECONDS
+    seconds = one.load.reading_seconds * one.pace
+    return min(HORIZON_SECONDS, seconds) if seconds > BLOCKED_SECONDS else 0.0
+
+
+def total_shortage(blocked: list[float]) -> float:
+    """Return the time integral of the shortage while engines are blocked for some seconds each."""
+    total = 0.0
+    before = 0.0
+    for free, seconds in enumerate(sorted(blocked)):
+        total += (seconds - before) * shortage(free / len(blocked))
+        before = seconds
+    return total
 
 
 class Planner:
@@ -251,7 +272,13 @@
                 best = found
             if whole / size < self._model.pass_seconds:
                 break  # smaller parts than a pass gain nothing
-        return best
+        if best is None or job.credit < QUEUE_CREDIT or best.risk <= job.credit * MOST_RISK:
+            return best
+        return None  # others would lose more than this request gains
+
+    def seconds_until_free(self, candidates: list[Candidate]) -> float:
+        """Return when the first engine begins to read another prompt."""
+        return min((self._wait(one) for one in candidates), default=0.0)
 
     def _has_seat(self, candidate: Candidate, job: Job) -> bool:
         places = QUEUE_PLACES if job.credit >= QUEUE_CREDIT else 0
@@ -349,11 +376,11 @@
         group = (first, *helpers)
         tail = max(self._model.pass_seconds if one.load.answers else 0.0 for one in group)
         first_token = max(self._wait(one) + part * one.pace for one in group) + tail
-        if first_token > UNSERVED_SHARE * job.limit:
+        if first_token > UNSERVED_SHARE * job.longest_wait:
             return None  # work in vain, which others would wait for
         late = LATE_LOSS * lateness_risk(first_token, job.objective)
         late += (1 - LATE_LOSS) * ramp(
-            first_token, SERVED_SHARE * job.limit, UNSERVED_SHARE * job.limit
+            first_token, SERVED_SHARE * job.longest_wait, UNSERVED_SHARE * job.longest_wait
         )
         harmed = sum(harm(one.load, pause * one.pace, part) for one in group)
         zones = sum(OTHER_ZONE_COST for one in group if one.zone != job.zone)
@@ -369,12 +396,13 @@
         """Return the risk for requests that arrive while the group reads."""
         if part <= BLOCKED_SECONDS:
             return 0.0
-        seconds = min(part, HORIZON_SECONDS)
         taken = {one.server for one in group}
-        free = {one.server: _free_share(one, seconds) for one in self._candidates}
-        before = sum(free.values()) / len(free)
-        after = sum(share for server, share in free.items() if server not in taken) / len(free)
-        return self._arriving * LATE_LOSS * seconds * (shortage(after) - shortage(before))
+        before = [_blocked_seconds(one) for one in self._candidates]
+        after = [
+            min(HORIZON_SECONDS, seconds + part * one.pace) if one.server in taken else seconds
+            for one, seconds in zip(self._candidates, before, strict=True)
+        ]
+        return self._arriving * LATE_LOSS * (total_shortage(after) - total_shortage(before))
 
     def _divide_memory(
         self, job: Job, first: Candidate, helpers: list[Candidate]
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from flamingoramp import errors
 from flamingoramp.dispatch import forwarding
 from flamingoramp.intent import traffic
@@ -13,6 +15,13 @@
 MISSED_ANNOUNCEMENTS = 3.5
 # A server of another zone is as good as one with this many requests more.
 OTHER_ZONE_REQUESTS = 0.5
+# Callers leave a stream that says nothing for this long, or for so many objectives or tolerated
+# pauses, whichever is longest; so the platform's callers do.
+PATIENCE_SECONDS = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+# Part of a time to return by which callers are spread, so that they don't all return at once.
+RETURN_SPREAD = 0.3
 
 
 class Selection:
@@ -94,6 +103,7 @@
             pause=admitted.route.pause_objective,
             zone=self._zone,
             limit=admitted.time_limit,
+            patience=patience(admitted.route),
         )
         meter = self._arrivals.setdefault(service.name, rates.RateMeter())
         if not excluded:
@@ -101,8 +111,10 @@
         planner = placement.Planner(service.engine)
         found = planner.place(job, candidates, arriving=entries * meter.rate(now))
         if found is None:
+            wait = max(forwarding.RETRY_AFTER_SECONDS, planner.seconds_until_free(candidates))
+            spread = 1 + RETURN_SPREAD * random.random()
             raise errors.OverloadedError(
-                "no engine has room", retry_after=forwarding.RETRY_AFTER_SECONDS
+                "no engine has room in time", retry_after=round(spread * wait, 2)
             )
         return _to_target(found, job, records, now)
 
@@ -147,6 +159,15 @@
         return forwarding.Target(records[chosen.server], works=(work,))
 
 
+def patience(route: traffic.Route) -> float:
+    """Return how long a caller waits for the first piece of a stream, in seconds."""
+    return max(
+        PATIENCE_SECONDS,
+        PATIENCE_OBJECTIVES * route.objective,
+        PATIENCE_PAUSES * route.pause_objective,
+    )
+
+
 def _to_target(
     found: placement.Placement,
     job: placement.Job,
