--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -474,7 +474,8 @@
     """What one entry has running on a backend server.
 
     ``strict``, ``relaxed`` and ``patient`` count answers by the pauses that they tolerate;
-    ``reading_seconds`` is prompt reading ahead, of which ``part_seconds`` is the longest piece.
+    ``reading_seconds`` is prompt reading ahead, of which ``part_seconds`` is the longest piece, and
+    ``reading_credit`` what the requests are worth that wait for it.
     """
 
     server: str = ""
@@ -485,6 +486,7 @@
     part_seconds: float = 0.0
     memory_tokens: int = 0
     helping: int = 0
+    reading_credit: float = 0.0
 
 
 @attrs.frozen
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -45,7 +45,7 @@
 struct DeclareReply { requestId @0 :Text; accepted @1 :Bool; version @2 :UInt64; code @3 :Text; text @4 :Text; }
 struct ReadRequest { requestId @0 :Text; }
 struct ReadReply { requestId @0 :Text; confirmed @1 :Bool; version @2 :UInt64; document @3 :Data; }
-struct EngineLoad { server @0 :Text; strict @1 :UInt32; relaxed @2 :UInt32; patient @3 :UInt32; readingSeconds @4 :Float32; partSeconds @5 :Float32; memoryTokens @6 :UInt32; helping @7 :UInt32; }
+struct EngineLoad { server @0 :Text; strict @1 :UInt32; relaxed @2 :UInt32; patient @3 :UInt32; readingSeconds @4 :Float32; partSeconds @5 :Float32; memoryTokens @6 :UInt32; helping @7 :UInt32; readingCredit @8 :Float32; }
 struct LoadReport { entry @0 :Text; incarnation @1 :Text; sequence @2 :UInt64; engines @3 :List(EngineLoad); zone @4 :Text; isSummary @5 :Bool; part @6 :UInt32; onlyChanges @7 :Bool; }
 
 struct Frame {
--- a/flamingoramp/routing/load_book.py
+++ b/flamingoramp/routing/load_book.py
@@ -30,6 +30,8 @@
         Predicted time of its prompt reading.
     reading_until : float
         When that should be over, monotonic seconds; 0 once it is.
+    credit : float
+        What the request is worth, in units of `placement`.
     """
 
     server: str
@@ -38,13 +40,15 @@
     part_seconds: float = 0.0
     reading_until: float = 0.0
     is_helper: bool = False
+    credit: float = 0.0
 
 
 @attrs.define
 class ServerLoad:
     """Everything that runs on one server, as far as known.
 
-    ``reading_seconds`` is all prompt reading ahead, ``part_seconds`` its longest piece.
+    ``reading_seconds`` is all prompt reading ahead, ``part_seconds`` its longest piece, and
+    ``reading_credit`` what the requests are worth that wait for it.
     """
 
     strict: int = 0
@@ -54,6 +58,7 @@
     part_seconds: float = 0.0
     memory_tokens: int = 0
     helping: int = 0
+    reading_credit: float = 0.0
 
     @property
     def answers(self) -> int:
@@ -75,6 +80,7 @@
         self.reading_seconds += left
         if left > 0:
             self.part_seconds = max(self.part_seconds, work.part_seconds)
+            self.reading_credit += work.credit
 
     def add_report(self, report: messages.EngineLoad, age: float) -> None:
         """Count in what another entry reported some seconds ago."""
@@ -87,6 +93,7 @@
         self.reading_seconds += left
         if left > 0:
             self.part_seconds = max(self.part_seconds, report.part_seconds)
+            self.reading_credit += report.reading_credit
 
 
 @attrs.define
@@ -286,4 +293,5 @@
         part_seconds=total.part_seconds,
         memory_tokens=total.memory_tokens,
         helping=total.helping,
+        reading_credit=total.reading_credit,
     )
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -60,10 +60,8 @@
 # A first token within these shares of the time that the caller waits is surely, and never, served.
 SERVED_SHARE = 0.7
 UNSERVED_SHARE = 0.92
-# Credit of a prompt that waits to be read, by the seconds of reading ahead, and its most.
-WAITING_CREDIT = 8.0
-MOST_WAITING_CREDIT = 16.0
-# A part that is read ahead of it delays it by this much without harm, and with full harm.
+# Engines read parts for others before all else, the newest first: what they were reading waits.
+# A part that is read ahead delays it by this much without harm, and with full harm.
 DELAY_SAFE_SECONDS = 0.15
 DELAY_LATE_SECONDS = 1.0
 # A prompt beyond this share of an engine's memory is held by several, to leave room for others.
@@ -190,17 +188,17 @@
 
 
 def harm(load: load_book.ServerLoad, pause: float, part: float) -> float:
-    """Return the risk that reading a part, with the pause it makes, puts on a server's work.
+    """Return the risk that a part, with the pause it makes, puts on a server's work.
 
-    Answers that are being written pause; prompts that wait there are read later.
+    Answers that are being written pause. A part that is read ahead of all else also delays the
+    prompts that were being read; ``part`` is 0 for one that waits its turn.
     """
-    waiting = min(MOST_WAITING_CREDIT, WAITING_CREDIT * load.reading_seconds)
     left = ABANDONED_CREDIT * ramp(pause, ABANDON_SAFE_SECONDS, ABANDON_SECONDS)
     return (
         load.strict * (STRICT_CREDIT * pause_risk(pause, STRICT_TOLERANCE) + left)
         + load.relaxed * RELAXED_CREDIT * pause_risk(pause, RELAXED_TOLERANCE)
         + load.patient * PATIENT_CREDIT * pause_risk(pause, PATIENT_TOLERANCE)
-        + waiting * ramp(part, DELAY_SAFE_SECONDS, DELAY_LATE_SECONDS)
+        + load.reading_credit * LATE_LOSS * ramp(part, DELAY_SAFE_SECONDS, DELAY_LATE_SECONDS)
     )
 
 
@@ -242,6 +240,7 @@
 
     def __init__(self, model: traffic.EngineModel):
         self._model = model
+        self._chunk_seconds = model.chunk_tokens / model.read_rate
         self._arriving = 0.0
         self._candidates: list[Candidate] = []
 
@@ -298,7 +297,7 @@
         ranked = []
         if size > 1:
             ranked = sorted(
-                (self._cost_of_part(one, job, part, pause), _preference(one.server), position)
+                (self._cost_of_help(one, job, part, pause), _preference(one.server), position)
                 for position, one in enumerate(candidates)
                 if one.load.helping < self._model.slots
             )
@@ -309,7 +308,7 @@
         first = min(
             roomy,
             key=lambda one: (
-                self._cost_of_part(one, job, part, pause) + self._cost_of_answer(one, job),
+                self._cost_of_reading(one, job, part, pause) + self._cost_of_answer(one, job),
                 _preference(one.server),
             ),
         )
@@ -326,14 +325,25 @@
             return None
         return self._weigh(job, first, tuple(helpers), part, pause, held)
 
-    def _cost_of_part(self, one: Candidate, job: Job, part: float, pause: float) -> float:
-        """Return the risk of reading a part on an engine."""
-        paced = pause * one.pace
-        wait = self._wait(one) + part * one.pace
-        late = job.credit * LATE_LOSS * lateness_risk(wait, job.objective)
+    def _cost_of_help(self, one: Candidate, job: Job, part: float, pause: float) -> float:
+        """Return the risk of reading a part on an engine ahead of what it reads."""
+        wait = self._wait_ahead(one)
+        return self._cost_of_part(one, job, wait + part * one.pace) + harm(
+            one.load, pause * one.pace, part
+        )
+
+    def _cost_of_reading(self, one: Candidate, job: Job, part: float, pause: float) -> float:
+        """Return the risk of reading the first part on an engine, after what it reads."""
+        wait = self._wait(one)
+        return self._cost_of_part(one, job, wait + part * one.pace) + harm(
+            one.load, pause * one.pace, 0.0
+        )
+
+    def _cost_of_part(self, one: Candidate, job: Job, first_token: float) -> float:
+        late = job.credit * LATE_LOSS * lateness_risk(first_token, job.objective)
         zone = OTHER_ZONE_COST if one.zone != job.zone else 0.0
         doubt = SILENT_COST if one.is_doubtful else 0.0
-        return late + harm(one.load, paced, part) + zone + doubt + 0.2 * one.load.reading_seconds
+        return late + zone + doubt + 0.2 * one.load.reading_seconds
 
     def _cost_of_answer(self, one: Candidate, job: Job) -> float:
         """Return the risk of writing the answer on an engine."""
@@ -364,6 +374,15 @@
         in_pass = 0.5 * self._model.pass_seconds if load.answers else 0.0
         return one.pace * (in_pass + load.reading_seconds)
 
+    def _wait_ahead(self, one: Candidate) -> float:
+        """Return the predicted wait until an engine begins to read a part ahead of all else."""
+        load = one.load
+        if not load.answers:
+            return 0.0
+        # A pass that also reads is as long as what it reads, of which half is over on average.
+        reading = min(load.part_seconds, self._model.stride * self._chunk_seconds)
+        return 0.5 * one.pace * (self._model.pass_seconds + reading)
+
     def _weigh(
         self,
         job: Job,
@@ -375,14 +394,18 @@
     ) -> Placement | None:
         group = (first, *helpers)
         tail = max(self._model.pass_seconds if one.load.answers else 0.0 for one in group)
-        first_token = max(self._wait(one) + part * one.pace for one in group) + tail
+        waits = [self._wait(first), *(self._wait_ahead(one) for one in helpers)]
+        first_token = tail + max(
+            wait + part * one.pace for wait, one in zip(waits, group, strict=True)
+        )
         if first_token > UNSERVED_SHARE * job.longest_wait:
             return None  # work in vain, which others would wait for
         late = LATE_LOSS * lateness_risk(first_token, job.objective)
         late += (1 - LATE_LOSS) * ramp(
             first_token, SERVED_SHARE * job.longest_wait, UNSERVED_SHARE * job.longest_wait
         )
-        harmed = sum(harm(one.load, pause * one.pace, part) for one in group)
+        harmed = harm(first.load, pause * first.pace, 0.0)
+        harmed += sum(harm(one.load, pause * one.pace, part) for one in helpers)
         zones = sum(OTHER_ZONE_COST for one in group if one.zone != job.zone)
         doubts = sum(SILENT_COST for one in group if one.is_doubtful)
         risk = job.credit * late + harmed + zones + doubts + ENGINE_COST * len(helpers)
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -183,6 +183,7 @@
         memory_tokens=job.prompt_tokens + job.output_tokens - sum(held),
         part_seconds=found.part_seconds,
         reading_until=until,
+        credit=job.credit,
     )
     helping = [
         load_book.Work(
@@ -191,6 +192,7 @@
             part_seconds=found.part_seconds,
             reading_until=until,
             is_helper=True,
+            credit=job.credit,
         )
         for helper, tokens in zip(found.helpers, held, strict=True)
     ]
--- a/flamingoramp/routing/tests/test_placement.py
+++ b/flamingoramp/routing/tests/test_placement.py
@@ -150,6 +150,23 @@
         self.assertLess(pause, SHORT.pause * placement.LATE_PAUSE_SHARE)
 
 
+class TestPartsBesideParts(unittest.TestCase):
+    """Engines read a new part ahead of what they were reading."""
+
+    def test_a_part_is_kept_from_engines_that_have_almost_read_another(self):
+        almost = load_book.ServerLoad(helping=1, reading_seconds=0.1, reading_credit=30.0)
+        engines = make_engines(12, **{f"e{n}": almost for n in range(4)})
+        found = place(attrs.evolve(LONG, prompt_tokens=400_000), engines)
+        self.assertFalse({one.server for one in found.helpers} & {f"e{n}" for n in range(4)})
+
+    def test_a_part_does_not_wait_for_what_is_read_there(self):
+        reading = load_book.ServerLoad(helping=1, reading_seconds=3.0, reading_credit=0.1)
+        engines = make_engines(4, **{f"e{n}": reading for n in range(1, 4)})
+        found = place(attrs.evolve(LONG, prompt_tokens=300_000), engines)
+        self.assertEqual(len(found.helpers), 3)
+        self.assertLess(found.first_token_seconds, found.part_seconds + 0.1)
+
+
 class TestGiantInABurst(unittest.TestCase):
     """A prompt arrives that would take all engines for seconds, and many others come too."""
 
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -334,6 +334,11 @@
     return one.work is Work.REQUEST and one.is_read and one.written < one.output_tokens
 
 
-def _reading_order(one: Sequence) -> tuple[bool, int, int]:
-    """Parts for other engines are read first, then the most urgent, then the oldest."""
-    return (one.work is not Work.PART, one.priority, one.arrived)
+def _reading_order(one: Sequence) -> tuple[int, int, int]:
+    """Parts for other engines are read first, the newest of them before all.
+
+    Requests follow, the most urgent first, and of those the oldest.
+    """
+    if one.work is Work.PART:
+        return (0, 0, -one.arrived)
+    return (1, one.priority, one.arrived)
--- a/standins/tests/test_batch.py
+++ b/standins/tests/test_batch.py
@@ -117,6 +117,13 @@
         self.assertEqual(self.play(), [("p", 0)])
         self.assertEqual(self.play(), [("a", 1)])
 
+    def test_a_newer_part_is_read_before_an_older_one(self):
+        self.batch.add(part("old", 300))
+        self.play()
+        self.batch.add(part("new", 200))
+        written = [self.play() for _ in range(4)]
+        self.assertEqual(written, [[], [("new", 0)], [], [("old", 0)]])
+
     def test_a_part_takes_no_slot_and_no_memory(self):
         for name in ("a", "b"):
             self.batch.add(make(name, 5000, output=0))
