--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -42,7 +42,7 @@
 QUEUE_CREDIT = 2.0
 QUEUE_COST = 1.0
 # A request is refused if its placement puts more at risk than this multiple of its own credit.
-MOST_RISK = 1.0
+MOST_RISK = 1.15
 # Slots that packing leaves free for requests that other entries place at the same moment, and the
 # cost of using each of them.
 SPARE_SLOTS = 3
