--- a/flamingoramp/tests/test_worlds.py
+++ b/flamingoramp/tests/test_worlds.py
@@ -43,6 +43,9 @@
             with self.subTest(seed=seed):
                 scenarios.Scenario(seed, shards=(1, 2)).run(STEPS)
 
+    def test_a_member_of_a_group_leaves_before_its_turn(self):
+        scenarios.Scenario(971).run(400)
+
     def test_same_seed_gives_the_same_run(self):
         runs = []
         for _ in range(2):
