--- a/flamingoramp/dispatch/desk.py
+++ b/flamingoramp/dispatch/desk.py
@@ -27,6 +27,10 @@
 # A restarted entry knows a declaration after about this long if all of control restarted with it.
 EXPECTED_READY_SECONDS = 2.0
 NOT_READY_RETRY_SECONDS = 0.5
+# Until then an entry that has just started keeps requests for its first declaration, each for this
+# long at most: many of their callers were cut off by the same restart and won't come a third time.
+MOST_KEPT_SECONDS = 1.2
+MOST_KEPT_REQUESTS = 256
 # Most urgent and least urgent rank that engines know.
 LEAST_URGENT = 9
 # Pauses of a stream that are enough to judge an engine's pace by.
@@ -97,6 +101,7 @@
         self._crashes: dict[str, set[tuple[str, int]]] = {}
         self._new_crashes: list[inner.CrashRecord] = []
         self._active: set[forwarding.Forwarding] = set()
+        self._kept: set[http_server.Exchange] = set()
 
     @property
     def declaration(self) -> traffic.TrafficDeclaration | None:
@@ -106,11 +111,14 @@
     @property
     def active(self) -> int:
         """Requests under way."""
-        return len(self._active)
+        return len(self._active) + len(self._kept)
 
     def adopt(self, declaration: traffic.TrafficDeclaration) -> None:
-        """Put a declaration in force for requests from now on."""
+        """Put a declaration in force for requests from now on, and for those that were kept."""
         self._declaration = declaration
+        kept, self._kept = self._kept, set()
+        for exchange in sorted(kept, key=lambda one: one.arrived_at):
+            self._begin(exchange)
 
     def learn_crashes(self, records: Iterable[inner.CrashRecord]) -> None:
         """Take in which contents broke off which servers at other entries."""
@@ -135,6 +143,27 @@
 
     def handle_request(self, exchange: http_server.Exchange) -> None:
         """Admit a request and begin with it, or refuse it."""
+        now = self.loop.now()
+        left = min(MOST_KEPT_SECONDS, self._started_at + EXPECTED_READY_SECONDS - now)
+        if self._declaration is None and left > 0 and len(self._kept) < MOST_KEPT_REQUESTS:
+            self._keep(exchange, left)
+        else:
+            self._begin(exchange)
+
+    def _keep(self, exchange: http_server.Exchange, seconds: float) -> None:
+        """Wait some seconds for the first declaration."""
+        self._kept.add(exchange)
+        self._metrics.count("requests_kept")
+        exchange.on_gone = lambda: self._kept.discard(exchange)
+
+        def _give_up() -> None:
+            if exchange in self._kept:
+                self._kept.remove(exchange)
+                self._begin(exchange)
+
+        self.loop.call_later(seconds, _give_up)
+
+    def _begin(self, exchange: http_server.Exchange) -> None:
         request_id = ""
         try:
             caller = self.dialect.decode_request(exchange.request)
