--- a/flamingoramp/dispatch/desk.py
+++ b/flamingoramp/dispatch/desk.py
@@ -28,8 +28,10 @@
 EXPECTED_READY_SECONDS = 2.0
 NOT_READY_RETRY_SECONDS = 0.5
 # Until then an entry that has just started keeps requests for its first declaration, each for this
-# long at most: many of their callers were cut off by the same restart and won't come a third time.
+# long at most, and for this share of its time left: many of their callers were cut off by the same
+# restart and won't come a third time.
 MOST_KEPT_SECONDS = 1.2
+KEPT_SHARE = 0.33
 MOST_KEPT_REQUESTS = 256
 # Most urgent and least urgent rank that engines know.
 LEAST_URGENT = 9
@@ -143,13 +145,23 @@
 
     def handle_request(self, exchange: http_server.Exchange) -> None:
         """Admit a request and begin with it, or refuse it."""
-        now = self.loop.now()
-        left = min(MOST_KEPT_SECONDS, self._started_at + EXPECTED_READY_SECONDS - now)
-        if self._declaration is None and left > 0 and len(self._kept) < MOST_KEPT_REQUESTS:
-            self._keep(exchange, left)
+        seconds = self._seconds_to_keep(exchange) if self._declaration is None else 0.0
+        if seconds > 0 and len(self._kept) < MOST_KEPT_REQUESTS:
+            self._keep(exchange, seconds)
         else:
             self._begin(exchange)
 
+    def _seconds_to_keep(self, exchange: http_server.Exchange) -> float:
+        """Return how long a request waits for the first declaration; 0 if it may not."""
+        expected = self._started_at + EXPECTED_READY_SECONDS - self.loop.now()
+        try:
+            time_left = self.dialect.decode_request(exchange.request).time_left
+        except errors.FlamingorampError:
+            return 0.0  # it is refused for what it is
+        if time_left is None:
+            return min(MOST_KEPT_SECONDS, expected)
+        return min(MOST_KEPT_SECONDS, expected, KEPT_SHARE * time_left)
+
     def _keep(self, exchange: http_server.Exchange, seconds: float) -> None:
         """Wait some seconds for the first declaration."""
         self._kept.add(exchange)
--- a/flamingoramp/dispatch/tests/test_desk.py
+++ b/flamingoramp/dispatch/tests/test_desk.py
@@ -32,8 +32,10 @@
 class Dialect(test_forwarding.Dialect):
     """Takes every request for the one route."""
 
+    time_left = 5.0
+
     def decode_request(self, _request) -> dialects.CallerRequest:
-        return dialects.CallerRequest("r1", "h", "/", time_left=5.0)
+        return dialects.CallerRequest("r1", "h", "/", time_left=self.time_left)
 
 
 class Log:
@@ -52,12 +54,13 @@
     def setUp(self):
         self.loop = virtual_time.VirtualLoop()
         self.pool = test_forwarding.Pool()
+        self.dialect = Dialect()
         known = registry.Registry()
         known.update_server(inner.ServerRecord("s1", "s", address="s1:1", sequence=1), 0.0)
         self.desk = desk.RequestDesk(
             self.loop,
             self.pool,
-            Dialect(),
+            self.dialect,
             known=known,
             book=load_book.LoadBook(),
             log=Log(),
@@ -91,6 +94,12 @@
         self.desk.adopt(DECLARATION)
         self.assertEqual(self.pool.calls, [])
 
+    def test_a_caller_in_a_hurry_is_told_early(self):
+        self.dialect.time_left = 0.6
+        exchange = self.ask()
+        self.loop.advance(0.6 * desk.KEPT_SHARE + 0.01)
+        self.assertEqual(exchange.status, 503)
+
     def test_later_ones_are_refused_at_once(self):
         self.loop.advance(desk.EXPECTED_READY_SECONDS + 0.01)
         self.assertEqual(self.ask().status, 503)
