--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -88,6 +88,12 @@
     message: Any
 
 
+# Frames are full of zero bytes, which the packed encoding leaves out; these bound what they unpack
+# to, in words of 8 bytes.
+LARGEST_FRAME_WORDS = 2**26
+LARGEST_DATAGRAM_WORDS = 2**20
+
+
 def encode(sender: str, message: Any, *, clock: int = 0) -> bytes:
     """Encode a message with its length in front.
 
@@ -105,12 +111,12 @@
     bytes
         Four bytes of length, then the frame.
     """
-    payload = _build(sender, message, clock).to_bytes()
+    payload = _build(sender, message, clock).to_bytes_packed()
     return HEADER.pack(len(payload)) + payload
 
 
 def encode_packed(message: Any) -> bytes:
-    """Encode a message as one datagram, without the zero bytes that frames are full of.
+    """Encode a message as one datagram.
 
     It carries no sender: what is sent as a datagram says itself whom it is from.
     """
@@ -131,13 +137,9 @@
     Raises
     ------
     flamingoramp.errors.ProtocolError
-        If the bytes are no packed frame of the schema.
+        If the bytes are no frame of the schema.
     """
-    try:
-        frame = _schema.Frame.from_bytes_packed(data, traversal_limit_in_words=2**20)
-        return _read(frame)
-    except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as error:
-        raise errors.ProtocolError(f"unreadable datagram of {len(data)} bytes") from error
+    return _decode(data, LARGEST_DATAGRAM_WORDS)
 
 
 def _read(frame: Any) -> Envelope:
@@ -154,11 +156,16 @@
     flamingoramp.errors.ProtocolError
         If the bytes are no frame of the schema.
     """
+    return _decode(payload, LARGEST_FRAME_WORDS)
+
+
+def _decode(data: bytes, largest_words: int) -> Envelope:
+    """Decode a packed frame that unpacks to some words at most."""
     try:
-        with _schema.Frame.from_bytes(payload, traversal_limit_in_words=2**26) as frame:
-            return _read(frame)
+        frame = _schema.Frame.from_bytes_packed(data, traversal_limit_in_words=largest_words)
+        return _read(frame)
     except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as error:
-        raise errors.ProtocolError(f"unreadable frame of {len(payload)} bytes") from error
+        raise errors.ProtocolError(f"unreadable frame of {len(data)} bytes") from error
 
 
 class FrameBuffer:
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -101,7 +101,7 @@
 
     @property
     def longest_wait(self) -> float:
-        """Wait for the first token after which the caller is gone."""
+        """Wait for the first token after which the caller is gone, as far as known."""
         return min(self.limit, self.patience)
 
     @property
@@ -398,11 +398,13 @@
         first_token = tail + max(
             wait + part * one.pace for wait, one in zip(waits, group, strict=True)
         )
-        if first_token > UNSERVED_SHARE * job.longest_wait:
+        # How long callers wait is only supposed, so that an idle group is worth a try.
+        longest = job.longest_wait if max(waits) > 0 else job.limit
+        if first_token > UNSERVED_SHARE * longest:
             return None  # work in vain, which others would wait for
         late = LATE_LOSS * lateness_risk(first_token, job.objective)
         late += (1 - LATE_LOSS) * ramp(
-            first_token, SERVED_SHARE * job.longest_wait, UNSERVED_SHARE * job.longest_wait
+            first_token, SERVED_SHARE * longest, UNSERVED_SHARE * longest
         )
         harmed = harm(first.load, pause * first.pace, 0.0)
         harmed += sum(harm(one.load, pause * one.pace, part) for one in helpers)
--- a/flamingoramp/routing/tests/test_placement.py
+++ b/flamingoramp/routing/tests/test_placement.py
@@ -113,6 +113,10 @@
         self.assertIsNone(place(attrs.evolve(SHORT, patience=2.0), self.engines))
         self.assertIsNotNone(place(attrs.evolve(SHORT, patience=6.0), self.engines))
 
+    def test_an_idle_group_is_tried_whatever_callers_are_supposed_to_wait(self):
+        slow = attrs.evolve(LONG, objective=0.3, patience=2.0)
+        self.assertIsNotNone(place(slow, make_engines(2)))
+
     def test_the_time_to_return_is_when_an_engine_is_free(self):
         planner = placement.Planner(MODEL)
         self.assertAlmostEqual(planner.seconds_until_free(self.engines), 4.0, delta=0.1)
