--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -117,14 +117,20 @@
         )
         self._process.at_end(self._datagrams.close)
         self._process.at_end(self._pool.close)
-        listen = settings.listen
         self._front = self._process.serve(
-            listen.callers, self._desk.handle_request, limits=self._caller_limits
+            settings.listen.callers, self._desk.handle_request, limits=self._caller_limits
         )
+        self._serve_calls(settings.listen)
+        self._start_timers()
+
+    def _serve_calls(self, listen: node_settings.ListenSettings) -> None:
+        """Serve what is asked beside requests, where the settings name an address for it."""
         if listen.readiness:
             self._process.serve(listen.readiness, self._handle_readiness)
         if listen.directory:
             self._process.serve(listen.directory, self._handle_directory)
+
+    def _start_timers(self) -> None:
         loop = self.loop
         loop.call_later(0.0, self._subscribe)
         loop.call_every(SUBSCRIBE_SECONDS, self._subscribe)
--- a/bench/entry_cost.py
+++ b/flamingoramp/platform/tests/entry_cost.py
@@ -11,6 +11,7 @@
 
 import fire
 
+from flamingoramp import errors
 from flamingoramp.platform.tests import fleet as fleets
 from flamingoramp.platform.tests import standin
 
@@ -86,7 +87,7 @@
         answer = connection.getresponse()
         answer.read()
         if answer.status != 200:
-            raise RuntimeError(f"{route}: status {answer.status}")
+            raise errors.BackendFailedError(f"{route}: status {answer.status}")
     connection.close()
 
 
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -111,11 +111,7 @@
         planner = placement.Planner(service.engine)
         found = planner.place(job, candidates, arriving=entries * meter.rate(now))
         if found is None:
-            wait = max(forwarding.RETRY_AFTER_SECONDS, planner.seconds_until_free(candidates))
-            spread = 1 + RETURN_SPREAD * random.random()
-            raise errors.OverloadedError(
-                "no engine has room in time", retry_after=round(spread * wait, 2)
-            )
+            raise _make_refusal(planner.seconds_until_free(candidates))
         return _to_target(found, job, records, now)
 
     def _candidates(
@@ -168,6 +164,13 @@
     )
 
 
+def _make_refusal(seconds_until_free: float) -> errors.OverloadedError:
+    """Return a refusal that tells callers, a little apart, when an engine is free."""
+    wait = max(forwarding.RETRY_AFTER_SECONDS, seconds_until_free)
+    spread = 1 + RETURN_SPREAD * random.random()
+    return errors.OverloadedError("no engine has room in time", retry_after=round(spread * wait, 2))
+
+
 def _to_target(
     found: placement.Placement,
     job: placement.Job,
