--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -22,15 +22,52 @@
 
 WAIT_SECONDS = 30.0
 HOST = "ficu95.example"
+PORT_TRIES = 50
+# Ports of a host: two for other processes, then operators, callers, directory and readiness.
+PORTS = 6
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
+class HeldPorts:
+    """A run of ports that are free on some addresses, and stay so until a daemon listens there.
+
+    Connections between the daemons take ports of the same addresses, and would take these too. A
+    socket that is bound and doesn't listen keeps them away, and lets a daemon bind beside it.
+
+    Parameters
+    ----------
+    addresses : list of str
+    count : int
+        Ports that follow each other.
+    """
+
+    def __init__(self, addresses: list[str], count: int):
+        self._count = count
+        self._sockets: list[socket.socket] = []
+        for _ in range(PORT_TRIES):
+            with socket.create_server(("127.0.0.1", 0)) as probe:
+                self.first = probe.getsockname()[1]
+            try:
+                for address in addresses:
+                    self.hold(address)
+            except (OSError, OverflowError):
+                self.close()
+                continue
+            return
+        raise AssertionError(f"no {count} free ports in {PORT_TRIES} tries")
+
+    def hold(self, address: str) -> None:
+        """Keep the ports of a further address."""
+        for port in range(self.first, self.first + self._count):
+            holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self._sockets.append(holder)
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind((address, port))
+
+    def close(self) -> None:
+        """Let the ports go."""
+        for holder in self._sockets:
+            holder.close()
+        self._sockets.clear()
 
 
 def wait_for(condition: Callable[[], Any], what: str) -> Any:
@@ -144,8 +181,11 @@
         self.entries: list[Member] = []
         self.backends: list[standin.Backend] = []
         self._addresses = [f"127.0.0.{number + 2}" for number in range(controls + entries)]
-        self._inner, self._operators, self._callers = free_ports(3)
-        self._directory, self._ready = free_ports(2)
+        self._ports = HeldPorts(self._addresses, PORTS)
+        self._inner = self._ports.first
+        self._operators, self._callers, self._directory, self._ready = range(
+            self._inner + 2, self._inner + PORTS
+        )
         self.seeds = [f"{one}:{self._operators}" for one in self._addresses[:controls]]
         for number in range(controls):
             self.controls.append(self.start_control(number, first=True))
@@ -192,6 +232,7 @@
     def add_control(self) -> Member:
         """Start a control daemon on a host that nobody knows, with an empty disk."""
         self._addresses.append(f"127.0.0.{len(self._addresses) + 2}")
+        self._ports.hold(self._addresses[-1])
         self.controls.append(self.start_control(len(self._addresses) - 1))
         return self.controls[-1]
 
@@ -249,6 +290,7 @@
             member.stop()
         for backend in self.backends:
             backend.close()
+        self._ports.close()
         os.close(self.null)
         shutil.rmtree(self.folder)
 
--- a/flamingoramp/platform/tests/test_path.py
+++ b/flamingoramp/platform/tests/test_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import threading
 import time
 import unittest
@@ -176,6 +177,21 @@
         self.assertEqual(answer.status, 503)
 
 
+class TestHeldPorts(unittest.TestCase):
+    """Ports of a deployment stay free until its daemons listen."""
+
+    def setUp(self):
+        self.held = fleets.HeldPorts(["127.0.0.2"], 2)
+        self.addCleanup(self.held.close)
+
+    def test_a_daemon_may_listen(self):
+        socket.create_server(("127.0.0.2", self.held.first + 1)).close()
+
+    def test_nothing_else_gets_one(self):
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind(("127.0.0.2", self.held.first))
+
+
 class TestPoison(FleetCase):
     """A request that breaks off every server that runs it."""
 
