One piece each for repeated timers, shares of engines and costs that a group's size doesn't change

Read again: call_every stood three times; the count of a share of engines four times; the cost of an answer, the blocked engines and their shortage were worked out for every group size; two functions were named after an encoding that all frames have now; state that nothing read.

--- a/bench/experiment/bounds.py
+++ b/bench/experiment/bounds.py
@@ -33,7 +33,7 @@
         return 1.0
     longest = max(one.kind.limit for one in arrivals)
     steps = int((seconds + longest) / STEP_SECONDS) + 2
-    capacity = np.full(steps, sum(deployment.engines.values()) * STEP_SECONDS)
+    capacity = np.full(steps, deployment.engine_count * STEP_SECONDS)
     for event in pattern.events:
         _reduce(capacity, deployment, event, seconds)
     program = _Program(steps)
@@ -110,15 +110,14 @@
     capacity: np.ndarray, deployment: workloads.Deployment, event: workloads.Event, seconds: float
 ) -> None:
     """Take off what an event takes from the engines."""
-    engines = sum(deployment.engines.values())
     match event:
         case workloads.EngineLoss():
-            lost, start, end = max(1, round(event.share * engines)), event.at, event.seconds
+            lost, start, end = deployment.count_share(event.share), event.at, event.seconds
         case workloads.EngineSlowdown():
-            slow = max(1, round(event.share * engines))
+            slow = deployment.count_share(event.share)
             lost, start, end = slow * (1 - 1 / event.factor), event.at, event.seconds
         case workloads.EnginesLeave():
-            lost = max(1, round(event.share * engines))
+            lost = deployment.count_share(event.share)
             start, end = event.at + event.linger, 2 * seconds
         case _:
             return
--- a/bench/experiment/callers.py
+++ b/bench/experiment/callers.py
@@ -47,8 +47,8 @@
     first_token : float
         Wait for the first event; not a number without one.
     longest_pause : float
-    attempts, refusals : int
-        Times that the caller came, and was refused.
+    attempts : int
+        Times that the caller came.
     predicted : float
         Wait for the first event as the entry predicted it at its last send.
     waited : float
@@ -60,7 +60,6 @@
     first_token: float = float("nan")
     longest_pause: float = 0.0
     attempts: int = 0
-    refusals: int = 0
     predicted: float = float("nan")
     waited: float = float("nan")
 
@@ -89,13 +88,12 @@
         self.arrived_at = arrived_at
         self.on_gone: Callable[[], None] | None = None
         self.has_started = False
-        self.is_done = False
         self._caller = caller
         self._send_back = send_back
 
     def answer(self, answer: messages.Answer) -> None:
         """Send a whole answer."""
-        self.has_started = self.is_done = True
+        self.has_started = True
         after = messages.find_header(answer.headers, b"retry-after")
         self._send_back(lambda: self._caller.handle_answer(self, answer.status, after))
 
@@ -110,12 +108,10 @@
 
     def finish(self) -> None:
         """End a stream."""
-        self.is_done = True
         self._send_back(lambda: self._caller.handle_end(self, whole=True))
 
     def abort(self) -> None:
         """Break a stream off."""
-        self.is_done = True
         self._send_back(lambda: self._caller.handle_end(self, whole=False))
 
 
@@ -224,7 +220,6 @@
         self._exchange = None
         wait = RETURN_SECONDS
         if status in NOT_RUN_STATUSES:
-            self._record.refusals += 1
             self._record.outcome = Outcome.REFUSED
             if retry_after is not None:
                 wait = min(float(retry_after), RETURN_SHARE * self._time_left)
--- a/bench/experiment/engines.py
+++ b/bench/experiment/engines.py
@@ -29,7 +29,6 @@
 class _Running:
     """A request at its first engine."""
 
-    forward: dialects.Forward
     receiver: client.Receiver
     sequence: batch.Sequence
     delay: float
@@ -165,7 +164,7 @@
                     lambda head=head: self._answer(receiver, delay, head),
                 )
                 return None
-        running = _Running(forward, receiver, sequence, delay, first + 1, events, helpers)
+        running = _Running(receiver, sequence, delay, first + 1, events, helpers)
         self._requests[sequence.key] = running
         self._batch.add(sequence)
         for helper in helpers:
@@ -299,7 +298,7 @@
 
     def __init__(self, loop: virtual_time.VirtualLoop, deployment: workloads.Deployment):
         self._loop = loop
-        self._zone_delay = deployment.zone_delay
+        self._deployment = deployment
         self.costs = to_costs(deployment.model, deployment.waiting)
         self._events: dict[str, int] = {}
         self._tickets: dict[str, int] = {}
@@ -336,7 +335,7 @@
 
     def delay(self, one: str, other: str) -> float:
         """Return the time from one zone to another."""
-        return IN_ZONE_SECONDS if one == other else self._zone_delay
+        return IN_ZONE_SECONDS if one == other else self._deployment.zone_delay
 
     def send(self, one: Engine, other: Engine, action: Callable[[], None]) -> None:
         """Carry out an action at another engine, if it is up by then."""
@@ -357,7 +356,7 @@
 
     def choose_share(self, share: float, rng: random.Random) -> list[Engine]:
         """Return a share of the engines, at least one."""
-        return rng.sample(self.engines, max(1, round(share * len(self.engines))))
+        return rng.sample(self.engines, self._deployment.count_share(share))
 
 
 class Pool:
--- a/bench/experiment/simulation.py
+++ b/bench/experiment/simulation.py
@@ -36,19 +36,16 @@
     records : list of callers.Record
     usage : list of engines.Usage
         Where the time of each engine went.
-    seconds : float
     """
 
     records: list[callers.Record]
     usage: list[engines.Usage]
-    seconds: float
 
 
 class _Log:
     """Notes what entries predicted for their requests."""
 
-    def __init__(self, loop: virtual_time.VirtualLoop, records: dict[str, callers.Record]):
-        self._loop = loop
+    def __init__(self, records: dict[str, callers.Record]):
         self._records = records
         self._sent: dict[str, tuple[float, float]] = {}
 
@@ -135,7 +132,7 @@
         self.fleet = engines.Fleet(self.loop, deployment)
         self.declaration = to_declaration(deployment)
         self._named: dict[str, callers.Record] = {}
-        self.log = _Log(self.loop, self._named)
+        self.log = _Log(self._named)
         self._records: list[callers.Record] = []
         self._entries = [
             _Entry(self, f"entry-{zone}-{number}", zone)
@@ -160,7 +157,7 @@
         for event in self._pattern.events:
             loop.call_later(LEAD_SECONDS + event.at, lambda one=event: self._play(one))
         loop.advance(LEAD_SECONDS + self._seconds + TAIL_SECONDS)
-        return Run(self._records, [one.usage for one in self.fleet.engines], self._seconds)
+        return Run(self._records, [one.usage for one in self.fleet.engines])
 
     def send_report(self, source: _Entry, addresses: list[str], report: inner.LoadReport) -> None:
         """Bring a load report to other entries."""
--- a/bench/experiment/workloads.py
+++ b/bench/experiment/workloads.py
@@ -82,6 +82,15 @@
     caller_delay: float
     retries: int = 1
 
+    @property
+    def engine_count(self) -> int:
+        """Engines in all availability zones."""
+        return sum(self.engines.values())
+
+    def count_share(self, share: float) -> int:
+        """Return how many engines a share is, at least one."""
+        return max(1, round(share * self.engine_count))
+
 
 @attrs.frozen
 class Burst:
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -115,7 +115,7 @@
     return HEADER.pack(len(payload)) + payload
 
 
-def encode_packed(message: Any) -> bytes:
+def encode_datagram(message: Any) -> bytes:
     """Encode a message as one datagram.
 
     It carries no sender: what is sent as a datagram says itself whom it is from.
@@ -131,7 +131,7 @@
     return frame
 
 
-def decode_packed(data: bytes) -> Envelope:
+def decode_datagram(data: bytes) -> Envelope:
     """Decode one datagram.
 
     Raises
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import functools
 import zlib
 
 import attrs
@@ -84,7 +85,7 @@
     is_doubtful: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(slots=False)
 class Job:
     """What is to be placed; times in seconds.
 
@@ -104,7 +105,7 @@
         """Wait for the first token after which the caller is gone, as far as known."""
         return min(self.limit, self.patience)
 
-    @property
+    @functools.cached_property
     def credit(self) -> float:
         """What the request's credit is worth, in units of risk."""
         return max(0.2, (self.prompt_tokens / UNIT_TOKENS) ** CREDIT_EXPONENT)
@@ -243,6 +244,9 @@
         self._chunk_seconds = model.chunk_tokens / model.read_rate
         self._arriving = 0.0
         self._candidates: list[Candidate] = []
+        self._answer_costs: dict[str, float] = {}
+        self._blocked: list[float] = []
+        self._shortage = 0.0
 
     def place(
         self, job: Job, candidates: list[Candidate], *, arriving: float = 0.0
@@ -261,7 +265,11 @@
         usable = [one for one in candidates if self._has_seat(one, job)]
         if not usable:
             return None
+        self._answer_costs = {one.server: self._cost_of_answer(one, job) for one in usable}
         whole = self._model.reading_seconds(job.prompt_tokens)
+        if whole > BLOCKED_SECONDS:
+            self._blocked = [_blocked_seconds(one) for one in candidates]
+            self._shortage = total_shortage(self._blocked)
         best: Placement | None = None
         for size in GROUP_SIZES:
             if size > len(candidates):
@@ -308,7 +316,7 @@
         first = min(
             roomy,
             key=lambda one: (
-                self._cost_of_reading(one, job, part, pause) + self._cost_of_answer(one, job),
+                self._cost_of_reading(one, job, part, pause) + self._answer_costs[one.server],
                 _preference(one.server),
             ),
         )
@@ -412,7 +420,7 @@
         doubts = sum(SILENT_COST for one in group if one.is_doubtful)
         risk = job.credit * late + harmed + zones + doubts + ENGINE_COST * len(helpers)
         risk += self._blocking(group, part)
-        risk += self._cost_of_answer(first, job)
+        risk += self._answer_costs[first.server]
         if held:
             risk += 0.1  # reservations take a round trip and may be refused
         return Placement(first, helpers, part, first_token, held, risk)
@@ -422,12 +430,11 @@
         if part <= BLOCKED_SECONDS:
             return 0.0
         taken = {one.server for one in group}
-        before = [_blocked_seconds(one) for one in self._candidates]
         after = [
             min(HORIZON_SECONDS, seconds + part * one.pace) if one.server in taken else seconds
-            for one, seconds in zip(self._candidates, before, strict=True)
+            for one, seconds in zip(self._candidates, self._blocked, strict=True)
         ]
-        return self._arriving * LATE_LOSS * (total_shortage(after) - total_shortage(before))
+        return self._arriving * LATE_LOSS * (total_shortage(after) - self._shortage)
 
     def _divide_memory(
         self, job: Job, first: Candidate, helpers: list[Candidate]
--- a/flamingoramp/runtime/datagrams.py
+++ b/flamingoramp/runtime/datagrams.py
@@ -58,7 +58,7 @@
 
     def send(self, addresses: list[str], message: Any) -> None:
         """Send one message to several addresses."""
-        data = codec.encode_packed(message)
+        data = codec.encode_datagram(message)
         for address in addresses:
             try:
                 self._socket.sendto(data, transports.parse_address(address))
@@ -81,7 +81,7 @@
             self._traffic.received_bytes += len(data)
             self._traffic.received_frames += 1
             try:
-                envelope = codec.decode_packed(data)
+                envelope = codec.decode_datagram(data)
             except errors.ProtocolError as error:
                 self._on_protocol_error(error)
                 continue
--- a/flamingoramp/runtime/loop.py
+++ b/flamingoramp/runtime/loop.py
@@ -32,6 +32,20 @@
         self.cancelled = True
 
 
+def repeat(
+    call_later: Callable[[float, Callable[[], None]], object],
+    interval: float,
+    callback: Callable[[], None],
+) -> None:
+    """Run a callback each ``interval`` seconds by a loop's ``call_later``."""
+
+    def _repeat() -> None:
+        call_later(interval, _repeat)
+        callback()
+
+    call_later(interval, _repeat)
+
+
 class Loop:
     """Runs callbacks for sockets, timers and messages in one thread."""
 
@@ -74,12 +88,7 @@
 
     def call_every(self, interval: float, callback: Callable[[], None]) -> None:
         """Run a callback each ``interval`` seconds."""
-
-        def _repeat() -> None:
-            self.call_later(interval, _repeat)
-            callback()
-
-        self.call_later(interval, _repeat)
+        repeat(self.call_later, interval, callback)
 
     def after_each_batch(self, callback: Callable[[], None]) -> None:
         """Run a callback at the end of each turn of the loop."""
--- a/flamingoramp/runtime/virtual_time.py
+++ b/flamingoramp/runtime/virtual_time.py
@@ -31,12 +31,7 @@
 
     def call_every(self, interval: float, callback: Callable[[], None]) -> None:
         """Run a callback each ``interval`` seconds."""
-
-        def _repeat() -> None:
-            self.call_later(interval, _repeat)
-            callback()
-
-        self.call_later(interval, _repeat)
+        loops.repeat(self.call_later, interval, callback)
 
     def after_each_batch(self, callback: Callable[[], None]) -> None:
         """Run a callback after each timer."""
--- a/flamingoramp/tests/worlds.py
+++ b/flamingoramp/tests/worlds.py
@@ -17,6 +17,7 @@
 
 from flamingoramp.consensus import effects, entry_log
 from flamingoramp.protocol import messages
+from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import settings as settings_module
 
 MESSAGE_LOSS = 0.01
@@ -142,12 +143,7 @@
 
     def call_every(self, interval: float, callback: Callable[[], None]) -> None:
         """Run a callback again and again."""
-
-        def _repeat() -> None:
-            self.call_later(interval, _repeat)
-            callback()
-
-        self.call_later(interval, _repeat)
+        loops.repeat(self.call_later, interval, callback)
 
     def post(self, callback: Callable[[], None]) -> None:
         """Run a callback soon."""
