--- a/flamingoramp/backends/runner.py
+++ b/flamingoramp/backends/runner.py
@@ -49,8 +49,8 @@
     idle_timeout_seconds : float
         Time without a byte of an event stream after which its transfer ends as timed out.
     report : callable
-        Called with each `requests.TransferChunk`, `requests.TransferEnd` and
-        `requests.PlainResponse`.
+        Called with each `requests.MemberStarted` but the first of an attempt,
+        `requests.TransferChunk`, `requests.TransferEnd` and `requests.PlainResponse`.
     """
 
     def __init__(self, loop: loops.Loop, *, idle_timeout_seconds: float, report: ReportFunction):
@@ -171,6 +171,7 @@
             body["hold_seconds"] = start.remaining_seconds
 
             def _start_next_member() -> None:
+                self._report(requests.MemberStarted(*key, position + 1))
                 self._start_member(start, key, position + 1)
 
             self._start_stream(
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -170,7 +170,12 @@
         match message:
             case messages.SessionGrant():
                 self._handle_session_grant(message)
-            case messages.ClaimReply() | messages.Refuse() | messages.Grant():
+            case (
+                messages.ClaimReply()
+                | messages.Refuse()
+                | messages.Grant()
+                | messages.ServerLeaving()
+            ):
                 self._dispatch(message)
             case messages.Settled(qualified_id, version):
                 item_kind, _, item_id = qualified_id.partition("/")
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -87,6 +87,10 @@
                 self._handle_grant(message, now)
             case messages.Refuse():
                 self._handle_refuse(message, now)
+            case messages.ServerLeaving():
+                self._handle_server_leaving(message, now)
+            case requests.MemberStarted():
+                self._handle_member_started(message)
             case requests.TransferChunk():
                 self._handle_chunk(message, now)
             case requests.PlainResponse():
@@ -249,6 +253,7 @@
         request.grant = grant
         request.phase = inflight.Phase.RUNNING
         request.dispatched_at = now
+        request.members_started = 1
         request.resume_count = 0
         request.has_output = False
         request.connection_broke = False
@@ -321,6 +326,28 @@
             return None
         return request if request.attempt == message.attempt else None
 
+    def _handle_member_started(self, started: requests.MemberStarted) -> None:
+        request = self._find_running(started)
+        if request is not None:
+            request.members_started = started.position + 1
+
+    def _handle_server_leaving(self, notice: messages.ServerLeaving, now: float) -> None:
+        """End an attempt on a group if a leaving member has not been sent its part yet."""
+        request = self._find_running(notice)
+        if request is None or notice.server not in request.grant.servers[request.members_started :]:
+            return
+        self._log(
+            "attempt.withdrawn",
+            request,
+            attempt=request.attempt,
+            server=notice.server,
+            started=request.members_started,
+        )
+        request.may_have_run = True  # the members that were started have processed their segments
+        self._cancel_transfer(request)
+        self._send_release(request.grant, "cancelled", notice.server)
+        self._next_attempt(request, now, excluded=notice.server)
+
     def _handle_chunk(self, chunk: requests.TransferChunk, now: float) -> None:
         request = self._find_running(chunk)
         if request is None:
--- a/flamingoramp/dispatch/inflight.py
+++ b/flamingoramp/dispatch/inflight.py
@@ -52,6 +52,8 @@
         Whether an earlier attempt may have executed the request, at least in part.
     dispatched_at : float
         When the current attempt started.
+    members_started : int
+        Servers of the grant that were sent their part of the current attempt.
     resume_count : int
         Stream resumptions since the last new text.
     has_output : bool
@@ -85,6 +87,7 @@
     grant: messages.Grant | None = None
     may_have_run: bool = False
     dispatched_at: float = 0.0
+    members_started: int = 0
     resume_count: int = 0
     has_output: bool = False
     connection_broke: bool = False
--- a/flamingoramp/dispatch/requests.py
+++ b/flamingoramp/dispatch/requests.py
@@ -105,6 +105,15 @@
     text: str
 
 
+@attrs.frozen
+class MemberStarted:
+    """A group's member, counted from 0, was sent its part of a running attempt."""
+
+    request_id: str
+    attempt: int
+    position: int
+
+
 @attrs.frozen
 class PlainResponse:
     """Complete HTTP response of a plain service."""
--- a/flamingoramp/dispatch/tests/test_dispatcher.py
+++ b/flamingoramp/dispatch/tests/test_dispatcher.py
@@ -294,6 +294,49 @@
         self.assertEqual(self.recorded_outcomes(), ["done"])
 
 
+class TestLeavingGroupMember(DispatcherCase):
+    """A group's member that leaves before its turn is sent no segment."""
+
+    group = attrs.evolve(
+        GRANT,
+        servers=("s1", "s2", "s3"),
+        urls=("http://s1", "http://s2", "http://s3"),
+        tokens=(40, 40, 25),
+    )
+
+    def setUp(self):
+        super().setUp()
+        self.send(requests.Submit(STREAM_SPEC), self.group, requests.MemberStarted("r", 1, 1))
+
+    def send_notice(self, server: str, attempt: int = 1) -> None:
+        self.send(messages.ServerLeaving("r", attempt, "llm/0", server))
+
+    def test_member_that_has_not_started_ends_the_attempt(self):
+        self.send_notice("s3")
+        (cancel,) = self.effects_of(requests.CancelTransfer)
+        self.assertEqual(cancel.urls, self.group.urls)
+        (release,) = self.sent_to_owner(messages.Release)
+        self.assertEqual((release.attempt, release.result), (1, "cancelled"))
+        self.tick(1.0)
+        latest = self.sent_to_owner(messages.Reserve)[-1]
+        self.assertEqual((latest.attempt, latest.excluded), (2, ("s3",)))
+
+    def test_members_that_have_started_go_on(self):
+        for server in ("s1", "s2", "other"):
+            self.send_notice(server)
+        self.assertEqual(self.effects_of(requests.CancelTransfer), [])
+
+    def test_notice_of_an_earlier_attempt_is_ignored(self):
+        self.send_notice("s3", attempt=0)
+        self.assertEqual(self.effects_of(requests.CancelTransfer), [])
+
+    def test_refusal_after_a_withdrawn_attempt_does_not_say_not_run(self):
+        self.send_notice("s3")
+        self.tick(1.0)
+        self.send(messages.Refuse("r", 2, "overloaded", "full", 1.0))
+        self.assertEqual(self.caller_error().outcome, errors.Outcome.FAILED)
+
+
 class TestRetryBudget(unittest.TestCase):
     """Retries stay below a fixed ratio to requests, and their backoff has a maximum."""
 
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -376,6 +376,16 @@
     generation: int = 0
 
 
+@attrs.frozen
+class ServerLeaving:
+    """Notice of a shard's owner that a server of a granted group has announced its leave."""
+
+    request_id: str = ""
+    attempt: int = 0
+    shard: str = ""
+    server: str = ""
+
+
 @attrs.frozen
 class Announcement:
     """Announcement of a backend server: address, capacity, load and cache changes.
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -32,6 +32,7 @@
 struct HeldReservation { requestId @0 :Text; attempt @1 :UInt32; servers @2 :List(Text); tokens @3 :List(UInt32); fingerprint @4 :Text; prefillDone @5 :Bool; }
 struct HoldReport { entry @0 :Text; entryAddress @1 :Text; shard @2 :Text; held @3 :List(HeldReservation); waiting @4 :List(Text); full @5 :Bool; renewed @6 :List(Text); }
 struct HoldUnknown { shard @0 :Text; generation @1 :UInt64; }
+struct ServerLeaving { requestId @0 :Text; attempt @1 :UInt32; shard @2 :Text; server @3 :Text; }
 struct Announcement { server @0 :Text; service @1 :Text; incarnation @2 :UInt64; sequence @3 :UInt64; leaving @4 :Bool; url @5 :Text; zone @6 :Text; memoryTokens @7 :UInt64; slots @8 :UInt32; prefillRate @9 :Float64; decodeSeconds @10 :Float64; models @11 :List(Text); honoursFencing @12 :Bool; running @13 :UInt32; memoryUsed @14 :UInt64; cacheSequence @15 :UInt64; cached @16 :List(UInt64); evicted @17 :List(UInt64); role @18 :Text; highestFence @19 :UInt64; }
 struct Ping { sequence @0 :UInt64; }
 struct Pong { sequence @0 :UInt64; }
@@ -85,5 +86,6 @@
     readRequest @32 :ReadRequest;
     readReply @33 :ReadReply;
     loadReport @34 :LoadReport;
+    serverLeaving @35 :ServerLeaving;
   }
 }
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -157,6 +157,21 @@
         self._fleet.prefixes.handle(announcement)
         if change is not server_directory.AnnouncementEffect.RENEWED:
             self._record_event(f"server.{change.value}", server=server)
+        if announcement.leaving:
+            self._notify_group_holders(server)
+
+    def _notify_group_holders(self, server: str) -> None:
+        """Tell the entries that hold groups with a leaving server.
+
+        The engines of a group prefill in turn, so the server's turn may come long after its leave.
+        Each further announcement repeats the notice, as messages may be lost.
+        """
+        for reservation in self._fleet.ledger.reservations_on(server):
+            if len(reservation.servers) > 1 and not reservation.prefill_done:
+                notice = messages.ServerLeaving(
+                    reservation.request_id, reservation.attempt, self._shard, server
+                )
+                self._effects.append(effects.Reply(reservation.entry_address, notice))
 
     def _handle_lapse(self, server: str) -> None:
         self._record_event("server.lapsed", server=server)
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -88,6 +88,7 @@
         self.refusals: dict[str, messages.Refuse] = {}
         self.cancelled: list[effects.CancelAtServer] = []
         self.reports: list[effects.ReportSuspects] = []
+        self.leave_notices: list[messages.ServerLeaving] = []
         self.advance(3.0)
 
     def collect(self, batch: list) -> None:
@@ -98,6 +99,8 @@
                     self.grants[grant.request_id] = grant
                 case effects.Reply(_, messages.Refuse() as refusal):
                     self.refusals[refusal.request_id] = refusal
+                case effects.Reply(_, messages.ServerLeaving() as notice):
+                    self.leave_notices.append(notice)
                 case effects.CancelAtServer():
                     self.cancelled.append(effect)
                 case effects.ReportSuspects():
@@ -219,6 +222,22 @@
         self.assertEqual(len(set(grant.servers)), 3)
         self.assertEqual(sum(grant.tokens), 250_010)
 
+    def test_holder_of_group_is_told_of_each_announcement_that_a_member_leaves(self):
+        harness = SchedulerHarness(3)
+        harness.send(reserve("large", 2 * MEMORY_TOKENS + 1000))
+        harness.send(reserve("small"))
+        for sequence in (1, 2):
+            harness.send(announce("e1", harness.sequence + sequence, leaving=True))
+        notice = messages.ServerLeaving("large", 1, "llm/0", "e1")
+        self.assertEqual(harness.leave_notices, [notice, notice])
+
+    def test_holder_of_group_is_not_told_of_leave_after_first_token(self):
+        harness = SchedulerHarness(3)
+        harness.send(reserve("large", 2 * MEMORY_TOKENS + 1000))
+        harness.finish_prefill("large")
+        harness.send(announce("e1", harness.sequence + 1, leaving=True))
+        self.assertEqual(harness.leave_notices, [])
+
     def test_second_group_reserves_nothing_until_first_finishes(self):
         harness = SchedulerHarness(4)
         harness.send(reserve("big1", 250_000), reserve("big2", 250_000))
--- a/flamingoramp/tests/backends.py
+++ b/flamingoramp/tests/backends.py
@@ -314,7 +314,7 @@
         server = self._servers[member.url]
         is_last = position == len(start.members) - 1
         if not is_last:
-            self._next_member_starts[key] = lambda: self._start_member(start, position + 1)
+            self._next_member_starts[key] = lambda: self._start_next_member(start, position + 1)
 
         def _on_connected() -> None:
             server.execution_log.record_start(start.spec)
@@ -334,6 +334,10 @@
 
         self._connect(key, server, _on_connected)
 
+    def _start_next_member(self, start: requests.StartGenerate, position: int) -> None:
+        self._report(requests.MemberStarted(start.spec.request_id, start.attempt, position))
+        self._start_member(start, position)
+
     def resume(self, start: requests.StartResume) -> None:
         """Open a new connection for the rest of an attempt's stream."""
         key = (start.spec.request_id, start.attempt)
