--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -31,6 +31,12 @@
 PERIODIC_PUBLISH_INTERVAL_SECONDS = 0.25
 PEER_SUBSCRIBE_INTERVAL_SECONDS = 0.5
 EVICTION_INTERVAL_SECONDS = 5.0
+SILENCE_CHECK_INTERVAL_SECONDS = 0.5
+# A check that is later than this shows that the process was suspended and missed reports.
+MAX_SILENCE_CHECK_GAP_SECONDS = 1.5
+# Announcements missed in a row after which a server counts as silent. Control hosts forward
+# announcements to each other, so any of them may have received the last one.
+MAX_MISSED_ANNOUNCEMENTS = 5
 # Operators' clients time out after 1 s; the answer must arrive before that.
 ANSWER_TIMEOUT_SECONDS = 0.9
 RETRY_AFTER_SECONDS = 0.3
@@ -85,7 +91,7 @@
         self._state = versioned_declaration.VersionedDeclarationState()
         self._registry = registry.Registry()
         self._directory = entry_directory.EntryDirectory(self._registry)
-        self._publisher = subscriptions.Publisher(self._registry)
+        self._publisher = subscriptions.Publisher(self._registry, zone=settings.availability_zone)
         self._process = node_process.NodeProcess(
             settings,
             role="control",
@@ -112,6 +118,8 @@
         self._loop.call_every(CHANGE_PUBLISH_INTERVAL_SECONDS, self._publish_if_due)
         self._loop.call_every(PERIODIC_PUBLISH_INTERVAL_SECONDS, self._publish)
         self._loop.call_every(PEER_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_to_peers)
+        self._observed_since = self._silence_checked_at = self._loop.now()
+        self._loop.call_every(SILENCE_CHECK_INTERVAL_SECONDS, self._mark_unreported)
         self._loop.call_every(
             EVICTION_INTERVAL_SECONDS, lambda: self._registry.remove_expired(self._loop.now())
         )
@@ -196,11 +204,7 @@
                 if self._state.version != previous_version:
                     self._record_version()
             case messages.Subscribe():
-                now = self._loop.now()
-                entry = self._publisher.handle(connection, message, now)
-                if entry:
-                    self._directory.record_report(entry, now)
-                self._publish_is_due = True
+                self._handle_subscription(connection, message)
             case messages.ClusterUpdate():
                 self._merge_update(message)
             case messages.DeclareRequest():
@@ -212,6 +216,41 @@
             case messages.ReadReply():
                 self._complete_forwarded_call(message)
 
+    def _handle_subscription(
+        self, connection: transports.Connection, message: messages.Subscribe
+    ) -> None:
+        now = self._loop.now()
+        change_number = self._registry.change_number
+        entry = self._publisher.handle(connection, message, now)
+        if entry:
+            self._directory.record_report(entry, now)
+            self._registry.renew_entry(entry, now)
+        has_news = message.crashes or self._registry.change_number != change_number
+        if has_news or self._publisher.lacks_records(connection):
+            self._publish_is_due = True
+
+    def _mark_unreported(self) -> None:
+        """Mark servers and entries that are no longer reported to any control host."""
+        now = self._loop.now()
+        was_suspended = now - self._silence_checked_at > MAX_SILENCE_CHECK_GAP_SECONDS
+        self._silence_checked_at = now
+        if was_suspended or not self._node.has_leader_contact:
+            self._observed_since = now
+            return
+        marked = self._registry.mark_unreported(
+            now,
+            observed_since=self._observed_since,
+            server_seconds=MAX_MISSED_ANNOUNCEMENTS
+            * self._settings.bounds.announce_interval_seconds,
+        )
+        for record in marked:
+            match record:
+                case messages.ServerRecord():
+                    self._log.write("server.silent", server=record.server, sequence=record.sequence)
+                case messages.EntryRecord():
+                    self._log.write("entry.gone", entry=record.entry, address=record.inner)
+        self._publish_is_due = self._publish_is_due or bool(marked)
+
     def _merge_update(self, update: messages.ClusterUpdate) -> None:
         now = self._loop.now()
         previous_change_number = self._registry.change_number
@@ -240,7 +279,6 @@
     def _publish(self) -> None:
         self._publish_is_due = False
         updates = self._publisher.make_updates(
-            is_leader=self._node.is_leader,
             version=self._state.version,
             document=versioned_declaration.compress(self._state.document),
             confirmed=self._node.has_leader_contact,
@@ -391,8 +429,8 @@
 
     def _handle_directory(self, exchange: http_server.Exchange) -> None:
         try:
-            self._dialect.decode_directory_call(exchange.request)
-            addresses = self._directory.addresses(self._loop.now())
+            caller_zone = self._dialect.decode_directory_call(exchange.request)
+            addresses = self._directory.addresses(self._loop.now(), caller_zone=caller_zone)
         except errors.FlamingorampError as error:
             exchange.respond(self._dialect.encode_error(error))
             return
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -18,7 +18,12 @@
 from flamingoramp.http import client, messages
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import traffic, versioned_declaration
-from flamingoramp.membership import entry_directory, registry
+from flamingoramp.membership import (
+    control_contacts,
+    entry_directory,
+    registry,
+    subscriptions,
+)
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_exchange, load_table
 from flamingoramp.runtime import datagrams, node_settings
@@ -80,7 +85,9 @@
         self._started_at = self.loop.now()
         self._registry = registry.Registry()
         self._control_hosts: tuple[str, ...] = ()
-        self._last_update_at: dict[str, float] = {}
+        self._contacts = control_contacts.ControlContacts(
+            name=settings.name, zone=settings.availability_zone
+        )
         self._directory = entry_directory.EntryDirectory(self._registry)
         self._server_loads = load_table.LoadTable(settings.availability_zone)
         self._pool = client.Pool(self.loop)
@@ -171,7 +178,8 @@
     def _subscribe(self) -> None:
         """Subscribe to all control hosts, or renew the subscriptions.
 
-        A host gets the entry's record if it has none yet or has reconnected. Every
+        The primary sends its records and new versions; to the others, this entry subscribes as
+        standby. A host gets the entry's record if it has none yet or has reconnected. Every
         `SUBSCRIPTIONS_PER_RECORD_RENEWAL` renewals, one host gets a record with a higher sequence
         number.
         """
@@ -182,6 +190,7 @@
         self._subscribe_count += 1
         crashes = self._request_handler.drain_crash_records()
         hosts = list(dict.fromkeys((*self._control_hosts, *self._settings.seed_internal_addresses)))
+        primary = self._choose_primary(hosts)
         renewal_host = hosts[
             (self._subscribe_count // SUBSCRIPTIONS_PER_RECORD_RENEWAL) % len(hosts)
         ]
@@ -201,12 +210,21 @@
                 version=self.declaration.version if self.declaration else 0,
                 entries=entries,
                 crashes=crashes,
+                standby=host != primary,
             )
             if self._process.transport.send(host, message):
                 self._hosts_with_record.add(host)
             else:
                 self._hosts_with_record.discard(host)
 
+    def _choose_primary(self, hosts: list[str]) -> str:
+        previous = self._contacts.primary
+        primary = self._contacts.choose_primary(hosts, self.loop.now())
+        if primary != previous:
+            self._log.write("control.primary", host=primary, previous=previous)
+            self._metrics.count("control_primary_changes")
+        return primary
+
     def _subscribe_until_declared(self) -> None:
         if self.declaration is None:
             self._subscribe()
@@ -234,7 +252,13 @@
 
     def _handle_update(self, sender: str, update: protocol_messages.ClusterUpdate) -> None:
         now = self.loop.now()
-        self._last_update_at[sender] = now
+        host = sender.partition("#")[0]
+        # A standby that answers while the primary is silent takes over without waiting for the
+        # next renewal of the subscriptions.
+        replaces_primary = self._contacts.is_primary_silent(now) and host != self._contacts.primary
+        self._contacts.record_update(host, confirmed=update.confirmed, zone=update.zone, now=now)
+        if replaces_primary:
+            self._subscribe()
         for record in update.servers:
             self._handle_server_record(record, now)
         for record in update.entries:
@@ -359,9 +383,10 @@
 
     def _handle_directory(self, exchange: http_server.Exchange) -> None:
         try:
-            self._dialect.decode_directory_call(exchange.request)
-            own_record = self._make_entry_record()
-            addresses = self._directory.addresses(self.loop.now(), own=own_record)
+            caller_zone = self._dialect.decode_directory_call(exchange.request)
+            addresses = self._directory.addresses(
+                self.loop.now(), caller_zone=caller_zone, own=self._make_entry_record()
+            )
         except errors.FlamingorampError as error:
             exchange.respond(self._dialect.encode_error(error))
             return
@@ -379,9 +404,8 @@
         If not, announcements of backend servers may not reach this entry.
         """
         now = self.loop.now()
-        recent_count = sum(
-            now - updated_at < 2 * SUBSCRIBE_INTERVAL_SECONDS + 1
-            for updated_at in self._last_update_at.values()
+        recent_count = self._contacts.heard_count(
+            now, within_seconds=2 * subscriptions.HEARTBEAT_SECONDS
         )
         return 2 * recent_count > len(self._control_hosts)
 
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -98,7 +98,6 @@
             server_loads,
             self._observations,
             zone=zone,
-            announce_seconds=bounds.announce_interval_seconds,
         )
         self._retry_allowances: dict[str, allowance.RetryAllowance] = {}
         self._crashes_by_fingerprint: dict[str, set[tuple[str, int]]] = {}
--- a/flamingoramp/membership/entry_directory.py
+++ b/flamingoramp/membership/entry_directory.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections
+import hashlib
+
 from flamingoramp import errors
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
@@ -33,16 +36,24 @@
         """Return whether a report of an entry arrived within ``REPORT_TIMEOUT_SECONDS``."""
         return now - self._reported_at.get(entry, float("-inf")) < REPORT_TIMEOUT_SECONDS
 
-    def addresses(self, now: float, *, own: messages.EntryRecord | None = None) -> list[str]:
+    def addresses(
+        self, now: float, *, caller_zone: str = "", own: messages.EntryRecord | None = None
+    ) -> list[str]:
         """Return the addresses of ready entries, at most ``MAX_ADDRESS_COUNT``.
 
-        Entries without a recent report are left out. If that leaves none, this process is isolated
-        from the others, and all entries that were ready by their last reports are returned.
+        Of more entries, the answer holds an equal number of each availability zone, so that the
+        engines of all zones get equal shares of the requests. Callers close connections to
+        addresses that a new answer lacks, so it is the same for all callers of a zone, and differs
+        between zones. Entries without a recent report are left out. If that leaves none, this
+        process is isolated from the others, and all entries that were ready by their last reports
+        are returned.
 
         Parameters
         ----------
         now : float
             Monotonic clock, in seconds.
+        caller_zone : str, optional
+            Availability zone of the caller.
         own : messages.EntryRecord, optional
             Record of this process, if it is an entry.
 
@@ -51,16 +62,32 @@
         flamingoramp.errors.NotReadyError
             If no entry is ready.
         """
-        records = {
-            record.entry: record
-            for record in self._registry.entries(now, max_age_seconds=registry.ENTRY_EXPIRY_SECONDS)
-        }
+        records = {record.entry: record for record in self._registry.entries()}
         if own is not None:
             records[own.entry] = own
             self._reported_at[own.entry] = now
         ready = [record for record in records.values() if record.ready and not record.leaving]
         recent = [record for record in ready if self.reported_recently(record.entry, now)]
-        addresses = sorted(record.callers for record in recent or ready)
-        if not addresses:
+        if not ready:
             raise errors.NotReadyError("no entry is ready", retry_after=RETRY_AFTER_SECONDS)
-        return addresses[:MAX_ADDRESS_COUNT]
+        chosen = _choose_entries(recent or ready, caller_zone)
+        return sorted(record.callers for record in chosen)
+
+
+def _choose_entries(
+    records: list[messages.EntryRecord], caller_zone: str
+) -> list[messages.EntryRecord]:
+    """Choose at most ``MAX_ADDRESS_COUNT`` entries by rendezvous hashing, evenly by zone."""
+    if len(records) <= MAX_ADDRESS_COUNT:
+        return records
+    ranked = sorted(records, key=lambda record: _rank(record.entry, caller_zone))
+    rank_in_zone: collections.Counter[str] = collections.Counter()
+    order = []
+    for record in ranked:
+        order.append((rank_in_zone[record.zone], len(order), record))
+        rank_in_zone[record.zone] += 1
+    return [record for _, _, record in sorted(order, key=lambda item: item[:2])[:MAX_ADDRESS_COUNT]]
+
+
+def _rank(entry: str, caller_zone: str) -> bytes:
+    return hashlib.blake2b(f"{caller_zone}/{entry}".encode(), digest_size=8).digest()
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -1,4 +1,9 @@
-"""Incremental updates of a control host for its subscribers: entries and other control hosts."""
+"""Incremental updates of a control host for its subscribers: entries and other control hosts.
+
+An entry receives the records of servers and entries, and new versions at once, from one control
+host. It subscribes to the others as standby: they send it heartbeats, and a new version only if the
+entry still reports an older one after a delay.
+"""
 
 from __future__ import annotations
 
@@ -11,9 +16,13 @@
 
 # A subscriber that has not renewed its subscription for longer is removed.
 SUBSCRIBER_TIMEOUT_SECONDS = 5.0
-# The leader publishes a new version at once. Followers wait this long, until subscribers have
-# renewed their subscriptions, and then send it only to those that still report an older version.
-FOLLOWER_DELAY_SECONDS = 0.8
+# Delay of a new version for standby subscribers, in which those that received it elsewhere report
+# it with their renewed subscriptions.
+STANDBY_DELAY_SECONDS = 0.8
+# Intervals of updates without changes, which show that this host is up. An entry that receives its
+# records from this host has to notice a failure sooner.
+HEARTBEAT_SECONDS = 1.0
+PRIMARY_HEARTBEAT_SECONDS = 0.5
 # Retention of crash records: the time within which a caller may retry a request.
 CRASH_RETENTION_SECONDS = 300.0
 
@@ -22,14 +31,22 @@
 class _Subscriber:
     is_control: bool
     renewed_at: float
+    standby: bool = False
     entry: str = ""
-    sent_change_number: int = 0
+    sent_number: int = 0
     version: int = 0
     controls: tuple[str, ...] = ()
     confirmed: bool = False
     sent_crash_count: int = 0
+    sent_zone: bool = False
     sent_at: float = float("-inf")
 
+    @property
+    def heartbeat_seconds(self) -> float:
+        """Interval of updates without changes."""
+        is_primary = not (self.is_control or self.standby)
+        return PRIMARY_HEARTBEAT_SECONDS if is_primary else HEARTBEAT_SECONDS
+
 
 class Publisher:
     """Tracks what was sent to each subscriber and builds the next update for each.
@@ -37,10 +54,13 @@
     Parameters
     ----------
     record_registry : registry.Registry
+    zone : str
+        Availability zone of this host.
     """
 
-    def __init__(self, record_registry: registry.Registry):
+    def __init__(self, record_registry: registry.Registry, *, zone: str = ""):
         self._registry = record_registry
+        self._zone = zone
         self._subscribers: dict[Any, _Subscriber] = {}
         self._crashes: list[tuple[float, messages.CrashRecord]] = []
         self._crash_keys: set[tuple[str, str, int]] = set()
@@ -66,6 +86,9 @@
             subscriber = _Subscriber(message.is_control, now)
             self._subscribers[connection] = subscriber
         subscriber.renewed_at = now
+        if subscriber.standby and not message.standby:
+            subscriber.sent_number = subscriber.sent_crash_count = 0
+        subscriber.standby = message.standby
         subscriber.version = max(subscriber.version, message.version)
         for record in message.entries:
             subscriber.entry = record.entry
@@ -73,6 +96,11 @@
         self.add_crashes(message.crashes, now)
         return subscriber.entry
 
+    def lacks_records(self, connection: Any) -> bool:
+        """Return whether a subscriber has not been sent the records that it asked for."""
+        subscriber = self._subscribers.get(connection)
+        return subscriber is not None and not subscriber.sent_number and not subscriber.standby
+
     def add_crashes(self, records: tuple[messages.CrashRecord, ...], now: float) -> None:
         """Store crash records that are not stored yet."""
         for record in records:
@@ -84,7 +112,6 @@
     def make_updates(
         self,
         *,
-        is_leader: bool,
         version: int,
         document: bytes,
         confirmed: bool,
@@ -95,8 +122,6 @@
 
         Parameters
         ----------
-        is_leader : bool
-            Whether this host is the leader.
         version : int
             Version of the declaration.
         document : bytes
@@ -111,8 +136,6 @@
         self._remove_expired_crashes(now)
         if version != self._version:
             self._version, self._version_changed_at = version, now
-        if not is_leader and now - self._version_changed_at < FOLLOWER_DELAY_SECONDS:
-            version, document = 0, b""
         updates = []
         for connection, subscriber in list(self._subscribers.items()):
             is_gone = (
@@ -135,23 +158,33 @@
         controls: tuple[str, ...],
         now: float,
     ) -> messages.ClusterUpdate | None:
-        servers, entries = self._registry.changed_since(subscriber.sent_change_number, now)
-        crashes = tuple(record for _, record in self._crashes[subscriber.sent_crash_count :])
+        servers, entries, crashes = (), (), ()
+        if not subscriber.standby:
+            servers, entries = self._registry.changed_since(
+                subscriber.sent_number, now, with_renewals=subscriber.is_control
+            )
+            crashes = tuple(record for _, record in self._crashes[subscriber.sent_crash_count :])
+        is_delayed = subscriber.standby and now - self._version_changed_at < STANDBY_DELAY_SECONDS
+        if subscriber.is_control or is_delayed:  # control hosts have the log
+            version, document = 0, b""
         has_new_version = version > subscriber.version
         controls_changed = controls != subscriber.controls
         is_state_unchanged = (controls, confirmed) == (subscriber.controls, subscriber.confirmed)
-        sent_recently = now - subscriber.sent_at < heartbeat_interval_seconds(subscriber.is_control)
+        sent_recently = now - subscriber.sent_at < subscriber.heartbeat_seconds
         if (
             not (servers or entries or crashes or has_new_version)
             and is_state_unchanged
             and sent_recently
         ):
             return None
-        subscriber.sent_change_number = self._registry.change_number
-        subscriber.sent_crash_count = len(self._crashes)
+        if not subscriber.standby:
+            subscriber.sent_number = self._registry.update_number
+            subscriber.sent_crash_count = len(self._crashes)
         subscriber.version = max(subscriber.version, version)
         subscriber.controls, subscriber.confirmed = controls, confirmed
         subscriber.sent_at = now
+        zone = "" if subscriber.sent_zone else self._zone
+        subscriber.sent_zone = True
         return messages.ClusterUpdate(
             version=version,
             document=document if has_new_version else b"",
@@ -160,6 +193,7 @@
             servers=servers,
             entries=entries,
             crashes=crashes,
+            zone=zone,
         )
 
     def _remove_expired_crashes(self, now: float) -> None:
@@ -168,8 +202,3 @@
             self._crash_keys.discard((record.fingerprint, record.server, record.born))
             for subscriber in self._subscribers.values():
                 subscriber.sent_crash_count = max(0, subscriber.sent_crash_count - 1)
-
-
-def heartbeat_interval_seconds(is_control: bool) -> float:
-    """Return the interval of updates without changes, which show that this host is up."""
-    return 1.0 if is_control else 0.5
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 
@@ -424,6 +426,7 @@
 
     ``callers`` and ``inner`` are its addresses for callers and for the system's own processes.
     ``born`` is the Unix time of its start in seconds, ``age`` the time in seconds since the report.
+    ``gone`` is set by a control host that has not heard from it for long.
     """
 
     entry: str = ""
@@ -436,6 +439,7 @@
     sequence: int = 0
     age: float = 0.0
     born: float = 0.0
+    gone: bool = False
 
 
 @attrs.frozen
@@ -445,7 +449,8 @@
     ``born`` is the Unix time of the server's start in milliseconds (0 if unknown), ``sequence``
     increases with each announcement since then, and ``age`` is the time in seconds since the last
     one. ``software`` is the version of its software, ``cold_seconds`` the remaining time of its
-    cold start. ``gone`` is set if a server that started later has its address.
+    cold start. ``gone`` is set if a server that started later has its address, ``silent`` by a
+    control host if announcements are missing.
     """
 
     server: str = ""
@@ -460,6 +465,7 @@
     born: int = 0
     age: float = 0.0
     gone: bool = False
+    silent: bool = False
 
 
 @attrs.frozen
@@ -481,7 +487,8 @@
     """Subscription to the updates of a control host, with the subscriber's own reports.
 
     ``version`` is that of the declaration that the subscriber has. A control host as subscriber
-    sets ``is_control``, and its address in ``control``.
+    sets ``is_control``, and its address in ``control``. A subscriber that receives the records of
+    servers and entries from another control host sets ``standby``.
     """
 
     name: str = ""
@@ -490,6 +497,7 @@
     entries: tuple[EntryRecord, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     control: str = ""
+    standby: bool = False
 
 
 @attrs.frozen
@@ -497,8 +505,9 @@
     """Changes since the previous update on this connection.
 
     ``confirmed`` is set if the sender is in contact with the leader, so that its version of the
-    declaration is not outdated. ``document`` (the declaration, compressed) and ``controls`` (the
-    addresses of the control hosts) are empty if they haven't changed.
+    declaration is not outdated. ``document`` (the declaration, compressed), ``controls`` (the
+    addresses of the control hosts) and ``zone`` (the sender's availability zone) are empty if they
+    haven't changed.
     """
 
     version: int = 0
@@ -508,6 +517,7 @@
     servers: tuple[ServerRecord, ...] = ()
     entries: tuple[EntryRecord, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
+    zone: str = ""
 
 
 @attrs.frozen
@@ -547,26 +557,8 @@
     document: bytes = b""
 
 
-@attrs.frozen
-class EngineLoad:
-    """Load that the requests of one entry put on a backend server.
-
-    ``strict``, ``relaxed`` and ``patient`` count the answers by the pause between tokens that they
-    tolerate (short, medium, long). ``reading_seconds`` is the predicted time of the outstanding
-    prefill, ``part_seconds`` that of its longest part, and ``reading_credit`` the total credit
-    (value) of the requests that wait for it. ``helping`` counts the requests for which the server
-    only prefills a part of the prompt.
-    """
-
-    server: str = ""
-    strict: int = 0
-    relaxed: int = 0
-    patient: int = 0
-    reading_seconds: float = 0.0
-    part_seconds: float = 0.0
-    memory_tokens: int = 0
-    helping: int = 0
-    reading_credit: float = 0.0
+# Values of one server in a `LoadReport`.
+LOAD_VALUE_COUNT = 8
 
 
 @attrs.frozen
@@ -575,18 +567,29 @@
 
     A report on many servers is split into numbered parts; a part replaces the previous part of the
     same number. With ``only_changes`` the report lists only servers whose load has changed;
-    that of the others is as reported before.
+    that of the others is as reported before. ``loads`` has the values of the servers in turn, those
+    of `routing.load_table.ServerLoad` for each: one flat list is decoded several times faster than
+    a structure for each server.
     """
 
     entry: str = ""
     incarnation: str = ""
     sequence: int = 0
-    engines: tuple[EngineLoad, ...] = ()
+    servers: tuple[str, ...] = ()
+    loads: tuple[float, ...] = attrs.field(default=())
     zone: str = ""
     is_summary: bool = False
     part: int = 0
     only_changes: bool = False
 
+    @loads.validator
+    def _check_loads(self, _attribute: attrs.Attribute, loads: tuple[float, ...]) -> None:
+        if len(loads) != LOAD_VALUE_COUNT * len(self.servers) or not all(map(math.isfinite, loads)):
+            raise ValueError(
+                f"loads: takes {LOAD_VALUE_COUNT} finite numbers for each of "
+                f"{len(self.servers)} servers, found {len(loads)} values"
+            )
+
 
 @attrs.frozen
 class Ping:
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -37,17 +37,18 @@
 struct Ping { sequence @0 :UInt64; }
 struct Pong { sequence @0 :UInt64; }
 
-struct EntryRecord { entry @0 :Text; incarnation @1 :Text; callers @2 :Text; inner @3 :Text; zone @4 :Text; ready @5 :Bool; leaving @6 :Bool; sequence @7 :UInt64; age @8 :Float64; born @9 :Float64; }
-struct ServerRecord { server @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; software @4 :Text; slots @5 :UInt32; leaving @6 :Bool; coldSeconds @7 :Float64; sequence @8 :UInt64; born @9 :UInt64; age @10 :Float64; gone @11 :Bool; }
+struct EntryRecord { entry @0 :Text; incarnation @1 :Text; callers @2 :Text; inner @3 :Text; zone @4 :Text; ready @5 :Bool; leaving @6 :Bool; sequence @7 :UInt64; age @8 :Float64; born @9 :Float64; gone @10 :Bool; }
+struct ServerRecord { server @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; software @4 :Text; slots @5 :UInt32; leaving @6 :Bool; coldSeconds @7 :Float64; sequence @8 :UInt64; born @9 :UInt64; age @10 :Float64; gone @11 :Bool; silent @12 :Bool; }
 struct CrashRecord { fingerprint @0 :Text; server @1 :Text; born @2 :UInt64; age @3 :Float64; }
-struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; }
-struct ClusterUpdate { version @0 :UInt64; document @1 :Data; confirmed @2 :Bool; controls @3 :List(Text); servers @4 :List(ServerRecord); entries @5 :List(EntryRecord); crashes @6 :List(CrashRecord); }
+struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; standby @6 :Bool; }
+struct ClusterUpdate { version @0 :UInt64; document @1 :Data; confirmed @2 :Bool; controls @3 :List(Text); servers @4 :List(ServerRecord); entries @5 :List(EntryRecord); crashes @6 :List(CrashRecord); zone @7 :Text; }
 struct DeclareRequest { requestId @0 :Text; version @1 :UInt64; document @2 :Data; }
 struct DeclareReply { requestId @0 :Text; accepted @1 :Bool; version @2 :UInt64; code @3 :Text; text @4 :Text; }
 struct ReadRequest { requestId @0 :Text; }
 struct ReadReply { requestId @0 :Text; confirmed @1 :Bool; version @2 :UInt64; document @3 :Data; }
+# Not sent any more; LoadReport has `servers` and `loads` instead.
 struct EngineLoad { server @0 :Text; strict @1 :UInt32; relaxed @2 :UInt32; patient @3 :UInt32; readingSeconds @4 :Float32; partSeconds @5 :Float32; memoryTokens @6 :UInt32; helping @7 :UInt32; readingCredit @8 :Float32; }
-struct LoadReport { entry @0 :Text; incarnation @1 :Text; sequence @2 :UInt64; engines @3 :List(EngineLoad); zone @4 :Text; isSummary @5 :Bool; part @6 :UInt32; onlyChanges @7 :Bool; }
+struct LoadReport { entry @0 :Text; incarnation @1 :Text; sequence @2 :UInt64; engines @3 :List(EngineLoad); zone @4 :Text; isSummary @5 :Bool; part @6 :UInt32; onlyChanges @7 :Bool; servers @8 :List(Text); loads @9 :List(Float32); }
 
 struct Frame {
   sender @0 :Text;
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -124,8 +124,7 @@
 
     def _choose_targets(self) -> None:
         now = self._loop.now()
-        entries = self._registry.entries(now, max_age_seconds=registry.ENTRY_EXPIRY_SECONDS)
-        others = [record for record in entries if record.entry != self._name]
+        others = [record for record in self._registry.entries() if record.entry != self._name]
         self._entry_count = 1 + len(others)
         self._targets = report_targets.choose_targets(
             self._name,
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -1,7 +1,7 @@
 """Load of each backend server: this entry's work, and that reported by other entries.
 
 The load counts the requests on a server, their memory and the prefill that is outstanding. Field
-names are those of `messages.EngineLoad`, in which ``reading`` stands for prefill.
+names with ``reading`` are about prefill.
 """
 
 from __future__ import annotations
@@ -101,33 +101,56 @@
             self.part_seconds = max(self.part_seconds, work.part_seconds)
             self.reading_credit += work.credit
 
-    def add_report(self, report: messages.EngineLoad, age: float) -> None:
+    def add_reported(self, load: ServerLoad, age: float) -> None:
         """Add the load that another entry reported ``age`` seconds ago."""
-        self.strict += report.strict
-        self.relaxed += report.relaxed
-        self.patient += report.patient
-        self.helping += report.helping
-        self.memory_tokens += report.memory_tokens
-        left = max(0.0, report.reading_seconds - age)
+        self.strict += load.strict
+        self.relaxed += load.relaxed
+        self.patient += load.patient
+        self.helping += load.helping
+        self.memory_tokens += load.memory_tokens
+        left = max(0.0, load.reading_seconds - age)
         self.reading_seconds += left
         if left > 0:
-            self.part_seconds = max(self.part_seconds, report.part_seconds)
-            self.reading_credit += report.reading_credit
-
-
-@attrs.define
-class _ReportedLoad:
-    """Latest report on one server, and the number of the report part that contained it."""
-
-    load: messages.EngineLoad
-    sequence: int
-    received_at: float
-    part: int
+            self.part_seconds = max(self.part_seconds, load.part_seconds)
+            self.reading_credit += load.reading_credit
+
+    def to_values(self) -> tuple[float, ...]:
+        """Return the fields in their order, as in `messages.LoadReport.loads`."""
+        return (
+            self.strict,
+            self.relaxed,
+            self.patient,
+            self.reading_seconds,
+            self.part_seconds,
+            self.memory_tokens,
+            self.helping,
+            self.reading_credit,
+        )
+
+
+def _read_loads(report: messages.LoadReport) -> dict[str, ServerLoad]:
+    """Return the load of each server of a report."""
+    values = iter(report.loads)
+    return {
+        server: ServerLoad(
+            int(strict),
+            int(relaxed),
+            int(patient),
+            reading,
+            part,
+            int(memory),
+            int(helping),
+            credit,
+        )
+        for server, (strict, relaxed, patient, reading, part, memory, helping, credit) in zip(
+            report.servers, zip(*[values] * messages.LOAD_VALUE_COUNT, strict=True), strict=True
+        )
+    }
 
 
 @attrs.define
 class _Reporter:
-    """Load reported by one entry, or by the relay of one zone.
+    """One entry, or the relay of one zone, and the servers on which it reported load.
 
     ``sequences`` holds the sequence number of the last full report, by part.
     """
@@ -136,25 +159,19 @@
     zone: str
     is_summary: bool
     received_at: float = 0.0
-    engines: dict[str, _ReportedLoad] = attrs.field(factory=dict)
+    servers: set[str] = attrs.field(factory=set)
     sequences: dict[int, int] = attrs.field(factory=dict)
 
-    def apply(self, report: messages.LoadReport, now: float) -> None:
-        """Update servers for which the report is newer; a full part removes what it omits."""
-        self.received_at = now
-        if not report.only_changes:
-            if report.sequence <= self.sequences.get(report.part, -1):
-                return
-            self.sequences[report.part] = report.sequence
-            reported = {load.server for load in report.engines}
-            for server, previous in list(self.engines.items()):
-                superseded = previous.part == report.part and previous.sequence < report.sequence
-                if superseded and server not in reported:
-                    del self.engines[server]
-        for load in report.engines:
-            previous = self.engines.get(load.server)
-            if previous is None or previous.sequence < report.sequence:
-                self.engines[load.server] = _ReportedLoad(load, report.sequence, now, report.part)
+
+@attrs.define
+class _ReportedLoad:
+    """Latest report on one server, and the number of the report part that contained it."""
+
+    reporter: _Reporter
+    load: ServerLoad
+    sequence: int
+    received_at: float
+    part: int
 
 
 class LoadTable:
@@ -175,6 +192,9 @@
         self._part_count = 0
         self._own: dict[str, dict[int, WorkItem]] = {}
         self._reporters: dict[str, _Reporter] = {}
+        # By server, then by reporter, so that the load of a server is found among those with work
+        # there and not among all entries.
+        self._reported: dict[str, dict[str, _ReportedLoad]] = {}
         self._summarized_at: dict[str, float] = {}
         # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
@@ -208,10 +228,9 @@
         total = ServerLoad()
         for work in self._own.get(server, {}).values():
             total.add(work, now)
-        for reporter in self._reporters.values():
-            reported = reporter.engines.get(server)
-            if reported is not None and self._is_counted(reporter, now):
-                total.add_report(reported.load, now - reported.received_at)
+        for reported in self._reported.get(server, {}).values():
+            if self._is_counted(reported.reporter, now):
+                total.add_reported(reported.load, now - reported.received_at)
         return total
 
     def _is_counted(self, reporter: _Reporter, now: float) -> bool:
@@ -227,17 +246,51 @@
         key = f"zone/{report.zone}" if report.is_summary else report.entry
         reporter = self._reporters.get(key)
         if reporter is None or reporter.incarnation != report.incarnation:
+            self._remove_reporter(key)
             reporter = _Reporter(report.incarnation, report.zone, report.is_summary)
             self._reporters[key] = reporter
         if report.is_summary:
             self._summarized_at[report.zone] = now
-        reporter.apply(report, now)
+        self._apply(key, reporter, report, now)
+
+    def _apply(
+        self, key: str, reporter: _Reporter, report: messages.LoadReport, now: float
+    ) -> None:
+        """Update servers for which the report is newer; a full part removes what it omits."""
+        reporter.received_at = now
+        loads = _read_loads(report)
+        if not report.only_changes:
+            if report.sequence <= reporter.sequences.get(report.part, -1):
+                return
+            reporter.sequences[report.part] = report.sequence
+            for server in reporter.servers - loads.keys():
+                previous = self._reported[server][key]
+                if previous.part == report.part and previous.sequence < report.sequence:
+                    self._remove_reported(server, key)
+        for server, load in loads.items():
+            reports = self._reported.setdefault(server, {})
+            previous = reports.get(key)
+            if previous is None or previous.sequence < report.sequence:
+                reports[key] = _ReportedLoad(reporter, load, report.sequence, now, report.part)
+                reporter.servers.add(server)
+
+    def _remove_reporter(self, key: str) -> None:
+        reporter = self._reporters.pop(key, None)
+        if reporter is not None:
+            for server in list(reporter.servers):
+                self._remove_reported(server, key)
+
+    def _remove_reported(self, server: str, key: str) -> None:
+        reports = self._reported[server]
+        reports.pop(key).reporter.servers.discard(server)
+        if not reports:
+            del self._reported[server]
 
     def remove_expired_reports(self, now: float) -> None:
         """Remove the load of entries that haven't reported for `REPORT_EXPIRY_SECONDS`."""
         for key, reporter in list(self._reporters.items()):
             if now - reporter.received_at > REPORT_EXPIRY_SECONDS:
-                del self._reporters[key]
+                self._remove_reporter(key)
 
     def make_reports(
         self,
@@ -270,8 +323,7 @@
                 total.add(work, now)
         base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone)
         if only_changes:
-            engines = tuple(_to_message(server, total) for server, total in totals.items())
-            return [attrs.evolve(base, engines=engines, only_changes=True)]
+            return [_with_loads(base, list(totals.items()), only_changes=True)]
         return self._split(base, totals)
 
     def make_summary(
@@ -283,14 +335,15 @@
             total = totals.setdefault(server, ServerLoad())
             for work in items.values():
                 total.add(work, now)
-        for reporter in self._reporters.values():
-            if reporter.is_summary or reporter.zone != self._zone:
-                continue
-            if now - reporter.received_at >= REPORT_EXPIRY_SECONDS:
-                continue
-            for server, reported in reporter.engines.items():
+        for server, reports in self._reported.items():
+            for reported in reports.values():
+                reporter = reported.reporter
+                if reporter.is_summary or reporter.zone != self._zone:
+                    continue
+                if now - reporter.received_at >= REPORT_EXPIRY_SECONDS:
+                    continue
                 total = totals.setdefault(server, ServerLoad())
-                total.add_report(reported.load, now - reported.received_at)
+                total.add_reported(reported.load, now - reported.received_at)
         base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone, is_summary=True)
         return self._split(base, totals)
 
@@ -302,30 +355,26 @@
         The number of parts never decreases: receivers remove the servers of an earlier part only
         when one of the same number, which may be empty, replaces it.
         """
-        engines = [_to_message(server, total) for server, total in totals.items()]
-        count = max(1, -(-len(engines) // MAX_SERVERS_PER_PART))
+        items = list(totals.items())
+        count = max(1, -(-len(items) // MAX_SERVERS_PER_PART))
         self._part_count = max(self._part_count, count)
         return [
-            attrs.evolve(
+            _with_loads(
                 base,
+                items[part * MAX_SERVERS_PER_PART : (part + 1) * MAX_SERVERS_PER_PART],
                 part=part,
-                engines=tuple(
-                    engines[part * MAX_SERVERS_PER_PART : (part + 1) * MAX_SERVERS_PER_PART]
-                ),
             )
             for part in range(self._part_count)
         ]
 
 
-def _to_message(server: str, total: ServerLoad) -> messages.EngineLoad:
-    return messages.EngineLoad(
-        server=server,
-        strict=total.strict,
-        relaxed=total.relaxed,
-        patient=total.patient,
-        reading_seconds=total.reading_seconds,
-        part_seconds=total.part_seconds,
-        memory_tokens=total.memory_tokens,
-        helping=total.helping,
-        reading_credit=total.reading_credit,
+def _with_loads(
+    base: messages.LoadReport, items: list[tuple[str, ServerLoad]], **changes: object
+) -> messages.LoadReport:
+    """Return a copy of a report with the loads of some servers and other fields changed."""
+    return attrs.evolve(
+        base,
+        servers=tuple(server for server, _ in items),
+        loads=tuple(value for _, load in items for value in load.to_values()),
+        **changes,
     )
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -15,8 +15,6 @@
 from flamingoramp.protocol import messages
 from flamingoramp.routing import load_table, observations, placement, rates
 
-# Announcements missed in a row after which a server is used only if no other is left.
-MAX_MISSED_ANNOUNCEMENTS = 3.5
 # A server of another zone is treated like one of this zone with this many more requests.
 OTHER_ZONE_COST_REQUESTS = 0.5
 # Callers are assumed to close a stream that sends nothing for the longest of this time and these
@@ -39,8 +37,6 @@
     observed : observations.Observations
     zone : str
         Availability zone of this entry.
-    announce_seconds : float
-        Interval at which servers announce themselves.
     """
 
     def __init__(
@@ -50,16 +46,11 @@
         observed: observations.Observations,
         *,
         zone: str,
-        announce_seconds: float,
     ):
         self._registry = member_registry
         self._loads = loads
         self._observations = observed
         self._zone = zone
-        # Control forwards announcements without changes only once per RENEWAL_INTERVAL_SECONDS.
-        self._max_silence_seconds = (
-            registry.RENEWAL_INTERVAL_SECONDS + MAX_MISSED_ANNOUNCEMENTS * announce_seconds
-        )
         self._arrivals: dict[str, rates.RateMeter] = {}
 
     def choose(
@@ -132,8 +123,7 @@
             if record.service != service or record.leaving or record.server in excluded:
                 continue
             key = observations.instance_key(record)
-            silence_seconds = self._registry.seconds_since_report(record.server, now)
-            is_silent = control_reachable and silence_seconds > self._max_silence_seconds
+            is_silent = control_reachable and record.silent
             is_suspended = self._observations.is_suspended(key, now)
             records[record.server] = record
             candidates.append(
