--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -339,7 +339,8 @@
             self._pending_reads.append(_PendingRead(self._node.request_read(), pending_call))
             self._complete_confirmed_reads()
             return
-        self._forward_to_leader(messages.ReadRequest(self._next_request_id()), pending_call)
+        request = messages.ReadRequest(self._next_request_id(), self._state.version)
+        self._forward_to_leader(request, pending_call)
 
     def _forward_to_leader(
         self, request: messages.DeclareRequest | messages.ReadRequest, pending_call: _PendingCall
@@ -383,9 +384,8 @@
     ) -> None:
         def _on_result(_result: None) -> None:
             state = self._state
-            connection.send(
-                messages.ReadReply(request.request_id, True, state.version, state.document)
-            )
+            document = state.document if state.version > request.known_version else b""
+            connection.send(messages.ReadReply(request.request_id, True, state.version, document))
 
         def _on_error(_error: errors.FlamingorampError) -> None:
             connection.send(messages.ReadReply(request.request_id, False))
@@ -497,8 +497,10 @@
 
     def _handle_read(self, exchange: http_server.Exchange) -> None:
         def _on_result(reply: messages.ReadReply | None) -> None:
-            document = reply.document if reply is not None else self._state.document
-            version = reply.version if reply is not None else self._state.version
+            # The leader omits a document that this host has; meanwhile it may have a newer one.
+            has_reply_document = reply is not None and reply.document
+            document = reply.document if has_reply_document else self._state.document
+            version = reply.version if has_reply_document else self._state.version
             self._log.write("declaration.read", version=version)
             if not document:
                 exchange.respond(self._dialect.encode_error(_no_quorum_error()))
--- a/flamingoramp/platform/tests/test_path.py
+++ b/flamingoramp/platform/tests/test_path.py
@@ -289,6 +289,19 @@
         self.assertEqual(self.read_version(fleet, fleet.seeds[0]), 9)
         fleet.wait_in_force(9)
 
+    def test_read_at_a_host_that_has_the_version_transfers_no_document(self):
+        fleet = self.make_fleet()
+        fleet.declare(1)
+        document_bytes = len(json.dumps(fleets.make_document(1)))
+        reads_per_host = 10
+        for address in fleet.seeds * reads_per_host:
+            fleets.wait_for(lambda address=address: self.read_version(fleet, address), "a read")
+        sent_bytes = sum(
+            control.daemon.process.transport.traffic.sent_bytes_by_type["ReadReply"]
+            for control in fleet.controls
+        )
+        self.assertLess(sent_bytes, reads_per_host * document_bytes / 2)
+
     def test_invalid_declaration_is_refused(self):
         fleet = self.start_serving(entries=1)
         body = json.dumps(fleets.make_document(5, services=[])).encode()
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -542,14 +542,21 @@
 
 @attrs.frozen
 class ReadRequest:
-    """Request to the leader for the latest declaration, confirmed by a quorum."""
+    """Request to the leader for the latest declaration, confirmed by a quorum.
+
+    ``known_version`` is the version that the sender has.
+    """
 
     request_id: str = ""
+    known_version: int = 0
 
 
 @attrs.frozen
 class ReadReply:
-    """Reply to a `ReadRequest`; holds the latest declaration if a quorum confirmed the leader."""
+    """Reply to a `ReadRequest`; holds the latest version if a quorum confirmed the leader.
+
+    ``document`` is empty if the sender of the request has that version.
+    """
 
     request_id: str = ""
     confirmed: bool = False
@@ -566,10 +573,11 @@
     """Load of one entry, or of all entries of an availability zone (``is_summary``), by server.
 
     A report on many servers is split into numbered parts; a part replaces the previous part of the
-    same number. With ``only_changes`` the report lists only servers whose load has changed;
-    that of the others is as reported before. ``loads`` has the values of the servers in turn, those
-    of `routing.load_table.ServerLoad` for each: one flat list is decoded several times faster than
-    a structure for each server.
+    same number. ``forwarded`` marks a summary that a relay passes on within its availability zone;
+    nobody passes it on again. With ``only_changes`` the report lists only servers whose load has
+    changed; that of the others is as reported before. ``loads`` has the values of the servers in
+    turn, those of `routing.load_table.ServerLoad` for each: one flat list is decoded several times
+    faster than a structure for each server.
     """
 
     entry: str = ""
@@ -581,6 +589,7 @@
     is_summary: bool = False
     part: int = 0
     only_changes: bool = False
+    forwarded: bool = False
 
     @loads.validator
     def _check_loads(self, _attribute: attrs.Attribute, loads: tuple[float, ...]) -> None:
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -5,6 +5,8 @@
 import itertools
 from collections.abc import Callable
 
+import attrs
+
 from flamingoramp.membership import entry_directory, registry
 from flamingoramp.protocol import messages
 from flamingoramp.routing import load_table, report_targets
@@ -20,6 +22,16 @@
 # placements use engines of another zone.
 SUMMARY_SECONDS = 0.2
 TARGET_REFRESH_SECONDS = 0.2
+# A relay of another zone without a summary for this long is considered stopped.
+RELAY_TIMEOUT_SECONDS = 0.7
+
+
+@attrs.frozen
+class _Relay:
+    """Entry that last sent the summary of another availability zone, and when."""
+
+    entry: str
+    heard_at: float
 
 
 class LoadExchange:
@@ -62,6 +74,7 @@
         self._heartbeat_count = 0
         self._reported_at = loop.now()
         self._targets = report_targets.ReportTargets([])
+        self._remote_relays: dict[str, _Relay] = {}
         self._entry_count = 1
         loop.call_every(HEARTBEAT_SECONDS, self._send_heartbeat)
         loop.call_every(SUMMARY_SECONDS, self._send_summary)
@@ -83,8 +96,13 @@
         now = self._loop.now()
         self._directory.record_report(report.entry, now)
         self._loads.handle_report(report, now)
-        if report.is_summary and report.zone != self._zone and self._targets.zone_peers:
-            self._send(self._targets.zone_peers, report)
+        if not report.is_summary or report.zone == self._zone:
+            return
+        self._remote_relays[report.zone] = _Relay(report.entry, now)
+        # Several entries may take themselves for the relay, above all while they start. If they
+        # passed on to each other what each of them passes on, the messages would multiply.
+        if self._targets.zone_peers and not report.forwarded:
+            self._send(self._targets.zone_peers, attrs.evolve(report, forwarded=True))
 
     def _send_heartbeat(self) -> None:
         self._heartbeat_count += 1
@@ -135,4 +153,9 @@
                 for record in others
                 if self._directory.reported_recently(record.entry, now)
             },
+            {
+                zone: relay.entry
+                for zone, relay in self._remote_relays.items()
+                if now - relay.heard_at < RELAY_TIMEOUT_SECONDS
+            },
         )
--- a/flamingoramp/routing/report_targets.py
+++ b/flamingoramp/routing/report_targets.py
@@ -14,8 +14,8 @@
 
 # Up to this many entries, this one included, report to each other directly.
 DIRECT_ENTRY_COUNT = 12
-# A summary is sent to this many entries of each other zone, the first by name. The first of a zone
-# that is alive is its relay and forwards the summary.
+# While the relay of another zone is unknown, a summary is sent to this many entries of that zone,
+# the first by name. The first of a zone that is alive is its relay and forwards the summary.
 RELAY_CANDIDATE_COUNT = 2
 
 
@@ -45,6 +45,7 @@
     zone: str,
     others: list[messages.EntryRecord],
     alive: set[str],
+    known_relays: dict[str, str],
 ) -> ReportTargets:
     """Return the targets of an entry's reports.
 
@@ -57,6 +58,8 @@
     alive : set of str
         Names of those that a message was received from recently. The first of a zone by name is
         the relay.
+    known_relays : dict of str to str
+        Entries that recently sent the summary of their zone, by zone.
     """
     if len(others) < DIRECT_ENTRY_COUNT:
         return ReportTargets([record.inner for record in others])
@@ -69,7 +72,8 @@
     for record in sorted(others, key=lambda record: record.entry):
         if record.zone != zone:
             zones.setdefault(record.zone, []).append(record)
-    remote_relays = [
-        record.inner for records in zones.values() for record in records[:RELAY_CANDIDATE_COUNT]
-    ]
+    remote_relays = []
+    for other_zone, records in zones.items():
+        relay = [record for record in records if record.entry == known_relays.get(other_zone)]
+        remote_relays += [record.inner for record in relay or records[:RELAY_CANDIDATE_COUNT]]
     return ReportTargets(addresses, remote_relays, addresses)
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -220,10 +220,14 @@
             for n in range(count)
         ]
 
-    def targets(self, own_name: str, entries, silent: frozenset[str] = frozenset()):
+    def targets(
+        self, own_name: str, entries, silent: frozenset[str] = frozenset(), known_relays=None
+    ):
         others = [record for record in entries if record.entry != own_name]
         alive = {record.entry for record in others} - silent
-        return report_targets.choose_targets(own_name, own_name[0], others, alive)
+        return report_targets.choose_targets(
+            own_name, own_name[0], others, alive, known_relays or {}
+        )
 
     def test_few_entries_report_to_all(self):
         targets = self.targets("a00", self.entries(3))
@@ -244,6 +248,10 @@
         self.assertEqual(targets.remote_relays, ["b00:1", "b01:1", "c00:1", "c01:1"])
         self.assertEqual(len(targets.zone_peers), 19)
 
+    def test_known_relay_of_another_zone_is_the_only_one_of_its_zone_addressed(self):
+        targets = self.targets("a00", self.entries(20), known_relays={"b": "b07"})
+        self.assertEqual(targets.remote_relays, ["b07:1", "c00:1", "c01:1"])
+
     def test_next_entry_is_relay_when_first_is_silent(self):
         targets = self.targets("a01", self.entries(20), frozenset({"a00"}))
         self.assertTrue(targets.remote_relays)
--- /dev/null
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -0,0 +1,162 @@
+"""Tests of the exchange of load reports among many entries, in virtual time."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import attrs
+
+from flamingoramp.membership import entry_directory, registry
+from flamingoramp.protocol import messages
+from flamingoramp.routing import load_exchange, load_table
+from flamingoramp.runtime import virtual_time
+
+NETWORK_DELAY_SECONDS = 0.001
+START_SECONDS = 0.3  # within which all entries start
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry of the simulated deployment."""
+
+    name: str
+    zone: str
+    loads: load_table.LoadTable
+    exchange: load_exchange.LoadExchange
+
+
+class Network:
+    """Entries of several zones that know of each other and exchange reports without loss.
+
+    Parameters
+    ----------
+    zone_sizes : dict of str to int
+        Number of entries of each availability zone.
+    """
+
+    def __init__(self, zone_sizes: dict[str, int]):
+        self.loop = virtual_time.VirtualLoop()
+        self.entries: dict[str, Entry] = {}
+        self.sent_count = 0
+        self.between_zones_count = 0
+        self._silent: set[str] = set()
+        records = [
+            messages.EntryRecord(entry=f"{zone}{n:02}", inner=f"{zone}{n:02}", zone=zone)
+            for zone, size in zone_sizes.items()
+            for n in range(size)
+        ]
+        rng = random.Random(1)
+        for record in records:
+            self.loop.call_later(
+                rng.uniform(0.0, START_SECONDS),
+                lambda starting=record: self._start(starting, records),
+            )
+
+    def _start(self, record: messages.EntryRecord, records: list[messages.EntryRecord]) -> None:
+        member_registry = registry.Registry()
+        for other in records:
+            member_registry.update_entry(other, self.loop.now())
+        loads = load_table.LoadTable(record.zone)
+        exchange = load_exchange.LoadExchange(
+            self.loop,
+            loads,
+            member_registry=member_registry,
+            directory=entry_directory.EntryDirectory(member_registry),
+            name=record.entry,
+            incarnation="i",
+            zone=record.zone,
+            send=lambda addresses, report: self._send(record, addresses, report),
+        )
+        self.entries[record.entry] = Entry(record.entry, record.zone, loads, exchange)
+
+    def _send(
+        self, source: messages.EntryRecord, addresses: list[str], report: messages.LoadReport
+    ) -> None:
+        if source.entry in self._silent:
+            return
+        for address in addresses:
+            self.sent_count += 1
+            target = self.entries.get(address)
+            if target is None:
+                continue  # not started yet
+            self.between_zones_count += target.zone != source.zone
+            if target.name not in self._silent:
+                self.loop.call_later(
+                    NETWORK_DELAY_SECONDS,
+                    lambda receiver=target: receiver.exchange.handle_report(report),
+                )
+
+    def silence(self, name: str) -> None:
+        """Stop all messages to and from an entry."""
+        self._silent.add(name)
+
+    def count_sent(self, seconds: float) -> int:
+        """Return the number of messages that are sent within the next seconds."""
+        before = self.sent_count
+        self.loop.advance(seconds)
+        return self.sent_count - before
+
+    def strict_counts(self, server: str) -> set[int]:
+        """Return the numbers of strict requests that running entries count on a server."""
+        now = self.loop.now()
+        return {
+            entry.loads.load(server, now).strict
+            for entry in self.entries.values()
+            if entry.name not in self._silent
+        }
+
+
+class TestAllEntriesStartAtOnce(unittest.TestCase):
+    """Load pattern: all entries start together, and none has heard another yet.
+
+    Each takes itself for the relay of its zone. If relays forwarded what another relay of their
+    zone has forwarded, the messages would multiply with each step.
+    """
+
+    def test_start_takes_no_more_messages_than_the_same_time_later(self):
+        network = Network({"a": 12, "b": 12, "c": 12})
+        at_start = network.count_sent(2.0)
+        network.loop.advance(3.0)
+        later = network.count_sent(2.0)
+        self.assertLessEqual(at_start, 2 * later)
+
+    def test_messages_grow_with_zone_size_times_entries_at_most(self):
+        counts = []
+        for size in (10, 20):
+            network = Network({"a": size, "b": size, "c": size})
+            network.loop.advance(3.0)
+            counts.append(network.count_sent(3.0))
+        self.assertLessEqual(counts[1], 4.2 * counts[0])
+
+
+class TestWorkOfOtherZones(unittest.TestCase):
+    """Summaries tell all entries of the work in other zones, also after a relay stopped."""
+
+    def setUp(self):
+        self.network = Network({"a": 8, "b": 8, "c": 8})
+        self.network.loop.advance(2.0)
+
+    def add_work(self, entry: str) -> None:
+        sender = self.network.entries[entry]
+        sender.loads.add(load_table.WorkItem("engine", 0.25))
+        sender.exchange.schedule_report()
+
+    def test_all_entries_know_the_work_within_two_summary_intervals(self):
+        self.add_work("b05")
+        self.network.loop.advance(2 * load_exchange.SUMMARY_SECONDS + 0.05)
+        self.assertEqual(self.network.strict_counts("engine"), {1})
+
+    def test_work_is_known_after_relays_of_both_zones_stopped(self):
+        self.network.silence("a00")
+        self.network.silence("b00")
+        self.network.loop.advance(3.0)
+        self.add_work("b05")
+        self.network.loop.advance(2 * load_exchange.SUMMARY_SECONDS + 0.05)
+        self.assertEqual(self.network.strict_counts("engine"), {1})
+
+    def test_summary_goes_to_one_entry_of_each_other_zone(self):
+        before = self.network.between_zones_count
+        self.network.loop.advance(10 * load_exchange.SUMMARY_SECONDS)
+        sent = self.network.between_zones_count - before
+        self.assertLessEqual(sent, 11 * 3 * 2)
