--- a/flamingoramp/membership/entry_directory.py
+++ b/flamingoramp/membership/entry_directory.py
@@ -9,14 +9,17 @@
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
 
-# An entry without a report for this long is left out; reports arrive every 0.3 to 0.5 s.
+# An entry without a report for this long is left out, or for this share of the time for which its
+# last report is valid, if that is longer. Reports arrive at least every 0.5 s, or five times within
+# the time that they are valid.
 REPORT_TIMEOUT_SECONDS = 1.2
+REPORT_TIMEOUT_RATIO = 0.8
 MAX_ADDRESS_COUNT = 64
 RETRY_AFTER_SECONDS = 0.5
 
 
 class EntryDirectory:
-    """Ready entries, and the times when their last reports arrived.
+    """Ready entries, and the times by which their next reports are expected.
 
     Parameters
     ----------
@@ -26,15 +29,16 @@
 
     def __init__(self, record_registry: registry.Registry):
         self._registry = record_registry
-        self._reported_at: dict[str, float] = {}
+        self._expected_by: dict[str, float] = {}
 
-    def record_report(self, entry: str, now: float) -> None:
-        """Record that a report of an entry arrived at ``now``."""
-        self._reported_at[entry] = now
+    def record_report(self, entry: str, now: float, *, valid_seconds: float = 0.0) -> None:
+        """Record that a report of an entry arrived, and for how long it is valid."""
+        timeout = max(REPORT_TIMEOUT_SECONDS, REPORT_TIMEOUT_RATIO * valid_seconds)
+        self._expected_by[entry] = now + timeout
 
     def reported_recently(self, entry: str, now: float) -> bool:
-        """Return whether a report of an entry arrived within ``REPORT_TIMEOUT_SECONDS``."""
-        return now - self._reported_at.get(entry, float("-inf")) < REPORT_TIMEOUT_SECONDS
+        """Return whether the next report of an entry is not overdue."""
+        return now < self._expected_by.get(entry, float("-inf"))
 
     def addresses(
         self, now: float, *, caller_zone: str = "", own: messages.EntryRecord | None = None
@@ -65,7 +69,7 @@
         records = {record.entry: record for record in self._registry.entries()}
         if own is not None:
             records[own.entry] = own
-            self._reported_at[own.entry] = now
+            self.record_report(own.entry, now)
         ready = [record for record in records.values() if record.ready and not record.leaving]
         recent = [record for record in ready if self.reported_recently(record.entry, now)]
         if not ready:
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -577,7 +577,8 @@
     nobody passes it on again. With ``only_changes`` the report lists only servers whose load has
     changed; that of the others is as reported before. ``loads`` has the values of the servers in
     turn, those of `routing.load_table.ServerLoad` for each: one flat list is decoded several times
-    faster than a structure for each server.
+    faster than a structure for each server. The sender counts as stopped if no further report
+    arrives for ``valid_seconds``.
     """
 
     entry: str = ""
@@ -590,6 +591,7 @@
     part: int = 0
     only_changes: bool = False
     forwarded: bool = False
+    valid_seconds: float = 0.0
 
     @loads.validator
     def _check_loads(self, _attribute: attrs.Attribute, loads: tuple[float, ...]) -> None:
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -14,8 +14,12 @@
 
 # Delay from a change to its report, so that several changes share one report.
 REPORT_DELAY_SECONDS = 0.008
-# Interval of the reports that an entry without changes sends as heartbeats.
+# Interval of the reports that an entry without changes sends as heartbeats, and the number of
+# receivers above which it grows in proportion, so that an entry receives no more of them.
 HEARTBEAT_SECONDS = 0.3
+HEARTBEAT_RECEIVER_COUNT = 16
+# Heartbeats missed in a row after which an entry counts as stopped.
+MAX_MISSED_HEARTBEATS = 5
 # Heartbeats with only changes between two full reports, which make up for lost reports.
 CHANGE_REPORTS_PER_FULL_REPORT = 3
 # Interval of zone summaries. It may be longer than the delay of reports within a zone, since few
@@ -76,7 +80,7 @@
         self._targets = report_targets.ReportTargets([])
         self._remote_relays: dict[str, _Relay] = {}
         self._entry_count = 1
-        loop.call_every(HEARTBEAT_SECONDS, self._send_heartbeat)
+        loop.call_later(HEARTBEAT_SECONDS, self._send_heartbeat)
         loop.call_every(SUMMARY_SECONDS, self._send_summary)
         loop.call_every(TARGET_REFRESH_SECONDS, self._choose_targets)
 
@@ -94,7 +98,7 @@
     def handle_report(self, report: messages.LoadReport) -> None:
         """Apply another entry's report; as relay, forward summaries of other zones in this zone."""
         now = self._loop.now()
-        self._directory.record_report(report.entry, now)
+        self._directory.record_report(report.entry, now, valid_seconds=report.valid_seconds)
         self._loads.handle_report(report, now)
         if not report.is_summary or report.zone == self._zone:
             return
@@ -104,11 +108,16 @@
         if self._targets.zone_peers and not report.forwarded:
             self._send(self._targets.zone_peers, attrs.evolve(report, forwarded=True))
 
+    @property
+    def _heartbeat_seconds(self) -> float:
+        return HEARTBEAT_SECONDS * max(1.0, len(self._targets.direct) / HEARTBEAT_RECEIVER_COUNT)
+
     def _send_heartbeat(self) -> None:
+        self._loop.call_later(self._heartbeat_seconds, self._send_heartbeat)
         self._heartbeat_count += 1
         if self._heartbeat_count % (CHANGE_REPORTS_PER_FULL_REPORT + 1) == 0:
             self._send_report(only_changes=False)
-        elif self._loop.now() - self._reported_at > HEARTBEAT_SECONDS / 2:
+        elif self._loop.now() - self._reported_at > self._heartbeat_seconds / 2:
             self._send_report(only_changes=True)
 
     def _report_changes(self) -> None:
@@ -123,6 +132,7 @@
             sequence=next(self._sequence_numbers),
             now=self._reported_at,
             only_changes=only_changes,
+            valid_seconds=MAX_MISSED_HEARTBEATS * self._heartbeat_seconds,
         )
         for report in reports:
             self._send(self._targets.direct, report)
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -13,7 +13,8 @@
 # Upper bounds of the pause objective of strict and relaxed requests; all others are patient.
 STRICT_PAUSE_SECONDS = 0.4
 RELAXED_PAUSE_SECONDS = 0.8
-# An entry that hasn't reported for longer is assumed to have stopped, and its work with it.
+# An entry that hasn't reported for longer is assumed to have stopped, and its work with it, unless
+# its reports state another time.
 REPORT_EXPIRY_SECONDS = 1.5
 # Servers of one report part; a packed record takes about 25 bytes, and a datagram carries 1,400.
 MAX_SERVERS_PER_PART = 45
@@ -159,9 +160,14 @@
     zone: str
     is_summary: bool
     received_at: float = 0.0
+    valid_seconds: float = REPORT_EXPIRY_SECONDS
     servers: set[str] = attrs.field(factory=set)
     sequences: dict[int, int] = attrs.field(factory=dict)
 
+    def has_expired(self, now: float) -> bool:
+        """Return whether the reporter has been silent for longer than its reports are valid."""
+        return now - self.received_at >= self.valid_seconds
+
 
 @attrs.define
 class _ReportedLoad:
@@ -195,7 +201,6 @@
         # By server, then by reporter, so that the load of a server is found among those with work
         # there and not among all entries.
         self._reported: dict[str, dict[str, _ReportedLoad]] = {}
-        self._summarized_at: dict[str, float] = {}
         # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
         self._changed_before: set[str] = set()
@@ -234,12 +239,12 @@
         return total
 
     def _is_counted(self, reporter: _Reporter, now: float) -> bool:
-        if now - reporter.received_at >= REPORT_EXPIRY_SECONDS:
+        if reporter.has_expired(now):
             return False
         if reporter.is_summary:
             return reporter.zone != self._zone
-        summarized_at = self._summarized_at.get(reporter.zone, float("-inf"))
-        return reporter.zone == self._zone or now - summarized_at >= REPORT_EXPIRY_SECONDS
+        summary = self._reporters.get(f"zone/{reporter.zone}")
+        return reporter.zone == self._zone or summary is None or summary.has_expired(now)
 
     def handle_report(self, report: messages.LoadReport, now: float) -> None:
         """Apply another entry's report, except for servers with a newer one."""
@@ -249,8 +254,6 @@
             self._remove_reporter(key)
             reporter = _Reporter(report.incarnation, report.zone, report.is_summary)
             self._reporters[key] = reporter
-        if report.is_summary:
-            self._summarized_at[report.zone] = now
         self._apply(key, reporter, report, now)
 
     def _apply(
@@ -258,6 +261,7 @@
     ) -> None:
         """Update servers for which the report is newer; a full part removes what it omits."""
         reporter.received_at = now
+        reporter.valid_seconds = report.valid_seconds or REPORT_EXPIRY_SECONDS
         loads = _read_loads(report)
         if not report.only_changes:
             if report.sequence <= reporter.sequences.get(report.part, -1):
@@ -287,9 +291,9 @@
             del self._reported[server]
 
     def remove_expired_reports(self, now: float) -> None:
-        """Remove the load of entries that haven't reported for `REPORT_EXPIRY_SECONDS`."""
+        """Remove the load of entries whose last reports are no longer valid."""
         for key, reporter in list(self._reporters.items()):
-            if now - reporter.received_at > REPORT_EXPIRY_SECONDS:
+            if reporter.has_expired(now):
                 self._remove_reporter(key)
 
     def make_reports(
@@ -300,6 +304,7 @@
         sequence: int,
         now: float,
         only_changes: bool = False,
+        valid_seconds: float = REPORT_EXPIRY_SECONDS,
     ) -> list[messages.LoadReport]:
         """Return the report of this entry's work, in parts.
 
@@ -313,6 +318,8 @@
         only_changes : bool
             Report only servers whose work changed. Each change is in two reports, since one
             may get lost.
+        valid_seconds : float
+            Time without a further report after which this entry counts as stopped.
         """
         servers = self._changed | self._changed_before if only_changes else set(self._own)
         self._changed_before, self._changed = self._changed, set()
@@ -321,7 +328,9 @@
             total = totals[server] = ServerLoad()
             for work in self._own.get(server, {}).values():
                 total.add(work, now)
-        base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone)
+        base = messages.LoadReport(
+            entry, incarnation, sequence, zone=self._zone, valid_seconds=valid_seconds
+        )
         if only_changes:
             return [_with_loads(base, list(totals.items()), only_changes=True)]
         return self._split(base, totals)
@@ -340,7 +349,7 @@
                 reporter = reported.reporter
                 if reporter.is_summary or reporter.zone != self._zone:
                     continue
-                if now - reporter.received_at >= REPORT_EXPIRY_SECONDS:
+                if reporter.has_expired(now):
                     continue
                 total = totals.setdefault(server, ServerLoad())
                 total.add_reported(reported.load, now - reported.received_at)
--- a/flamingoramp/routing/tests/test_load_exchange.py
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -121,13 +121,14 @@
         later = network.count_sent(2.0)
         self.assertLessEqual(at_start, 2 * later)
 
-    def test_messages_grow_with_zone_size_times_entries_at_most(self):
+    def test_messages_of_an_idle_entry_do_not_grow_with_its_zone(self):
         counts = []
-        for size in (10, 20):
+        for size in (20, 40, 80):
             network = Network({"a": size, "b": size, "c": size})
-            network.loop.advance(3.0)
-            counts.append(network.count_sent(3.0))
-        self.assertLessEqual(counts[1], 4.2 * counts[0])
+            network.loop.advance(4.0)
+            counts.append(network.count_sent(6.0) / (3 * size))
+        self.assertLessEqual(counts[1], 1.1 * counts[0])
+        self.assertLessEqual(counts[2], 1.1 * counts[1])
 
 
 class TestWorkOfOtherZones(unittest.TestCase):
