--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -31,6 +31,9 @@
     # Whether callers rely on `holds_lease`. If so, a restarted voter refuses votes for
     # `election_min_seconds`: it may have renewed a leader's lease just before it stopped.
     uses_leases: bool = True
+    # Whether the leader tells the others of each commit at once and not with its next request. It
+    # is worth the messages where commits are rare and all replicas publish what they apply.
+    announces_commits: bool = False
     # Election timeout after a restart, if leases aren't used, until a leader contacts the replica.
     restart_election_min_seconds: float = 0.08
     restart_election_max_seconds: float = 0.3
@@ -646,6 +649,8 @@
         index = sorted(match_indexes, reverse=True)[membership.quorum - 1]
         if index > self._commit_index and self._log.term_at(index) == self._hard_state.term:
             self._commit_to(index)
+            if self._timing.announces_commits:
+                self._replicate_all(now)
 
     def _commit_to(self, index: int) -> None:
         if index <= self._commit_index:
--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -243,6 +243,28 @@
             cluster.replicas[follower].propose("test", b"", cluster.now)
 
 
+class TestCommits(unittest.TestCase):
+    """When replicas learn that an entry is committed."""
+
+    def applied_hosts(self, *, announces_commits: bool) -> set[str]:
+        timing = replica.Timing(heartbeat_seconds=0.5, announces_commits=announces_commits)
+        cluster = Cluster(timing=timing)
+        cluster.run(8.0)
+        leader = cluster.leader()
+        _, batch = cluster.replicas[leader].propose("test", b"x", cluster.now)
+        cluster.execute(leader, batch)
+        cluster.deliver()
+        return {
+            host
+            for host, entries in cluster.applied.items()
+            if any(entry.payload == b"x" for entry in entries)
+        }
+
+    def test_announced_commit_is_applied_everywhere_before_the_next_heartbeat(self):
+        self.assertEqual(self.applied_hosts(announces_commits=True), set(HOSTS))
+        self.assertEqual(len(self.applied_hosts(announces_commits=False)), 1)
+
+
 class TestReplacement(unittest.TestCase):
     """Hosts that lost their disk, stopped, or returned after the log was compacted."""
 
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -48,6 +48,7 @@
     election_min_seconds=0.45,
     election_max_seconds=0.9,
     uses_leases=False,
+    announces_commits=True,
 )
 
 
