--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -264,7 +264,6 @@
             excluded,
             now=self.loop.now(),
             control_reachable=self._receives_control_updates(),
-            entry_count=self.entry_count,
         )
 
     def has_backlog(
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -578,7 +578,8 @@
     changed; that of the others is as reported before. ``loads`` has the values of the servers in
     turn, those of `routing.load_table.ServerLoad` for each: one flat list is decoded several times
     faster than a structure for each server. The sender counts as stopped if no further report
-    arrives for ``valid_seconds``.
+    arrives for ``valid_seconds``. ``arrivals`` is the credit per second of the requests that arrive
+    for each of ``services``.
     """
 
     entry: str = ""
@@ -592,6 +593,16 @@
     only_changes: bool = False
     forwarded: bool = False
     valid_seconds: float = 0.0
+    services: tuple[str, ...] = ()
+    arrivals: tuple[float, ...] = attrs.field(default=())
+
+    @arrivals.validator
+    def _check_arrivals(self, _attribute: attrs.Attribute, arrivals: tuple[float, ...]) -> None:
+        if len(arrivals) != len(self.services) or not all(map(math.isfinite, arrivals)):
+            raise ValueError(
+                f"arrivals: takes a finite number for each of {len(self.services)} services, "
+                f"found {len(arrivals)} values"
+            )
 
     @loads.validator
     def _check_loads(self, _attribute: attrs.Attribute, loads: tuple[float, ...]) -> None:
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+import collections
+
 import attrs
 
 from flamingoramp.protocol import messages
+from flamingoramp.routing import rates
 
 # Upper bounds of the pause objective of strict and relaxed requests; all others are patient.
 STRICT_PAUSE_SECONDS = 0.4
@@ -153,7 +156,8 @@
 class _Reporter:
     """One entry, or the relay of one zone, and the servers on which it reported load.
 
-    ``sequences`` holds the sequence number of the last full report, by part.
+    ``sequences`` holds the sequence number of the last full report, by part, ``arrivals`` the
+    credit per second of the requests that arrive there, by service.
     """
 
     incarnation: str
@@ -163,6 +167,7 @@
     valid_seconds: float = REPORT_EXPIRY_SECONDS
     servers: set[str] = attrs.field(factory=set)
     sequences: dict[int, int] = attrs.field(factory=dict)
+    arrivals: dict[str, float] = attrs.field(factory=dict)
 
     def has_expired(self, now: float) -> bool:
         """Return whether the reporter has been silent for longer than its reports are valid."""
@@ -202,6 +207,7 @@
         # there and not among all entries.
         self._reported: dict[str, dict[str, _ReportedLoad]] = {}
         # Servers whose work changed since the last report, and between the last two.
+        self._arrivals: dict[str, rates.RateMeter] = {}
         self._changed: set[str] = set()
         self._changed_before: set[str] = set()
 
@@ -228,6 +234,26 @@
         if not items:
             self._own.pop(work.server, None)
 
+    def record_arrival(self, service: str, credit: float, now: float) -> None:
+        """Record a request for a service that arrived at this entry."""
+        self._arrivals.setdefault(service, rates.RateMeter()).add(credit, now)
+
+    def arriving_credit(self, service: str, now: float) -> float:
+        """Return the credit per second of the requests for a service that arrive at all entries.
+
+        Entries report their own rates. One entry's rate times the number of entries would be far
+        off where each receives few requests: a single long prompt would count as one at every
+        entry.
+        """
+        return self._own_arrivals(now).get(service, 0.0) + sum(
+            reporter.arrivals.get(service, 0.0)
+            for reporter in self._reporters.values()
+            if self._is_counted(reporter, now)
+        )
+
+    def _own_arrivals(self, now: float) -> dict[str, float]:
+        return {service: meter.rate(now) for service, meter in self._arrivals.items()}
+
     def load(self, server: str, now: float) -> ServerLoad:
         """Return the total load of a server."""
         total = ServerLoad()
@@ -262,6 +288,7 @@
         """Update servers for which the report is newer; a full part removes what it omits."""
         reporter.received_at = now
         reporter.valid_seconds = report.valid_seconds or REPORT_EXPIRY_SECONDS
+        reporter.arrivals = dict(zip(report.services, report.arrivals, strict=True))
         loads = _read_loads(report)
         if not report.only_changes:
             if report.sequence <= reporter.sequences.get(report.part, -1):
@@ -328,8 +355,15 @@
             total = totals[server] = ServerLoad()
             for work in self._own.get(server, {}).values():
                 total.add(work, now)
+        arrivals = self._own_arrivals(now)
         base = messages.LoadReport(
-            entry, incarnation, sequence, zone=self._zone, valid_seconds=valid_seconds
+            entry,
+            incarnation,
+            sequence,
+            zone=self._zone,
+            valid_seconds=valid_seconds,
+            services=tuple(arrivals),
+            arrivals=tuple(arrivals.values()),
         )
         if only_changes:
             return [_with_loads(base, list(totals.items()), only_changes=True)]
@@ -346,16 +380,28 @@
                 total.add(work, now)
         for server, reports in self._reported.items():
             for reported in reports.values():
-                reporter = reported.reporter
-                if reporter.is_summary or reporter.zone != self._zone:
-                    continue
-                if reporter.has_expired(now):
-                    continue
-                total = totals.setdefault(server, ServerLoad())
-                total.add_reported(reported.load, now - reported.received_at)
-        base = messages.LoadReport(entry, incarnation, sequence, zone=self._zone, is_summary=True)
+                if self._is_in_summary(reported.reporter, now):
+                    total = totals.setdefault(server, ServerLoad())
+                    total.add_reported(reported.load, now - reported.received_at)
+        arrivals = collections.Counter(self._own_arrivals(now))
+        for reporter in self._reporters.values():
+            if self._is_in_summary(reporter, now):
+                arrivals.update(reporter.arrivals)
+        base = messages.LoadReport(
+            entry,
+            incarnation,
+            sequence,
+            zone=self._zone,
+            is_summary=True,
+            services=tuple(arrivals),
+            arrivals=tuple(arrivals.values()),
+        )
         return self._split(base, totals)
 
+    def _is_in_summary(self, reporter: _Reporter, now: float) -> bool:
+        is_peer = reporter.zone == self._zone and not reporter.is_summary
+        return is_peer and not reporter.has_expired(now)
+
     def _split(
         self, base: messages.LoadReport, totals: dict[str, ServerLoad]
     ) -> list[messages.LoadReport]:
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -13,7 +13,7 @@
 from flamingoramp.intent import traffic
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
-from flamingoramp.routing import load_table, observations, placement, rates
+from flamingoramp.routing import load_table, observations, placement
 
 # A server of another zone is treated like one of this zone with this many more requests.
 OTHER_ZONE_COST_REQUESTS = 0.5
@@ -51,7 +51,6 @@
         self._loads = loads
         self._observations = observed
         self._zone = zone
-        self._arrivals: dict[str, rates.RateMeter] = {}
 
     def choose(
         self,
@@ -61,7 +60,6 @@
         *,
         now: float,
         control_reachable: bool,
-        entry_count: int,
     ) -> forwarding.AttemptTarget:
         """Return where to send the next attempt of a request.
 
@@ -76,8 +74,6 @@
         control_reachable : bool
             Whether a server's announcements would have reached this entry. If not, the silence of
             servers is ignored.
-        entry_count : int
-            Number of entries that share the arriving requests.
 
         Raises
         ------
@@ -104,11 +100,11 @@
             time_limit_seconds=admitted.time_limit_seconds,
             first_token_timeout_seconds=first_token_timeout(admitted.route),
         )
-        meter = self._arrivals.setdefault(service.name, rates.RateMeter())
-        if not excluded:
-            meter.add(request.credit, now)
         planner = placement.Planner(service.engine)
-        chosen = planner.place(request, candidates, arriving_credit=entry_count * meter.rate(now))
+        arriving_credit = self._loads.arriving_credit(service.name, now)
+        chosen = planner.place(request, candidates, arriving_credit=arriving_credit)
+        if not excluded:
+            self._loads.record_arrival(service.name, request.credit, now)
         if chosen is None:
             raise _overload_error(planner.seconds_until_free(candidates))
         return _to_target(chosen, request, records, now)
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -210,6 +210,70 @@
         self.assertFalse(any(receiver.load(server, 0.0).strict for server in servers))
 
 
+class TestArrivals(unittest.TestCase):
+    """Load pattern: many entries receive one short prompt every two seconds, one a long prompt."""
+
+    entry_count = 190
+    interval_seconds = 2.0
+    run_seconds = 20.0
+    short_credit = 1.0
+    long_credit = 25.0
+
+    def setUp(self):
+        self.tables = [load_table.LoadTable("a") for _ in range(self.entry_count)]
+        for number, table in enumerate(self.tables):
+            now = self.interval_seconds * number / self.entry_count
+            while now < self.run_seconds:
+                table.record_arrival("llm", self.short_credit, now)
+                now += self.interval_seconds
+        self.now = self.run_seconds
+        self.table = self.tables[0]
+        for number, other in enumerate(self.tables[1:]):
+            self.send(other, f"e{number}", self.table)
+
+    def send(self, sender: load_table.LoadTable, name: str, receiver: load_table.LoadTable) -> None:
+        for report in sender.make_reports(entry=name, incarnation="i", sequence=1, now=self.now):
+            receiver.handle_report(report, self.now)
+
+    def arriving_credit(self) -> float:
+        return self.table.arriving_credit("llm", self.now)
+
+    def test_rate_is_that_of_all_entries(self):
+        expected = self.short_credit * self.entry_count / self.interval_seconds
+        self.assertAlmostEqual(self.arriving_credit(), expected, delta=0.05 * expected)
+
+    def test_long_prompt_at_one_entry_counts_once(self):
+        before = self.arriving_credit()
+        self.table.record_arrival("llm", self.long_credit, self.now)
+        increase = self.arriving_credit() - before
+        self.assertAlmostEqual(increase, self.long_credit / rates.TIME_CONSTANT_SECONDS)
+
+    def test_summary_of_another_zone_is_counted_once(self):
+        remote = load_table.LoadTable("b")
+        remote.record_arrival("llm", self.short_credit, self.now)
+        before = self.arriving_credit()
+        self.send(remote, "remote", self.table)
+        summaries = remote.make_summary(entry="remote", incarnation="i", sequence=2, now=self.now)
+        for summary in summaries:
+            self.table.handle_report(summary, self.now)
+        increase = self.arriving_credit() - before
+        self.assertAlmostEqual(increase, self.short_credit / rates.TIME_CONSTANT_SECONDS)
+
+    def test_summary_holds_the_arrivals_of_all_entries_of_its_zone(self):
+        remote = load_table.LoadTable("b")
+        for summary in self.table.make_summary(
+            entry="relay", incarnation="i", sequence=2, now=self.now
+        ):
+            remote.handle_report(summary, self.now)
+        self.assertAlmostEqual(
+            remote.arriving_credit("llm", self.now), self.arriving_credit(), places=3
+        )
+
+    def test_arrivals_of_a_silent_entry_expire(self):
+        late = self.now + load_table.REPORT_EXPIRY_SECONDS
+        self.assertLess(self.table.arriving_credit("llm", late), 1.0)
+
+
 class TestReportTargets(unittest.TestCase):
     """Receivers of reports by the number of entries."""
 
