--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -118,6 +118,7 @@
         self._loop.call_every(TICK_INTERVAL_SECONDS, self._tick)
         self._loop.call_every(CHANGE_PUBLISH_INTERVAL_SECONDS, self._publish_if_due)
         self._loop.call_every(PERIODIC_PUBLISH_INTERVAL_SECONDS, self._publish)
+        self._loop.call_later(0.0, self._subscribe_to_peers)
         self._loop.call_every(PEER_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_to_peers)
         self._observed_since = self._silence_checked_at = self._loop.now()
         self._loop.call_every(SILENCE_CHECK_INTERVAL_SECONDS, self._mark_unreported)
@@ -222,6 +223,9 @@
     ) -> None:
         now = self._loop.now()
         change_number = self._registry.change_number
+        if message.control and not self._process.transport.is_connected(message.control):
+            # The peer has started, perhaps with servers that announced themselves there only.
+            self._subscribe_to_peer(message.control)
         entry = self._publisher.handle(connection, message, now)
         if entry:
             self._directory.record_report(entry, now)
@@ -265,13 +269,18 @@
         )
 
     def _subscribe_to_peers(self) -> None:
-        own_host = self._settings.control_internal_address
+        for host in self._node.hosts or self._settings.seed_internal_addresses:
+            if host != self._settings.control_internal_address:
+                self._subscribe_to_peer(host)
+
+    def _subscribe_to_peer(self, host: str) -> None:
         message = messages.Subscribe(
-            name=self._process.name, version=self._state.version, is_control=True, control=own_host
+            name=self._process.name,
+            version=self._state.version,
+            is_control=True,
+            control=self._settings.control_internal_address,
         )
-        for host in self._node.hosts or self._settings.seed_internal_addresses:
-            if host != own_host:
-                self._process.transport.send(host, message)
+        self._process.transport.send(host, message)
 
     def _publish_if_due(self) -> None:
         if self._publish_is_due:
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -270,6 +270,8 @@
         delay_is_over = now - self._started_at > UNCONFIRMED_DECLARATION_DELAY_SECONDS
         if update.document and (update.confirmed or self.declaration or delay_is_over):
             self._apply_declaration(update.version, update.document, sender)
+        if update.servers:
+            self._request_handler.start_queued()
 
     def _handle_server_record(self, record: protocol_messages.ServerRecord, now: float) -> None:
         previous = self._registry.find_server(record.server)
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -27,8 +27,8 @@
 # About this long after a restart an entry has a declaration, if all control hosts restarted too.
 EXPECTED_STARTUP_SECONDS = 2.0
 MIN_NOT_READY_RETRY_SECONDS = 0.5
-# An entry that is starting up queues requests until its first declaration, each for at most this
-# long and at most this share of its remaining time. Many of these callers lost their connection in
+# An entry that is starting up queues requests until it has its first declaration and knows a server
+# of their service, each for at most this long and at most this share of its remaining time. Many of these callers lost their connection in
 # the same restart and won't retry a second time after a refusal.
 MAX_QUEUE_SECONDS = 1.2
 MAX_QUEUE_TIME_RATIO = 0.33
@@ -118,9 +118,14 @@
     def apply_declaration(self, declaration: traffic.TrafficDeclaration) -> None:
         """Use a declaration for new requests, and start the queued ones."""
         self._declaration = declaration
-        queued, self._queued = self._queued, set()
-        for exchange in sorted(queued, key=lambda exchange: exchange.arrived_at):
-            self._start_request(exchange)
+        self.start_queued()
+
+    def start_queued(self) -> None:
+        """Start the queued requests whose service has a known server by now."""
+        for exchange in sorted(self._queued, key=lambda exchange: exchange.arrived_at):
+            if not self._is_starting_up(exchange):
+                self._queued.remove(exchange)
+                self._start_request(exchange)
 
     def add_crash_records(self, records: Iterable[messages.CrashRecord]) -> None:
         """Add crashes of servers, by the fingerprint of the request that they were running."""
@@ -146,13 +151,29 @@
     # Admission.
 
     def handle_request(self, exchange: http_server.Exchange) -> None:
-        """Start a request, refuse it, or queue it until the first declaration."""
-        queue_seconds = self._queue_seconds(exchange) if self._declaration is None else 0.0
+        """Start a request, refuse it, or queue it while this entry is starting up."""
+        queue_seconds = self._queue_seconds(exchange) if self._is_starting_up(exchange) else 0.0
         if queue_seconds > 0 and len(self._queued) < MAX_QUEUED_REQUESTS:
             self._enqueue(exchange, queue_seconds)
         else:
             self._start_request(exchange)
 
+    def _is_starting_up(self, exchange: http_server.Exchange) -> bool:
+        """Return whether this entry can't serve a request yet for lack of what it was not sent."""
+        if self._declaration is None:
+            return True
+        if self.loop.now() > self._started_at + EXPECTED_STARTUP_SECONDS:
+            return False
+        try:
+            caller = self.dialect.decode_request(exchange.request)
+        except errors.FlamingorampError:
+            return False  # malformed; starting it gives the specific error
+        route = self._declaration.find_route(caller.host, caller.path)
+        if route is None:
+            return False
+        service = route.choose_service(caller.request_id)
+        return all(record.service != service for record in self._registry.servers())
+
     def _queue_seconds(self, exchange: http_server.Exchange) -> float:
         """Return how long to queue a request; 0 or less if it can't be queued."""
         remaining_startup_seconds = self._started_at + EXPECTED_STARTUP_SECONDS - self.loop.now()
@@ -167,7 +188,7 @@
         )
 
     def _enqueue(self, exchange: http_server.Exchange, timeout_seconds: float) -> None:
-        """Queue a request until the first declaration, or until the timeout."""
+        """Queue a request until this entry can serve it, or until the timeout."""
         self._queued.add(exchange)
         self._metrics.count("requests_kept")
         exchange.on_disconnect = lambda: self._queued.discard(exchange)
--- a/flamingoramp/dispatch/tests/test_request_handler.py
+++ b/flamingoramp/dispatch/tests/test_request_handler.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+import attrs
+
 from flamingoramp import dialect
 from flamingoramp.dispatch import request_handler
 from flamingoramp.dispatch.tests import test_forwarding
@@ -55,13 +57,13 @@
         self.loop = virtual_time.VirtualLoop()
         self.pool = test_forwarding.FakePool()
         self.dialect = FakeDialect()
-        servers = registry.Registry()
-        servers.update_server(messages.ServerRecord("s1", "s", address="s1:1", sequence=1), 0.0)
+        self.servers = registry.Registry()
+        self.add_server()
         self.handler = request_handler.RequestHandler(
             self.loop,
             self.pool,
             self.dialect,
-            server_registry=servers,
+            server_registry=self.servers,
             server_loads=load_table.LoadTable(),
             log=FakeLog(),
             metrics=metrics.Metrics(),
@@ -70,6 +72,14 @@
             receives_control_updates=lambda: False,
         )
 
+    def add_server(self) -> None:
+        record = messages.ServerRecord("s1", "s", address="s1:1", sequence=1)
+        self.servers.update_server(record, self.loop.now())
+
+    def remove_server(self) -> None:
+        record = attrs.evolve(self.servers.find_server("s1"), gone=True)
+        self.servers.update_server(record, self.loop.now())
+
     def send_request(self) -> test_forwarding.FakeExchange:
         exchange = test_forwarding.FakeExchange()
         exchange.arrived_at = self.loop.now()
@@ -85,6 +95,34 @@
         time_left_ms = int(self.pool.calls[0].request.header(b"time-left"))
         self.assertEqual(time_left_ms, 4200)
 
+    def test_starts_a_queued_request_when_the_first_server_of_its_service_is_known(self):
+        self.remove_server()
+        queued_exchange = self.send_request()
+        self.loop.advance(0.3)
+        self.handler.apply_declaration(DECLARATION)
+        later_exchange = self.send_request()
+        self.assertEqual((queued_exchange.status, later_exchange.status), (0, 0))
+        self.loop.advance(0.3)
+        record = messages.ServerRecord("s2", "s", address="s2:1", sequence=1)
+        self.servers.update_server(record, self.loop.now())
+        self.handler.start_queued()
+        self.assertEqual(len(self.pool.calls), 2)
+
+    def test_refuses_a_queued_request_if_no_server_is_known_after_the_maximum_queue_time(self):
+        self.remove_server()
+        self.handler.apply_declaration(DECLARATION)
+        exchange = self.send_request()
+        self.loop.advance(request_handler.MAX_QUEUE_SECONDS - 0.01)
+        self.assertEqual(exchange.status, 0)
+        self.loop.advance(0.02)
+        self.assertEqual(exchange.status, 503)
+
+    def test_refuses_at_once_without_a_server_after_the_expected_startup_time(self):
+        self.remove_server()
+        self.handler.apply_declaration(DECLARATION)
+        self.loop.advance(request_handler.EXPECTED_STARTUP_SECONDS + 0.01)
+        self.assertEqual(self.send_request().status, 503)
+
     def test_refuses_a_queued_request_after_the_maximum_queue_time(self):
         exchange = self.send_request()
         self.loop.advance(request_handler.MAX_QUEUE_SECONDS - 0.01)
