--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -28,8 +28,9 @@
 EXPECTED_STARTUP_SECONDS = 2.0
 MIN_NOT_READY_RETRY_SECONDS = 0.5
 # An entry that is starting up queues requests until it has its first declaration and knows a server
-# of their service, each for at most this long and at most this share of its remaining time. Many of these callers lost their connection in
-# the same restart and won't retry a second time after a refusal.
+# of their service, each for at most this long and at most this share of its remaining time. Many of
+# these callers lost their connection in the same restart and won't retry a second time after a
+# refusal.
 MAX_QUEUE_SECONDS = 1.2
 MAX_QUEUE_TIME_RATIO = 0.33
 MAX_QUEUED_REQUESTS = 256
