--- a/flamingoramp/consensus/tests/test_node.py
+++ b/flamingoramp/consensus/tests/test_node.py
@@ -49,7 +49,9 @@
             self.node.tick()
 
     def declare(self, version: int) -> None:
-        payload = versioned_declaration.encode(version, b"document %d" % version)
+        payload = versioned_declaration.encode(
+            version, versioned_declaration.compress(b"document %d" % version)
+        )
         self.node.propose(
             versioned_declaration.KIND_DECLARE, payload, self.results.append, self.results.append
         )
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -290,7 +290,7 @@
         self._publish_is_due = False
         updates = self._publisher.make_updates(
             version=self._state.version,
-            document=versioned_declaration.compress(self._state.document),
+            document=self._state.compressed,
             confirmed=self._node.has_leader_contact,
             controls=self._node.hosts,
             now=self._loop.now(),
@@ -326,13 +326,17 @@
     def _commit_declaration(
         self, call: dialects.SubmitDeclaration, pending_call: _PendingCall
     ) -> None:
-        """Commit a declaration if this host leads, else forward it to the leader."""
+        """Commit a declaration if this host leads, else forward it to the leader.
+
+        The document of the call may be compressed.
+        """
         if call.version <= self._state.version:
             # Commits are final: a version that is not newer than the committed one changes nothing.
             pending_call.on_result(self._state.version)
             return
+        compressed = versioned_declaration.compress(call.document)
         if self._node.is_leader:
-            payload = versioned_declaration.encode(call.version, call.document)
+            payload = versioned_declaration.encode(call.version, compressed)
             self._node.propose(
                 versioned_declaration.KIND_DECLARE,
                 payload,
@@ -340,7 +344,7 @@
                 pending_call.on_error,
             )
             return
-        request = messages.DeclareRequest(self._next_request_id(), call.version, call.document)
+        request = messages.DeclareRequest(self._next_request_id(), call.version, compressed)
         self._forward_to_leader(request, pending_call)
 
     def _read_declaration(self, pending_call: _PendingCall) -> None:
@@ -394,7 +398,7 @@
     ) -> None:
         def _on_result(_result: None) -> None:
             state = self._state
-            document = state.document if state.version > request.known_version else b""
+            document = state.compressed if state.version > request.known_version else b""
             connection.send(messages.ReadReply(request.request_id, True, state.version, document))
 
         def _on_error(_error: errors.FlamingorampError) -> None:
@@ -509,7 +513,11 @@
         def _on_result(reply: messages.ReadReply | None) -> None:
             # The leader omits a document that this host has; meanwhile it may have a newer one.
             has_reply_document = reply is not None and reply.document
-            document = reply.document if has_reply_document else self._state.document
+            document = (
+                versioned_declaration.decompress(versioned_declaration.compress(reply.document))
+                if has_reply_document
+                else self._state.document
+            )
             version = reply.version if has_reply_document else self._state.version
             self._log.write("declaration.read", version=version)
             if not document:
--- a/flamingoramp/intent/tests/test_traffic.py
+++ b/flamingoramp/intent/tests/test_traffic.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 import attrs
@@ -112,7 +113,7 @@
     """The highest version is in force; a lower or equal one never replaces it."""
 
     def make_entry(self, version: int, document: bytes) -> messages.LogEntry:
-        payload = versioned_declaration.encode(version, document)
+        payload = versioned_declaration.encode(version, versioned_declaration.compress(document))
         return messages.LogEntry(1, 1, versioned_declaration.KIND_DECLARE, payload)
 
     def test_entries_in_any_order_leave_the_highest_version_in_force(self):
@@ -153,6 +154,26 @@
             with self.assertRaises(errors.ProtocolError):
                 versioned_declaration.decompress(corrupt)
 
+    def test_log_entries_and_snapshots_of_earlier_builds_are_read(self):
+        state, restored = (
+            versioned_declaration.VersionedDeclarationState(),
+            versioned_declaration.VersionedDeclarationState(),
+        )
+        entry = messages.LogEntry(1, 1, "declare", (3).to_bytes(8, "big") + b'{"a": 1}')
+        self.assertEqual(state.apply_entry(entry), versioned_declaration.DeclareResult(3))
+        header = b'{"version": 4}'
+        restored.load(len(header).to_bytes(4, "big") + header + b'{"b": 2}')
+        self.assertEqual((state.version, state.document), (3, b'{"a": 1}'))
+        self.assertEqual((restored.version, restored.document), (4, b'{"b": 2}'))
+
+    def test_log_and_snapshot_hold_less_than_a_fifth_of_a_large_document(self):
+        document = json.dumps([{"name": f"r-{n}", "timeout": 100 + n} for n in range(1400)])
+        entry = self.make_entry(1, document.encode())
+        state = versioned_declaration.VersionedDeclarationState()
+        state.apply_entry(entry)
+        for stored in (entry.payload, state.dump()):
+            self.assertLess(len(stored), len(document) / 5)
+
     def test_snapshot_round_trip_keeps_version_and_document(self):
         state, restored = (
             versioned_declaration.VersionedDeclarationState(),
--- a/flamingoramp/intent/versioned_declaration.py
+++ b/flamingoramp/intent/versioned_declaration.py
@@ -1,6 +1,7 @@
 """Replicated state machine that holds the declaration with the highest version.
 
-The operator assigns the versions.
+The operator assigns the versions. Log, snapshots and messages hold documents as zlib data, a tenth
+of their size.
 """
 
 from __future__ import annotations
@@ -15,12 +16,15 @@
 from flamingoramp import errors
 from flamingoramp.protocol import messages
 
-KIND_DECLARE = "declare"
+KIND_DECLARE = "declare_zlib"
+# Entries with uncompressed documents, in logs of earlier builds.
+KIND_DECLARE_PLAIN = "declare"
 
 # Limit on decompressed data. Control hosts accept no larger declaration, so more is corrupt data.
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
 _VERSION = struct.Struct(">Q")
+_ZLIB_FIRST_BYTE = b"\x78"  # JSON never begins with it
 
 
 @attrs.frozen
@@ -30,17 +34,17 @@
     version: int
 
 
-def encode(version: int, document: bytes) -> bytes:
-    """Return the payload of a log entry: the version in 8 bytes, then the document."""
-    return _VERSION.pack(version) + document
+def encode(version: int, compressed: bytes) -> bytes:
+    """Return the payload of a log entry: the version in 8 bytes, then the compressed document."""
+    return _VERSION.pack(version) + compressed
 
 
-@functools.lru_cache(maxsize=2)
 def compress(document: bytes) -> bytes:
-    """Return a document as zlib data, as it is sent to entries, the processes callers contact."""
-    return zlib.compress(document)
+    """Return a document as zlib data; data that is compressed already is returned as it is."""
+    return document if document[:1] == _ZLIB_FIRST_BYTE else zlib.compress(document)
 
 
+@functools.lru_cache(maxsize=2)
 def decompress(data: bytes) -> bytes:
     """Return the document of zlib data.
 
@@ -64,7 +68,7 @@
 
     def __init__(self):
         self._version = 0
-        self._document = b""
+        self._compressed = b""
 
     @property
     def version(self) -> int:
@@ -74,29 +78,38 @@
     @property
     def document(self) -> bytes:
         """Document in force, byte for byte as sent; empty before the first declaration."""
-        return self._document
+        return decompress(self._compressed) if self._compressed else b""
+
+    @property
+    def compressed(self) -> bytes:
+        """Document in force as zlib data; empty before the first declaration."""
+        return self._compressed
 
     def apply_entry(self, entry: messages.LogEntry) -> DeclareResult | None:
         """Apply a committed log entry; a version that is not above the current one is ignored."""
-        if entry.kind != KIND_DECLARE:
+        if entry.kind not in (KIND_DECLARE, KIND_DECLARE_PLAIN):
             return None
         (version,) = _VERSION.unpack_from(entry.payload)
         if version > self._version:
             self._version = version
-            self._document = entry.payload[_VERSION.size :]
+            self._compressed = compress(entry.payload[_VERSION.size :])
         return DeclareResult(self._version)
 
     def dump(self) -> bytes:
-        """Return the state for a snapshot: a length, a JSON header, then the document."""
+        """Return the state for a snapshot: a length, a JSON header, the compressed document."""
         header = json.dumps({"version": self._version}).encode()
-        return struct.pack(">I", len(header)) + header + self._document
+        return struct.pack(">I", len(header)) + header + self._compressed
 
     def load(self, data: bytes) -> None:
-        """Restore a snapshot; one whose version is not above the current one is ignored."""
+        """Restore a snapshot; one whose version is not above the current one is ignored.
+
+        Snapshots of earlier builds hold the document uncompressed.
+        """
         if not data:
             return
         (length,) = struct.unpack_from(">I", data)
         version = json.loads(data[4 : 4 + length])["version"]
         if version > self._version:
             self._version = version
-            self._document = data[4 + length :]
+            document = data[4 + length :]
+            self._compressed = compress(document) if document else b""
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -522,7 +522,7 @@
 
 @attrs.frozen
 class DeclareRequest:
-    """Declaration of an operator, forwarded to the leader."""
+    """Declaration of an operator, forwarded to the leader; ``document`` is compressed."""
 
     request_id: str = ""
     version: int = 0
@@ -555,7 +555,7 @@
 class ReadReply:
     """Reply to a `ReadRequest`; holds the latest version if a quorum confirmed the leader.
 
-    ``document`` is empty if the sender of the request has that version.
+    ``document`` is compressed, and empty if the sender of the request has that version.
     """
 
     request_id: str = ""
--- a/flamingoramp/tests/control_scenarios.py
+++ b/flamingoramp/tests/control_scenarios.py
@@ -205,7 +205,7 @@
             self._acknowledged_version = max(self._acknowledged_version, version)
 
         host = self._rng.choice(leaders)
-        payload = versioned_declaration.encode(version, document)
+        payload = versioned_declaration.encode(version, versioned_declaration.compress(document))
         host.node.propose(
             versioned_declaration.KIND_DECLARE,
             payload,
