--- a/bench/experiment/simulation.py
+++ b/bench/experiment/simulation.py
@@ -11,6 +11,7 @@
 from flamingoramp.dispatch import request_handler
 from flamingoramp.intent import traffic
 from flamingoramp.membership import entry_directory, registry
+from flamingoramp.protocol import load_reports
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_exchange, load_table
 from flamingoramp.runtime import metrics, node_settings, virtual_time
@@ -169,7 +170,7 @@
         return RunResult(self._records, [engine.usage for engine in self.fleet.engines])
 
     def send_report(
-        self, source: _Entry, addresses: list[str], report: protocol_messages.LoadReport
+        self, source: _Entry, addresses: list[str], report: load_reports.LoadReport
     ) -> None:
         """Deliver a load report to other entries after the network delay.
 
@@ -178,7 +179,7 @@
         source : _Entry
         addresses : list of str
             Names of the entries that get the report.
-        report : protocol_messages.LoadReport
+        report : load_reports.LoadReport
         """
         for address in addresses:
             target = self._entries_by_name[address]
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -24,6 +24,7 @@
     registry,
     subscriptions,
 )
+from flamingoramp.protocol import load_reports
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_exchange, load_table
 from flamingoramp.runtime import datagrams, node_settings
@@ -114,16 +115,7 @@
             on_protocol_error=self._process.record_protocol_error,
             traffic=self._process.transport.traffic,
         )
-        self._load_exchange = load_exchange.LoadExchange(
-            self.loop,
-            self._server_loads,
-            member_registry=self._registry,
-            directory=self._directory,
-            name=settings.name,
-            incarnation=self._incarnation,
-            zone=settings.availability_zone,
-            send=self._datagrams.send,
-        )
+        self._load_exchange = self._make_load_exchange()
         self._process.add_cleanup(self._datagrams.close)
         self._process.add_cleanup(self._pool.close)
         self._caller_server = self._process.serve(
@@ -132,6 +124,18 @@
         self._serve_other_endpoints(settings.listen)
         self._start_timers()
 
+    def _make_load_exchange(self) -> load_exchange.LoadExchange:
+        return load_exchange.LoadExchange(
+            self.loop,
+            self._server_loads,
+            member_registry=self._registry,
+            directory=self._directory,
+            name=self._settings.name,
+            incarnation=self._incarnation,
+            zone=self._settings.availability_zone,
+            send=self._datagrams.send,
+        )
+
     def _serve_other_endpoints(self, listen: node_settings.ListenSettings) -> None:
         """Serve readiness and directory if the settings give addresses to listen on for them."""
         if listen.readiness:
@@ -362,7 +366,7 @@
 
     def _handle_datagram(self, message: Any) -> None:
         match message:
-            case protocol_messages.LoadReport():
+            case load_reports.LoadReport():
                 self._load_exchange.handle_report(message)
 
     def _schedule_load_report(self) -> None:
--- a/flamingoramp/dispatch/claims.py
+++ b/flamingoramp/dispatch/claims.py
@@ -12,6 +12,7 @@
 import attrs
 import cattrs
 
+from flamingoramp import errors
 from flamingoramp.intent import cluster_time
 
 _converter = cattrs.Converter()
@@ -181,3 +182,20 @@
         """
         issued_at = parse_issue_time(table_key[1]) or 0.0
         return min(issued_at, claim.made + self._limits.retention_seconds)
+
+
+def error_of(status: ClaimStatus) -> errors.FlamingorampError:
+    """Return the error for a caller whose claim was not granted."""
+    match status:
+        case ClaimStatus.IN_PROGRESS:
+            return errors.OutcomeUnknownError(
+                "a request with this key is running; ask again with the same key", retry_after=1.0
+            )
+        case ClaimStatus.EXPIRED:
+            return errors.KeyExpiredError("the key is older than claims are kept; use a new one")
+        case ClaimStatus.REUSED:
+            return errors.KeyReusedError("the key was used with another content; use a new one")
+        case ClaimStatus.FULL:
+            return errors.OverloadedError("too many claims are kept", retry_after=60.0)
+        case _:
+            return errors.OutcomeUnknownError("a request with this key was sent; it may have run")
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -122,7 +122,7 @@
             if request.shard != shard:
                 continue
             if request.phase is inflight.Phase.RUNNING and full:
-                held.append(_describe_reservation(request))
+                held.append(request.describe_reservation())
             elif request.phase is inflight.Phase.RUNNING:
                 renewed.append(f"{request.spec.request_id}/{request.attempt}")
             elif request.phase is inflight.Phase.WAITING:
@@ -213,7 +213,7 @@
             effect = requests.CallerPlain(request.spec, reply.http_status, "application/json", body)
             self._finish(request, effect)
             return
-        self._finish(request, self._build_error(request, _claim_error(status)))
+        self._finish(request, self._build_error(request, claims.error_of(status)))
 
     def _send_reserve(self, request: inflight.Request, now: float) -> None:
         request.last_sent_at = now
@@ -598,30 +598,3 @@
     """Return the server at a URL of a grant; the grant's last server if none is there."""
     server_by_url = dict(zip(grant.urls, grant.servers, strict=True))
     return server_by_url.get(url, grant.servers[-1])
-
-
-def _describe_reservation(request: inflight.Request) -> messages.HeldReservation:
-    return messages.HeldReservation(
-        request.spec.request_id,
-        request.attempt,
-        request.grant.servers,
-        request.grant.tokens,
-        request.spec.fingerprint,
-        bool(request.chunks),
-    )
-
-
-def _claim_error(status: claims.ClaimStatus) -> errors.FlamingorampError:
-    match status:
-        case claims.ClaimStatus.IN_PROGRESS:
-            return errors.OutcomeUnknownError(
-                "a request with this key is running; ask again with the same key", retry_after=1.0
-            )
-        case claims.ClaimStatus.EXPIRED:
-            return errors.KeyExpiredError("the key is older than claims are kept; use a new one")
-        case claims.ClaimStatus.REUSED:
-            return errors.KeyReusedError("the key was used with another content; use a new one")
-        case claims.ClaimStatus.FULL:
-            return errors.OverloadedError("too many claims are kept", retry_after=60.0)
-        case _:
-            return errors.OutcomeUnknownError("a request with this key was sent; it may have run")
--- a/flamingoramp/dispatch/inflight.py
+++ b/flamingoramp/dispatch/inflight.py
@@ -108,6 +108,17 @@
         """Text delivered so far, over all attempts."""
         return "".join(self.chunks)
 
+    def describe_reservation(self) -> messages.HeldReservation:
+        """Return the reservation of the running attempt, as in a full hold report."""
+        return messages.HeldReservation(
+            self.spec.request_id,
+            self.attempt,
+            self.grant.servers,
+            self.grant.tokens,
+            self.spec.fingerprint,
+            bool(self.chunks),
+        )
+
     def move_to_shard(self, shard: str) -> None:
         """Ask another shard from now on.
 
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -11,7 +11,7 @@
 import capnp
 
 from flamingoramp import errors
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import load_reports, messages
 
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -50,7 +50,8 @@
 
 _MESSAGE_CLASSES = {
     name: message_class
-    for name, message_class in vars(messages).items()
+    for module in (messages, load_reports)
+    for name, message_class in vars(module).items()
     if attrs.has(message_class)
 }
 _FIELDS_BY_CLASS = {
--- a/flamingoramp/protocol/tests/test_codec.py
+++ b/flamingoramp/protocol/tests/test_codec.py
@@ -11,10 +11,13 @@
 from hypothesis import strategies
 
 from flamingoramp import errors
-from flamingoramp.protocol import codec, messages
+from flamingoramp.protocol import codec, load_reports, messages
 
 MESSAGE_CLASSES = [
-    message_class for message_class in vars(messages).values() if attrs.has(message_class)
+    message_class
+    for module in (messages, load_reports)
+    for message_class in vars(module).values()
+    if attrs.has(message_class)
 ]
 
 
@@ -23,8 +26,8 @@
     values = {}
     for name, hint in typing.get_type_hints(message_class).items():
         values[name] = make_value(hint, number)
-    if message_class is messages.LoadReport:
-        values["loads"] *= messages.LOAD_VALUE_COUNT  # as many values for each server
+    if message_class is load_reports.LoadReport:
+        values["loads"] *= load_reports.LOAD_VALUE_COUNT  # as many values for each server
     return message_class(**values)
 
 
@@ -53,7 +56,9 @@
                 self.assertEqual(codec.decode(frame), codec.Envelope("me", 9, message))
 
     def test_load_report_with_missing_or_infinite_values_is_a_protocol_error(self):
-        report = messages.LoadReport(servers=("a",), loads=(1.0,) * messages.LOAD_VALUE_COUNT)
+        report = load_reports.LoadReport(
+            servers=("a",), loads=(1.0,) * load_reports.LOAD_VALUE_COUNT
+        )
         for loads in (report.loads[1:], (*report.loads[1:], float("nan"))):
             invalid_report = attrs.evolve(report)
             object.__setattr__(invalid_report, "loads", loads)
--- a/flamingoramp/routing/isolation.py
+++ b/flamingoramp/routing/isolation.py
@@ -15,8 +15,10 @@
 
 import attrs
 
+from flamingoramp import errors
 from flamingoramp.dispatch import suspects
 from flamingoramp.protocol import messages
+from flamingoramp.routing import ledger
 
 MAX_FINISHED_FINGERPRINT_COUNT = 8192
 # Announcements from before a crash may still arrive: as many as a server sends within its lease and
@@ -251,3 +253,15 @@
             self._finished.pop(fingerprint, None)
             crashes = self._crash_counts.get(fingerprint, 0)
             self._crash_counts[fingerprint] = crashes + (fingerprint in report.ran_alone)
+
+
+def ran_alone(running: list[ledger.Reservation]) -> dict[str, bool]:
+    """Return for the content of each running attempt whether it had its server for itself."""
+    return {reservation.fingerprint: reservation.isolated for reservation in running}
+
+
+def quarantine_error() -> errors.FlamingorampError:
+    """Return the refusal of a content that is confirmed to crash servers."""
+    return errors.RequestQuarantinedError(
+        "this content crashed several backend servers; it is refused for an hour"
+    )
--- a/flamingoramp/routing/ledger.py
+++ b/flamingoramp/routing/ledger.py
@@ -5,6 +5,7 @@
 import attrs
 
 from flamingoramp import errors
+from flamingoramp.protocol import messages
 
 # Request id and number of the attempt.
 AttemptKey = tuple[str, int]
@@ -129,3 +130,19 @@
     """Parse an attempt's key from ``request/attempt``, its format in hold reports."""
     request_id, _, attempt = text.rpartition("/")
     return request_id, int(attempt)
+
+
+def restore(report: messages.HoldReport, held: messages.HeldReservation, now: float) -> Reservation:
+    """Return the reservation that an entry reports to a new owner, as if granted now."""
+    return Reservation(
+        request_id=held.request_id,
+        attempt=held.attempt,
+        servers=held.servers,
+        tokens=held.tokens,
+        entry=report.entry,
+        entry_address=report.entry_address,
+        fingerprint=held.fingerprint,
+        granted_at=now,
+        renewed_at=now,
+        prefill_done=held.prefill_done,
+    )
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -8,7 +8,7 @@
 import attrs
 
 from flamingoramp.membership import entry_directory, registry
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import load_reports
 from flamingoramp.routing import load_table, report_targets
 from flamingoramp.runtime import loop as loops
 
@@ -53,7 +53,7 @@
         name: str,
         incarnation: str,
         zone: str,
-        send: Callable[[list[str], messages.LoadReport], None],
+        send: Callable[[list[str], load_reports.LoadReport], None],
     ):
         self._loop = loop
         self._loads = loads
@@ -84,7 +84,7 @@
             self._is_report_scheduled = True
             self._loop.call_later(REPORT_DELAY_SECONDS, self._report_changes)
 
-    def handle_report(self, report: messages.LoadReport) -> None:
+    def handle_report(self, report: load_reports.LoadReport) -> None:
         """Apply another entry's report; as forwarder, pass a summary of another zone on."""
         now = self._loop.now()
         self._directory.record_report(report.entry, now, valid_seconds=report.valid_seconds)
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import load_reports
 from flamingoramp.routing import rates
 
 # Upper bounds of the pause objective of strict and relaxed requests; all others are patient.
@@ -119,7 +119,7 @@
             self.reading_credit += load.reading_credit
 
     def to_values(self) -> tuple[float, ...]:
-        """Return the fields in their order, as in `messages.LoadReport.loads`."""
+        """Return the fields in their order, as in `load_reports.LoadReport.loads`."""
         return (
             self.strict,
             self.relaxed,
@@ -132,7 +132,7 @@
         )
 
 
-def _read_loads(report: messages.LoadReport) -> dict[str, ServerLoad]:
+def _read_loads(report: load_reports.LoadReport) -> dict[str, ServerLoad]:
     """Return the load of each server of a report."""
     values = iter(report.loads)
     return {
@@ -147,7 +147,7 @@
             credit,
         )
         for server, (strict, relaxed, patient, reading, part, memory, helping, credit) in zip(
-            report.servers, zip(*[values] * messages.LOAD_VALUE_COUNT, strict=True), strict=True
+            report.servers, zip(*[values] * load_reports.LOAD_VALUE_COUNT, strict=True), strict=True
         )
     }
 
@@ -272,7 +272,7 @@
         summary = self._reporters.get(f"zone/{reporter.zone}")
         return reporter.zone == self._zone or summary is None or summary.has_expired(now)
 
-    def handle_report(self, report: messages.LoadReport, now: float) -> None:
+    def handle_report(self, report: load_reports.LoadReport, now: float) -> None:
         """Apply another entry's report, except for servers with a newer one."""
         key = f"zone/{report.zone}" if report.is_summary else report.entry
         reporter = self._reporters.get(key)
@@ -283,7 +283,7 @@
         self._apply(key, reporter, report, now)
 
     def _apply(
-        self, key: str, reporter: _Reporter, report: messages.LoadReport, now: float
+        self, key: str, reporter: _Reporter, report: load_reports.LoadReport, now: float
     ) -> None:
         """Update servers for which the report is newer; a full part removes what it omits."""
         reporter.received_at = now
@@ -332,7 +332,7 @@
         now: float,
         only_changes: bool = False,
         valid_seconds: float = REPORT_EXPIRY_SECONDS,
-    ) -> list[messages.LoadReport]:
+    ) -> list[load_reports.LoadReport]:
         """Return the report of this entry's work, in parts.
 
         Parameters
@@ -356,7 +356,7 @@
             for work in self._own.get(server, {}).values():
                 total.add(work, now)
         arrivals = self._own_arrivals(now)
-        base = messages.LoadReport(
+        base = load_reports.LoadReport(
             entry,
             incarnation,
             sequence,
@@ -371,7 +371,7 @@
 
     def make_summary(
         self, *, entry: str, incarnation: str, sequence: int, now: float
-    ) -> list[messages.LoadReport]:
+    ) -> list[load_reports.LoadReport]:
         """Return the report of the work of all entries of this availability zone, in parts."""
         totals: dict[str, ServerLoad] = {}
         for server, items in self._own.items():
@@ -387,7 +387,7 @@
         for reporter in self._reporters.values():
             if self._is_in_summary(reporter, now):
                 arrivals.update(reporter.arrivals)
-        base = messages.LoadReport(
+        base = load_reports.LoadReport(
             entry,
             incarnation,
             sequence,
@@ -403,8 +403,8 @@
         return is_peer and not reporter.has_expired(now)
 
     def _split(
-        self, base: messages.LoadReport, totals: dict[str, ServerLoad]
-    ) -> list[messages.LoadReport]:
+        self, base: load_reports.LoadReport, totals: dict[str, ServerLoad]
+    ) -> list[load_reports.LoadReport]:
         """Split a report into parts.
 
         The number of parts never decreases: receivers remove the servers of an earlier part only
@@ -424,8 +424,8 @@
 
 
 def _with_loads(
-    base: messages.LoadReport, items: list[tuple[str, ServerLoad]], **changes: object
-) -> messages.LoadReport:
+    base: load_reports.LoadReport, items: list[tuple[str, ServerLoad]], **changes: object
+) -> load_reports.LoadReport:
     """Return a copy of a report with the loads of some servers and other fields changed."""
     return attrs.evolve(
         base,
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -187,7 +187,7 @@
             self._cancel(reservation, except_server=server)
 
     def _report_crash(self, server: str, running: list[ledger.Reservation]) -> None:
-        report = self._crash_tracker.record_crash(server, _ran_alone(running))
+        report = self._crash_tracker.record_crash(server, isolation.ran_alone(running))
         if report:
             self._record_event("server.crashed", server=server, suspects=len(report.fingerprints))
         self._commit_suspects(report)
@@ -255,7 +255,7 @@
     ) -> errors.FlamingorampError | None:
         reserve = waiting.reserve
         if self._crash_tracker.is_confirmed(reserve.fingerprint):
-            return _quarantine_error()
+            return isolation.quarantine_error()
         if not self._holds_lease(now) or now < self._servers_known_at:
             return None  # not all servers have announced themselves to this owner yet
         if self._declaration.policy.selection == "naive":
@@ -313,7 +313,9 @@
     def _watch(self, server: str, ran: list[ledger.Reservation], *, disconnected: bool) -> None:
         member = self._fleet.directory.find(server)
         last = member.announcement if member else messages.Announcement(server=server)
-        report = self._crash_tracker.watch(server, _ran_alone(ran), last, disconnected=disconnected)
+        report = self._crash_tracker.watch(
+            server, isolation.ran_alone(ran), last, disconnected=disconnected
+        )
         self._commit_suspects(report)
         if self._has_lapsed(server):
             # Other requests there may be the cause; their entries may be unreachable from here.
@@ -354,18 +356,7 @@
     def _restore_reservation(
         self, report: messages.HoldReport, held: messages.HeldReservation, now: float
     ) -> None:
-        reservation = ledger.Reservation(
-            request_id=held.request_id,
-            attempt=held.attempt,
-            servers=held.servers,
-            tokens=held.tokens,
-            entry=report.entry,
-            entry_address=report.entry_address,
-            fingerprint=held.fingerprint,
-            granted_at=now,
-            renewed_at=now,
-            prefill_done=held.prefill_done,
-        )
+        reservation = ledger.restore(report, held, now)
         self._fleet.reserve(reservation, ())
         self._record_event("reservation.adopted", held.request_id)
 
@@ -470,7 +461,7 @@
         for waiting in self._queue.in_order(now):
             if self._crash_tracker.is_confirmed(waiting.reserve.fingerprint):
                 self._queue.remove(waiting.key)
-                self._refuse(waiting.reserve, _quarantine_error())
+                self._refuse(waiting.reserve, isolation.quarantine_error())
                 continue
             if failures[waiting.length_class] >= MAX_FAILED_PLACEMENT_COUNT:
                 continue
@@ -603,13 +594,3 @@
             cached_tokens=cached_tokens,
         )
         self._effects.append(effects.Reply(reservation.entry_address, grant))
-
-
-def _ran_alone(running: list[ledger.Reservation]) -> dict[str, bool]:
-    return {reservation.fingerprint: reservation.isolated for reservation in running}
-
-
-def _quarantine_error() -> errors.FlamingorampError:
-    return errors.RequestQuarantinedError(
-        "this content crashed several backend servers; it is refused for an hour"
-    )
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -7,7 +7,7 @@
 import attrs
 
 from flamingoramp.dispatch import allowance
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import load_reports, messages
 from flamingoramp.routing import load_table, observations, rates, report_targets
 
 
@@ -83,7 +83,7 @@
         self.sequence = 0
         self.work_items = {name: load_table.WorkItem(name, 0.25) for name in ("e1", "e2", "e3")}
 
-    def make(self, *, only_changes: bool = True) -> list[messages.LoadReport]:
+    def make(self, *, only_changes: bool = True) -> list[load_reports.LoadReport]:
         self.sequence += 1
         return self.other.make_reports(
             entry="other",
@@ -93,7 +93,7 @@
             only_changes=only_changes,
         )
 
-    def receive(self, reports: list[messages.LoadReport], now: float = 1.0) -> None:
+    def receive(self, reports: list[load_reports.LoadReport], now: float = 1.0) -> None:
         for report in reports:
             self.table.handle_report(report, now)
 
@@ -108,7 +108,7 @@
         self.other.remove(self.work_items["e2"])
         (report,) = self.make()
         self.assertEqual(report.servers, ("e2",))
-        self.assertEqual(report.loads, (0.0,) * messages.LOAD_VALUE_COUNT)
+        self.assertEqual(report.loads, (0.0,) * load_reports.LOAD_VALUE_COUNT)
         self.receive([report])
         self.assertEqual(self.strict_counts(), {"e1": 1, "e2": 0, "e3": 1})
 
--- a/flamingoramp/routing/tests/test_load_exchange.py
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -9,7 +9,7 @@
 import attrs
 
 from flamingoramp.membership import entry_directory, registry
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import load_reports, messages
 from flamingoramp.routing import load_exchange, load_table, report_targets
 from flamingoramp.runtime import virtual_time
 
@@ -73,7 +73,7 @@
         self.entries[record.entry] = Entry(record.entry, record.zone, loads, exchange)
 
     def _send(
-        self, source: messages.EntryRecord, addresses: list[str], report: messages.LoadReport
+        self, source: messages.EntryRecord, addresses: list[str], report: load_reports.LoadReport
     ) -> None:
         if source.entry in self._silent:
             return
