--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -108,13 +108,7 @@
         self._sent_record: protocol_messages.EntryRecord | None = None
         self._hosts_with_record: set[str] = set()
         self._stop_began_at = 0.0
-        self._datagrams = datagrams.DatagramSocket(
-            self.loop,
-            listen=settings.entry_internal_address,
-            deliver=self._handle_datagram,
-            on_protocol_error=self._process.record_protocol_error,
-            traffic=self._process.transport.traffic,
-        )
+        self._datagrams = self._make_datagram_socket()
         self._load_exchange = self._make_load_exchange()
         self._process.add_cleanup(self._datagrams.close)
         self._process.add_cleanup(self._pool.close)
@@ -124,6 +118,15 @@
         self._serve_other_endpoints(settings.listen)
         self._start_timers()
 
+    def _make_datagram_socket(self) -> datagrams.DatagramSocket:
+        return datagrams.DatagramSocket(
+            self.loop,
+            listen=self._settings.entry_internal_address,
+            deliver=self._handle_datagram,
+            on_protocol_error=self._process.record_protocol_error,
+            traffic=self._process.transport.traffic,
+        )
+
     def _make_load_exchange(self) -> load_exchange.LoadExchange:
         return load_exchange.LoadExchange(
             self.loop,
