Queued requests of a starting entry are started one after the other

All entries start theirs at about the same moment, on the few servers that have announced themselves.

--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -34,6 +34,9 @@
 MAX_QUEUE_SECONDS = 1.2
 MAX_QUEUE_TIME_RATIO = 0.33
 MAX_QUEUED_REQUESTS = 256
+# Mean interval at which queued requests are started. All entries start theirs at about the same
+# moment, on the few servers that are known by then; load reports have to arrive in between.
+QUEUE_RELEASE_SECONDS = 0.02
 # Engines accept priorities from 0, the most urgent, to this one.
 LEAST_URGENT_PRIORITY = 9
 # Fewer intervals between events than this say too little about an engine's speed.
@@ -105,6 +108,7 @@
         self._new_crash_records: list[messages.CrashRecord] = []
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._queued: set[http_server.Exchange] = set()
+        self._is_releasing = False
 
     @property
     def declaration(self) -> traffic.TrafficDeclaration | None:
@@ -122,11 +126,21 @@
         self.start_queued()
 
     def start_queued(self) -> None:
-        """Start the queued requests whose service has a known server by now."""
-        for exchange in sorted(self._queued, key=lambda exchange: exchange.arrived_at):
-            if not self._is_starting_up(exchange):
-                self._queued.remove(exchange)
-                self._start_request(exchange)
+        """Start the queued requests whose service has a known server, one after the other."""
+        if not self._is_releasing:
+            self._is_releasing = True
+            self._release_next()
+
+    def _release_next(self) -> None:
+        startable = [item for item in self._queued if not self._is_starting_up(item)]
+        if not startable:
+            self._is_releasing = False
+            return
+        exchange = min(startable, key=lambda item: item.arrived_at)
+        self._queued.remove(exchange)
+        self._start_request(exchange)
+        interval = 2 * random.random() * QUEUE_RELEASE_SECONDS
+        self.loop.call_later(interval, self._release_next)
 
     def add_crash_records(self, records: Iterable[messages.CrashRecord]) -> None:
         """Add crashes of servers, by the fingerprint of the request that they were running."""
--- a/flamingoramp/dispatch/tests/test_request_handler.py
+++ b/flamingoramp/dispatch/tests/test_request_handler.py
@@ -106,8 +106,22 @@
         record = messages.ServerRecord("s2", "s", address="s2:1", sequence=1)
         self.servers.update_server(record, self.loop.now())
         self.handler.start_queued()
+        self.loop.advance(3 * request_handler.QUEUE_RELEASE_SECONDS)
         self.assertEqual(len(self.pool.calls), 2)
 
+    def test_queued_requests_are_started_one_after_the_other(self):
+        """Load pattern: all entries restart, and each has a second of requests in its queue."""
+        for _ in range(20):
+            self.send_request()
+            self.loop.advance(0.02)
+        self.handler.apply_declaration(DECLARATION)
+        self.assertEqual(len(self.pool.calls), 1)
+        self.loop.advance(5 * request_handler.QUEUE_RELEASE_SECONDS)
+        self.assertLessEqual(len(self.pool.calls), 15)
+        self.loop.advance(40 * request_handler.QUEUE_RELEASE_SECONDS)
+        self.assertEqual(len(self.pool.calls), 20)
+        self.assertEqual(self.handler.active_count, 20)
+
     def test_refuses_a_queued_request_if_no_server_is_known_after_the_maximum_queue_time(self):
         self.remove_server()
         self.handler.apply_declaration(DECLARATION)
