--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -206,8 +206,8 @@
         # By server, then by reporter, so that the load of a server is found among those with work
         # there and not among all entries.
         self._reported: dict[str, dict[str, _ReportedLoad]] = {}
-        # Servers whose work changed since the last report, and between the last two.
         self._arrivals: dict[str, rates.RateMeter] = {}
+        # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
         self._changed_before: set[str] = set()
 
