Fewer wake-ups and pings of an idle entry

An idle entry woke 66 times a second and exchanged 22 pings and answers a second with nine control hosts that also exchange subscriptions and updates. Pings go only where nothing else shows that a connection works; checks of HTTP time-outs every 0.5 s, of report targets every 0.4 s, and the frequent subscription ends with the first declaration.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -150,7 +150,7 @@
         loop = self.loop
         loop.call_later(0.0, self._subscribe)
         loop.call_every(SUBSCRIBE_INTERVAL_SECONDS, self._subscribe)
-        loop.call_every(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
+        loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
         loop.call_every(EVICTION_INTERVAL_SECONDS, self._evict_expired)
         loop.call_every(SETTINGS_CHECK_INTERVAL_SECONDS, self._check_settings)
         loop.after_each_iteration(self._schedule_load_report)
@@ -235,6 +235,7 @@
     def _subscribe_until_declared(self) -> None:
         if self.declaration is None:
             self._subscribe()
+            self.loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
 
     def _make_entry_record(self) -> protocol_messages.EntryRecord:
         return protocol_messages.EntryRecord(
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -21,7 +21,7 @@
 MAX_WRITE_BUFFER_BYTES = 8 * 1024 * 1024
 # Data of later requests that a caller may send before the response to the current one is complete.
 MAX_PIPELINED_BYTES = 256 * 1024
-TIMEOUT_CHECK_INTERVAL_SECONDS = 0.25
+TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
 
 
 @attrs.frozen
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -25,7 +25,7 @@
 # Interval of zone summaries. It may be longer than the delay of reports within a zone, since few
 # placements use engines of another zone.
 SUMMARY_SECONDS = 0.2
-TARGET_REFRESH_SECONDS = 0.2
+TARGET_REFRESH_SECONDS = 0.4
 
 
 class LoadExchange:
--- a/flamingoramp/runtime/tests/test_transport.py
+++ b/flamingoramp/runtime/tests/test_transport.py
@@ -81,6 +81,23 @@
 
         self.run_until(second_message_received)
 
+    def test_only_a_connection_without_other_messages_is_pinged(self):
+        busy, idle, receiver = (
+            self.make_transport(name, []) for name in ("busy", "idle", "receiver")
+        )
+        receiver.deliver = lambda _sender, message, connection: connection.send(message)
+        idle.send(receiver.address, messages.Settled("once"))
+
+        def _send_until(end: float) -> None:
+            if busy.loop.now() < end:
+                busy.send(receiver.address, messages.Settled("often"))
+                busy.loop.call_later(0.3, lambda: _send_until(end))
+
+        _send_until(busy.loop.now() + 3 * transport.PING_INTERVAL_SECONDS)
+        self.run_until(lambda: idle.traffic.sent_bytes_by_type["Ping"] > 0)
+        self.run_until(lambda: busy.traffic.sent_bytes_by_type["Settled"] > 0)
+        self.assertEqual(busy.traffic.sent_bytes_by_type["Ping"], 0)
+
     def test_undecodable_data_closes_only_its_connection(self):
         received: list = []
         sender, receiver = (
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -57,7 +57,7 @@
         self._transport = transport
         self._address = address
         self._frame_buffer = codec.FrameBuffer()
-        self._last_received_at = transport.loop.now()
+        self._last_received_at = self._last_sent_at = transport.loop.now()
         self._stream = stream.Stream(
             transport.loop,
             sock,
@@ -79,6 +79,7 @@
     def send(self, message: Any) -> None:
         """Queue a message for sending; it is lost if the connection fails."""
         transport = self._transport
+        self._last_sent_at = transport.loop.now()
         data = codec.encode(transport.name, message, clock=transport.clock.tick())
         transport.traffic.count_sent(message, len(data))
         self._stream.write(data)
@@ -88,11 +89,19 @@
         self._stream.close()
 
     def check_liveness(self, now: float) -> None:
-        """Close the connection after a receive timeout; else ping the peer if opened here."""
-        if now - self._last_received_at > RECEIVE_TIMEOUT_SECONDS:
+        """Close the connection after a receive timeout; else ping the peer if opened here.
+
+        No ping is sent while other messages show both sides that the connection works.
+        """
+        received_before = now - self._last_received_at
+        has_recent_messages = (
+            received_before <= RECEIVE_TIMEOUT_SECONDS - PING_INTERVAL_SECONDS
+            and now - self._last_sent_at <= PING_INTERVAL_SECONDS
+        )
+        if received_before > RECEIVE_TIMEOUT_SECONDS:
             self.close()
             self._handle_closed()
-        elif self._address:
+        elif self._address and not has_recent_messages:
             self.send(messages.Ping())
 
     def _handle_data(self, data: bytes) -> None:
