--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -355,15 +355,9 @@
             total = totals[server] = ServerLoad()
             for work in self._own.get(server, {}).values():
                 total.add(work, now)
-        arrivals = self._own_arrivals(now)
-        base = load_reports.LoadReport(
-            entry,
-            incarnation,
-            sequence,
-            zone=self._zone,
-            valid_seconds=valid_seconds,
-            services=tuple(arrivals),
-            arrivals=tuple(arrivals.values()),
+        base = self._make_base(
+            load_reports.LoadReport(entry, incarnation, sequence, valid_seconds=valid_seconds),
+            self._own_arrivals(now),
         )
         if only_changes:
             return [_with_loads(base, list(totals.items()), only_changes=True)]
@@ -387,16 +381,21 @@
         for reporter in self._reporters.values():
             if self._is_in_summary(reporter, now):
                 arrivals.update(reporter.arrivals)
-        base = load_reports.LoadReport(
-            entry,
-            incarnation,
-            sequence,
+        base = self._make_base(
+            load_reports.LoadReport(entry, incarnation, sequence, is_summary=True), arrivals
+        )
+        return self._split(base, totals)
+
+    def _make_base(
+        self, report: load_reports.LoadReport, arrivals: dict[str, float]
+    ) -> load_reports.LoadReport:
+        """Return a report with this zone and the arrival rates, still without loads."""
+        return attrs.evolve(
+            report,
             zone=self._zone,
-            is_summary=True,
             services=tuple(arrivals),
             arrivals=tuple(arrivals.values()),
         )
-        return self._split(base, totals)
 
     def _is_in_summary(self, reporter: _Reporter, now: float) -> bool:
         is_peer = reporter.zone == self._zone and not reporter.is_summary
