A request that a server breaks off is logged with the parts of its prompt

No line told which parts a request had whose server broke off, nor how many crashes were held against it, so that the hypotheses of the incident couldn't be told apart. request.broken_off has the server and its start, the digest that crashes are counted by, the shared parts of the prompt and the count. The platform's header of parts is decoded; nothing is decided by it.

--- a/flamingoramp/dialect.py
+++ b/flamingoramp/dialect.py
@@ -73,6 +73,8 @@
         Length of the prompt and maximum length of the output; 0 for requests that go to no engine.
     last_event_id : str
         Id of the last stream event that the caller received; empty to start at the first.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may have too, in their order.
     """
 
     request_id: str
@@ -83,6 +85,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -368,6 +368,15 @@
             record = messages.CrashRecord(admitted.fingerprint, server.server, server.born)
             self.add_crash_records((record,))
             self._new_crash_records.append(record)
+            self.record_step(
+                admitted,
+                "request.broken_off",
+                server=server.server,
+                born=server.born,
+                fingerprint=admitted.fingerprint,
+                parts=admitted.caller.shared_parts,
+                crashes=len(self._crashes_by_fingerprint[admitted.fingerprint]),
+            )
 
     def record_stall(self, server: messages.ServerRecord) -> None:
         """Record that a server sent no data for longer than its timeout."""
--- a/flamingoramp/platform/platform_dialect.py
+++ b/flamingoramp/platform/platform_dialect.py
@@ -101,6 +101,7 @@
                 prompt_tokens=max(0, int(prompt)) if prompt else 0,
                 output_tokens=max(0, int(output)) if output else 0,
                 last_event_id=_header_text(wire_names.LAST_EVENT_ID),
+                shared_parts=_decode_shared_parts(request),
             )
         except ValueError as error:
             raise errors.BadRequestError("a header takes a whole number") from error
@@ -124,3 +125,11 @@
     def encode_release(self, server: str, ticket: str) -> messages.Request:
         """Encode the command that releases the reservation ``ticket`` at an engine."""
         return backends.encode_memory_command(server, {"op": "release", "id": ticket})
+
+
+def _decode_shared_parts(request: messages.Request) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, which is the request's own."""
+    values = [value for name, value in request.headers if name == wire_names.PROMPT_PARTS]
+    parts = b",".join(values).decode("latin-1").split(",")
+    ids = [part.partition(":")[0].strip().lower() for part in parts[:-1]]
+    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
--- a/flamingoramp/platform/tests/test_platform_dialect.py
+++ b/flamingoramp/platform/tests/test_platform_dialect.py
@@ -58,6 +58,7 @@
             x_deadline_ms=b"1500",
             x_token_count=b"1460,80",
             last_event_id=b"12",
+            x_prompt_prefix=b"5C1e07a2:800, 91bd3f06:410,5c1e07a2:800,,e4402b7d:250",
         )
         expected = dialect.CallerRequest(
             request_id="9c",
@@ -68,6 +69,7 @@
             prompt_tokens=1460,
             output_tokens=80,
             last_event_id="12",
+            shared_parts=("5c1e07a2", "91bd3f06"),
         )
         self.assertEqual(decoded, expected)
 
--- a/flamingoramp/platform/wire_names.py
+++ b/flamingoramp/platform/wire_names.py
@@ -24,6 +24,8 @@
 SIGNATURE = b"x-response-stamp"
 # Length of the prompt and maximum length of the output, separated by a comma.
 TOKEN_COUNTS = b"x-token-count"
+# Parts of the prompt in their order as id:tokens, separated by commas.
+PROMPT_PARTS = b"x-prompt-prefix"
 PRIORITY = b"x-request-priority"
 # Helper engines as ip:port or ip:port/ticket, separated by commas.
 HELPERS = b"x-helpers"
