--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -12,6 +12,8 @@
 from flamingoramp.runtime import loop as loops
 
 ANNOUNCE_INTERVAL_SECONDS = 0.2
+# Time that a server is down after a crash.
+RESTART_SECONDS = 1.0
 
 
 @attrs.define
@@ -38,6 +40,9 @@
         Whether it refuses memory reservations.
     crash_marker : bytes
         A request with this in its body aborts as if the server crashed; empty for none.
+    crash_part : bytes
+        The server ends when it begins to answer a prompt with this part, unless it is the last
+        one, and starts again after `RESTART_SECONDS`; empty for none.
     headers : tuple of (bytes, bytes)
         Further headers of each answer, also of refusals.
     """
@@ -51,6 +56,7 @@
     echoes_wrong_id: bool = False
     refuses_memory: bool = False
     crash_marker: bytes = b""
+    crash_part: bytes = b""
     headers: messages.Headers = ()
 
 
@@ -82,11 +88,13 @@
         self.reserved_tokens: dict[str, int] = {}
         self.reserved_tickets: list[str] = []
         self.disconnect_count = 0
+        self.crash_times: list[float] = []
         self._service = service
         self._control_addresses = control_addresses
         self._sequence = 0
         self._incarnation = 1
         self._state = "ready"
+        self._has_crashed = False
         self._loop = loops.Loop()
         self._pool = client.Pool(self._loop)
         self._server = server.Server(self._loop, "127.0.0.1:0", self._handle)
@@ -105,6 +113,18 @@
         self._incarnation += 1
         self._announce()
 
+    def _crash(self) -> None:
+        """End with all connections, and start again after `RESTART_SECONDS`."""
+        self.crash_times.append(self._loop.now())
+        self._has_crashed = True
+        self._server.close()
+        self._loop.call_later(RESTART_SECONDS, self._start_again)
+
+    def _start_again(self) -> None:
+        self._server = server.Server(self._loop, self.address, self._handle)
+        self._has_crashed = False
+        self.restart()
+
     def close(self) -> None:
         """Stop without draining."""
         self._loop.stop()
@@ -114,6 +134,8 @@
         self._loop.close()
 
     def _announce(self) -> None:
+        if self._has_crashed:
+            return
         self._sequence += 1
         body = {
             "service": self._service,
@@ -166,6 +188,11 @@
             return
         content_type = (b"content-type", b"text/event-stream")
         exchange.start(200, (*headers, content_type))
+        parts = (request.header(b"x-prompt-prefix") or b"").split(b",")[:-1]
+        part_ids = [part.partition(b":")[0] for part in parts]
+        if self.behaviour.crash_part and self.behaviour.crash_part in part_ids:
+            self._crash()
+            return
         first_number = int(request.header(b"last-event-id") or b"0") + 1
         self._write_event(exchange, first_number)
 
--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -331,7 +331,9 @@
         fleet.wait_in_force(1)
         return fleet
 
-    def send(self, fleet: Fleet, route: str, *, address: str = "", **headers) -> Answer:
+    def send(
+        self, fleet: Fleet, route: str, *, address: str = "", body: bytes = b"body", **headers
+    ) -> Answer:
         all_headers = {
             "x-attempt-id": f"id{next(self.request_numbers)}",
             "authorization": "Token k1",
@@ -341,7 +343,7 @@
             all_headers["x-token-count"] = "1000,100"
         all_headers.update({name.replace("_", "-"): value for name, value in headers.items()})
         method = "GET" if route == "read" else "POST"
-        body = b"" if method == "GET" else b"body"
+        body = b"" if method == "GET" else body
         return send_request(
             address or fleet.caller_address(), method, f"/{route}/x", headers=all_headers, body=body
         )
