--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -26,7 +26,7 @@
 )
 from flamingoramp.protocol import load_reports
 from flamingoramp.protocol import messages as protocol_messages
-from flamingoramp.routing import load_exchange, load_table
+from flamingoramp.routing import load_exchange, load_table, report_targets
 from flamingoramp.runtime import datagrams, node_settings
 from flamingoramp.runtime import transport as transports
 
@@ -38,6 +38,8 @@
 INITIAL_SUBSCRIBE_INTERVAL_SECONDS = 0.1
 EVICTION_INTERVAL_SECONDS = 1.0
 SETTINGS_CHECK_INTERVAL_SECONDS = 2.0
+# The other entries go on sending a content that crashes servers until they are told.
+CRASH_REPORT_DELAY_SECONDS = 0.01
 STOP_CHECK_INTERVAL_SECONDS = 0.05
 # A stopping entry exits this long before `stop_seconds` have passed, when the platform kills it.
 STOP_RESERVE_SECONDS = 0.3
@@ -104,8 +106,10 @@
             bounds=settings.bounds,
             zone=settings.availability_zone,
             receives_control_updates=self._receives_control_updates,
+            tries_suspects=self._tries_suspects,
         )
         self._subscribe_count = 0
+        self._is_crash_report_scheduled = False
         self._sent_record: protocol_messages.EntryRecord | None = None
         self._hosts_with_record: set[str] = set()
         self._stop_began_at = 0.0
@@ -155,6 +159,7 @@
         loop.call_every(EVICTION_INTERVAL_SECONDS, self._evict_expired)
         loop.call_every(SETTINGS_CHECK_INTERVAL_SECONDS, self._check_settings)
         loop.after_each_iteration(self._schedule_load_report)
+        loop.after_each_iteration(self._report_crashes)
 
     @property
     def process(self) -> node_process.NodeProcess:
@@ -187,7 +192,8 @@
         """Subscribe to all control hosts, or renew the subscriptions.
 
         The primary sends its records and new versions; to the others, this entry subscribes as
-        standby. A host gets the entry's record if it has none yet or has reconnected. Every
+        standby. A host gets the entry's record and all evidence of crashes if it has none yet or
+        has reconnected. Every
         `SUBSCRIPTIONS_PER_RECORD_RENEWAL` renewals, one host gets a record with a higher sequence
         number.
         """
@@ -196,7 +202,8 @@
             self._sent_record = record
             self._hosts_with_record.clear()
         self._subscribe_count += 1
-        crashes = self._request_handler.drain_crash_records()
+        now = self.loop.now()
+        new_crashes = self._request_handler.crash_evidence.drain_records(now)
         hosts = list(dict.fromkeys((*self._control_hosts, *self._settings.seed_internal_addresses)))
         primary = self._choose_primary(hosts)
         renewal_host = hosts[
@@ -204,10 +211,12 @@
         ]
         for host in hosts:
             entries: tuple[protocol_messages.EntryRecord, ...] = ()
+            crashes = new_crashes
             if host not in self._hosts_with_record or not self._process.transport.is_connected(
                 host
             ):
                 entries = (record,)
+                crashes += self._request_handler.crash_evidence.list_records(now)
             elif (
                 host == renewal_host
                 and self._subscribe_count % SUBSCRIPTIONS_PER_RECORD_RENEWAL == 0
@@ -272,7 +281,7 @@
             self._handle_server_record(record, now)
         for record in update.entries:
             self._registry.update_entry(record, now)
-        self._request_handler.add_crash_records(update.crashes)
+        self._request_handler.crash_evidence.apply_records(update.crashes, now)
         if update.controls and update.confirmed and update.controls != self._control_hosts:
             self._control_hosts = update.controls
             self._log.write("control.hosts", hosts=update.controls)
@@ -280,7 +289,7 @@
         if update.document and (update.confirmed or self.declaration or delay_is_over):
             self._apply_declaration(update.version, update.document, sender)
         if update.servers:
-            self._request_handler.start_queued()
+            self._request_handler.handle_announcements()
 
     def _handle_server_record(self, record: protocol_messages.ServerRecord, now: float) -> None:
         previous = self._registry.find_server(record.server)
@@ -374,6 +383,22 @@
             case load_reports.LoadReport():
                 self._load_exchange.handle_report(message)
 
+    def _report_crashes(self) -> None:
+        """Report new evidence of crashes at once, for all that is found within a short time."""
+        if self._request_handler.crash_evidence.has_news and not self._is_crash_report_scheduled:
+            self._is_crash_report_scheduled = True
+            self.loop.call_later(CRASH_REPORT_DELAY_SECONDS, self._send_crash_report)
+
+    def _send_crash_report(self) -> None:
+        self._is_crash_report_scheduled = False
+        self._subscribe()
+
+    def _tries_suspects(self, fingerprint: str) -> bool:
+        """Return whether this entry is the first of all by rank for a fingerprint."""
+        names = {record.entry for record in self._registry.entries() if not record.leaving}
+        rank = report_targets.rank_by(fingerprint)
+        return min(names | {self._settings.name}, key=rank) == self._settings.name
+
     def _schedule_load_report(self) -> None:
         self._request_handler.entry_count = self._load_exchange.entry_count
         self._request_handler.log_statement_changes()
--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -35,6 +35,7 @@
         self.is_stream = False
         self.body: list[bytes] = []
         self.event_reader = event_blocks.EventBlockReader()
+        self.sent_at = 0.0
         # Time of the last event of a stream, or of the last data of another answer.
         self.last_progress_at = 0.0
         self.event_gaps: list[float] = []
--- /dev/null
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -0,0 +1,285 @@
+"""Evidence of which contents crash backend servers, and the contents that are refused for it.
+
+A request has several fingerprints: that of its whole content, and that of each part of its prompt
+that other requests may have too. When a server ends, each request that it had at that moment may be
+the cause, and so may each of their parts. What is sound comes to be in complete answers as well,
+which ends the suspicion; a deadly content never does.
+
+Of the ends that a fingerprint was part of, those count that
+
+- are independent: each request was sent after the previous end. Servers that end together, for
+  another cause, count as one;
+- aren't explained by a fingerprint that the request doesn't have and that was part of as many ends
+  or more. So what runs beside a deadly content, on the same servers, isn't refused with it.
+
+All entries exchange their evidence through the control hosts.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+from collections.abc import Iterable
+
+import attrs
+
+from flamingoramp.protocol import messages
+
+# Independent unexplained ends after which a content is refused: one without any complete answer so
+# far, and one that has had some before.
+QUARANTINE_END_COUNT = 3
+QUARANTINE_END_COUNT_AFTER_ANSWERS = 5
+END_RETENTION_SECONDS = 3600.0
+# A content that is refused has no answers that could clear it. So one request with it is sent this
+# long after its last end, and another one after a wait that is longer by the factor.
+TRIAL_WAIT_SECONDS = 10.0
+TRIAL_WAIT_FACTOR = 10.0
+MAX_FINGERPRINTS = 4096
+# Per fingerprint; the latest are kept.
+MAX_ENDS = 256
+# Two times that were equal at the sender differ by less than this at the receiver.
+ROUNDING_SECONDS = 0.001
+
+# A server's name and start.
+ServerRun = tuple[str, int]
+
+
+def content_fingerprint(key: str, path: str, body: bytes) -> str:
+    """Return the fingerprint of a whole request, which is equal when it is sent again."""
+    digest = hashlib.blake2b(body, digest_size=12)
+    digest.update(key.encode())
+    digest.update(path.encode())
+    return digest.hexdigest()
+
+
+def part_fingerprint(part_id: str) -> str:
+    """Return the fingerprint of a part of a prompt."""
+    return "part-" + hashlib.blake2b(part_id.encode(), digest_size=12).hexdigest()
+
+
+@attrs.frozen
+class ServerEnd:
+    """End of a server while it had a request; times are monotonic seconds.
+
+    Parameters
+    ----------
+    sent_at, ended_at : float
+        Times of the sending of the request and of the end.
+    is_confirmed : bool
+        Whether the server is known to have ended; else it has only broken the connection.
+    """
+
+    sent_at: float
+    ended_at: float
+    is_confirmed: bool = True
+
+
+def count_independent(ends: Iterable[ServerEnd]) -> int:
+    """Return the largest number of ends of which each request was sent after the previous end."""
+    count = 0
+    previous_end = float("-inf")
+    for end in sorted(ends, key=lambda end: end.ended_at):
+        if end.sent_at >= previous_end - ROUNDING_SECONDS:
+            count += 1
+            previous_end = end.ended_at
+    return count
+
+
+class CrashEvidence:
+    """Ends of servers by the fingerprints of the requests that they had, at all entries."""
+
+    def __init__(self):
+        self._ends: dict[str, dict[ServerRun, ServerEnd]] = {}
+        self._answered_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # Fingerprints with new ends, or whose ends were cleared, at this entry.
+        self._new_ends: list[tuple[str, ServerRun]] = []
+        self._new_clearances: dict[str, float] = {}
+        # Number and time of the last trials of refused fingerprints.
+        self._trials: dict[str, tuple[int, float]] = {}
+
+    @property
+    def has_news(self) -> bool:
+        """Whether this entry has evidence that it has not reported yet."""
+        return bool(self._new_ends or self._new_clearances)
+
+    @property
+    def suspect_count(self) -> int:
+        """Number of fingerprints with ends."""
+        return len(self._ends)
+
+    def end_count(self, fingerprint: str) -> int:
+        """Return the number of ends that a fingerprint was part of."""
+        return len(self._ends.get(fingerprint, ()))
+
+    def record_break(
+        self, run: ServerRun, fingerprints: tuple[str, ...], *, sent_at: float, now: float
+    ) -> None:
+        """Record that a server broke off a request; whether it has ended isn't known yet."""
+        for fingerprint in fingerprints:
+            end = ServerEnd(sent_at, now, is_confirmed=False)
+            self._add(fingerprint, run, end)
+
+    def confirm(self, run: ServerRun) -> None:
+        """Record that a server that broke off requests has ended."""
+        for fingerprint, ends in self._ends.items():
+            end = ends.get(run)
+            if end is not None and not end.is_confirmed:
+                ends[run] = attrs.evolve(end, is_confirmed=True)
+                self._new_ends.append((fingerprint, run))
+
+    def withdraw(self, run: ServerRun) -> None:
+        """Remove the breaks of a server that has not ended."""
+        for fingerprint, ends in list(self._ends.items()):
+            end = ends.get(run)
+            if end is not None and not end.is_confirmed:
+                del ends[run]
+                if not ends:
+                    del self._ends[fingerprint]
+
+    def record_answer(self, fingerprints: tuple[str, ...], now: float) -> list[str]:
+        """Record a complete answer, which clears its fingerprints; return those with ends."""
+        cleared = []
+        for fingerprint in fingerprints:
+            self._set_answered(fingerprint, now)
+            if self._ends.pop(fingerprint, None) is not None:
+                self._new_clearances[fingerprint] = now
+                cleared.append(fingerprint)
+        return cleared
+
+    def apply_records(self, records: Iterable[messages.CrashRecord], now: float) -> None:
+        """Apply the evidence of other entries."""
+        for record in records:
+            recorded_at = now - record.age
+            fingerprint = record.fingerprint
+            if record.is_clearance:
+                self._apply_clearance(fingerprint, recorded_at)
+            elif recorded_at <= self._answered_at.get(fingerprint, float("-inf")):
+                # The others don't know of the answer that this entry has had since.
+                self._new_clearances[fingerprint] = self._answered_at[fingerprint]
+            else:
+                end = ServerEnd(recorded_at - record.seconds, recorded_at)
+                self._add(fingerprint, (record.server, record.born), end)
+
+    def drain_records(self, now: float) -> tuple[messages.CrashRecord, ...]:
+        """Return the evidence of this entry that it has not reported yet."""
+        records = [
+            messages.CrashRecord(fingerprint, age=now - cleared_at, is_clearance=True)
+            for fingerprint, cleared_at in self._new_clearances.items()
+        ]
+        for fingerprint, run in self._new_ends:
+            end = self._ends.get(fingerprint, {}).get(run)
+            if end is not None:
+                records.append(_to_record(fingerprint, run, end, now))
+        self._new_ends.clear()
+        self._new_clearances.clear()
+        return tuple(records)
+
+    def list_records(self, now: float) -> tuple[messages.CrashRecord, ...]:
+        """Return all ends that this entry knows, for a control host that may have lost them."""
+        return tuple(
+            _to_record(fingerprint, run, end, now)
+            for fingerprint, ends in self._ends.items()
+            for run, end in ends.items()
+            if end.is_confirmed
+        )
+
+    def find_quarantined(
+        self, fingerprints: tuple[str, ...], *, with_unconfirmed: bool = False
+    ) -> str:
+        """Return the fingerprint for which a request is to be refused; empty for none.
+
+        Parameters
+        ----------
+        fingerprints : tuple of str
+            All fingerprints of the request.
+        with_unconfirmed : bool
+            Whether a broken connection counts as the end of its server.
+        """
+        for fingerprint in fingerprints:
+            ends = {
+                run: end
+                for run, end in self._ends.get(fingerprint, {}).items()
+                if with_unconfirmed or end.is_confirmed
+            }
+            limit = QUARANTINE_END_COUNT
+            if fingerprint in self._answered_at:
+                limit = QUARANTINE_END_COUNT_AFTER_ANSWERS
+            if len(ends) < limit:
+                continue
+            self._remove_explained(ends, fingerprints)
+            if count_independent(ends.values()) >= limit:
+                return fingerprint
+        return ""
+
+    def try_again(self, fingerprint: str, now: float) -> bool:
+        """Return whether a request is to be sent, though its fingerprint is refused."""
+        trial_count, tried_at = self._trials.get(fingerprint, (0, float("-inf")))
+        last_end = max(end.ended_at for end in self._ends[fingerprint].values())
+        wait = TRIAL_WAIT_SECONDS * TRIAL_WAIT_FACTOR**trial_count
+        if now - max(last_end, tried_at) < wait:
+            return False
+        self._trials[fingerprint] = (trial_count + 1, now)
+        return True
+
+    def _remove_explained(
+        self, ends: dict[ServerRun, ServerEnd], fingerprints: tuple[str, ...]
+    ) -> None:
+        """Remove the ends that others than a request's own fingerprints explain as well."""
+        end_count = len(ends)
+        for other, other_ends in self._ends.items():
+            if len(other_ends) >= end_count and other not in fingerprints:
+                for run in ends.keys() & other_ends.keys():
+                    del ends[run]
+
+    def evict_expired(self, now: float) -> None:
+        """Forget ends after their retention, and the least suspect of too many fingerprints."""
+        for fingerprint, ends in list(self._ends.items()):
+            self._retain_ends(fingerprint, ends, ended_after=now - END_RETENTION_SECONDS)
+        excess = len(self._ends) - MAX_FINGERPRINTS
+        if excess > 0:
+            least_suspect = sorted(self._ends, key=lambda fingerprint: len(self._ends[fingerprint]))
+            for fingerprint in least_suspect[:excess]:
+                del self._ends[fingerprint]
+        self._trials = {
+            fingerprint: trial
+            for fingerprint, trial in self._trials.items()
+            if fingerprint in self._ends
+        }
+
+    def _add(self, fingerprint: str, run: ServerRun, end: ServerEnd) -> None:
+        ends = self._ends.setdefault(fingerprint, {})
+        known = ends.get(run)
+        if known is None or (end.is_confirmed and not known.is_confirmed):
+            ends[run] = end
+        if len(ends) > MAX_ENDS:
+            del ends[min(ends, key=lambda run: ends[run].ended_at)]
+
+    def _apply_clearance(self, fingerprint: str, cleared_at: float) -> None:
+        if cleared_at > self._answered_at.get(fingerprint, float("-inf")):
+            self._set_answered(fingerprint, cleared_at)
+        ends = self._ends.get(fingerprint)
+        if ends is not None:
+            self._retain_ends(fingerprint, ends, ended_after=cleared_at)
+
+    def _retain_ends(
+        self, fingerprint: str, ends: dict[ServerRun, ServerEnd], *, ended_after: float
+    ) -> None:
+        for run in [run for run, end in ends.items() if end.ended_at <= ended_after]:
+            del ends[run]
+        if not ends:
+            del self._ends[fingerprint]
+
+    def _set_answered(self, fingerprint: str, answered_at: float) -> None:
+        self._answered_at[fingerprint] = answered_at
+        self._answered_at.move_to_end(fingerprint)
+        if len(self._answered_at) > MAX_FINGERPRINTS:
+            self._answered_at.popitem(last=False)
+
+
+def _to_record(
+    fingerprint: str, run: ServerRun, end: ServerEnd, now: float
+) -> messages.CrashRecord:
+    server, born = run
+    return messages.CrashRecord(
+        fingerprint, server, born, age=now - end.ended_at, seconds=end.ended_at - end.sent_at
+    )
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -79,8 +79,8 @@
     """A caller's request that passed admission, whose answer goes to its exchange.
 
     ``workspace`` is empty if the request has none. ``priority`` is the rank at the engines, 0 being
-    the most urgent. ``fingerprint`` is a digest of the content, equal for a request that is sent
-    again. ``time_limit_seconds`` is the time from arrival to the deadline.
+    the most urgent. ``fingerprints`` are those of the content and of the shared parts of its prompt
+    (`crash_evidence`). ``time_limit_seconds`` is the time from arrival to the deadline.
     """
 
     exchange: http_server.Exchange
@@ -89,7 +89,7 @@
     service: str
     workspace: str
     priority: int | None
-    fingerprint: str
+    fingerprints: tuple[str, ...]
     time_limit_seconds: float
 
 
@@ -120,9 +120,17 @@
         """Spend a retry of the service's allowance; False if it is used up."""
 
     def record_failure(
-        self, admitted: AdmittedRequest, server: protocol_messages.ServerRecord, crashed: bool
+        self,
+        admitted: AdmittedRequest,
+        server: protocol_messages.ServerRecord,
+        *,
+        crashed: bool,
+        sent_at: float,
     ) -> None:
-        """Record a failed connection; ``crashed`` if the request may have crashed the server."""
+        """Record a failed connection.
+
+        ``crashed`` if the request, sent at ``sent_at``, may have crashed the server.
+        """
 
     def has_backlog(
         self, admitted: AdmittedRequest, server: protocol_messages.ServerRecord
@@ -135,6 +143,9 @@
     def record_answer(self, server: protocol_messages.ServerRecord, failed: bool) -> None:
         """Record a complete answer; ``failed`` for a 5xx status."""
 
+    def record_sound(self, admitted: AdmittedRequest) -> None:
+        """Record that a server has answered a request completely."""
+
     def record_statement(
         self,
         admitted: AdmittedRequest,
@@ -255,7 +266,7 @@
             self._context.record_first_send(admitted.service)
         self._excluded.add(target.server.server)
         attempt = attempts.Attempt(self, target, self._attempt_count)
-        attempt.last_progress_at = now
+        attempt.sent_at = attempt.last_progress_at = now
         self._attempt = attempt
         tickets = {
             hold.server: hold.ticket
@@ -408,7 +419,7 @@
                 self._handle_refusal(attempt, head, answer_head.failed_address)
             case dialects.AnswerKind.FOREIGN:
                 self._may_have_run = True
-                self._context.record_failure(self._admitted, attempt.target.server, crashed=False)
+                self._record_failure(attempt, crashed=False)
                 self._handle_broken_attempt("foreign_answer")
             case dialects.AnswerKind.STREAM:
                 self._may_have_run = True
@@ -431,9 +442,12 @@
         attempt.detach()
         if attempt.is_stream:
             if attempt.event_reader.has_incomplete_event or not self._exchange.has_started:
+                self._record_failure(attempt, crashed=True)
                 self._handle_broken_attempt("cut_off")
                 return
             self._context.record_answer(attempt.target.server, failed=False)
+            if attempt.head.has_framed_body:
+                self._context.record_sound(self._admitted)
             self._context.record_event_gaps(
                 self._admitted.service, attempt.target.server, attempt.event_gaps
             )
@@ -443,6 +457,8 @@
         head = attempt.head
         failed = head.status >= 500
         self._context.record_answer(attempt.target.server, failed=failed)
+        if attempt.head.has_framed_body:
+            self._context.record_sound(self._admitted)
         if failed and self._can_retry() and self._retry(f"status_{head.status}"):
             return
         if not self._exchange.has_started:
@@ -461,9 +477,14 @@
         attempt.detach()
         crashed = may_have_run and failure in (client.Failure.RESET, client.Failure.CLOSED)
         self._may_have_run = self._may_have_run or may_have_run
-        self._context.record_failure(self._admitted, attempt.target.server, crashed=crashed)
+        self._record_failure(attempt, crashed=crashed)
         self._handle_broken_attempt(failure.value)
 
+    def _record_failure(self, attempt: attempts.Attempt, *, crashed: bool) -> None:
+        self._context.record_failure(
+            self._admitted, attempt.target.server, crashed=crashed, sent_at=attempt.sent_at
+        )
+
     def _relay_events(
         self, attempt: attempts.Attempt, blocks: list[event_blocks.EventBlock]
     ) -> None:
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import attrs
 
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
-from flamingoramp.dispatch import allowance, forwarding
+from flamingoramp.dispatch import allowance, crash_evidence, forwarding, server_ends
 from flamingoramp.http import client
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import traffic
@@ -23,10 +22,6 @@
 from flamingoramp.runtime import metrics as metrics_module
 from flamingoramp.runtime import node_settings
 
-# A request is refused once it has crashed this many servers.
-QUARANTINE_CRASH_COUNT = 3
-# Fingerprints of requests that crashed servers; the oldest are evicted first.
-MAX_CRASH_FINGERPRINTS = 4096
 # About this long after a restart an entry has a declaration, if all control hosts restarted too.
 EXPECTED_STARTUP_SECONDS = 2.0
 MIN_NOT_READY_RETRY_SECONDS = 0.5
@@ -71,6 +66,9 @@
     receives_control_updates : callable
         Returns whether control hosts currently send updates to this entry; these carry the
         announcements of servers.
+    tries_suspects : callable
+        Takes a fingerprint and returns whether it is this entry, of all, that sends single requests
+        with it after it has been refused for a time.
     """
 
     def __init__(
@@ -86,6 +84,7 @@
         bounds: node_settings.BoundSettings,
         zone: str,
         receives_control_updates: Callable[[], bool],
+        tries_suspects: Callable[[str], bool] = lambda _fingerprint: False,
     ):
         self.loop = loop
         self.pool = pool
@@ -97,6 +96,7 @@
         self._metrics = metrics
         self._bounds = bounds
         self._receives_control_updates = receives_control_updates
+        self._tries_suspects = tries_suspects
         self._started_at = loop.now()
         self._declaration: traffic.TrafficDeclaration | None = None
         self._observations = observations.Observations()
@@ -107,8 +107,15 @@
             zone=zone,
         )
         self._retry_allowances: dict[str, allowance.RetryAllowance] = {}
-        self._crashes_by_fingerprint: dict[str, set[tuple[str, int]]] = {}
-        self._new_crash_records: list[messages.CrashRecord] = []
+        self._crash_evidence = crash_evidence.CrashEvidence()
+        self._server_ends = server_ends.ServerEndChecks(
+            loop,
+            pool,
+            server_registry=server_registry,
+            evidence=self._crash_evidence,
+            log=log,
+            metrics=metrics,
+        )
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._queued: set[http_server.Exchange] = set()
         self._is_releasing = False
@@ -145,29 +152,26 @@
         self.loop.call_later(interval, self._release_next)
         self._start_request(exchange)
 
-    def add_crash_records(self, records: Iterable[messages.CrashRecord]) -> None:
-        """Add crashes of servers, by the fingerprint of the request that they were running."""
-        for record in records:
-            self._crashes_by_fingerprint.setdefault(record.fingerprint, set()).add(
-                (record.server, record.born)
-            )
+    @property
+    def crash_evidence(self) -> crash_evidence.CrashEvidence:
+        """Evidence of contents that crash servers, which entries exchange."""
+        return self._crash_evidence
 
-    def drain_crash_records(self) -> tuple[messages.CrashRecord, ...]:
-        """Return and clear the crash records of this entry, to be sent to the other entries."""
-        drained = tuple(self._new_crash_records)
-        self._new_crash_records.clear()
-        return drained
+    def handle_announcements(self) -> None:
+        """Use the announcements of servers that have arrived."""
+        self._server_ends.handle_announcements()
+        self.start_queued()
 
     def evict_stale(self) -> None:
-        """Evict observations of servers that are gone, and the oldest crash fingerprints."""
+        """Evict observations of servers that are gone, and old evidence of crashes."""
         servers = self._registry.servers()
         self._observations.retain_only({observations.instance_key(record) for record in servers})
         self.server_loads.statements.retain_only(servers, self.loop.now())
         self._metrics.set_gauge("limited_servers", self.server_loads.statements.limited_count)
         self._metrics.set_gauge("closed_servers", self.server_loads.statements.closed_count)
         self._metrics.set_gauge("leaving_servers", self.server_loads.statements.leaving_count)
-        while len(self._crashes_by_fingerprint) > MAX_CRASH_FINGERPRINTS:
-            del self._crashes_by_fingerprint[next(iter(self._crashes_by_fingerprint))]
+        self._crash_evidence.evict_expired(self.loop.now())
+        self._metrics.set_gauge("crash_suspects", self._crash_evidence.suspect_count)
 
     # Admission.
 
@@ -279,8 +283,8 @@
         workspace = declaration.find_workspace(caller.key) if caller.key else None
         if workspace is None and declaration.workspaces and not route.is_public:
             raise errors.UnknownApiKeyError("no workspace holds this key")
-        fingerprint = _fingerprint(caller, exchange.request.body)
-        self._check_quarantine(fingerprint)
+        fingerprints = _make_fingerprints(caller, exchange.request.body)
+        self._check_quarantine(caller.request_id, fingerprints)
         time_limit_seconds = route.timeout_seconds
         if caller.remaining_seconds is not None:
             time_limit_seconds = min(time_limit_seconds, caller.remaining_seconds)
@@ -294,13 +298,22 @@
             service=route.choose_service(caller.request_id),
             workspace=workspace.name if workspace is not None else "",
             priority=min(LEAST_URGENT_PRIORITY, 2 * declared_priority + _urgency_offset(route)),
-            fingerprint=fingerprint,
+            fingerprints=fingerprints,
             time_limit_seconds=time_limit_seconds,
         )
 
-    def _check_quarantine(self, fingerprint: str) -> None:
-        if len(self._crashes_by_fingerprint.get(fingerprint, ())) >= QUARANTINE_CRASH_COUNT:
-            raise errors.RequestQuarantinedError("this request broke off several servers")
+    def _check_quarantine(self, request_id: str, fingerprints: tuple[str, ...]) -> None:
+        """Refuse a request that has crashed servers, but for single ones that try it again."""
+        fingerprint = self._crash_evidence.find_quarantined(fingerprints)
+        if not fingerprint:
+            return
+        if self._tries_suspects(fingerprint) and self._crash_evidence.try_again(
+            fingerprint, self.loop.now()
+        ):
+            self._metrics.count("crash_suspect_trials")
+            self._log.write("suspect.tried", request_id, fingerprint=fingerprint)
+            return
+        raise _quarantine_error(fingerprints, fingerprint)
 
     # What request forwarders ask for.
 
@@ -308,7 +321,13 @@
         self, admitted: forwarding.AdmittedRequest, excluded: set[str]
     ) -> forwarding.AttemptTarget:
         """Choose the servers of the next attempt of a request."""
-        self._check_quarantine(admitted.fingerprint)
+        if excluded:
+            # After a server broke the request off, it is safer to assume that it has ended.
+            fingerprint = self._crash_evidence.find_quarantined(
+                admitted.fingerprints, with_unconfirmed=True
+            )
+            if fingerprint:
+                raise _quarantine_error(admitted.fingerprints, fingerprint)
         return self._server_selector.choose(
             self._declaration,
             admitted,
@@ -357,7 +376,12 @@
             self.server_loads.statements.record_send(work_item.server, now)
 
     def record_failure(
-        self, admitted: forwarding.AdmittedRequest, server: messages.ServerRecord, crashed: bool
+        self,
+        admitted: forwarding.AdmittedRequest,
+        server: messages.ServerRecord,
+        *,
+        crashed: bool,
+        sent_at: float,
     ) -> None:
         """Record a failed connection; ``crashed`` if the request may have crashed the server."""
         self._observations.record_attempt_failure(
@@ -365,17 +389,15 @@
         )
         self._metrics.count("servers_broken")
         if crashed:
-            record = messages.CrashRecord(admitted.fingerprint, server.server, server.born)
-            self.add_crash_records((record,))
-            self._new_crash_records.append(record)
+            self._server_ends.handle_break(server, admitted.fingerprints, sent_at)
             self.record_step(
                 admitted,
                 "request.broken_off",
                 server=server.server,
                 born=server.born,
-                fingerprint=admitted.fingerprint,
                 parts=admitted.caller.shared_parts,
-                crashes=len(self._crashes_by_fingerprint[admitted.fingerprint]),
+                fingerprints=admitted.fingerprints,
+                ends=[self._crash_evidence.end_count(item) for item in admitted.fingerprints],
             )
 
     def record_stall(self, server: messages.ServerRecord) -> None:
@@ -390,6 +412,14 @@
             observations.instance_key(server), failed=failed, now=self.loop.now()
         )
 
+    def record_sound(self, admitted: forwarding.AdmittedRequest) -> None:
+        """Record that a server has answered a request completely."""
+        for fingerprint in self._crash_evidence.record_answer(
+            admitted.fingerprints, self.loop.now()
+        ):
+            self._metrics.count("crash_suspects_cleared")
+            self._log.write("suspect.cleared", admitted.caller.request_id, fingerprint=fingerprint)
+
     def record_statement(
         self,
         admitted: forwarding.AdmittedRequest,
@@ -473,12 +503,17 @@
         )
 
 
-def _fingerprint(caller: dialects.CallerRequest, body: bytes) -> str:
-    """Return a digest of a request's key, path and body, which is equal when it is sent again."""
-    digest = hashlib.blake2b(body, digest_size=12)
-    digest.update(caller.key.encode())
-    digest.update(caller.path.encode())
-    return digest.hexdigest()
+def _make_fingerprints(caller: dialects.CallerRequest, body: bytes) -> tuple[str, ...]:
+    """Return the fingerprint of a request, then those of the shared parts of its prompt."""
+    content = crash_evidence.content_fingerprint(caller.key, caller.path, body)
+    return content, *map(crash_evidence.part_fingerprint, caller.shared_parts)
+
+
+def _quarantine_error(
+    fingerprints: tuple[str, ...], fingerprint: str
+) -> errors.RequestQuarantinedError:
+    what = "this request" if fingerprint == fingerprints[0] else "a part of its prompt"
+    return errors.RequestQuarantinedError(f"{what} broke off several servers ({fingerprint})")
 
 
 def _finite_or_none(number: float) -> float | None:
--- /dev/null
+++ b/flamingoramp/dispatch/tests/test_crash_evidence.py
@@ -0,0 +1,479 @@
+"""Tests of the evidence of contents that crash servers, at one entry and at many."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import random
+import unittest
+
+import attrs
+from hypothesis import given, strategies
+
+from flamingoramp.dispatch import crash_evidence
+from flamingoramp.membership import registry, subscriptions
+from flamingoramp.protocol import messages
+from flamingoramp.runtime import virtual_time
+
+END_COUNT = crash_evidence.QUARANTINE_END_COUNT
+
+
+def end_server(
+    evidence: crash_evidence.CrashEvidence,
+    server: str,
+    *requests: tuple[str, ...],
+    at: float,
+    sent_before: float = 0.2,
+) -> None:
+    """Record that a server ended with some requests, each given by its fingerprints."""
+    run = (server, 1)
+    for fingerprints in requests:
+        evidence.record_break(run, fingerprints, sent_at=at - sent_before, now=at)
+    evidence.confirm(run)
+
+
+class TestIndependentEnds(unittest.TestCase):
+    """Ends that count one by one, and those that count together."""
+
+    def count(self, *times: tuple[float, float]) -> int:
+        return crash_evidence.count_independent(
+            crash_evidence.ServerEnd(sent_at, ended_at) for sent_at, ended_at in times
+        )
+
+    def test_requests_sent_after_the_previous_end_count_one_by_one(self):
+        self.assertEqual(self.count((0.0, 0.1), (0.1, 0.2), (0.5, 0.9)), 3)
+
+    # Guards against a content that is held responsible for several servers that fail together.
+    def test_servers_that_end_together_count_as_one(self):
+        self.assertEqual(self.count((0.0, 1.0), (0.5, 1.0), (0.9, 1.01), (0.99, 1.02)), 1)
+
+    @given(
+        strategies.lists(
+            strategies.tuples(strategies.floats(0, 10), strategies.floats(0, 2)), max_size=8
+        )
+    )
+    def test_no_larger_independent_set_exists(self, intervals):
+        ends = [
+            crash_evidence.ServerEnd(begin, begin + seconds + 0.01) for begin, seconds in intervals
+        ]
+        largest = max(
+            len(chosen)
+            for size in range(len(ends) + 1)
+            for chosen in itertools.combinations(sorted(ends, key=lambda end: end.ended_at), size)
+            if all(
+                later.sent_at >= earlier.ended_at - crash_evidence.ROUNDING_SECONDS
+                for earlier, later in itertools.pairwise(chosen)
+            )
+        )
+        self.assertEqual(crash_evidence.count_independent(ends), largest)
+
+
+class TestEvidenceOfOneEntry(unittest.TestCase):
+    """What one entry holds against a content, and for it."""
+
+    def setUp(self):
+        self.evidence = crash_evidence.CrashEvidence()
+
+    def end_servers(self, *requests: tuple[str, ...], count: int = END_COUNT) -> None:
+        for number in range(count):
+            end_server(self.evidence, f"s{number}", *requests, at=10.0 + number)
+
+    def test_content_is_refused_after_independent_ends(self):
+        self.end_servers(("c",), count=END_COUNT - 1)
+        self.assertEqual(self.evidence.find_quarantined(("c",)), "")
+        self.end_servers(("c",))
+        self.assertEqual(self.evidence.find_quarantined(("c",)), "c")
+
+    def test_part_is_refused_whatever_else_the_request_holds(self):
+        for number in range(END_COUNT):
+            end_server(self.evidence, f"s{number}", (f"c{number}", "p"), at=10.0 + number)
+        self.assertEqual(self.evidence.find_quarantined(("new", "first", "p")), "p")
+        self.assertEqual(self.evidence.find_quarantined(("new", "first")), "")
+
+    def test_answer_clears_content_and_parts(self):
+        self.end_servers(("c", "p"))
+        self.assertEqual(self.evidence.record_answer(("c", "p", "q"), 20.0), ["c", "p"])
+        self.assertEqual(self.evidence.find_quarantined(("c", "p")), "")
+
+    def test_content_that_had_answers_is_refused_after_more_ends(self):
+        self.evidence.record_answer(("c",), 5.0)
+        self.end_servers(("c",))
+        self.assertEqual(self.evidence.find_quarantined(("c",)), "")
+        self.end_servers(("c",), count=crash_evidence.QUARANTINE_END_COUNT_AFTER_ANSWERS)
+        self.assertEqual(self.evidence.find_quarantined(("c",)), "c")
+
+    # Guards against a common part that is refused since servers fail together for another cause.
+    def test_servers_that_end_together_condemn_nothing(self):
+        for number in range(10):
+            end_server(self.evidence, f"s{number}", (f"c{number}", "p"), at=10.0 + 0.001 * number)
+        self.assertEqual(self.evidence.find_quarantined(("c", "p")), "")
+
+    # Guards against requests that are refused since they ran on the same servers as a deadly part.
+    def test_companion_of_a_deadly_part_is_not_refused(self):
+        for number in range(END_COUNT):
+            requests = (("victim", "v"), (f"c{number}", "p"))
+            end_server(self.evidence, f"s{number}", *requests, at=10.0 + number)
+        end_server(self.evidence, "s9", ("c9", "p"), at=20.0)
+        self.assertEqual(self.evidence.find_quarantined(("victim", "v")), "")
+        self.assertEqual(self.evidence.find_quarantined(("c10", "p")), "p")
+
+    def test_part_that_always_comes_with_a_deadly_one_is_tried_without_it(self):
+        for number in range(END_COUNT):
+            content = f"c{number}"
+            end_server(self.evidence, content, (content, "deadly", "companion"), at=10.0 + number)
+        self.assertNotEqual(self.evidence.find_quarantined(("x", "deadly", "companion")), "")
+        self.assertEqual(self.evidence.find_quarantined(("x", "companion")), "")
+        self.evidence.record_answer(("x", "companion"), 20.0)
+        self.assertEqual(self.evidence.find_quarantined(("y", "companion")), "")
+        self.assertEqual(self.evidence.find_quarantined(("y", "deadly")), "deadly")
+
+    def test_two_deadly_parts_at_once_are_both_refused(self):
+        for number in range(END_COUNT):
+            victim = (f"v{number}", "first")
+            end_server(self.evidence, f"a{number}", victim, (f"x{number}", "p"), at=10.0 + number)
+            end_server(self.evidence, f"b{number}", victim, (f"y{number}", "q"), at=10.5 + number)
+        self.evidence.record_answer(("w", "first"), 20.0)
+        self.assertEqual(self.evidence.find_quarantined(("n", "first", "p")), "p")
+        self.assertEqual(self.evidence.find_quarantined(("n", "first", "q")), "q")
+        self.assertEqual(self.evidence.find_quarantined(("n", "first")), "")
+
+    def test_break_counts_for_its_own_retry_until_it_is_withdrawn(self):
+        self.end_servers(("c",), count=END_COUNT - 1)
+        self.evidence.record_break(("s", 1), ("c",), sent_at=20.0, now=20.1)
+        self.assertEqual(self.evidence.find_quarantined(("c",)), "")
+        self.assertEqual(self.evidence.find_quarantined(("c",), with_unconfirmed=True), "c")
+        self.evidence.withdraw(("s", 1))
+        self.assertEqual(self.evidence.find_quarantined(("c",), with_unconfirmed=True), "")
+
+    def test_several_requests_on_one_server_count_once(self):
+        end_server(self.evidence, "s", *[(f"c{n}", "p") for n in range(5)], at=10.0)
+        self.assertEqual(self.evidence.end_count("p"), 1)
+
+    # Guards against a sound content that is refused for good, since it gets no answers any more.
+    def test_refused_content_is_tried_after_growing_waits(self):
+        self.end_servers(("c",))
+        last_end = 10.0 + END_COUNT - 1
+        times = [last_end + 0.5 * step for step in range(1, 4000)]
+        tried = [time for time in times if self.evidence.try_again("c", time)]
+        self.assertEqual(tried, [last_end + wait for wait in (10.0, 110.0, 1110.0)])
+
+    def test_wait_for_a_trial_begins_with_the_last_end(self):
+        self.end_servers(("c",))
+        self.assertTrue(self.evidence.try_again("c", 30.0))
+        end_server(self.evidence, "s9", ("c",), at=31.0)
+        self.assertFalse(self.evidence.try_again("c", 130.5))
+        self.assertTrue(self.evidence.try_again("c", 131.0))
+
+    def test_ends_are_forgotten_after_their_retention(self):
+        self.end_servers(("c",))
+        self.evidence.evict_expired(12.0 + crash_evidence.END_RETENTION_SECONDS)
+        self.assertEqual(self.evidence.suspect_count, 0)
+
+    def test_number_of_suspects_is_bounded_and_refused_ones_are_kept(self):
+        self.end_servers(("c",))
+        for number in range(crash_evidence.MAX_FINGERPRINTS + 10):
+            end_server(self.evidence, "s", (f"x{number}",), at=20.0)
+        self.evidence.evict_expired(21.0)
+        self.assertEqual(self.evidence.suspect_count, crash_evidence.MAX_FINGERPRINTS)
+        self.assertEqual(self.evidence.find_quarantined(("c",)), "c")
+
+
+class TestExchange(unittest.TestCase):
+    """Evidence that entries exchange as crash records."""
+
+    def setUp(self):
+        self.first, self.second = (crash_evidence.CrashEvidence() for _ in range(2))
+
+    def exchange(self, at: float) -> None:
+        for source, receiver in ((self.first, self.second), (self.second, self.first)):
+            receiver.apply_records(source.drain_records(at), at + 0.01)
+
+    def test_ends_at_two_entries_add_up(self):
+        end_server(self.first, "s1", ("a", "p"), at=10.0)
+        end_server(self.second, "s2", ("b", "p"), at=11.0)
+        end_server(self.second, "s3", ("c", "p"), at=12.0)
+        self.exchange(12.5)
+        for evidence in (self.first, self.second):
+            self.assertEqual(evidence.find_quarantined(("d", "p")), "p")
+
+    def test_answer_at_one_entry_clears_at_the_other(self):
+        for number in range(END_COUNT):
+            end_server(self.first, f"s{number}", ("a", "p"), at=10.0 + number)
+        self.exchange(13.0)
+        self.second.record_answer(("b", "p"), 14.0)
+        self.exchange(14.0)
+        self.assertEqual(self.first.find_quarantined(("a", "p")), "a")
+        self.assertEqual(self.first.find_quarantined(("b", "p")), "")
+
+    # Guards against ends that come back from a host that missed their clearance.
+    def test_old_ends_are_cleared_again_by_those_who_had_an_answer_since(self):
+        for number in range(END_COUNT):
+            end_server(self.first, f"s{number}", ("a",), at=10.0 + number)
+        self.second.record_answer(("a",), 20.0)
+        self.exchange(30.0)
+        self.exchange(31.0)
+        self.assertEqual(self.first.find_quarantined(("a",)), "")
+
+    def test_all_ends_are_listed_for_a_host_that_lost_them(self):
+        for number in range(END_COUNT):
+            end_server(self.first, f"s{number}", ("a",), at=10.0 + number)
+        self.first.drain_records(13.0)
+        self.second.apply_records(self.first.list_records(100.0), 100.0)
+        self.assertEqual(self.second.find_quarantined(("a",)), "a")
+
+
+@attrs.define
+class _Entry:
+    evidence: crash_evidence.CrashEvidence
+    connection: object
+    is_reporting: bool = False
+
+
+class _Connection:
+    is_open = True
+
+
+class CrashingLoad:
+    """Entries that send requests to engines which some parts crash, in virtual time.
+
+    An entry sends each request to one of the least loaded engines. Requests have one of 60 first
+    parts; those with a deadly part crash their engine soon after they begin. A request whose engine
+    ended is sent once more. Entries exchange their evidence through one control host.
+
+    Parameters
+    ----------
+    seed : int
+    entry_count, engine_count : int
+    deadly_parts : tuple of str
+    request_rate, deadly_rate : float
+        Requests per second without and with a deadly part.
+    message_seconds : float
+        Time that a message takes.
+    deadly_from : float
+        Time of the first request with a deadly part.
+    """
+
+    ANSWER_SECONDS = 1.7
+    DOWN_SECONDS = 3.3
+    REPORT_SECONDS = 0.02
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        entry_count: int = 9,
+        engine_count: int = 23,
+        deadly_parts: tuple[str, ...] = ("deadly",),
+        request_rate: float = 23.0,
+        deadly_rate: float = 1.2,
+        message_seconds: float = 0.01,
+        deadly_from: float = 10.0,
+    ):
+        self.loop = virtual_time.VirtualLoop()
+        # By deadly part: the ends of engines that it crashed, and its requests.
+        self.end_times: dict[str, list[float]] = {part: [] for part in deadly_parts}
+        self.sent_times: dict[str, list[float]] = {part: [] for part in deadly_parts}
+        self.refused: list[tuple[float, str]] = []
+        self.sound_count = 0
+        self._rng = random.Random(seed)
+        self._message_seconds = message_seconds
+        self._publisher = subscriptions.Publisher(registry.Registry())
+        self._entries = [
+            _Entry(crash_evidence.CrashEvidence(), _Connection()) for _ in range(entry_count)
+        ]
+        self._engines = [f"e{number}" for number in range(engine_count)]
+        self._born = collections.Counter()
+        self._down_until = collections.defaultdict(float)
+        self._running: dict[str, dict[int, tuple]] = collections.defaultdict(dict)
+        self._numbers = itertools.count()
+        self._deadly_parts = deadly_parts
+        self.loop.call_every(0.5, self._renew)
+        self._renew()
+        self._schedule(request_rate, self._send_sound)
+        self.loop.call_later(deadly_from, lambda: self._schedule(deadly_rate, self._send_deadly))
+
+    def crash_engines(self, share: float) -> None:
+        """Let a share of the engines end at once, for another cause."""
+        for engine in self._engines[: int(share * len(self._engines))]:
+            self._end_engine(engine)
+
+    def _schedule(self, rate: float, send) -> None:
+        def _send_and_repeat() -> None:
+            send()
+            self.loop.call_later(self._rng.expovariate(rate), _send_and_repeat)
+
+        self.loop.call_later(self._rng.expovariate(rate), _send_and_repeat)
+
+    def _first_part(self) -> str:
+        return f"first{int(60 * self._rng.random() ** 2)}"
+
+    def _send_sound(self) -> None:
+        self.sound_count += 1
+        self._send((f"c{next(self._numbers)}", self._first_part()))
+
+    def _send_deadly(self) -> None:
+        deadly = self._rng.choice(self._deadly_parts)
+        self._send((f"c{next(self._numbers)}", self._first_part(), deadly))
+
+    def _send(self, fingerprints: tuple[str, ...], attempt: int = 1, entry=None) -> None:
+        entry = entry or self._rng.choice(self._entries)
+        now = self.loop.now()
+        found = entry.evidence.find_quarantined(fingerprints, with_unconfirmed=attempt > 1)
+        is_deadly = fingerprints[-1] in self._deadly_parts
+        tries_suspects = attempt == 1 and entry is self._entries[0]
+        if found and tries_suspects and entry.evidence.try_again(found, now):
+            found = ""
+        if found and not is_deadly:
+            self.refused.append((now, found))
+        usable = [engine for engine in self._engines if self._down_until[engine] <= now]
+        if found or not usable:
+            return
+        if is_deadly:
+            self.sent_times[fingerprints[-1]].append(now)
+        # A few requests share an engine before the next one is used.
+        engine = min(usable, key=lambda engine: (len(self._running[engine]) // 4, engine))
+        number = next(self._numbers)
+        self._running[engine][number] = (entry, fingerprints, now, attempt)
+        seconds = self._rng.uniform(0.05, 0.2) if is_deadly else self.ANSWER_SECONDS
+        self.loop.call_later(seconds, lambda: self._finish(engine, number, is_deadly))
+
+    def _finish(self, engine: str, number: int, is_deadly: bool) -> None:
+        if number not in self._running[engine]:
+            return
+        entry, fingerprints, _, _ = self._running[engine][number]
+        if is_deadly:
+            self.end_times[fingerprints[-1]].append(self.loop.now())
+            self._end_engine(engine)
+            return
+        del self._running[engine][number]
+        entry.evidence.record_answer(fingerprints, self.loop.now())
+        self._report(entry)
+
+    def _end_engine(self, engine: str) -> None:
+        now = self.loop.now()
+        run = (engine, self._born[engine])
+        self._born[engine] += 1
+        self._down_until[engine] = now + self.DOWN_SECONDS
+        lost = list(self._running.pop(engine, {}).values())
+        for entry, fingerprints, sent_at, _ in lost:
+            entry.evidence.record_break(run, fingerprints, sent_at=sent_at, now=now)
+            self.loop.call_later(0.003, lambda entry=entry: self._confirm(entry, run))
+        for entry, fingerprints, _, attempt in lost:
+            if attempt == 1:
+                self._send(fingerprints, attempt=2, entry=entry)
+
+    def _confirm(self, entry: _Entry, run: crash_evidence.ServerRun) -> None:
+        entry.evidence.confirm(run)
+        self._report(entry)
+
+    def _report(self, entry: _Entry) -> None:
+        if entry.evidence.has_news and not entry.is_reporting:
+            entry.is_reporting = True
+            self.loop.call_later(self.REPORT_SECONDS, lambda: self._send_report(entry))
+
+    def _send_report(self, entry: _Entry) -> None:
+        entry.is_reporting = False
+        message = messages.Subscribe(crashes=entry.evidence.drain_records(self.loop.now()))
+        self.loop.call_later(self._message_seconds, lambda: self._publish(entry, message))
+
+    def _renew(self) -> None:
+        for entry in self._entries:
+            self._publish(entry, messages.Subscribe())
+
+    def _publish(self, entry: _Entry, message: messages.Subscribe) -> None:
+        now = self.loop.now()
+        self._publisher.handle(entry.connection, message, now)
+        entries = {entry.connection: entry for entry in self._entries}
+        updates = self._publisher.make_updates(
+            version=1, document=b"", confirmed=True, controls=(), now=now
+        )
+        for connection, update in updates:
+            receiver = entries[connection]
+            self.loop.call_later(
+                self._message_seconds,
+                lambda receiver=receiver, update=update: self._receive(receiver, update),
+            )
+
+    def _receive(self, entry: _Entry, update: messages.ClusterUpdate) -> None:
+        entry.evidence.apply_records(update.crashes, self.loop.now())
+        self._report(entry)
+
+
+class TestLoadWithDeadlyParts(unittest.TestCase):
+    """Load pattern: a share of the requests crashes each engine that begins to answer them."""
+
+    CONTACT_SECONDS = 3.0
+    MAX_LATE_REQUESTS = 3
+    # Sound requests that may be refused: this many, and this share of all.
+    MAX_REFUSED_COUNT = 5
+    MAX_REFUSED_RATIO = 0.002
+
+    def check(self, load: CrashingLoad) -> None:
+        """Check the bound on requests after the fifth end, and that sound ones are accepted."""
+        for part, end_times in load.end_times.items():
+            bounded_from = (end_times[:5] or [0.0])[-1] + self.CONTACT_SECONDS
+            late = [time for time in load.sent_times[part] if time > bounded_from]
+            self.assertLessEqual(len(late), self.MAX_LATE_REQUESTS)
+        refusable_count = self.MAX_REFUSED_COUNT + self.MAX_REFUSED_RATIO * load.sound_count
+        self.assertLessEqual(len(load.refused), refusable_count, load.refused)
+
+    def test_one_deadly_part_among_common_ones(self):
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                load = CrashingLoad(seed)
+                load.loop.advance(50.0)
+                self.check(load)
+                self.assertLessEqual(len(load.end_times["deadly"]), 12)
+
+    def test_deadly_part_right_after_the_start_of_all_entries(self):
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                load = CrashingLoad(seed, deadly_from=0.0)
+                load.loop.advance(40.0)
+                self.check(load)
+
+    def test_deadly_part_that_comes_for_minutes(self):
+        load = CrashingLoad(1, request_rate=5.0)
+        load.loop.advance(150.0)
+        self.check(load)
+
+    def test_two_deadly_parts_at_once(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                load = CrashingLoad(seed, deadly_parts=("deadly", "lethal"), deadly_rate=2.4)
+                load.loop.advance(40.0)
+                self.check(load)
+
+    def test_many_entries_with_slow_messages(self):
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                load = CrashingLoad(
+                    seed,
+                    entry_count=60,
+                    engine_count=78,
+                    request_rate=62.0,
+                    deadly_rate=3.0,
+                    message_seconds=0.1,
+                )
+                load.loop.advance(30.0)
+                self.check(load)
+
+    def test_engines_that_end_together_for_another_cause(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                load = CrashingLoad(seed, deadly_rate=0.001)
+                for _ in range(4):
+                    load.loop.advance(5.0)
+                    load.crash_engines(0.4)
+                load.loop.advance(10.0)
+                self.assertEqual(load.refused, [])
+
+    def test_deadly_part_while_engines_end_for_another_cause(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                load = CrashingLoad(seed)
+                for _ in range(6):
+                    load.loop.advance(4.0)
+                    load.crash_engines(0.3)
+                load.loop.advance(10.0)
+                self.check(load)
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -130,6 +130,7 @@
         self.predicted_seconds = 0.1
         self.outcomes: list[tuple[str, dict[str, Any]]] = []
         self.failures: list[tuple[str, bool]] = []
+        self.sound_count = 0
 
     def choose_target(self, admitted, excluded) -> forwarding.AttemptTarget:
         for name in self.servers:
@@ -152,7 +153,7 @@
         self.retries_left -= 1
         return self.retries_left >= 0
 
-    def record_failure(self, admitted, server, crashed) -> None:
+    def record_failure(self, admitted, server, *, crashed, sent_at) -> None:
         self.failures.append((server.server, crashed))
 
     def has_backlog(self, admitted, server) -> bool:
@@ -164,6 +165,9 @@
     def record_answer(self, server, failed) -> None:
         """Do nothing."""
 
+    def record_sound(self, admitted) -> None:
+        self.sound_count += 1
+
     def record_statement(self, admitted, server, statement) -> None:
         """Do nothing."""
 
@@ -192,7 +196,7 @@
             service="s",
             workspace="w",
             priority=1,
-            fingerprint="f",
+            fingerprints=("f",),
             time_limit_seconds=time_limit_seconds,
         )
         forwarding.RequestForwarder(self.context, admitted, lambda _forwarder: None).start()
@@ -201,8 +205,15 @@
     def calls(self) -> list[FakeCall]:
         return self.context.pool.calls
 
-    def receive_head(self, answer_kind: str, status: int = 200, call_index: int = -1) -> None:
-        headers = (*REQUEST_ID_HEADERS, (b"answer-kind", answer_kind.encode()))
+    def receive_head(
+        self,
+        answer_kind: str,
+        status: int = 200,
+        call_index: int = -1,
+        *,
+        framing: http_messages.Headers = ((b"transfer-encoding", b"chunked"),),
+    ) -> None:
+        headers = (*REQUEST_ID_HEADERS, *framing, (b"answer-kind", answer_kind.encode()))
         self.calls[call_index].receiver.handle_head(client.Head(status, headers))
 
     def receive_events(self, *event_ids: int, call_index: int = -1) -> None:
@@ -270,6 +281,40 @@
         self.assertEqual(times_left_ms, [1000, 800])
 
 
+class TestServersThatEnd(ForwardingCase):
+    """What an answer tells of a content that may crash servers."""
+
+    def test_complete_answer_is_sound(self):
+        for route in (PLAIN, STREAM):
+            with self.subTest(route=route.name):
+                self.setUp()
+                self.start_request(route)
+                self.receive_head("stream" if route.streams else "answer")
+                self.receive_events(1)
+                self.complete_answer()
+                self.assertEqual((self.context.sound_count, self.context.failures), (1, []))
+
+    # Guards against a server that ends between two events and whose content is taken for sound.
+    def test_answer_that_ends_with_its_connection_is_no_evidence(self):
+        self.start_request(STREAM)
+        self.receive_head("stream", framing=())
+        self.receive_events(1)
+        self.complete_answer()
+        self.assertEqual((self.context.sound_count, self.context.failures), (0, []))
+
+    # Guards against servers whose end isn't noticed since their answers have no length.
+    def test_stream_that_ends_with_its_connection_inside_an_event_is_broken_off(self):
+        for data in (b"", b"id: 1\ndata: x"):
+            with self.subTest(data=data):
+                self.setUp()
+                self.start_request(STREAM)
+                self.receive_head("stream", framing=())
+                self.calls[0].receiver.handle_data(data)
+                self.complete_answer()
+                self.assertEqual(self.context.failures, [("s1", True)])
+                self.assertEqual(len(self.calls), 2)
+
+
 class TestNonIdempotentRequests(ForwardingCase):
     """Requests that must not run twice: what is retried, and which outcome is reported."""
 
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import enum
+import errno
 import re
+import selectors
 import socket
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -54,6 +56,12 @@
         """Return the value of a header by its lower-case name, None if it is missing."""
         return messages.find_header(self.headers, name)
 
+    @property
+    def has_framed_body(self) -> bool:
+        """Whether the response has a length or chunks, so that a body that was cut off shows."""
+        framing = (b"content-length", b"transfer-encoding")
+        return self.status in (204, 304) or any(self.header(name) for name in framing)
+
 
 class ResponseReceiver(Protocol):
     """Callbacks for the response to one request.
@@ -248,6 +256,39 @@
             receiver.handle_failure(failure, may_have_run=was_sent)
 
 
+class _ListenCheck:
+    """A connection that is closed as soon as it is established or refused."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        address: str,
+        timeout_seconds: float,
+        on_result: Callable[[bool | None], None],
+    ):
+        self._loop = loop
+        self._on_result = on_result
+        self._sock: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setblocking(False)
+        loop.register(self._sock, selectors.EVENT_WRITE, self._handle_writable)
+        code = self._sock.connect_ex(transport.parse_address(address))
+        if code in (0, errno.EINPROGRESS):
+            loop.call_later(timeout_seconds, lambda: self._finish(errno.ETIMEDOUT))
+        else:
+            loop.call_later(0.0, lambda: self._finish(code))
+
+    def _handle_writable(self, _events: int) -> None:
+        self._finish(self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+    def _finish(self, code: int) -> None:
+        if self._sock is None:
+            return
+        sock, self._sock = self._sock, None
+        self._loop.unregister(sock)
+        sock.close()
+        self._on_result({0: True, errno.ECONNREFUSED: False}.get(code))
+
+
 class Pool:
     """Connections of this process to backend servers.
 
@@ -321,6 +362,18 @@
         """Count data received outside any response."""
         self.unsolicited_data_count += 1
 
+    def check_listening(self, address: str, on_result: Callable[[bool | None], None]) -> None:
+        """Find out whether a server accepts connections.
+
+        Parameters
+        ----------
+        address : str
+        on_result : callable
+            Takes True if it does, False if its host refuses them, None if neither is known within
+            the connect timeout.
+        """
+        _ListenCheck(self.loop, address, self._connect_timeout_seconds, on_result)
+
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to a server; those with a request stay open."""
         for connection in list(self._idle_connections.get(address, ())):
--- a/flamingoramp/http/tests/test_client.py
+++ b/flamingoramp/http/tests/test_client.py
@@ -185,6 +185,17 @@
         self.assertEqual(receiver.failure, client.Failure.NOT_CONNECTED)
         self.assertFalse(receiver.may_have_run)
 
+    def test_check_tells_a_listening_server_from_an_ended_one(self):
+        results: list[bool | None] = []
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        for count in (1, 2):
+            self.pool.check_listening(address, results.append)
+            while len(results) < count:
+                self.loop.run_once(0.5)
+            listener.close()
+        self.assertEqual(results, [True, False])
+
     def test_invalid_response_is_reported_as_unreadable(self):
         receiver = self.send_request(self.start_server(b"no http at all\r\n\r\n").address)
         self.assertEqual(receiver.failure, client.Failure.UNREADABLE)
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -23,8 +23,9 @@
 # records from this host has to notice a failure sooner.
 HEARTBEAT_SECONDS = 1.0
 PRIMARY_HEARTBEAT_SECONDS = 0.5
-# Retention of crash records: the time within which a caller may retry a request.
-CRASH_RETENTION_SECONDS = 300.0
+# Retention of crash records; entries keep their evidence for as long.
+CRASH_RETENTION_SECONDS = 3600.0
+MAX_CRASH_RECORDS = 16_384
 
 
 @attrs.define
@@ -37,7 +38,7 @@
     version: int = 0
     controls: tuple[str, ...] = ()
     confirmed: bool = False
-    sent_crash_count: int = 0
+    sent_crash_number: int = 0
     sent_zone: bool = False
     sent_at: float = float("-inf")
 
@@ -48,6 +49,72 @@
         return PRIMARY_HEARTBEAT_SECONDS if is_primary else HEARTBEAT_SECONDS
 
 
+@attrs.frozen
+class _StoredCrash:
+    """A crash record, the number of its addition, and the time that it tells of."""
+
+    record: messages.CrashRecord
+    number: int
+    at: float
+
+
+class _CrashRecords:
+    """Crash records in the order of their addition; a clearance replaces those before it."""
+
+    def __init__(self):
+        self._stored: dict[tuple[str, str, int], _StoredCrash] = {}
+        self._keys_by_fingerprint: dict[str, set[tuple[str, str, int]]] = {}
+        self.last_number = 0
+
+    def add(self, record: messages.CrashRecord, now: float) -> None:
+        """Add a record unless it is stored, or a clearance that clears nothing."""
+        key = (record.fingerprint, record.server, record.born)
+        at = now - record.age
+        if record.is_clearance:
+            cleared = [
+                other
+                for other in self._keys_by_fingerprint.get(record.fingerprint, ())
+                if other != key and self._stored[other].at <= at
+            ]
+            if not cleared:
+                return
+            for other in cleared:
+                self._remove(other)
+            if key in self._stored:
+                self._remove(key)
+        elif key in self._stored:
+            return
+        self.last_number += 1
+        self._stored[key] = _StoredCrash(record, self.last_number, at)
+        self._keys_by_fingerprint.setdefault(record.fingerprint, set()).add(key)
+
+    def since(self, number: int, now: float) -> tuple[messages.CrashRecord, ...]:
+        """Return the records added after a number, with their current ages."""
+        if number >= self.last_number:
+            return ()
+        return tuple(
+            attrs.evolve(stored.record, age=now - stored.at)
+            for stored in self._stored.values()
+            if stored.number > number
+        )
+
+    def remove_expired(self, now: float) -> None:
+        """Remove old records, and the earliest ones if there are too many."""
+        while self._stored:
+            key, first = next(iter(self._stored.items()))
+            is_expired = now - first.at > CRASH_RETENTION_SECONDS
+            if not is_expired and len(self._stored) <= MAX_CRASH_RECORDS:
+                return
+            self._remove(key)
+
+    def _remove(self, key: tuple[str, str, int]) -> None:
+        stored = self._stored.pop(key)
+        keys = self._keys_by_fingerprint[stored.record.fingerprint]
+        keys.discard(key)
+        if not keys:
+            del self._keys_by_fingerprint[stored.record.fingerprint]
+
+
 class Publisher:
     """Tracks what was sent to each subscriber and builds the next update for each.
 
@@ -62,8 +129,7 @@
         self._registry = record_registry
         self._zone = zone
         self._subscribers: dict[Any, _Subscriber] = {}
-        self._crashes: list[tuple[float, messages.CrashRecord]] = []
-        self._crash_keys: set[tuple[str, str, int]] = set()
+        self._crashes = _CrashRecords()
         self._version = 0
         self._version_changed_at = float("-inf")
 
@@ -87,7 +153,7 @@
             self._subscribers[connection] = subscriber
         subscriber.renewed_at = now
         if subscriber.standby and not message.standby:
-            subscriber.sent_number = subscriber.sent_crash_count = 0
+            subscriber.sent_number = subscriber.sent_crash_number = 0
         subscriber.standby = message.standby
         subscriber.version = max(subscriber.version, message.version)
         for record in message.entries:
@@ -104,10 +170,7 @@
     def add_crashes(self, records: tuple[messages.CrashRecord, ...], now: float) -> None:
         """Store crash records that are not stored yet."""
         for record in records:
-            key = (record.fingerprint, record.server, record.born)
-            if key not in self._crash_keys:
-                self._crash_keys.add(key)
-                self._crashes.append((now - record.age, record))
+            self._crashes.add(record, now)
 
     def make_updates(
         self,
@@ -133,7 +196,7 @@
         now : float
             Monotonic clock, in seconds.
         """
-        self._remove_expired_crashes(now)
+        self._crashes.remove_expired(now)
         if version != self._version:
             self._version, self._version_changed_at = version, now
         updates = []
@@ -163,7 +226,7 @@
             servers, entries = self._registry.changed_since(
                 subscriber.sent_number, now, with_renewals=subscriber.is_control
             )
-            crashes = tuple(record for _, record in self._crashes[subscriber.sent_crash_count :])
+            crashes = self._crashes.since(subscriber.sent_crash_number, now)
         is_delayed = subscriber.standby and now - self._version_changed_at < STANDBY_DELAY_SECONDS
         if subscriber.is_control or is_delayed:  # control hosts have the log
             version, document = 0, b""
@@ -179,7 +242,7 @@
             return None
         if not subscriber.standby:
             subscriber.sent_number = self._registry.update_number
-            subscriber.sent_crash_count = len(self._crashes)
+            subscriber.sent_crash_number = self._crashes.last_number
         subscriber.version = max(subscriber.version, version)
         subscriber.controls, subscriber.confirmed = controls, confirmed
         subscriber.sent_at = now
@@ -195,10 +258,3 @@
             crashes=crashes,
             zone=zone,
         )
-
-    def _remove_expired_crashes(self, now: float) -> None:
-        while self._crashes and now - self._crashes[0][0] > CRASH_RETENTION_SECONDS:
-            _, record = self._crashes.pop(0)
-            self._crash_keys.discard((record.fingerprint, record.server, record.born))
-            for subscriber in self._subscribers.values():
-                subscriber.sent_crash_count = max(0, subscriber.sent_crash_count - 1)
--- a/flamingoramp/membership/tests/test_subscriptions.py
+++ b/flamingoramp/membership/tests/test_subscriptions.py
@@ -109,6 +109,39 @@
         self.assertEqual(self.update(0.0).crashes, (record,))
         self.assertIsNone(self.update(0.1))
 
+    def test_crash_record_is_sent_with_its_current_age(self):
+        self.publisher.add_crashes((messages.CrashRecord("f", "s", 1, age=2.0),), 10.0)
+        self.subscribe(15.0)
+        self.assertAlmostEqual(self.update(15.0).crashes[0].age, 7.0)
+
+    def test_clearance_replaces_earlier_crash_records_and_reaches_those_who_have_them(self):
+        record = messages.CrashRecord("f", "s", 1)
+        later = messages.CrashRecord("f", "t", 1)
+        other = messages.CrashRecord("g", "s", 1)
+        clearance = messages.CrashRecord("f", is_clearance=True)
+        self.subscribe(0.0, crashes=(record, other))
+        self.update(0.0)
+        self.publisher.add_crashes((clearance,), 1.0)
+        self.publisher.add_crashes((later,), 2.0)
+        sent = self.update(2.0).crashes
+        self.assertEqual([attrs.evolve(item, age=0.0) for item in sent], [clearance, later])
+        self.connection.is_open = False
+        self.connection = Connection()
+        self.subscribe(3.0)
+        sent = self.update(3.0).crashes
+        self.assertEqual([attrs.evolve(item, age=0.0) for item in sent], [other, clearance, later])
+
+    def test_clearance_that_clears_nothing_is_not_sent(self):
+        self.subscribe(0.0, crashes=(messages.CrashRecord("f", is_clearance=True),))
+        self.assertEqual(self.update(0.0).crashes, ())
+
+    def test_number_of_crash_records_is_bounded(self):
+        count = subscriptions.MAX_CRASH_RECORDS + 5
+        records = tuple(messages.CrashRecord(f"f{number}", "s", 1) for number in range(count))
+        self.subscribe(0.0, crashes=records)
+        sent = self.update(0.0).crashes
+        self.assertEqual(sent, records[-subscriptions.MAX_CRASH_RECORDS :])
+
 
 class TestStandby(PublisherCase):
     """A standby subscriber gets no records until it asks for them."""
--- a/flamingoramp/platform/tests/test_path.py
+++ b/flamingoramp/platform/tests/test_path.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from flamingoramp.daemons import gateway
-from flamingoramp.dispatch import request_handler
+from flamingoramp.dispatch import crash_evidence
 from flamingoramp.http import client
 from flamingoramp.platform.tests import fake_server
 from flamingoramp.platform.tests import fleet as fleets
@@ -252,7 +252,7 @@
             self.send_crashing_request(fleet, entry)
             time.sleep(gateway.SUBSCRIBE_INTERVAL_SECONDS + 0.3)
         run_count = sum(len(engine.requests) for engine in engines)
-        self.assertEqual(run_count, request_handler.QUARANTINE_CRASH_COUNT)
+        self.assertEqual(run_count, crash_evidence.QUARANTINE_END_COUNT)
         for entry in range(3):
             self.assertEqual(self.send_crashing_request(fleet, entry), 400)
         self.assertEqual(sum(len(engine.requests) for engine in engines), run_count)
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -469,16 +469,20 @@
 
 @attrs.frozen
 class CrashRecord:
-    """A request content, by fingerprint, that was running when a backend server failed.
+    """A fingerprint of a request that a backend server had when it ended.
 
-    ``born`` is that of the server's `ServerRecord`; ``age`` is the time in seconds since the
-    failure.
+    ``born`` is that of the server's `ServerRecord`; ``age`` is the time in seconds since the end,
+    ``seconds`` that from the sending of the request to the end. With ``is_clearance`` the record
+    tells of a complete answer to a request with the fingerprint, ``age`` ago: it had no part in
+    ends before.
     """
 
     fingerprint: str = ""
     server: str = ""
     born: int = 0
     age: float = 0.0
+    seconds: float = 0.0
+    is_clearance: bool = False
 
 
 @attrs.frozen
--- a/flamingoramp/routing/report_targets.py
+++ b/flamingoramp/routing/report_targets.py
@@ -90,11 +90,11 @@
     return ReportTargets(addresses, remote_forwarders, addresses, forwarded_zones)
 
 
-def rank_by(source_zone: str) -> Callable[[str], bytes]:
-    """Return the key by which the entries of a zone are ranked to forward another's summary."""
-    return functools.partial(_rank, source_zone)
+def rank_by(subject: str) -> Callable[[str], bytes]:
+    """Return the key by which entries are ranked for a task, such as one zone's summaries."""
+    return functools.partial(_rank, subject)
 
 
 @functools.lru_cache(maxsize=8192)
-def _rank(source_zone: str, entry: str) -> bytes:
-    return hashlib.blake2b(f"{source_zone}/{entry}".encode(), digest_size=8).digest()
+def _rank(subject: str, entry: str) -> bytes:
+    return hashlib.blake2b(f"{subject}/{entry}".encode(), digest_size=8).digest()
