An entry that reaches no backend server says so

After a failed connection an entry tries some other servers; if none accepts, it logs servers.unreachable, and servers.reachable at the end. Nothing is decided by it.

--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -11,7 +11,13 @@
 
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
-from flamingoramp.dispatch import allowance, crash_evidence, forwarding, server_ends
+from flamingoramp.dispatch import (
+    allowance,
+    crash_evidence,
+    forwarding,
+    reachability,
+    server_ends,
+)
 from flamingoramp.http import client
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import traffic
@@ -116,6 +122,9 @@
             log=log,
             metrics=metrics,
         )
+        self._reachability = reachability.ReachabilityChecks(
+            loop, pool, server_registry=server_registry, log=log, metrics=metrics
+        )
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._queued: set[http_server.Exchange] = set()
         self._is_releasing = False
@@ -388,6 +397,7 @@
             observations.instance_key(server), self.loop.now()
         )
         self._metrics.count("servers_broken")
+        self._reachability.handle_failure()
         if crashed:
             self._server_ends.handle_break(server, admitted.fingerprints, sent_at)
             self.record_step(
@@ -405,6 +415,7 @@
         self._observations.record_attempt_failure(
             observations.instance_key(server), self.loop.now()
         )
+        self._reachability.handle_failure()
 
     def record_answer(self, server: messages.ServerRecord, failed: bool) -> None:
         """Record a complete answer; ``failed`` for a 5xx status."""
