Tests that fail: callers of entries that reach no server

Three of five entries are cut off from all servers: 0 of 24 first tries of each kind are served there while connections hang or are reset, 0 of 24 of the non-idempotent kind while new connections are refused.

--- /dev/null
+++ b/flamingoramp/platform/tests/test_cut_entries.py
@@ -0,0 +1,87 @@
+"""End-to-end tests of entries that reach no backend server, while callers still reach them."""
+
+from __future__ import annotations
+
+import collections
+
+from flamingoramp.platform.tests import fake_server, server_links
+from flamingoramp.platform.tests import fleet as fleets
+
+ROUTES = ("stream", "read", "hold")
+ENTRY_COUNT = 5
+CUT_ENTRY_COUNT = 3
+# Time after a cut from which the callers of these entries are to be served as others are.
+CONTACT_SECONDS = 3.0
+LOAD_SECONDS = 4.0
+REQUESTS_PER_SECOND = 10.0
+
+
+class CutEntryCase(fleets.FleetTestCase):
+    """Base of tests that cut some entries off from all servers."""
+
+    def start_fleet(self) -> fleets.Fleet:
+        fleet = self.start_serving(entries=ENTRY_COUNT)
+        self.links = [
+            server_links.ServerLinks(entry.daemon._pool)
+            for entry in fleet.entries[:CUT_ENTRY_COUNT]
+        ]
+        for links in self.links:
+            self.addCleanup(links.close)
+        for number in range(4):
+            behaviour = fake_server.Behaviour(event_interval_seconds=0.05)
+            fleet.add_server(f"e{number}", "llm", behaviour)
+            fleet.add_server(f"d{number}", "desk")
+        return fleet
+
+    def cut(self, how: server_links.Cut) -> None:
+        for links in self.links:
+            links.cut(how)
+
+    def check_served(self, answers: dict[str, list[fleets.Answer]]) -> None:
+        """Check that the callers of all entries were served."""
+        for route, route_answers in answers.items():
+            cut_off = [
+                answer
+                for number, answer in enumerate(route_answers)
+                if number % ENTRY_COUNT < CUT_ENTRY_COUNT
+            ]
+            for name, part in (("all", route_answers), ("cut off", cut_off)):
+                with self.subTest(route=route, entries=name):
+                    statuses = collections.Counter(answer.status for answer in part)
+                    self.assertGreaterEqual(statuses[200], 0.97 * len(part), statuses)
+        for answer in answers["stream"]:
+            if answer.status == 200:
+                self.assertEqual(answer.body, fleets.COMPLETE_STREAM)
+
+    def check_run_once(self, fleet: fleets.Fleet) -> None:
+        """Check that no server ran a request that isn't idempotent a second time."""
+        runs = collections.Counter(
+            request.header(b"x-attempt-id")
+            for server in fleet.servers
+            for request in server.requests
+            if request.path.startswith("/hold/")
+        )
+        self.assertEqual([request for request, count in runs.items() if count > 1], [])
+
+
+class TestCutEntries(CutEntryCase):
+    """Most entries are cut off from all servers."""
+
+    def check_cut(self, how: server_links.Cut) -> None:
+        fleet = self.start_fleet()
+        self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=1.0)
+        self.cut(how)
+        self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=CONTACT_SECONDS)
+        answers = self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=LOAD_SECONDS)
+        self.check_served(answers)
+        self.check_run_once(fleet)
+
+    # Guards against callers who are refused since their entry reaches no server, while others do.
+    def test_callers_are_served_while_connections_hang(self):
+        self.check_cut(server_links.Cut.HANG)
+
+    def test_callers_are_served_while_connections_are_reset(self):
+        self.check_cut(server_links.Cut.RESET)
+
+    def test_callers_are_served_while_new_connections_are_refused(self):
+        self.check_cut(server_links.Cut.REFUSE)
--- a/flamingoramp/tests/relays.py
+++ b/flamingoramp/tests/relays.py
@@ -54,6 +54,12 @@
         self._all_blackholed = is_blackholed
         self.blackhole_open_connections()
 
+    def close_connections(self) -> None:
+        """Close the connections that are open now, towards both sides."""
+        for sock in self._sockets[1:]:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def start(self) -> None:
         """Run the relay in a thread until it is closed."""
         self._thread = threading.Thread(target=self._run, daemon=True)
