An attempt doesn't know the forwarder of its request

attempts.py and forwarding.py imported each other. What an attempt is of (AdmittedRequest, AttemptTarget) stands with it now, and it reports to an AnswerHandler, so that selection.py doesn't import the forwarder either. No change of behaviour; tests of dispatch and statements pass.

--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -1,14 +1,87 @@
-"""State of one send of a caller's request to a backend server."""
+"""A caller's admitted request, and the state of one send of it to a backend server."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+import attrs
+
+from flamingoramp import dialect as dialects
 from flamingoramp.backends import event_blocks
 from flamingoramp.http import client
+from flamingoramp.http import server as http_server
+from flamingoramp.intent import traffic
+from flamingoramp.protocol import messages as protocol_messages
+from flamingoramp.routing import load_table
+
+# Wait after which a refused caller should retry: about the duration of an answer.
+RETRY_AFTER_SECONDS = 0.4
+
+
+@attrs.frozen
+class AttemptTarget:
+    """Backend servers that one attempt is sent to, and the load that it adds there.
+
+    Parameters
+    ----------
+    server : protocol_messages.ServerRecord
+        Server that answers the request.
+    helpers : tuple of protocol_messages.ServerRecord
+        Engines that prefill parts of the prompt for the server.
+    held_tokens : tuple of int
+        Tokens of memory to reserve at each helper; empty for none.
+    work_items : tuple of load_table.WorkItem
+        Load that the attempt adds to each server.
+    predicted_seconds : float
+        Predicted wait for the first event of the answer.
+    risk : float
+        Credit for on-time answers that the placement puts at risk, in units of
+        `flamingoramp.routing.placement`.
+    """
+
+    server: protocol_messages.ServerRecord
+    helpers: tuple[protocol_messages.ServerRecord, ...] = ()
+    held_tokens: tuple[int, ...] = ()
+    work_items: tuple[load_table.WorkItem, ...] = ()
+    predicted_seconds: float = 0.0
+    risk: float = 0.0
 
-if TYPE_CHECKING:
-    from flamingoramp.dispatch import forwarding
+
+@attrs.frozen
+class AdmittedRequest:
+    """A caller's request that passed admission, whose answer goes to its exchange.
+
+    ``workspace`` is empty if the request has none. ``priority`` is the rank at the engines, 0 being
+    the most urgent. ``fingerprints`` are those of the content and of the shared parts of its prompt
+    (`crash_evidence`). ``time_limit_seconds`` is the time from arrival to the deadline.
+    """
+
+    exchange: http_server.Exchange
+    caller: dialects.CallerRequest
+    route: traffic.Route
+    service: str
+    workspace: str
+    priority: int | None
+    fingerprints: tuple[str, ...]
+    time_limit_seconds: float
+
+
+class AnswerHandler(Protocol):
+    """Processes the parts of an attempt's answer."""
+
+    def handle_head(self, attempt: Attempt, head: client.Head) -> None:
+        """Process the status and headers."""
+
+    def handle_data(self, attempt: Attempt, data: bytes) -> None:
+        """Process received bytes of the body."""
+
+    def handle_complete(self, attempt: Attempt) -> None:
+        """Process the end of a complete answer."""
+
+    def handle_failure(
+        self, attempt: Attempt, failure: client.Failure, *, may_have_run: bool
+    ) -> None:
+        """Process a send that failed before its answer was complete."""
 
 
 class Attempt:
@@ -16,17 +89,14 @@
 
     Parameters
     ----------
-    forwarder : forwarding.RequestForwarder
-        Processes the parts of the answer.
-    target : forwarding.AttemptTarget
+    handler : AnswerHandler
+    target : AttemptTarget
     number : int
         1 for the first send of the request.
     """
 
-    def __init__(
-        self, forwarder: forwarding.RequestForwarder, target: forwarding.AttemptTarget, number: int
-    ):
-        self._forwarder = forwarder
+    def __init__(self, handler: AnswerHandler, target: AttemptTarget, number: int):
+        self._handler = handler
         self.target = target
         self.number = number
         self.is_active = True
@@ -55,19 +125,19 @@
     def handle_head(self, head: client.Head) -> None:
         """Process the status and headers."""
         if self.is_active:
-            self._forwarder.handle_head(self, head)
+            self._handler.handle_head(self, head)
 
     def handle_data(self, data: bytes) -> None:
         """Process received bytes of the body."""
         if self.is_active:
-            self._forwarder.handle_data(self, data)
+            self._handler.handle_data(self, data)
 
     def handle_complete(self) -> None:
         """Process the end of a complete answer."""
         if self.is_active:
-            self._forwarder.handle_complete(self)
+            self._handler.handle_complete(self)
 
     def handle_failure(self, failure: client.Failure, *, may_have_run: bool) -> None:
         """Process a send that failed before its answer was complete."""
         if self.is_active:
-            self._forwarder.handle_failure(self, failure, may_have_run=may_have_run)
+            self._handler.handle_failure(self, failure, may_have_run=may_have_run)
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -10,16 +10,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-import attrs
-
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
 from flamingoramp.backends import event_blocks
 from flamingoramp.dispatch import attempts, memory_reservations
 from flamingoramp.http import client
 from flamingoramp.http import messages as http_messages
-from flamingoramp.http import server as http_server
-from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_table, statements
 from flamingoramp.runtime import loop as loops
@@ -41,56 +37,6 @@
 MIN_RETRY_TIME_SECONDS = 0.05
 # Placements that a request tries if engines refuse to reserve memory for it.
 MAX_RESERVATION_ATTEMPTS = 3
-# Wait after which a refused caller should retry: about the duration of an answer.
-RETRY_AFTER_SECONDS = 0.4
-
-
-@attrs.frozen
-class AttemptTarget:
-    """Backend servers that one attempt is sent to, and the load that it adds there.
-
-    Parameters
-    ----------
-    server : protocol_messages.ServerRecord
-        Server that answers the request.
-    helpers : tuple of protocol_messages.ServerRecord
-        Engines that prefill parts of the prompt for the server.
-    held_tokens : tuple of int
-        Tokens of memory to reserve at each helper; empty for none.
-    work_items : tuple of load_table.WorkItem
-        Load that the attempt adds to each server.
-    predicted_seconds : float
-        Predicted wait for the first event of the answer.
-    risk : float
-        Credit for on-time answers that the placement puts at risk, in units of
-        `flamingoramp.routing.placement`.
-    """
-
-    server: protocol_messages.ServerRecord
-    helpers: tuple[protocol_messages.ServerRecord, ...] = ()
-    held_tokens: tuple[int, ...] = ()
-    work_items: tuple[load_table.WorkItem, ...] = ()
-    predicted_seconds: float = 0.0
-    risk: float = 0.0
-
-
-@attrs.frozen
-class AdmittedRequest:
-    """A caller's request that passed admission, whose answer goes to its exchange.
-
-    ``workspace`` is empty if the request has none. ``priority`` is the rank at the engines, 0 being
-    the most urgent. ``fingerprints`` are those of the content and of the shared parts of its prompt
-    (`crash_evidence`). ``time_limit_seconds`` is the time from arrival to the deadline.
-    """
-
-    exchange: http_server.Exchange
-    caller: dialects.CallerRequest
-    route: traffic.Route
-    service: str
-    workspace: str
-    priority: int | None
-    fingerprints: tuple[str, ...]
-    time_limit_seconds: float
 
 
 class ForwardingContext(Protocol):
@@ -101,7 +47,9 @@
     dialect: dialects.Dialect
     server_loads: load_table.LoadTable
 
-    def choose_target(self, admitted: AdmittedRequest, excluded: set[str]) -> AttemptTarget:
+    def choose_target(
+        self, admitted: attempts.AdmittedRequest, excluded: set[str]
+    ) -> attempts.AttemptTarget:
         """Choose the servers of the next attempt; ``excluded`` names those that must not serve.
 
         Raises
@@ -110,7 +58,7 @@
             If no server is available or none has capacity.
         """
 
-    def record_target(self, target: AttemptTarget) -> None:
+    def record_target(self, target: attempts.AttemptTarget) -> None:
         """Add the load of an attempt to its servers, and count it towards their limits."""
 
     def record_first_send(self, service: str) -> None:
@@ -121,7 +69,7 @@
 
     def record_failure(
         self,
-        admitted: AdmittedRequest,
+        admitted: attempts.AdmittedRequest,
         server: protocol_messages.ServerRecord,
         *,
         crashed: bool,
@@ -133,7 +81,7 @@
         """
 
     def has_backlog(
-        self, admitted: AdmittedRequest, server: protocol_messages.ServerRecord
+        self, admitted: attempts.AdmittedRequest, server: protocol_messages.ServerRecord
     ) -> bool:
         """Tell whether a server's known load explains why it sends no data."""
 
@@ -143,12 +91,12 @@
     def record_answer(self, server: protocol_messages.ServerRecord, failed: bool) -> None:
         """Record a complete answer; ``failed`` for a 5xx status."""
 
-    def record_sound(self, admitted: AdmittedRequest) -> None:
+    def record_sound(self, admitted: attempts.AdmittedRequest) -> None:
         """Record that a server has answered a request completely."""
 
     def record_statement(
         self,
-        admitted: AdmittedRequest,
+        admitted: attempts.AdmittedRequest,
         server: protocol_messages.ServerRecord,
         statement: statements.ServerStatement,
     ) -> None:
@@ -159,10 +107,10 @@
     ) -> None:
         """Record the intervals between the events of a stream, in seconds."""
 
-    def record_end(self, admitted: AdmittedRequest, outcome: str, **fields: Any) -> None:
+    def record_end(self, admitted: attempts.AdmittedRequest, outcome: str, **fields: Any) -> None:
         """Log a request's outcome and update the metrics."""
 
-    def record_step(self, admitted: AdmittedRequest, event: str, **fields: Any) -> None:
+    def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
         """Log a step in the processing of a request."""
 
 
@@ -172,7 +120,7 @@
     Parameters
     ----------
     context : ForwardingContext
-    admitted : AdmittedRequest
+    admitted : attempts.AdmittedRequest
     on_end : callable
         Called with this object once, when the request is finished.
     """
@@ -180,7 +128,7 @@
     def __init__(
         self,
         context: ForwardingContext,
-        admitted: AdmittedRequest,
+        admitted: attempts.AdmittedRequest,
         on_end: Callable[[RequestForwarder], None],
     ):
         self._context = context
@@ -193,7 +141,7 @@
         self._reservation_count = 0
         self._excluded: set[str] = set()
         self._attempt: attempts.Attempt | None = None
-        self._target: AttemptTarget | None = None
+        self._target: attempts.AttemptTarget | None = None
         self._reservation: memory_reservations.MemoryReservation | None = None
         self._last_event_id = admitted.caller.last_event_id
         self._may_have_run = False
@@ -251,7 +199,8 @@
         if self._reservation_count >= MAX_RESERVATION_ATTEMPTS:
             self._end_refused(
                 errors.OverloadedError(
-                    "the engines' memory is taken; come back", retry_after=RETRY_AFTER_SECONDS
+                    "the engines' memory is taken; come back",
+                    retry_after=attempts.RETRY_AFTER_SECONDS,
                 )
             )
             return
@@ -310,7 +259,7 @@
         if admitted.route.is_retryable:
             self._schedule_stall_check(attempt, self._first_event_timeout(target))
 
-    def _first_event_timeout(self, target: AttemptTarget) -> float:
+    def _first_event_timeout(self, target: attempts.AttemptTarget) -> float:
         route = self._admitted.route
         if not route.streams:
             return NON_STREAM_TIMEOUT_RATIO * route.latency_objective_seconds
@@ -553,7 +502,9 @@
             self._context.choose_target(self._admitted, set())
         except errors.FlamingorampError as error:
             return error  # no server takes requests now; it says when one does
-        return errors.NoBackendError("the servers refused it", retry_after=RETRY_AFTER_SECONDS)
+        return errors.NoBackendError(
+            "the servers refused it", retry_after=attempts.RETRY_AFTER_SECONDS
+        )
 
     def _handle_broken_attempt(self, reason: str) -> None:
         """Retry, refuse or fail the request after an attempt without a complete answer."""
@@ -561,7 +512,9 @@
             return
         if not self._may_have_run:
             self._end_refused(
-                errors.NoBackendError("no server could be reached", retry_after=RETRY_AFTER_SECONDS)
+                errors.NoBackendError(
+                    "no server could be reached", retry_after=attempts.RETRY_AFTER_SECONDS
+                )
             )
             return
         self._end_failed(errors.BackendFailedError(f"the server failed: {reason}"))
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -13,6 +13,7 @@
 from flamingoramp import errors
 from flamingoramp.dispatch import (
     allowance,
+    attempts,
     crash_evidence,
     forwarding,
     reachability,
@@ -267,7 +268,7 @@
 
     def _admit(
         self, exchange: http_server.Exchange, caller: dialects.CallerRequest
-    ) -> forwarding.AdmittedRequest:
+    ) -> attempts.AdmittedRequest:
         """Check a request against the declaration.
 
         Raises
@@ -300,7 +301,7 @@
         declared_priority = route.priority
         if workspace is not None and workspace.priority is not None:
             declared_priority = workspace.priority
-        return forwarding.AdmittedRequest(
+        return attempts.AdmittedRequest(
             exchange=exchange,
             caller=caller,
             route=route,
@@ -327,8 +328,8 @@
     # What request forwarders ask for.
 
     def choose_target(
-        self, admitted: forwarding.AdmittedRequest, excluded: set[str]
-    ) -> forwarding.AttemptTarget:
+        self, admitted: attempts.AdmittedRequest, excluded: set[str]
+    ) -> attempts.AttemptTarget:
         """Choose the servers of the next attempt of a request."""
         if excluded:
             # After a server broke the request off, it is safer to assume that it has ended.
@@ -346,7 +347,7 @@
         )
 
     def has_backlog(
-        self, admitted: forwarding.AdmittedRequest, server: messages.ServerRecord
+        self, admitted: attempts.AdmittedRequest, server: messages.ServerRecord
     ) -> bool:
         """Tell whether an engine has prompts to prefill or more requests than slots."""
         service = self._declaration.find_service(admitted.service)
@@ -377,7 +378,7 @@
 
     # What request forwarders report.
 
-    def record_target(self, target: forwarding.AttemptTarget) -> None:
+    def record_target(self, target: attempts.AttemptTarget) -> None:
         """Add the load of an attempt to its servers, and count it towards their limits."""
         now = self.loop.now()
         for work_item in target.work_items:
@@ -386,7 +387,7 @@
 
     def record_failure(
         self,
-        admitted: forwarding.AdmittedRequest,
+        admitted: attempts.AdmittedRequest,
         server: messages.ServerRecord,
         *,
         crashed: bool,
@@ -423,7 +424,7 @@
             observations.instance_key(server), failed=failed, now=self.loop.now()
         )
 
-    def record_sound(self, admitted: forwarding.AdmittedRequest) -> None:
+    def record_sound(self, admitted: attempts.AdmittedRequest) -> None:
         """Record that a server has answered a request completely."""
         for fingerprint in self._crash_evidence.record_answer(
             admitted.fingerprints, self.loop.now()
@@ -433,7 +434,7 @@
 
     def record_statement(
         self,
-        admitted: forwarding.AdmittedRequest,
+        admitted: attempts.AdmittedRequest,
         server: messages.ServerRecord,
         statement: statements.ServerStatement,
     ) -> None:
@@ -448,7 +449,7 @@
             server, statement, self.loop.now(), request=admitted.caller.request_id
         )
 
-    def _is_full(self, admitted: forwarding.AdmittedRequest, server: messages.ServerRecord) -> bool:
+    def _is_full(self, admitted: attempts.AdmittedRequest, server: messages.ServerRecord) -> bool:
         """Tell whether a server's known load, with this request, takes all its slots or memory."""
         load = self.server_loads.load(server.server, self.loop.now())
         service = self._declaration.find_service(admitted.service)
@@ -492,7 +493,7 @@
             observations.instance_key(server), slowdown, self.loop.now()
         )
 
-    def record_end(self, admitted: forwarding.AdmittedRequest, outcome: str, **fields: Any) -> None:
+    def record_end(self, admitted: attempts.AdmittedRequest, outcome: str, **fields: Any) -> None:
         """Log a request's outcome and update the metrics."""
         self._metrics.count("requests", outcome=outcome, route=admitted.route.name)
         self._metrics.observe("request_seconds", fields["seconds"], route=admitted.route.name)
@@ -502,7 +503,7 @@
             )
         self._log.write("request.ended", admitted.caller.request_id, outcome=outcome, **fields)
 
-    def record_step(self, admitted: forwarding.AdmittedRequest, event: str, **fields: Any) -> None:
+    def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
         """Log a step in the processing of a request, and count it."""
         self._metrics.count("request_steps", event=event)
         self._log.write(
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -8,7 +8,7 @@
 import attrs
 
 from flamingoramp import dialect, errors
-from flamingoramp.dispatch import forwarding
+from flamingoramp.dispatch import attempts, forwarding
 from flamingoramp.http import client
 from flamingoramp.http import messages as http_messages
 from flamingoramp.intent import traffic
@@ -132,12 +132,12 @@
         self.failures: list[tuple[str, bool]] = []
         self.sound_count = 0
 
-    def choose_target(self, admitted, excluded) -> forwarding.AttemptTarget:
+    def choose_target(self, admitted, excluded) -> attempts.AttemptTarget:
         for name in self.servers:
             if name not in excluded:
                 record = protocol_messages.ServerRecord(server=name, address=f"{name}:1")
                 work_item = load_table.WorkItem(name, part_seconds=0.1, prefill_end=0.1)
-                return forwarding.AttemptTarget(
+                return attempts.AttemptTarget(
                     record, work_items=(work_item,), predicted_seconds=self.predicted_seconds
                 )
         raise errors.NoBackendError("none left", retry_after=0.4)
@@ -189,7 +189,7 @@
         self.exchange = FakeExchange()
 
     def start_request(self, route: traffic.Route, *, time_limit_seconds: float = 10.0) -> None:
-        admitted = forwarding.AdmittedRequest(
+        admitted = attempts.AdmittedRequest(
             exchange=self.exchange,
             caller=dialect.CallerRequest("r1", "h", "/"),
             route=route,
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -10,7 +10,7 @@
 import random
 
 from flamingoramp import errors
-from flamingoramp.dispatch import forwarding
+from flamingoramp.dispatch import attempts
 from flamingoramp.intent import traffic
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
@@ -61,18 +61,18 @@
     def choose(
         self,
         declaration: traffic.TrafficDeclaration,
-        admitted: forwarding.AdmittedRequest,
+        admitted: attempts.AdmittedRequest,
         excluded: set[str],
         *,
         now: float,
         control_reachable: bool,
-    ) -> forwarding.AttemptTarget:
+    ) -> attempts.AttemptTarget:
         """Return where to send the next attempt of a request.
 
         Parameters
         ----------
         declaration : traffic.TrafficDeclaration
-        admitted : forwarding.AdmittedRequest
+        admitted : attempts.AdmittedRequest
         excluded : set of str
             Servers that earlier attempts were sent to, or that refused the request.
         now : float
@@ -99,7 +99,7 @@
         if service is None or not candidates:
             raise errors.NoBackendError(
                 f"no server of {admitted.service} is known",
-                retry_after=forwarding.RETRY_AFTER_SECONDS,
+                retry_after=attempts.RETRY_AFTER_SECONDS,
             )
         if service.engine is None or not admitted.caller.prompt_tokens:
             return self._choose_least_loaded(candidates, records)
@@ -175,7 +175,7 @@
         self,
         candidates: list[placement.Candidate],
         records: dict[str, messages.ServerRecord],
-    ) -> forwarding.AttemptTarget:
+    ) -> attempts.AttemptTarget:
         """Return the server with the fewest requests, one of this zone if loads are equal."""
 
         def _cost(candidate: placement.Candidate) -> tuple[float, str]:
@@ -185,7 +185,7 @@
 
         chosen = min(candidates, key=_cost)
         work = load_table.WorkItem(server=chosen.server)
-        return forwarding.AttemptTarget(records[chosen.server], work_items=(work,))
+        return attempts.AttemptTarget(records[chosen.server], work_items=(work,))
 
 
 def first_token_timeout(route: traffic.Route) -> float:
@@ -198,7 +198,7 @@
 
 
 def _to_placement_request(
-    admitted: forwarding.AdmittedRequest, zone: str
+    admitted: attempts.AdmittedRequest, zone: str
 ) -> placement.PlacementRequest:
     return placement.PlacementRequest(
         prompt_tokens=admitted.caller.prompt_tokens,
@@ -213,7 +213,7 @@
 
 def _overload_error(text: str, seconds_until_free: float) -> errors.OverloadedError:
     """Return an error whose ``retry_after`` is when a server is free, with random jitter."""
-    wait = max(forwarding.RETRY_AFTER_SECONDS, seconds_until_free)
+    wait = max(attempts.RETRY_AFTER_SECONDS, seconds_until_free)
     jitter = 1 + RETRY_AFTER_JITTER_RATIO * random.random()
     return errors.OverloadedError(text, retry_after=round(jitter * wait, 2))
 
@@ -223,7 +223,7 @@
     request: placement.PlacementRequest,
     records: dict[str, messages.ServerRecord],
     now: float,
-) -> forwarding.AttemptTarget:
+) -> attempts.AttemptTarget:
     """Return the target of a placement, with the work that it adds to each engine."""
     prefill_end = now + chosen.first_token_seconds
     held = chosen.held_tokens or (0,) * len(chosen.helpers)
@@ -246,7 +246,7 @@
         )
         for helper, tokens in zip(chosen.helpers, held, strict=True)
     ]
-    return forwarding.AttemptTarget(
+    return attempts.AttemptTarget(
         server=records[chosen.primary.server],
         helpers=tuple(records[engine.server] for engine in chosen.helpers),
         held_tokens=chosen.held_tokens,
