--- a/bench/experiment/engines.py
+++ b/bench/experiment/engines.py
@@ -413,6 +413,12 @@
         self._fleet = fleet
         self._zone = zone
 
+    def check_listening(self, address: str, on_result: Callable[[bool | None], None]) -> None:
+        """Report whether the engine at an address is up, after a round trip."""
+        engine = self._fleet.find_engine(address)
+        delay_seconds = self._fleet.delay_seconds(self._zone, engine.zone)
+        self._loop.call_later(2 * delay_seconds, lambda: on_result(engine.is_up))
+
     def send(
         self,
         address: str,
