An entry that reaches no server passes its requests on to one that does

An entry had no other way to a server than its own links, and didn't know that it was cut off.

It knows by servers.unreachable now, tells the others, and sends the request to another entry as the caller sent it, with the time and the attempts that are left.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -106,17 +106,22 @@
             bounds=settings.bounds,
             zone=settings.availability_zone,
             receives_control_updates=self._receives_control_updates,
+            find_peers=self._find_peers,
             tries_suspects=self._tries_suspects,
+            on_cut_changed=self._subscribe,
         )
         self._subscribe_count = 0
         self._is_crash_report_scheduled = False
         self._sent_record: protocol_messages.EntryRecord | None = None
         self._hosts_with_record: set[str] = set()
+        self._recorded_state: tuple[bool, ...] = ()
+        self._state_change_count = 0
         self._stop_began_at = 0.0
         self._datagrams = self._make_datagram_socket()
         self._load_exchange = self._make_load_exchange()
         self._process.add_cleanup(self._datagrams.close)
         self._process.add_cleanup(self._pool.close)
+        self._process.add_cleanup(self._request_handler.peer_pool.close)
         self._caller_server = self._process.serve(
             settings.listen.callers, self._request_handler.handle_request, limits=self._http_limits
         )
@@ -248,6 +253,10 @@
             self.loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
 
     def _make_entry_record(self) -> protocol_messages.EntryRecord:
+        state = (self.is_ready, bool(self._stop_began_at), self._request_handler.is_cut_off)
+        if state != self._recorded_state:
+            self._recorded_state = state
+            self._state_change_count += 1
         return protocol_messages.EntryRecord(
             entry=self._settings.name,
             incarnation=self._incarnation,
@@ -256,8 +265,9 @@
             zone=self._settings.availability_zone,
             ready=self.is_ready,
             leaving=bool(self._stop_began_at),
+            cut_off=self._request_handler.is_cut_off,
             # Increases with each change of state, by more than renewals ever add.
-            sequence=RECORD_SEQUENCE_STEP * (2 * bool(self._stop_began_at) + self.is_ready),
+            sequence=RECORD_SEQUENCE_STEP * self._state_change_count,
             born=self._start_wall_time,
         )
 
@@ -393,6 +403,9 @@
         self._is_crash_report_scheduled = False
         self._subscribe()
 
+    def _find_peers(self) -> list[protocol_messages.EntryRecord]:
+        return self._directory.find_peers(self._settings.name, self.loop.now())
+
     def _tries_suspects(self, fingerprint: str) -> bool:
         """Return whether this entry is the first of all by rank for a fingerprint."""
         names = {record.entry for record in self._registry.entries() if not record.leaving}
--- a/flamingoramp/dialect.py
+++ b/flamingoramp/dialect.py
@@ -75,6 +75,9 @@
         Id of the last stream event that the caller received; empty to start at the first.
     shared_parts : tuple of str
         Ids of the parts of the prompt that other requests may have too, in their order.
+    attempts_used : int or None
+        Number of sends that may have run before another entry passed the request on; None if it
+        comes from its caller.
     """
 
     request_id: str
@@ -86,6 +89,12 @@
     output_tokens: int = 0
     last_event_id: str = ""
     shared_parts: tuple[str, ...] = ()
+    attempts_used: int | None = None
+
+    @property
+    def is_from_peer(self) -> bool:
+        """Whether another entry passed the request on."""
+        return self.attempts_used is not None
 
 
 @attrs.frozen
@@ -135,6 +144,28 @@
     helpers: tuple[HelperEngine, ...] = ()
 
 
+@attrs.frozen
+class PeerRequest:
+    """A caller's request that this entry passes on to another one.
+
+    Parameters
+    ----------
+    request : messages.Request
+        The request as the caller sent it.
+    remaining_seconds : float
+        Time until the deadline of the request.
+    attempts_used : int
+        Number of its sends that may have run.
+    last_event_id : str
+        Id of the last stream event that the caller has; empty to start at the first.
+    """
+
+    request: messages.Request
+    remaining_seconds: float
+    attempts_used: int = 0
+    last_event_id: str = ""
+
+
 class AnswerKind(enum.Enum):
     """Kind of a backend server's answer, as decoded from its head.
 
@@ -167,11 +198,15 @@
         Address of the helper engine that failed; empty if the answer names none.
     statement : statements.ServerStatement or None
         What the server states of itself; None if the answer may be that of another server.
+    retry_after_seconds : float
+        Time after which another entry that refused the request may be asked again; 0 if it named
+        none.
     """
 
     kind: AnswerKind
     failed_address: str = ""
     statement: statements.ServerStatement | None = None
+    retry_after_seconds: float = 0.0
 
 
 class Dialect(Protocol):
@@ -238,6 +273,12 @@
     def decode_answer_head(self, head: client.Head, request_id: str) -> AnswerHead:
         """Decode the head of a backend server's answer to the request ``request_id``."""
 
+    def encode_peer_request(self, passed_on: PeerRequest) -> messages.Request:
+        """Encode the request that is passed on to another entry."""
+
+    def decode_peer_answer_head(self, head: client.Head, request_id: str) -> AnswerHead:
+        """Decode the head of another entry's answer to the request ``request_id``."""
+
     def encode_reserve(
         self, server: str, ticket: str, tokens: int, seconds: float
     ) -> messages.Request:
--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -37,6 +37,8 @@
     risk : float
         Credit for on-time answers that the placement puts at risk, in units of
         `flamingoramp.routing.placement`.
+    is_peer : bool
+        Whether ``server`` is another entry, which passes the request on to a server.
     """
 
     server: protocol_messages.ServerRecord
@@ -45,6 +47,7 @@
     work_items: tuple[load_table.WorkItem, ...] = ()
     predicted_seconds: float = 0.0
     risk: float = 0.0
+    is_peer: bool = False
 
 
 @attrs.frozen
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -8,17 +8,14 @@
 
 import secrets
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
 from flamingoramp.backends import event_blocks
-from flamingoramp.dispatch import attempts, memory_reservations
+from flamingoramp.dispatch import attempts, forwarding_context, memory_reservations
 from flamingoramp.http import client
 from flamingoramp.http import messages as http_messages
-from flamingoramp.protocol import messages as protocol_messages
-from flamingoramp.routing import load_table, statements
-from flamingoramp.runtime import loop as loops
 
 # A stream is retried on another server if its first event takes this many times the predicted time,
 # and at least this long. An earlier retry costs the engines more than the caller gains.
@@ -33,93 +30,23 @@
 MAX_REPLACEMENT_WAIT_RATIO = 0.5
 # A request without a stream is retried after this many times the route's latency objective.
 NON_STREAM_TIMEOUT_RATIO = 1.5
+# Entries that one request is passed on to, one after the other.
+MAX_PEER_SENDS = 2
+# The timeouts of an attempt at another entry are this many times those at a server, since the other
+# entry notices a stalled server itself.
+PEER_TIMEOUT_RATIO = 2.0
 # No retry starts with less than this left until the deadline.
 MIN_RETRY_TIME_SECONDS = 0.05
 # Placements that a request tries if engines refuse to reserve memory for it.
 MAX_RESERVATION_ATTEMPTS = 3
 
 
-class ForwardingContext(Protocol):
-    """Parts and functions of an entry that a `RequestForwarder` uses."""
-
-    loop: loops.Loop
-    pool: client.Pool
-    dialect: dialects.Dialect
-    server_loads: load_table.LoadTable
-
-    def choose_target(
-        self, admitted: attempts.AdmittedRequest, excluded: set[str]
-    ) -> attempts.AttemptTarget:
-        """Choose the servers of the next attempt; ``excluded`` names those that must not serve.
-
-        Raises
-        ------
-        flamingoramp.errors.NoBackendError or flamingoramp.errors.OverloadedError
-            If no server is available or none has capacity.
-        """
-
-    def record_target(self, target: attempts.AttemptTarget) -> None:
-        """Add the load of an attempt to its servers, and count it towards their limits."""
-
-    def record_first_send(self, service: str) -> None:
-        """Count the first send of a request."""
-
-    def try_spend_retry(self, service: str) -> bool:
-        """Spend a retry of the service's allowance; False if it is used up."""
-
-    def record_failure(
-        self,
-        admitted: attempts.AdmittedRequest,
-        server: protocol_messages.ServerRecord,
-        *,
-        crashed: bool,
-        sent_at: float,
-    ) -> None:
-        """Record a failed connection.
-
-        ``crashed`` if the request, sent at ``sent_at``, may have crashed the server.
-        """
-
-    def has_backlog(
-        self, admitted: attempts.AdmittedRequest, server: protocol_messages.ServerRecord
-    ) -> bool:
-        """Tell whether a server's known load explains why it sends no data."""
-
-    def record_stall(self, server: protocol_messages.ServerRecord) -> None:
-        """Record that a server sent no data for longer than its timeout."""
-
-    def record_answer(self, server: protocol_messages.ServerRecord, failed: bool) -> None:
-        """Record a complete answer; ``failed`` for a 5xx status."""
-
-    def record_sound(self, admitted: attempts.AdmittedRequest) -> None:
-        """Record that a server has answered a request completely."""
-
-    def record_statement(
-        self,
-        admitted: attempts.AdmittedRequest,
-        server: protocol_messages.ServerRecord,
-        statement: statements.ServerStatement,
-    ) -> None:
-        """Record what a server states of itself in its answer to a request."""
-
-    def record_event_gaps(
-        self, service: str, server: protocol_messages.ServerRecord, event_gaps: list[float]
-    ) -> None:
-        """Record the intervals between the events of a stream, in seconds."""
-
-    def record_end(self, admitted: attempts.AdmittedRequest, outcome: str, **fields: Any) -> None:
-        """Log a request's outcome and update the metrics."""
-
-    def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
-        """Log a step in the processing of a request."""
-
-
 class RequestForwarder:
     """Forwards one admitted request, retrying and resuming as its route allows.
 
     Parameters
     ----------
-    context : ForwardingContext
+    context : forwarding_context.ForwardingContext
     admitted : attempts.AdmittedRequest
     on_end : callable
         Called with this object once, when the request is finished.
@@ -127,7 +54,7 @@
 
     def __init__(
         self,
-        context: ForwardingContext,
+        context: forwarding_context.ForwardingContext,
         admitted: attempts.AdmittedRequest,
         on_end: Callable[[RequestForwarder], None],
     ):
@@ -137,7 +64,10 @@
         self._exchange = admitted.exchange
         self._arrived_at = admitted.exchange.arrived_at
         self._deadline = self._arrived_at + admitted.time_limit_seconds
-        self._attempt_count = 0
+        # Sends to servers, sends to other entries, and those of both that may have run.
+        self._attempt_count = admitted.caller.attempts_used or 0
+        self._peer_send_count = 0
+        self._run_count = self._attempt_count
         self._reservation_count = 0
         self._excluded: set[str] = set()
         self._attempt: attempts.Attempt | None = None
@@ -210,10 +140,14 @@
         target = self._target
         admitted = self._admitted
         now = self._context.loop.now()
+        self._excluded.add(target.server.server)
+        if target.is_peer:
+            self._send_to_peer()
+            return
         self._attempt_count += 1
+        self._run_count += 1
         if self._attempt_count == 1:
             self._context.record_first_send(admitted.service)
-        self._excluded.add(target.server.server)
         attempt = attempts.Attempt(self, target, self._attempt_count)
         attempt.sent_at = attempt.last_progress_at = now
         self._attempt = attempt
@@ -259,13 +193,49 @@
         if admitted.route.is_retryable:
             self._schedule_stall_check(attempt, self._first_event_timeout(target))
 
+    def _send_to_peer(self) -> None:
+        """Pass the request on to another entry, which sends it to a server."""
+        context = self._context
+        now = context.loop.now()
+        peer = self._target.server
+        self._peer_send_count += 1
+        attempts_used = self._run_count
+        self._run_count += 1
+        attempt = attempts.Attempt(self, self._target, self._peer_send_count)
+        attempt.sent_at = attempt.last_progress_at = now
+        self._attempt = attempt
+        context.record_step(
+            self._admitted,
+            "request.passed_on",
+            entry=peer.server,
+            attempts_used=attempts_used,
+            waited=round(now - self._arrived_at, 4),
+        )
+        request = context.dialect.encode_peer_request(
+            dialects.PeerRequest(
+                self._exchange.request,
+                remaining_seconds=max(0.001, self._deadline - now),
+                attempts_used=attempts_used,
+                last_event_id=self._last_event_id,
+            )
+        )
+        is_retryable = self._admitted.route.is_retryable
+        attempt.request_handle = context.peer_pool.send(
+            peer.address, request, attempt, new_connection=not is_retryable
+        )
+        if is_retryable:
+            self._schedule_stall_check(attempt, self._first_event_timeout(self._target))
+
     def _first_event_timeout(self, target: attempts.AttemptTarget) -> float:
         route = self._admitted.route
         if not route.streams:
-            return NON_STREAM_TIMEOUT_RATIO * route.latency_objective_seconds
-        return max(
-            FIRST_EVENT_TIMEOUT_RATIO * target.predicted_seconds, MIN_FIRST_EVENT_TIMEOUT_SECONDS
-        )
+            timeout = NON_STREAM_TIMEOUT_RATIO * route.latency_objective_seconds
+        else:
+            timeout = max(
+                FIRST_EVENT_TIMEOUT_RATIO * target.predicted_seconds,
+                MIN_FIRST_EVENT_TIMEOUT_SECONDS,
+            )
+        return PEER_TIMEOUT_RATIO * timeout if target.is_peer else timeout
 
     def _schedule_stall_check(self, attempt: attempts.Attempt, timeout_seconds: float) -> None:
         """Replace an attempt that makes no progress for the timeout, or check it again later.
@@ -317,17 +287,24 @@
         """Tell whether the route, the deadline and earlier attempts permit another send."""
         route = self._admitted.route
         remaining_seconds = self._deadline - self._context.loop.now()
-        if (
-            self._attempt_count >= route.attempts
-            or remaining_seconds < MIN_RETRY_TIME_SECONDS
-            or self._is_done
-        ):
+        if remaining_seconds < MIN_RETRY_TIME_SECONDS or self._is_done:
+            return False
+        if self._run_count >= route.attempts:
             return False
-        return not self._may_have_run or route.is_retryable
+        if self._context.is_cut_off:
+            has_sends_left = self._peer_send_count < MAX_PEER_SENDS
+        else:
+            has_sends_left = self._attempt_count < route.attempts
+        return has_sends_left and (not self._may_have_run or route.is_retryable)
 
     def _retry(self, reason: str) -> bool:
-        """Send the request to another server; False if the retry allowance is used up."""
-        if not self._context.try_spend_retry(self._admitted.service):
+        """Send the request to another server; False if the retry allowance is used up.
+
+        A request that has not reached any server and is passed on needs no allowance, since it is
+        the first that a server gets of it.
+        """
+        is_first_arrival = self._context.is_cut_off and not self._run_count
+        if not is_first_arrival and not self._context.try_spend_retry(self._admitted.service):
             self._context.record_step(self._admitted, "request.retry_denied", why=reason)
             return False
         self._context.record_step(self._admitted, "request.retried", why=reason)
@@ -352,9 +329,10 @@
 
     def handle_head(self, attempt: attempts.Attempt, head: client.Head) -> None:
         """Process the head of an attempt's answer."""
-        answer_head = self._context.dialect.decode_answer_head(
-            head, self._admitted.caller.request_id
-        )
+        dialect = self._context.dialect
+        is_peer = attempt.target.is_peer
+        decode = dialect.decode_peer_answer_head if is_peer else dialect.decode_answer_head
+        answer_head = decode(head, self._admitted.caller.request_id)
         attempt.head = head
         server_address = attempt.target.server.address
         is_helpers_fault = answer_head.failed_address not in ("", server_address)
@@ -365,7 +343,8 @@
         match answer_head.kind:
             case dialects.AnswerKind.NOT_RUN:
                 attempt.detach()
-                self._handle_refusal(attempt, head, answer_head.failed_address)
+                self._run_count -= 1
+                self._handle_refusal(attempt, head, answer_head)
             case dialects.AnswerKind.FOREIGN:
                 self._may_have_run = True
                 self._record_failure(attempt, crashed=False)
@@ -395,20 +374,21 @@
                 self._handle_broken_attempt("cut_off")
                 return
             self._context.record_answer(attempt.target.server, failed=False)
-            if attempt.head.has_framed_body:
-                self._context.record_sound(self._admitted)
-            self._context.record_event_gaps(
-                self._admitted.service, attempt.target.server, attempt.event_gaps
-            )
+            self._record_sound(attempt)
+            if not attempt.target.is_peer:
+                self._context.record_event_gaps(
+                    self._admitted.service, attempt.target.server, attempt.event_gaps
+                )
             self._exchange.finish()
             self._finish("done", pieces=attempt.event_count)
             return
         head = attempt.head
         failed = head.status >= 500
         self._context.record_answer(attempt.target.server, failed=failed)
-        if attempt.head.has_framed_body:
-            self._context.record_sound(self._admitted)
-        if failed and self._can_retry() and self._retry(f"status_{head.status}"):
+        self._record_sound(attempt)
+        # Another entry has used the attempts that were left.
+        is_retryable = failed and not attempt.target.is_peer and self._can_retry()
+        if is_retryable and self._retry(f"status_{head.status}"):
             return
         if not self._exchange.has_started:
             answer = http_messages.Response(
@@ -426,12 +406,22 @@
         attempt.detach()
         crashed = may_have_run and failure in (client.Failure.RESET, client.Failure.CLOSED)
         self._may_have_run = self._may_have_run or may_have_run
+        self._run_count -= not may_have_run
         self._record_failure(attempt, crashed=crashed)
         self._handle_broken_attempt(failure.value)
 
+    def _record_sound(self, attempt: attempts.Attempt) -> None:
+        """Record a complete answer of a server, if one that was cut off would have shown."""
+        if attempt.head.has_framed_body and not attempt.target.is_peer:
+            self._context.record_sound(self._admitted)
+
     def _record_failure(self, attempt: attempts.Attempt, *, crashed: bool) -> None:
+        target = attempt.target
         self._context.record_failure(
-            self._admitted, attempt.target.server, crashed=crashed, sent_at=attempt.sent_at
+            self._admitted,
+            target.server,
+            crashed=crashed and not target.is_peer,
+            sent_at=attempt.sent_at,
         )
 
     def _relay_events(
@@ -477,23 +467,28 @@
             return False  # ids that aren't integers have no known order
 
     def _handle_refusal(
-        self, attempt: attempts.Attempt, head: client.Head, failed_address: str
+        self, attempt: attempts.Attempt, head: client.Head, answer_head: dialects.AnswerHead
     ) -> None:
         self._context.record_step(
             self._admitted,
             "request.not_run",
             server=attempt.target.server.server,
             status=head.status,
-            at_fault=failed_address,
+            at_fault=answer_head.failed_address,
         )
         for helper in attempt.target.helpers:
-            if helper.address == failed_address:
+            if helper.address == answer_head.failed_address:
                 self._excluded.add(helper.server)
         if self._can_retry() and self._retry("not_run"):
             return
         if self._exchange.has_started or self._may_have_run:
             self._end_failed(errors.BackendFailedError("the server that was to go on refused"))
             return
+        if attempt.target.is_peer:
+            wait = answer_head.retry_after_seconds or attempts.RETRY_AFTER_SECONDS
+            error = errors.OverloadedError("other entries refused it", retry_after=wait)
+            self._end_refused(error)
+            return
         self._end_refused(self._refusal_error())
 
     def _refusal_error(self) -> errors.FlamingorampError:
--- /dev/null
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -0,0 +1,92 @@
+"""What the forwarder of a request uses of its entry."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from flamingoramp import dialect as dialects
+from flamingoramp.dispatch import attempts
+from flamingoramp.http import client
+from flamingoramp.protocol import messages as protocol_messages
+from flamingoramp.routing import load_table, statements
+from flamingoramp.runtime import loop as loops
+
+
+class ForwardingContext(Protocol):
+    """Parts and functions of an entry that a `RequestForwarder` uses."""
+
+    loop: loops.Loop
+    pool: client.Pool
+    peer_pool: client.Pool
+    dialect: dialects.Dialect
+    server_loads: load_table.LoadTable
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this entry reaches no server, so that other entries are its targets."""
+
+    def choose_target(
+        self, admitted: attempts.AdmittedRequest, excluded: set[str]
+    ) -> attempts.AttemptTarget:
+        """Choose the servers of the next attempt; ``excluded`` names those that must not serve.
+
+        Raises
+        ------
+        flamingoramp.errors.NoBackendError or flamingoramp.errors.OverloadedError
+            If no server is available or none has capacity.
+        """
+
+    def record_target(self, target: attempts.AttemptTarget) -> None:
+        """Add the load of an attempt to its servers, and count it towards their limits."""
+
+    def record_first_send(self, service: str) -> None:
+        """Count the first send of a request."""
+
+    def try_spend_retry(self, service: str) -> bool:
+        """Spend a retry of the service's allowance; False if it is used up."""
+
+    def record_failure(
+        self,
+        admitted: attempts.AdmittedRequest,
+        server: protocol_messages.ServerRecord,
+        *,
+        crashed: bool,
+        sent_at: float,
+    ) -> None:
+        """Record a failed connection.
+
+        ``crashed`` if the request, sent at ``sent_at``, may have crashed the server.
+        """
+
+    def has_backlog(
+        self, admitted: attempts.AdmittedRequest, server: protocol_messages.ServerRecord
+    ) -> bool:
+        """Tell whether a server's known load explains why it sends no data."""
+
+    def record_stall(self, server: protocol_messages.ServerRecord) -> None:
+        """Record that a server sent no data for longer than its timeout."""
+
+    def record_answer(self, server: protocol_messages.ServerRecord, failed: bool) -> None:
+        """Record a complete answer; ``failed`` for a 5xx status."""
+
+    def record_sound(self, admitted: attempts.AdmittedRequest) -> None:
+        """Record that a server has answered a request completely."""
+
+    def record_statement(
+        self,
+        admitted: attempts.AdmittedRequest,
+        server: protocol_messages.ServerRecord,
+        statement: statements.ServerStatement,
+    ) -> None:
+        """Record what a server states of itself in its answer to a request."""
+
+    def record_event_gaps(
+        self, service: str, server: protocol_messages.ServerRecord, event_gaps: list[float]
+    ) -> None:
+        """Record the intervals between the events of a stream, in seconds."""
+
+    def record_end(self, admitted: attempts.AdmittedRequest, outcome: str, **fields: Any) -> None:
+        """Log a request's outcome and update the metrics."""
+
+    def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
+        """Log a step in the processing of a request."""
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -73,9 +73,13 @@
     receives_control_updates : callable
         Returns whether control hosts currently send updates to this entry; these carry the
         announcements of servers.
+    find_peers : callable
+        Returns the other entries that accept requests and reach servers.
     tries_suspects : callable
         Takes a fingerprint and returns whether it is this entry, of all, that sends single requests
         with it after it has been refused for a time.
+    on_cut_changed : callable
+        Called without arguments when `is_cut_off` has changed.
     """
 
     def __init__(
@@ -91,10 +95,13 @@
         bounds: node_settings.BoundSettings,
         zone: str,
         receives_control_updates: Callable[[], bool],
+        find_peers: Callable[[], list[messages.EntryRecord]] = list,
         tries_suspects: Callable[[str], bool] = lambda _fingerprint: False,
+        on_cut_changed: Callable[[], None] = lambda: None,
     ):
         self.loop = loop
         self.pool = pool
+        self.peer_pool = client.Pool(loop)
         self.dialect = dialect
         self.server_loads = server_loads
         self.entry_count = 1
@@ -124,8 +131,14 @@
             metrics=metrics,
         )
         self._reachability = reachability.ReachabilityChecks(
-            loop, pool, server_registry=server_registry, log=log, metrics=metrics
+            loop,
+            pool,
+            server_registry=server_registry,
+            log=log,
+            metrics=metrics,
+            on_change=on_cut_changed,
         )
+        self._peer_selector = selection.PeerSelector(find_peers, self._observations)
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._queued: set[http_server.Exchange] = set()
         self._is_releasing = False
@@ -135,6 +148,11 @@
         """The declaration in force at this entry, None before the first."""
         return self._declaration
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this entry reaches no server."""
+        return self._reachability.is_cut_off
+
     @property
     def active_count(self) -> int:
         """Number of requests queued or in progress."""
@@ -338,6 +356,8 @@
             )
             if fingerprint:
                 raise _quarantine_error(admitted.fingerprints, fingerprint)
+        if self.is_cut_off:
+            return self._peer_selector.choose(admitted, excluded, now=self.loop.now())
         return self._server_selector.choose(
             self._declaration,
             admitted,
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -111,6 +111,17 @@
         )
         return http_messages.Request(b"POST", b"/", headers, forwarded.request.body)
 
+    def encode_peer_request(self, passed_on: dialect.PeerRequest) -> http_messages.Request:
+        headers = (
+            (b"time-left", b"%d" % int(passed_on.remaining_seconds * 1000)),
+            (b"resume", passed_on.last_event_id.encode()),
+            (b"used", b"%d" % passed_on.attempts_used),
+        )
+        return http_messages.Request(b"POST", b"/", headers, passed_on.request.body)
+
+    def decode_peer_answer_head(self, head: client.Head, request_id: str) -> dialect.AnswerHead:
+        return self.decode_answer_head(head, request_id)
+
     def decode_answer_head(self, head: client.Head, request_id: str) -> dialect.AnswerHead:
         answer_kind = head.header(b"answer-kind")
         return dialect.AnswerHead(dialect.AnswerKind(answer_kind.decode()))
@@ -122,6 +133,8 @@
     def __init__(self):
         self.loop = virtual_time.VirtualLoop()
         self.pool = FakePool()
+        self.peer_pool = FakePool()
+        self.is_cut_off = False
         self.dialect = FakeDialect()
         self.server_loads = load_table.LoadTable()
         self.servers = ["s1", "s2", "s3"]
@@ -137,6 +150,8 @@
             if name not in excluded:
                 record = protocol_messages.ServerRecord(server=name, address=f"{name}:1")
                 work_item = load_table.WorkItem(name, part_seconds=0.1, prefill_end=0.1)
+                if self.is_cut_off:
+                    return attempts.AttemptTarget(record, is_peer=True)
                 return attempts.AttemptTarget(
                     record, work_items=(work_item,), predicted_seconds=self.predicted_seconds
                 )
@@ -188,10 +203,16 @@
         self.context = FakeContext()
         self.exchange = FakeExchange()
 
-    def start_request(self, route: traffic.Route, *, time_limit_seconds: float = 10.0) -> None:
+    def start_request(
+        self,
+        route: traffic.Route,
+        *,
+        time_limit_seconds: float = 10.0,
+        attempts_used: int | None = None,
+    ) -> None:
         admitted = attempts.AdmittedRequest(
             exchange=self.exchange,
-            caller=dialect.CallerRequest("r1", "h", "/"),
+            caller=dialect.CallerRequest("r1", "h", "/", attempts_used=attempts_used),
             route=route,
             service="s",
             workspace="w",
@@ -522,3 +543,124 @@
         self.start_request(PLAIN)
         self.assert_ended(503)
         self.assertEqual(self.calls, [])
+
+
+class TestEntryThatReachesNoServer(ForwardingCase):
+    """Requests that are passed on to other entries."""
+
+    def setUp(self):
+        super().setUp()
+        self.context.is_cut_off = True
+
+    @property
+    def calls(self) -> list[FakeCall]:
+        return self.context.peer_pool.calls
+
+    def used_attempts(self) -> list[bytes | None]:
+        return [call.request.header(b"used") for call in self.calls]
+
+    def test_passes_a_request_on_with_the_time_that_is_left(self):
+        self.start_request(PLAIN, time_limit_seconds=1.0)
+        self.assertEqual((len(self.calls), len(self.context.pool.calls)), (1, 0))
+        self.assertEqual(self.calls[0].request.header(b"time-left"), b"1000")
+        self.receive_head("answer", 404)
+        self.complete_answer()
+        self.assert_ended(404)
+
+    def test_relays_a_stream_as_it_arrives(self):
+        self.start_request(STREAM)
+        self.receive_head("stream")
+        self.receive_events(1)
+        self.assertIn(b"id: 1", self.exchange.body)
+        self.receive_events(2)
+        self.complete_answer()
+        self.assert_ended(200)
+
+    # Guards against evidence for a content that is taken from an entry's own refusal or failure.
+    def test_answer_of_another_entry_is_no_evidence_for_a_content(self):
+        self.start_request(PLAIN)
+        self.receive_head("answer", 502)
+        self.complete_answer()
+        self.assert_ended(502)
+        self.assertEqual((self.context.sound_count, len(self.calls)), (0, 1))
+
+    def test_refused_request_goes_to_a_second_entry_and_is_then_refused(self):
+        for route in (PLAIN, NON_IDEMPOTENT):
+            with self.subTest(route=route.name):
+                self.setUp()
+                self.start_request(route)
+                self.receive_head("not_run", 503)
+                self.receive_head("not_run", 503)
+                self.assertEqual(self.used_attempts(), [b"0", b"0"])
+                self.assert_ended(errors.OverloadedError.status)
+
+    # Guards against a request that runs twice, by a second entry that it is passed on to.
+    def test_request_that_may_have_run_is_not_passed_on_again(self):
+        for failure in client.Failure:
+            with self.subTest(failure):
+                self.setUp()
+                self.start_request(NON_IDEMPOTENT)
+                self.assertTrue(self.calls[0].new_connection)
+                self.fail_call(failure, may_have_run=True)
+                self.assertEqual(len(self.calls), 1)
+                self.assert_ended(502)
+
+    def test_entry_that_was_not_reached_is_replaced_without_allowance(self):
+        self.context.retries_left = 0
+        self.start_request(NON_IDEMPOTENT)
+        self.fail_call(client.Failure.NOT_CONNECTED, may_have_run=False)
+        self.assertEqual(self.used_attempts(), [b"0", b"0"])
+
+    def test_other_entries_get_the_attempts_that_are_left(self):
+        self.context.is_cut_off = False
+        self.start_request(PLAIN)
+        self.context.is_cut_off = True
+        self.context.pool.calls[0].receiver.handle_failure(client.Failure.RESET, may_have_run=True)
+        self.assertEqual(self.used_attempts(), [b"1"])
+        self.fail_call()
+        self.assertEqual(len(self.calls), 1)
+        self.assert_ended(502)
+
+    def test_attempts_that_reached_no_server_are_left_to_other_entries(self):
+        self.context.is_cut_off = False
+        self.start_request(NON_IDEMPOTENT)
+        self.context.is_cut_off = True
+        self.context.pool.calls[0].receiver.handle_failure(
+            client.Failure.TIMED_OUT, may_have_run=False
+        )
+        self.assertEqual(self.used_attempts(), [b"0"])
+
+    def test_stream_is_resumed_through_another_entry(self):
+        self.context.is_cut_off = False
+        self.start_request(STREAM)
+        server_call = self.context.pool.calls[0]
+        head = client.Head(200, (*REQUEST_ID_HEADERS, (b"answer-kind", b"stream")))
+        server_call.receiver.handle_head(head)
+        server_call.receiver.handle_data(b"id: 1\ndata: x\n\n")
+        self.context.is_cut_off = True
+        server_call.receiver.handle_failure(client.Failure.RESET, may_have_run=True)
+        self.assertEqual(self.calls[0].request.header(b"resume"), b"1")
+        self.receive_head("stream")
+        self.receive_events(2)
+        self.complete_answer()
+        self.assert_ended(200)
+        self.assertEqual(self.exchange.body, b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+
+    def test_caller_that_leaves_cancels_the_request_at_the_other_entry(self):
+        self.start_request(STREAM)
+        self.exchange.on_disconnect()
+        self.assertTrue(self.calls[0].cancelled)
+
+    def test_time_limit_ends_a_request_that_was_passed_on(self):
+        self.start_request(NON_IDEMPOTENT, time_limit_seconds=1.0)
+        self.context.loop.advance(1.1)
+        self.assertTrue(self.calls[0].cancelled)
+        self.assert_ended(504)
+
+    # Guards against more servers than the route permits, counted over both entries.
+    def test_request_from_another_entry_counts_its_attempts(self):
+        self.context.is_cut_off = False
+        self.start_request(PLAIN, attempts_used=1)
+        self.context.pool.calls[0].receiver.handle_failure(client.Failure.RESET, may_have_run=True)
+        self.assertEqual(len(self.context.pool.calls), 1)
+        self.assert_ended(502)
--- a/flamingoramp/membership/entry_directory.py
+++ b/flamingoramp/membership/entry_directory.py
@@ -50,7 +50,7 @@
         addresses that a new answer lacks, so it is the same for all callers of a zone, and differs
         between zones. Entries without a recent report are left out. If that leaves none, this
         process is isolated from the others, and all entries that were ready by their last reports
-        are returned.
+        are taken. Of these, entries that reach no server are left out, unless none does.
 
         Parameters
         ----------
@@ -74,9 +74,26 @@
         recent = [record for record in ready if self.reported_recently(record.entry, now)]
         if not ready:
             raise errors.NotReadyError("no entry is ready", retry_after=RETRY_AFTER_SECONDS)
-        chosen = _choose_entries(recent or ready, caller_zone)
+        usable = recent or ready
+        connected = [record for record in usable if not record.cut_off]
+        chosen = _choose_entries(connected or usable, caller_zone)
         return sorted(record.callers for record in chosen)
 
+    def find_peers(self, own_name: str, now: float) -> list[messages.EntryRecord]:
+        """Return the other entries that accept requests and reach servers.
+
+        In a large deployment most entries of other availability zones never report to this one, so
+        that only those whose next report is overdue are left out.
+        """
+        return [
+            record
+            for record in self._registry.entries()
+            if record.entry != own_name
+            and record.ready
+            and not (record.leaving or record.cut_off)
+            and now < self._expected_by.get(record.entry, float("inf"))
+        ]
+
 
 def _choose_entries(
     records: list[messages.EntryRecord], caller_zone: str
--- a/flamingoramp/membership/tests/test_entry_directory.py
+++ b/flamingoramp/membership/tests/test_entry_directory.py
@@ -5,6 +5,8 @@
 import collections
 import unittest
 
+import attrs
+
 from flamingoramp.membership import entry_directory, registry
 from flamingoramp.protocol import messages
 
@@ -84,3 +86,36 @@
             directory.record_report(record.entry, NOW)
         expected = sorted(record.callers for record in records)
         self.assertEqual(directory.addresses(NOW, caller_zone="zone-b"), expected)
+
+
+class TestEntriesThatReachNoServer(DirectoryCase):
+    """Entries that are cut off from all servers, in the directory and as targets of requests."""
+
+    def cut_off(self, *zones: str) -> None:
+        for record in self.records.values():
+            if record.zone in zones:
+                cut = attrs.evolve(record, cut_off=True, sequence=record.sequence + 1)
+                self.registry.update_entry(cut, NOW)
+
+    def test_cut_off_entries_are_left_out(self):
+        self.cut_off("zone-a", "zone-b")
+        self.assertEqual(
+            {self.records[address].zone for address in self.addresses()},
+            {"zone-c", "zone-d", "zone-e"},
+        )
+        peers = {record.zone for record in self.directory.find_peers("zone-a-0", NOW)}
+        self.assertEqual(peers, {"zone-c", "zone-d", "zone-e"})
+
+    def test_callers_get_addresses_if_no_entry_reaches_a_server(self):
+        self.cut_off(*ZONE_ENTRY_COUNTS)
+        self.assertEqual(len(self.addresses()), entry_directory.MAX_ADDRESS_COUNT)
+        self.assertEqual(self.directory.find_peers("zone-a-0", NOW), [])
+
+    # Guards against a zone that finds no peers elsewhere, whose entries don't report to it.
+    def test_entries_that_never_reported_here_are_peers(self):
+        directory = entry_directory.EntryDirectory(self.registry)
+        directory.record_report("zone-a-1", NOW)
+        later = NOW + 2 * entry_directory.REPORT_TIMEOUT_SECONDS
+        peers = {record.entry for record in directory.find_peers("zone-a-0", later)}
+        self.assertEqual(len(peers), len(self.records) - 2)
+        self.assertNotIn("zone-a-1", peers)
--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -14,6 +14,8 @@
 from flamingoramp.routing import statements
 
 _SERVER_STATES = ("ready", "draining")
+# With these an entry promises that a request has not run.
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Characters of a server's name, which is sent in a header of each request to it.
 _SERVER_NAME = re.compile(r"[\x21-\x7e]{1,200}")
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -137,6 +139,38 @@
     return dialect.AnswerHead(dialect.AnswerKind.ANSWER, failed_address, statement)
 
 
+def encode_peer_request(passed_on: dialect.PeerRequest) -> messages.Request:
+    """Encode a request to another entry: as the caller sent it, with the time that is left."""
+    request = passed_on.request
+    headers = [
+        (name, value)
+        for name, value in messages.end_to_end_headers(request.headers)
+        if name not in wire_names.PEER_HEADERS
+    ]
+    milliseconds = max(1, int(passed_on.remaining_seconds * 1000))
+    headers.append((wire_names.DEADLINE, b"%d" % milliseconds))
+    headers.append((wire_names.ATTEMPTS_USED, b"%d" % passed_on.attempts_used))
+    if passed_on.last_event_id:
+        headers.append((wire_names.LAST_EVENT_ID, passed_on.last_event_id.encode("latin-1")))
+    return messages.Request(request.method, request.target, tuple(headers), request.body)
+
+
+def decode_peer_answer_head(head: client.Head, request_id: str) -> dialect.AnswerHead:
+    """Decode the head of another entry's answer to the request ``request_id``."""
+    if head.header(wire_names.SIGNATURE) is not None:
+        # What the server states of itself is known to the other entry, and reported by it.
+        kind = decode_answer_head(head, request_id).kind
+        return dialect.AnswerHead(kind)
+    if head.status in _NOT_RUN_STATUSES:
+        times = [value for name, value in head.headers if name == wire_names.RETRY_AFTER]
+        return dialect.AnswerHead(
+            dialect.AnswerKind.NOT_RUN, retry_after_seconds=_decode_decimal(times) or 0.0
+        )
+    if head.status < 400:
+        return dialect.AnswerHead(dialect.AnswerKind.FOREIGN)
+    return dialect.AnswerHead(dialect.AnswerKind.ANSWER)
+
+
 def _decode_statement(head: client.Head) -> statements.ServerStatement:
     limits = [value for name, value in head.headers if name == wire_names.SERVER_LIMIT]
     is_refusal = head.header(wire_names.NOT_RUN) is not None
--- a/flamingoramp/platform/platform_dialect.py
+++ b/flamingoramp/platform/platform_dialect.py
@@ -90,6 +90,7 @@
         prompt, _, output = token_counts.partition(",")
         try:
             deadline = request.header(wire_names.DEADLINE)
+            attempts_used = request.header(wire_names.ATTEMPTS_USED)
             return dialect.CallerRequest(
                 request_id=request_id,
                 host=host.partition(":")[0],
@@ -102,6 +103,7 @@
                 output_tokens=max(0, int(output)) if output else 0,
                 last_event_id=_header_text(wire_names.LAST_EVENT_ID),
                 shared_parts=_decode_shared_parts(request),
+                attempts_used=max(0, int(attempts_used)) if attempts_used else None,
             )
         except ValueError as error:
             raise errors.BadRequestError("a header takes a whole number") from error
@@ -114,6 +116,14 @@
         """Decode the head of a backend server's answer to the request ``request_id``."""
         return backends.decode_answer_head(head, request_id)
 
+    def encode_peer_request(self, passed_on: dialect.PeerRequest) -> messages.Request:
+        """Encode the request that is passed on to another entry."""
+        return backends.encode_peer_request(passed_on)
+
+    def decode_peer_answer_head(self, head: client.Head, request_id: str) -> dialect.AnswerHead:
+        """Decode the head of another entry's answer to the request ``request_id``."""
+        return backends.decode_peer_answer_head(head, request_id)
+
     def encode_reserve(
         self, server: str, ticket: str, tokens: int, seconds: float
     ) -> messages.Request:
--- a/flamingoramp/platform/tests/test_backends.py
+++ b/flamingoramp/platform/tests/test_backends.py
@@ -309,3 +309,80 @@
     def test_signed_error_has_kind_answer(self):
         kind = self.decode_kind(500, x_attempt_id=b"id1", x_response_stamp=b"s")
         self.assertIs(kind, dialect.AnswerKind.ANSWER)
+
+
+class TestRequestsBetweenEntries(unittest.TestCase):
+    """Requests that one entry passes on to another, and the answers."""
+
+    def encode(self, *headers: tuple[bytes, bytes], **options) -> dict[bytes, bytes]:
+        request = messages.Request(b"POST", b"/a/b?c", headers, b"body")
+        encoded = backends.encode_peer_request(
+            dialect.PeerRequest(request, remaining_seconds=1.25, **options)
+        )
+        self.assertEqual(
+            (encoded.method, encoded.target, encoded.body), (b"POST", b"/a/b?c", b"body")
+        )
+        names = [name for name, _ in encoded.headers]
+        self.assertEqual(len(names), len(set(names)))
+        return dict(encoded.headers)
+
+    def test_caller_headers_are_kept_and_the_remaining_time_is_set(self):
+        headers = self.encode(
+            (b"host", b"h"),
+            (b"authorization", b"Token k1"),
+            (b"x-attempt-id", b"id1"),
+            (b"x-deadline-ms", b"9000"),
+            (b"last-event-id", b"3"),
+            (b"connection", b"keep-alive"),
+            (b"flamingoramp-attempts-used", b"99"),
+            attempts_used=1,
+            last_event_id="7",
+        )
+        expected = {
+            b"host": b"h",
+            b"authorization": b"Token k1",
+            b"x-attempt-id": b"id1",
+            b"x-deadline-ms": b"1250",
+            b"flamingoramp-attempts-used": b"1",
+            b"last-event-id": b"7",
+        }
+        self.assertEqual(headers, expected)
+
+    def test_other_entry_reads_the_attempts_and_keeps_them_from_servers(self):
+        headers = self.encode((b"x-attempt-id", b"id1"), attempts_used=0)
+        request = messages.Request(b"POST", b"/a", tuple(headers.items()))
+        caller = platform_dialect.PlatformDialect().decode_request(request)
+        self.assertEqual((caller.attempts_used, caller.is_from_peer), (0, True))
+        server = protocol_messages.ServerRecord(server="s")
+        forwarded = backends.encode_forwarded_request(
+            dialect.ForwardedRequest(request, caller, server)
+        )
+        self.assertIsNone(forwarded.header(b"flamingoramp-attempts-used"))
+
+    def decode(self, status: int, *headers: tuple[bytes, bytes]) -> dialect.AnswerHead:
+        return backends.decode_peer_answer_head(client.Head(status, headers), "id1")
+
+    def test_signed_answer_is_that_of_a_server(self):
+        signed = ((b"x-attempt-id", b"id1"), (b"x-response-stamp", b"s"), (b"server-limit", b"1"))
+        answer = self.decode(500, *signed)
+        self.assertEqual((answer.kind, answer.statement), (dialect.AnswerKind.ANSWER, None))
+        answer = self.decode(200, *signed, (b"content-type", b"text/event-stream"))
+        self.assertIs(answer.kind, dialect.AnswerKind.STREAM)
+        self.assertIs(
+            self.decode(200, (b"x-attempt-id", b"id2"), (b"x-response-stamp", b"s")).kind,
+            dialect.AnswerKind.FOREIGN,
+        )
+
+    def test_refusal_of_an_entry_has_not_run(self):
+        for status in (408, 421, 429, 503):
+            answer = self.decode(status, (b"retry-after", b"1.5"))
+            self.assertIs(answer.kind, dialect.AnswerKind.NOT_RUN)
+            self.assertEqual(answer.retry_after_seconds, 1.5)
+
+    # Guards against a failure that is taken for a refusal, and a request that then runs twice.
+    def test_failure_of_an_entry_promises_nothing(self):
+        for status in (400, 401, 404, 500, 502, 504):
+            self.assertIs(self.decode(status).kind, dialect.AnswerKind.ANSWER)
+
+    def test_unsigned_success_must_not_reach_the_caller(self):
+        self.assertIs(self.decode(200).kind, dialect.AnswerKind.FOREIGN)
--- a/flamingoramp/platform/tests/test_cut_entries.py
+++ b/flamingoramp/platform/tests/test_cut_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import time
 
 from flamingoramp.platform.tests import fake_server, server_links
 from flamingoramp.platform.tests import fleet as fleets
@@ -85,3 +86,55 @@
 
     def test_callers_are_served_while_new_connections_are_refused(self):
         self.check_cut(server_links.Cut.REFUSE)
+
+
+class TestReturn(CutEntryCase):
+    """The end of a cut, and the planned stop of an entry that others pass requests on to."""
+
+    def wait_until_cut_off(self, fleet: fleets.Fleet, expected: bool) -> None:
+        for entry in fleet.entries[:CUT_ENTRY_COUNT]:
+            handler = entry.daemon._request_handler
+            fleets.wait_for(lambda handler=handler: handler.is_cut_off == expected, "the cut")
+
+    def test_entries_use_their_own_links_again(self):
+        fleet = self.start_fleet()
+        self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=0.5)
+        self.cut(server_links.Cut.HANG)
+        self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=1.5)
+        self.wait_until_cut_off(fleet, True)
+        for links in self.links:
+            links.mend()
+        self.wait_until_cut_off(fleet, False)
+        answers = self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=2.0)
+        self.check_served(answers)
+        self.check_run_once(fleet)
+
+    # Guards against requests that are cut off since the entry they were passed on to stops.
+    def test_planned_stop_of_another_entry_cuts_nothing(self):
+        fleet = self.start_fleet()
+        self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=0.5)
+        self.cut(server_links.Cut.REFUSE)
+        self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=CONTACT_SECONDS)
+        stopping = fleet.entries.pop()
+        self.addCleanup(stopping.stop)
+        stopping.call(stopping.daemon.begin_stop)
+        answers = self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=LOAD_SECONDS)
+        self.check_served(answers)
+        self.check_run_once(fleet)
+
+    # Guards against requests that entries without servers pass on to each other.
+    def test_callers_are_refused_at_once_if_no_entry_reaches_a_server(self):
+        fleet = self.start_fleet()
+        for entry in fleet.entries[CUT_ENTRY_COUNT:]:
+            self.links.append(server_links.ServerLinks(entry.daemon._pool))
+            self.addCleanup(self.links[-1].close)
+        self.cut(server_links.Cut.HANG)
+        self.send_load(fleet, ROUTES, rate=REQUESTS_PER_SECOND, seconds=CONTACT_SECONDS)
+        begun_at = time.monotonic()
+        answers = [
+            self.send(fleet, "read", address=fleet.caller_address(number))
+            for number in range(ENTRY_COUNT)
+        ]
+        self.assertEqual({answer.status for answer in answers}, {503})
+        self.assertLess(time.monotonic() - begun_at, 0.1 * ENTRY_COUNT)
+        self.assertTrue(all(float(answer.headers["retry-after"]) > 0 for answer in answers))
--- a/flamingoramp/platform/wire_names.py
+++ b/flamingoramp/platform/wire_names.py
@@ -30,6 +30,8 @@
 # Helper engines as ip:port or ip:port/ticket, separated by commas.
 HELPERS = b"x-helpers"
 LAST_EVENT_ID = b"last-event-id"
+# In a request that another entry passes on: the number of its sends that may have run so far.
+ATTEMPTS_USED = b"flamingoramp-attempts-used"
 RETRY_AFTER = b"retry-after"
 
 DECLARATION_PATH = "/v1/config"
@@ -38,7 +40,18 @@
 SERVER_PATH_PATTERN = re.compile(r"^/v1/instances/([^/?]+)$")
 MEMORY_COMMAND_PATH = b"/v1/order"
 
+# Headers of a caller's request that another entry gets with this entry's values.
+PEER_HEADERS = frozenset({DEADLINE, LAST_EVENT_ID, ATTEMPTS_USED})
 # Removed from callers' requests; the entry sets its own values for a backend server.
 OVERRIDDEN_HEADERS = frozenset(
-    {DEADLINE, AUTHORIZATION, WORKSPACE, EXPECTED_SERVER, PRIORITY, HELPERS, LAST_EVENT_ID}
+    {
+        DEADLINE,
+        AUTHORIZATION,
+        WORKSPACE,
+        EXPECTED_SERVER,
+        PRIORITY,
+        HELPERS,
+        LAST_EVENT_ID,
+        ATTEMPTS_USED,
+    }
 )
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -425,7 +425,8 @@
 
     ``callers`` and ``inner`` are its addresses for callers and for the system's own processes.
     ``born`` is the Unix time of its start in seconds, ``age`` the time in seconds since the report.
-    ``gone`` is set by a control host that has not heard from it for long.
+    ``gone`` is set by a control host that has not heard from it for long. ``cut_off`` tells that it
+    reaches no backend server.
     """
 
     entry: str = ""
@@ -439,6 +440,7 @@
     age: float = 0.0
     born: float = 0.0
     gone: bool = False
+    cut_off: bool = False
 
 
 @attrs.frozen
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -37,7 +37,7 @@
 struct Ping { sequence @0 :UInt64; }
 struct Pong { sequence @0 :UInt64; }
 
-struct EntryRecord { entry @0 :Text; incarnation @1 :Text; callers @2 :Text; inner @3 :Text; zone @4 :Text; ready @5 :Bool; leaving @6 :Bool; sequence @7 :UInt64; age @8 :Float64; born @9 :Float64; gone @10 :Bool; }
+struct EntryRecord { entry @0 :Text; incarnation @1 :Text; callers @2 :Text; inner @3 :Text; zone @4 :Text; ready @5 :Bool; leaving @6 :Bool; sequence @7 :UInt64; age @8 :Float64; born @9 :Float64; gone @10 :Bool; cutOff @11 :Bool; }
 struct ServerRecord { server @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; software @4 :Text; slots @5 :UInt32; leaving @6 :Bool; coldSeconds @7 :Float64; sequence @8 :UInt64; born @9 :UInt64; age @10 :Float64; gone @11 :Bool; silent @12 :Bool; }
 struct CrashRecord { fingerprint @0 :Text; server @1 :Text; born @2 :UInt64; age @3 :Float64; seconds @4 :Float64; isClearance @5 :Bool; }
 struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; standby @6 :Bool; }
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 from flamingoramp import errors
 from flamingoramp.dispatch import attempts
@@ -188,6 +189,60 @@
         return attempts.AttemptTarget(records[chosen.server], work_items=(work,))
 
 
+class PeerSelector:
+    """Selects the entry that a request is passed on to while this one reaches no server.
+
+    Parameters
+    ----------
+    find_peers : callable
+        Returns the other entries that accept requests and reach servers.
+    observed : observations.Observations
+    """
+
+    def __init__(
+        self,
+        find_peers: Callable[[], list[messages.EntryRecord]],
+        observed: observations.Observations,
+    ):
+        self._find_peers = find_peers
+        self._observations = observed
+
+    def choose(
+        self, admitted: attempts.AdmittedRequest, excluded: set[str], *, now: float
+    ) -> attempts.AttemptTarget:
+        """Return a random peer, so that all peers get equal shares.
+
+        Raises
+        ------
+        flamingoramp.errors.NoBackendError
+            If there is none, or the request has been passed on before.
+        """
+        peers = [record for record in self._find_peers() if record.entry not in excluded]
+        if admitted.caller.is_from_peer or not peers:
+            raise errors.NoBackendError(
+                "this entry reaches no server",
+                retry_after=_add_jitter(attempts.RETRY_AFTER_SECONDS),
+            )
+        records = [_to_server_record(peer) for peer in peers]
+        responsive = [
+            record
+            for record in records
+            if not self._observations.is_suspended(observations.instance_key(record), now)
+        ]
+        return attempts.AttemptTarget(
+            random.choice(responsive or records),
+            predicted_seconds=admitted.route.latency_objective_seconds,
+            is_peer=True,
+        )
+
+
+def _to_server_record(peer: messages.EntryRecord) -> messages.ServerRecord:
+    """Return an entry as the target of an attempt."""
+    return messages.ServerRecord(
+        server=peer.entry, address=peer.callers, zone=peer.zone, born=int(1000 * peer.born)
+    )
+
+
 def first_token_timeout(route: traffic.Route) -> float:
     """Return how long a caller is assumed to wait for the first event of a stream, in seconds."""
     return max(
@@ -214,8 +269,11 @@
 def _overload_error(text: str, seconds_until_free: float) -> errors.OverloadedError:
     """Return an error whose ``retry_after`` is when a server is free, with random jitter."""
     wait = max(attempts.RETRY_AFTER_SECONDS, seconds_until_free)
-    jitter = 1 + RETRY_AFTER_JITTER_RATIO * random.random()
-    return errors.OverloadedError(text, retry_after=round(jitter * wait, 2))
+    return errors.OverloadedError(text, retry_after=_add_jitter(wait))
+
+
+def _add_jitter(seconds: float) -> float:
+    return round(seconds * (1 + RETRY_AFTER_JITTER_RATIO * random.random()), 2)
 
 
 def _to_target(
