Answers without end are bounded

Bytes that are no answer may come without end. An entry held back plain answers of any length, searched an event without end from its beginning with each piece, relayed comments for ever, and read answers on that nobody wanted.

Plain answers are held back up to 2 MiB; longer ones that name their length pass through as they arrive.

--- a/bench/experiment/engines.py
+++ b/bench/experiment/engines.py
@@ -71,6 +71,9 @@
         """Abandon the request; the engine is notified after the network delay."""
         self._cancel()
 
+    def discard_rest(self) -> None:
+        """Do nothing, since no answer goes on after its end."""
+
 
 class Engine:
     """A simulated engine, which batches requests and prefills parts of prompts for other engines.
@@ -426,6 +429,7 @@
         receiver: client.ResponseReceiver,
         *,
         new_connection: bool = False,
+        max_body_bytes: int | None = None,
     ) -> Call:
         """Send a request or a memory command to the engine at an address."""
         engine = self._fleet.find_engine(address)
--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -107,6 +107,10 @@
         self.head: client.Head | None = None
         self.is_stream = False
         self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.comment_bytes = 0
+        # Whether the body of a plain answer goes to the caller as it arrives.
+        self.is_relayed = False
         self.event_reader = event_blocks.EventBlockReader()
         self.sent_at = 0.0
         # Time of the last event of a stream, or of the last data of another answer.
@@ -124,6 +128,8 @@
     def detach(self) -> None:
         """Ignore the rest of the answer without cancelling the send."""
         self.is_active = False
+        if self.request_handle is not None:
+            self.request_handle.discard_rest()
 
     def handle_head(self, head: client.Head) -> None:
         """Process the status and headers."""
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -35,6 +35,12 @@
 # The timeouts of an attempt at another entry are this many times those at a server, since the other
 # entry notices a stalled server itself.
 PEER_TIMEOUT_RATIO = 2.0
+# A plain answer is held back up to this size, so that it can be replaced by another server's. A
+# longer one goes to the caller as it arrives if it names its length; without one it is taken for
+# bytes without end.
+MAX_HELD_ANSWER_BYTES = 2 * 1024 * 1024
+# Comments between two events; an engine sends few, to keep the connection open.
+MAX_COMMENT_BYTES = 64 * 1024
 # No retry starts with less than this left until the deadline.
 MIN_RETRY_TIME_SECONDS = 0.05
 # Placements that a request tries if engines refuse to reserve memory for it.
@@ -289,7 +295,7 @@
         remaining_seconds = self._deadline - self._context.loop.now()
         if remaining_seconds < MIN_RETRY_TIME_SECONDS or self._is_done:
             return False
-        if self._run_count >= route.attempts:
+        if self._run_count >= route.attempts or (self._attempt and self._attempt.is_relayed):
             return False
         if self._context.is_cut_off:
             has_sends_left = self._peer_send_count < MAX_PEER_SENDS
@@ -358,12 +364,40 @@
     def handle_data(self, attempt: attempts.Attempt, data: bytes) -> None:
         """Collect received bytes, or relay the events of a stream that they complete."""
         if not attempt.is_stream:
-            attempt.last_progress_at = self._context.loop.now()
-            attempt.body.append(data)
+            self._collect_or_relay(attempt, data)
             return
         blocks = attempt.event_reader.feed(data)
         if blocks:
             self._relay_events(attempt, blocks)
+        if attempt.event_reader.is_overlong or attempt.comment_bytes > MAX_COMMENT_BYTES:
+            self._handle_endless_answer(attempt)
+
+    def _collect_or_relay(self, attempt: attempts.Attempt, data: bytes) -> None:
+        """Hold back the body of a plain answer, or relay it if it is long and names its length."""
+        attempt.last_progress_at = self._context.loop.now()
+        attempt.body_bytes += len(data)
+        if attempt.is_relayed:
+            self._exchange.send(data)
+            return
+        attempt.body.append(data)
+        if attempt.body_bytes <= MAX_HELD_ANSWER_BYTES:
+            return
+        head = attempt.head
+        if head.declared_length is None or self._exchange.has_started:
+            self._handle_endless_answer(attempt)
+            return
+        attempt.is_relayed = True
+        self._exchange.start(
+            head.status,
+            http_messages.end_to_end_headers(head.headers),
+            length=head.declared_length,
+        )
+        self._exchange.send(b"".join(attempt.body))
+        attempt.body.clear()
+
+    def _handle_endless_answer(self, attempt: attempts.Attempt) -> None:
+        self._record_failure(attempt, crashed=False)
+        self._handle_broken_attempt("endless")
 
     def handle_complete(self, attempt: attempts.Attempt) -> None:
         """Finish the request with a complete answer; retry a cut-off stream or a 5xx status."""
@@ -390,6 +424,10 @@
         is_retryable = failed and not attempt.target.is_peer and self._can_retry()
         if is_retryable and self._retry(f"status_{head.status}"):
             return
+        if attempt.is_relayed:
+            self._exchange.finish()
+            self._finish("done" if head.status < 500 else "server_failed", status=head.status)
+            return
         if not self._exchange.has_started:
             answer = http_messages.Response(
                 head.status, http_messages.end_to_end_headers(head.headers), b"".join(attempt.body)
@@ -431,6 +469,9 @@
         event_count = sum(not block.is_comment for block in blocks)
         if event_count:
             self._record_progress(attempt, event_count, now)
+            attempt.comment_bytes = 0
+        else:
+            attempt.comment_bytes += sum(len(block.data) for block in blocks)
         new_blocks = [block for block in blocks if not self._was_relayed(block)]
         if not new_blocks:
             return
--- a/flamingoramp/dispatch/memory_reservations.py
+++ b/flamingoramp/dispatch/memory_reservations.py
@@ -19,6 +19,8 @@
 # A reservation that an engine has not answered within this time counts as refused.
 RESERVE_TIMEOUT_SECONDS = 0.4
 MAX_RELEASE_ATTEMPTS = 4
+# Of the answer to a command, a small JSON object.
+MAX_ANSWER_BYTES = 64 * 1024
 RELEASE_RETRY_INTERVAL_SECONDS = 0.6
 
 
@@ -89,7 +91,7 @@
         receiver = client.Collector(
             lambda head, _body: on_answer(hold, head is not None and head.status == 200)
         )
-        self._pool.send(hold.address, request, receiver)
+        self._pool.send(hold.address, request, receiver, max_body_bytes=MAX_ANSWER_BYTES)
 
     def _handle_answer(self, hold: MemoryHold, granted: bool) -> None:
         self._unanswered.discard(hold.server)
@@ -138,7 +140,8 @@
     def _send(self) -> None:
         self._attempt_count += 1
         request = self._dialect.encode_release(self._hold.server, self._hold.ticket)
-        self._pool.send(self._hold.address, request, client.Collector(self._handle_answer))
+        receiver = client.Collector(self._handle_answer)
+        self._pool.send(self._hold.address, request, receiver, max_body_bytes=MAX_ANSWER_BYTES)
 
     def _handle_answer(self, head: client.Head | None, _body: bytes) -> None:
         answered = head is not None and head.status < 500
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -49,6 +49,9 @@
     def cancel(self) -> None:
         self.cancelled = True
 
+    def discard_rest(self) -> None:
+        """Do nothing."""
+
 
 class FakePool:
     """Connection pool that records the requests."""
@@ -302,6 +305,68 @@
         self.assertEqual(times_left_ms, [1000, 800])
 
 
+class TestLongAnswers(ForwardingCase):
+    """Plain answers that are too long to be held back, and bytes without end."""
+
+    PIECE = b"x" * 1024 * 1024
+
+    def receive_pieces(self, count: int) -> None:
+        for _ in range(count):
+            self.calls[-1].receiver.handle_data(self.PIECE)
+
+    def start_long_answer(self, route: traffic.Route = PLAIN) -> None:
+        self.start_request(route)
+        length = b"%d" % (5 * len(self.PIECE))
+        self.receive_head("answer", framing=((b"content-length", length),))
+
+    def test_long_answer_with_a_length_is_relayed_as_it_arrives(self):
+        self.start_long_answer()
+        self.receive_pieces(2)
+        self.assertFalse(self.exchange.has_started)
+        self.receive_pieces(1)
+        self.assertEqual(len(self.exchange.body), 3 * len(self.PIECE))
+        self.receive_pieces(2)
+        self.complete_answer()
+        self.assert_ended(200)
+        self.assertEqual(self.exchange.body, 5 * self.PIECE)
+
+    # Guards against a retry whose answer is appended to a part of another one.
+    def test_relayed_answer_that_breaks_off_is_aborted(self):
+        self.start_long_answer()
+        self.receive_pieces(3)
+        self.fail_call()
+        self.assertEqual(len(self.calls), 1)
+        self.assert_ended(200, "aborted")
+
+    def test_bytes_without_end_are_given_up_for_another_server(self):
+        self.start_request(PLAIN)
+        self.receive_head("answer")
+        self.receive_pieces(3)
+        self.assertEqual((self.calls[0].cancelled, len(self.calls)), (True, 2))
+        self.assertEqual(self.context.failures, [("s1", False)])
+        self.receive_head("answer")
+        self.complete_answer()
+        self.assert_ended(200)
+
+    def test_bytes_without_end_fail_a_request_that_may_not_run_twice(self):
+        self.start_request(NON_IDEMPOTENT)
+        self.receive_head("answer")
+        self.receive_pieces(3)
+        self.assertTrue(self.calls[0].cancelled)
+        self.assert_ended(502)
+
+    def test_event_or_comments_without_end_are_resumed_at_another_server(self):
+        for data in (b"data: " + self.PIECE, b":\n\n" * forwarding.MAX_COMMENT_BYTES):
+            with self.subTest(data=data[:6]):
+                self.setUp()
+                self.start_request(STREAM)
+                self.receive_head("stream")
+                self.receive_events(1)
+                self.calls[0].receiver.handle_data(data)
+                self.assertEqual((self.calls[0].cancelled, len(self.calls)), (True, 2))
+                self.assertEqual(self.calls[1].request.header(b"resume"), b"1")
+
+
 class TestServersThatEnd(ForwardingCase):
     """What an answer tells of a content that may crash servers."""
 
--- a/flamingoramp/dispatch/tests/test_memory_reservations.py
+++ b/flamingoramp/dispatch/tests/test_memory_reservations.py
@@ -56,7 +56,7 @@
             self.loop, self, Dialect(), holds, self.results.append
         )
 
-    def send(self, address, request, receiver) -> None:
+    def send(self, address, request, receiver, *, max_body_bytes=None) -> None:
         op, server, ticket, seconds = request
         self.assertEqual(address, f"{server}:1")
         if op == "reserve":
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -26,6 +26,12 @@
 MAX_REUSE_IDLE_SECONDS = 2.0
 MAX_IDLE_CONNECTIONS_PER_SERVER = 16
 MAX_HEADER_BYTES = 64 * 1024
+# Interim responses (1xx) before one response; a server sends one or two.
+MAX_INTERIM_RESPONSES = 16
+# Rest of a body that is read for the sake of the connection, which is closed if it is longer or
+# takes more time.
+MAX_DISCARDED_BYTES = 64 * 1024
+DISCARD_TIMEOUT_SECONDS = 1.0
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -35,7 +41,7 @@
 
     NOT_CONNECTED: the connection could not be established. TIMED_OUT: it was not established in
     time. CLOSED, RESET: the server closed or reset it before the response was complete. UNREADABLE:
-    the bytes received are not valid HTTP.
+    the bytes received are not valid HTTP. TOO_LARGE: the body exceeds the limit of the request.
     """
 
     NOT_CONNECTED = "not_connected"
@@ -43,6 +49,7 @@
     CLOSED = "closed"
     RESET = "reset"
     UNREADABLE = "unreadable"
+    TOO_LARGE = "too_large"
 
 
 @attrs.frozen
@@ -56,6 +63,12 @@
         """Return the value of a header by its lower-case name, None if it is missing."""
         return messages.find_header(self.headers, name)
 
+    @property
+    def declared_length(self) -> int | None:
+        """Length of the body, None if the head names none."""
+        value = self.header(b"content-length")
+        return int(value) if value is not None and value.isdigit() else None
+
     @property
     def has_framed_body(self) -> bool:
         """Whether the response has a length or chunks, so that a body that was cut off shows."""
@@ -103,6 +116,10 @@
         """
         self._connection.cancel(self._receiver)
 
+    def discard_rest(self) -> None:
+        """Keep the connection for later requests if the rest of the response is short."""
+        self._connection.discard_rest(self._receiver)
+
 
 class _Connection:
     def __init__(self, pool: Pool, address: str):
@@ -113,6 +130,9 @@
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._receiver: ResponseReceiver | None = None
         self._sent_bytes_at_start = 0
+        self._interim_count = 0
+        self._body_bytes = 0
+        self._max_body_bytes: int | None = None
         self._failed_connect = False
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
@@ -135,9 +155,14 @@
         """Whether the connection is open for writing."""
         return self._stream.is_open
 
-    def send_request(self, request: messages.Request, receiver: ResponseReceiver) -> None:
+    def send_request(
+        self, request: messages.Request, receiver: ResponseReceiver, max_body_bytes: int | None
+    ) -> None:
         """Send a request; ``receiver`` gets the response."""
         self._receiver = receiver
+        self._interim_count = 0
+        self._body_bytes = 0
+        self._max_body_bytes = max_body_bytes
         self._sent_bytes_at_start = self._stream.sent_bytes
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD"):
@@ -161,6 +186,12 @@
             self._receiver = None
             self.close()
 
+    def discard_rest(self, receiver: ResponseReceiver) -> None:
+        """Bound the rest of a receiver's response in size and time."""
+        if self._receiver is receiver:
+            self._max_body_bytes = self._body_bytes + MAX_DISCARDED_BYTES
+            self._pool.loop.call_later(DISCARD_TIMEOUT_SECONDS, lambda: self.cancel(receiver))
+
     def close(self) -> None:
         """Close the connection and remove it from the pool."""
         self._stream.close()
@@ -193,12 +224,20 @@
                     self._update_reuse_timeout(headers)
                     self._receiver.handle_head(Head(event.status_code, headers))
                 case h11.Data():
+                    self._body_bytes += len(event.data)
+                    limit = self._max_body_bytes
+                    if limit is not None and self._body_bytes > limit:
+                        self._close_and_fail(Failure.TOO_LARGE)
+                        return
                     self._receiver.handle_data(bytes(event.data))
                 case h11.EndOfMessage():
                     self._complete()
                     return
                 case h11.InformationalResponse():
-                    continue
+                    self._interim_count += 1
+                    if self._interim_count > MAX_INTERIM_RESPONSES:
+                        self._close_and_fail(Failure.UNREADABLE)
+                        return
                 case _:
                     return
 
@@ -308,6 +347,11 @@
         self.opened_count = 0
         loop.call_every(1.0, self._close_expired)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     def send(
         self,
         address: str,
@@ -315,6 +359,7 @@
         receiver: ResponseReceiver,
         *,
         new_connection: bool = False,
+        max_body_bytes: int | None = None,
     ) -> RequestHandle:
         """Send a request on an idle connection, or on a new one if there is none.
 
@@ -327,6 +372,8 @@
             Gets the response.
         new_connection : bool
             Whether to use a new connection, since the server may be closing an idle one.
+        max_body_bytes : int or None
+            A longer body fails the request; None if the receiver bounds it.
 
         Returns
         -------
@@ -339,7 +386,7 @@
             self.opened_count += 1
             self._connections.add(connection)
             self.loop.call_later(self._connect_timeout_seconds, connection.fail_if_not_connected)
-        connection.send_request(request, receiver)
+        connection.send_request(request, receiver, max_body_bytes)
         return RequestHandle(connection, receiver)
 
     def add_idle(self, connection: _Connection) -> None:
--- a/flamingoramp/http/tests/test_client.py
+++ b/flamingoramp/http/tests/test_client.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
 
 from flamingoramp.http import client, messages
@@ -185,6 +186,35 @@
         self.assertEqual(receiver.failure, client.Failure.NOT_CONNECTED)
         self.assertFalse(receiver.may_have_run)
 
+    def test_body_beyond_the_limit_fails_the_request(self):
+        server = self.start_server(OK_RESPONSE)
+        receiver = self.send_request(server.address, max_body_bytes=1)
+        self.assertIs(receiver.failure, client.Failure.TOO_LARGE)
+
+    def test_interim_responses_are_bounded(self):
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+        server = self.start_server(
+            client.MAX_INTERIM_RESPONSES * interim + OK_RESPONSE, 1000 * interim
+        )
+        self.assertEqual(self.send_request(server.address).body, b"ok")
+        receiver = self.send_request(server.address)
+        self.assertIs(receiver.failure, client.Failure.UNREADABLE)
+
+    # Guards against a connection that is read for ever for an answer that nobody wants.
+    def test_rest_of_a_discarded_response_is_bounded(self):
+        head = b"HTTP/1.1 503 Busy\r\ntransfer-encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n%s\r\n" % (client.MAX_DISCARDED_BYTES, b"x" * client.MAX_DISCARDED_BYTES)
+        for rest in (2 * chunk, b""):
+            server = self.start_server(head + rest)
+            receiver = RecordingReceiver()
+            request = messages.Request(b"GET", b"/", ((b"host", b"h"),))
+            handle = self.pool.send(server.address, request, receiver)
+            handle.discard_rest()
+            deadline = time.monotonic() + TIMEOUT_SECONDS
+            while self.pool.connection_count and time.monotonic() < deadline:
+                self.loop.run_once(0.1)
+            self.assertEqual(self.pool.connection_count, 0)
+
     def test_check_tells_a_listening_server_from_an_ended_one(self):
         results: list[bool | None] = []
         listener = socket.create_server(("127.0.0.1", 0))
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -14,6 +14,20 @@
 ANNOUNCE_INTERVAL_SECONDS = 0.2
 # Time that a server is down after a crash.
 RESTART_SECONDS = 1.0
+# Bytes of an endless answer that wait for the caller to read.
+MAX_ENDLESS_BUFFER_BYTES = 512 * 1024
+
+
+@attrs.frozen
+class EndlessAnswer:
+    """Bytes without end.
+
+    ``begin`` comes once, with ``ID`` for the id of the request and ``STAMP`` for a signature, and
+    then ``piece`` again and again.
+    """
+
+    begin: bytes
+    piece: bytes
 
 
 @attrs.define
@@ -45,6 +59,8 @@
         one, and starts again after `RESTART_SECONDS`; empty for none.
     headers : tuple of (bytes, bytes)
         Further headers of each answer, also of refusals.
+    endless : EndlessAnswer or None
+        Bytes that it sends in place of an answer until the caller closes.
     """
 
     event_count: int = 5
@@ -58,6 +74,7 @@
     crash_marker: bytes = b""
     crash_part: bytes = b""
     headers: messages.Headers = ()
+    endless: EndlessAnswer | None = None
 
 
 class FakeServer:
@@ -88,6 +105,7 @@
         self.reserved_tokens: dict[str, int] = {}
         self.reserved_tickets: list[str] = []
         self.disconnect_count = 0
+        self.endless_byte_count = 0
         self.crash_times: list[float] = []
         self._service = service
         self._control_addresses = control_addresses
@@ -170,6 +188,9 @@
         exchange.on_disconnect = self._count_disconnect
         if self.behaviour.never_answers:
             return
+        if self.behaviour.endless is not None:
+            self._send_endless(exchange, self.behaviour.endless)
+            return
         if self.behaviour.crash_marker and self.behaviour.crash_marker in request.body:
             exchange.abort()
             self.restart()
@@ -196,6 +217,21 @@
         first_number = int(request.header(b"last-event-id") or b"0") + 1
         self._write_event(exchange, first_number)
 
+    def _send_endless(self, exchange: server.Exchange, endless: EndlessAnswer) -> None:
+        stream = exchange._connection._stream
+        request_id = exchange.request.header(b"x-attempt-id") or b""
+        stream.write(endless.begin.replace(b"ID", request_id).replace(b"STAMP", b"stamp"))
+
+        def _send_more() -> None:
+            if not stream.is_open:
+                return
+            while stream.is_open and stream.buffered_bytes < MAX_ENDLESS_BUFFER_BYTES:
+                stream.write(endless.piece)
+                self.endless_byte_count += len(endless.piece)
+            self._loop.call_later(0.001, _send_more)
+
+        _send_more()
+
     def _write_event(self, exchange: server.Exchange, number: int) -> None:
         if exchange.is_done:
             return
