--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -164,7 +164,8 @@
     if head.status in _NOT_RUN_STATUSES:
         times = [value for name, value in head.headers if name == wire_names.RETRY_AFTER]
         return dialect.AnswerHead(
-            dialect.AnswerKind.NOT_RUN, retry_after_seconds=_decode_decimal(times) or 0.0
+            dialect.AnswerKind.NOT_RUN,
+            retry_after_seconds=max(_decode_decimals(times), default=0.0),
         )
     if head.status < 400:
         return dialect.AnswerHead(dialect.AnswerKind.FOREIGN)
@@ -175,22 +176,21 @@
     limits = [value for name, value in head.headers if name == wire_names.SERVER_LIMIT]
     is_refusal = head.header(wire_names.NOT_RUN) is not None
     times = [value for name, value in head.headers if name == wire_names.RETRY_AFTER]
-    closed_seconds = _decode_decimal(times) if head.status == 503 else None
-    if closed_seconds is None or closed_seconds > statements.MAX_CLOSED_SECONDS:
-        closed_seconds = 0.0
+    closing_times = [
+        seconds for seconds in _decode_decimals(times) if seconds <= statements.MAX_CLOSED_SECONDS
+    ]
     return statements.ServerStatement(
-        limit=_decode_decimal(limits) if limits else math.inf,
+        # The strictest of several values holds.
+        limit=min(_decode_decimals(limits), default=None) if limits else math.inf,
         leaving=head.header(wire_names.SERVER_LEAVING) == b"1",
-        closed_seconds=closed_seconds,
+        closed_seconds=max(closing_times, default=0.0) if head.status == 503 else 0.0,
         is_refusal=is_refusal,
     )
 
 
-def _decode_decimal(values: list[bytes]) -> float | None:
-    """Return the number in the values of one header; None if it isn't exactly one decimal."""
-    if len(values) != 1 or not _DECIMAL.fullmatch(values[0]):
-        return None
-    return float(values[0])
+def _decode_decimals(values: list[bytes]) -> list[float]:
+    """Return those values of one header that are decimals."""
+    return [float(value) for value in values if _DECIMAL.fullmatch(value)]
 
 
 def encode_memory_command(server: str, body: dict[str, Any]) -> messages.Request:
