Control hosts that reconnect get the ends of refused contents only

An entry sent all its evidence of crashes to each control host that had reconnected. Gateway.__init__ is split; no change there.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -95,21 +95,7 @@
         self._directory = entry_directory.EntryDirectory(self._registry)
         self._server_loads = load_table.LoadTable(settings.availability_zone)
         self._pool = client.Pool(self.loop)
-        self._request_handler = request_handler.RequestHandler(
-            self.loop,
-            self._pool,
-            self._dialect,
-            server_registry=self._registry,
-            server_loads=self._server_loads,
-            log=self._log,
-            metrics=self._metrics,
-            bounds=settings.bounds,
-            zone=settings.availability_zone,
-            receives_control_updates=self._receives_control_updates,
-            find_peers=self._find_peers,
-            tries_suspects=self._tries_suspects,
-            on_cut_changed=self._subscribe,
-        )
+        self._request_handler = self._make_request_handler()
         self._subscribe_count = 0
         self._is_crash_report_scheduled = False
         self._sent_record: protocol_messages.EntryRecord | None = None
@@ -128,6 +114,23 @@
         self._serve_other_endpoints(settings.listen)
         self._start_timers()
 
+    def _make_request_handler(self) -> request_handler.RequestHandler:
+        return request_handler.RequestHandler(
+            self.loop,
+            self._pool,
+            self._dialect,
+            server_registry=self._registry,
+            server_loads=self._server_loads,
+            log=self._log,
+            metrics=self._metrics,
+            bounds=self._settings.bounds,
+            zone=self._settings.availability_zone,
+            receives_control_updates=self._receives_control_updates,
+            find_peers=self._find_peers,
+            tries_suspects=self._tries_suspects,
+            on_cut_changed=self._subscribe,
+        )
+
     def _make_datagram_socket(self) -> datagrams.DatagramSocket:
         return datagrams.DatagramSocket(
             self.loop,
--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -175,10 +175,11 @@
         return tuple(records)
 
     def list_records(self, now: float) -> tuple[messages.CrashRecord, ...]:
-        """Return all ends that this entry knows, for a control host that may have lost them."""
+        """Return the ends of contents that may be refused, for a host that may have lost them."""
         return tuple(
             _to_record(fingerprint, run, end, now)
             for fingerprint, ends in self._ends.items()
+            if len(ends) >= QUARANTINE_END_COUNT
             for run, end in ends.items()
             if end.is_confirmed
         )
