--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -3,14 +3,14 @@
 A request has several fingerprints: that of its whole content, and that of each part of its prompt
 that other requests may have too. When a server ends, each request that it had at that moment may be
 the cause, and so may each of their parts. What is sound comes to be in complete answers as well,
-which ends the suspicion; a deadly content never does.
+which ends the suspicion; a crashing content never does.
 
 Of the ends that a fingerprint was part of, those count that
 
 - are independent: each request was sent after the previous end. Servers that end together, for
   another cause, count as one;
 - aren't explained by a fingerprint that the request doesn't have and that was part of as many ends
-  or more. So what runs beside a deadly content, on the same servers, isn't refused with it.
+  or more. So what runs beside a crashing content, on the same servers, isn't refused with it.
 
 All entries exchange their evidence through the control hosts.
 """
--- a/flamingoramp/dispatch/tests/test_crash_evidence.py
+++ b/flamingoramp/dispatch/tests/test_crash_evidence.py
@@ -103,35 +103,35 @@
         self.assertEqual(self.evidence.find_quarantined(("c",)), "c")
 
     # Guards against a common part that is refused since servers fail together for another cause.
-    def test_servers_that_end_together_condemn_nothing(self):
+    def test_servers_that_end_together_cause_no_refusal(self):
         for number in range(10):
             end_server(self.evidence, f"s{number}", (f"c{number}", "p"), at=10.0 + 0.001 * number)
         self.assertEqual(self.evidence.find_quarantined(("c", "p")), "")
 
-    # Guards against requests that are refused since they ran on the same servers as a deadly part.
-    def test_companion_of_a_deadly_part_is_not_refused(self):
+    # Guards against requests that are refused since they ran beside a crashing part.
+    def test_companion_of_a_crashing_part_is_not_refused(self):
         for number in range(END_COUNT):
-            requests = (("victim", "v"), (f"c{number}", "p"))
+            requests = (("beside", "v"), (f"c{number}", "p"))
             end_server(self.evidence, f"s{number}", *requests, at=10.0 + number)
         end_server(self.evidence, "s9", ("c9", "p"), at=20.0)
-        self.assertEqual(self.evidence.find_quarantined(("victim", "v")), "")
+        self.assertEqual(self.evidence.find_quarantined(("beside", "v")), "")
         self.assertEqual(self.evidence.find_quarantined(("c10", "p")), "p")
 
-    def test_part_that_always_comes_with_a_deadly_one_is_tried_without_it(self):
+    def test_part_that_always_comes_with_a_crashing_one_is_tried_without_it(self):
         for number in range(END_COUNT):
             content = f"c{number}"
-            end_server(self.evidence, content, (content, "deadly", "companion"), at=10.0 + number)
-        self.assertNotEqual(self.evidence.find_quarantined(("x", "deadly", "companion")), "")
+            end_server(self.evidence, content, (content, "crashing", "companion"), at=10.0 + number)
+        self.assertNotEqual(self.evidence.find_quarantined(("x", "crashing", "companion")), "")
         self.assertEqual(self.evidence.find_quarantined(("x", "companion")), "")
         self.evidence.record_answer(("x", "companion"), 20.0)
         self.assertEqual(self.evidence.find_quarantined(("y", "companion")), "")
-        self.assertEqual(self.evidence.find_quarantined(("y", "deadly")), "deadly")
+        self.assertEqual(self.evidence.find_quarantined(("y", "crashing")), "crashing")
 
-    def test_two_deadly_parts_at_once_are_both_refused(self):
+    def test_two_crashing_parts_at_once_are_both_refused(self):
         for number in range(END_COUNT):
-            victim = (f"v{number}", "first")
-            end_server(self.evidence, f"a{number}", victim, (f"x{number}", "p"), at=10.0 + number)
-            end_server(self.evidence, f"b{number}", victim, (f"y{number}", "q"), at=10.5 + number)
+            beside = (f"v{number}", "first")
+            end_server(self.evidence, f"a{number}", beside, (f"x{number}", "p"), at=10.0 + number)
+            end_server(self.evidence, f"b{number}", beside, (f"y{number}", "q"), at=10.5 + number)
         self.evidence.record_answer(("w", "first"), 20.0)
         self.assertEqual(self.evidence.find_quarantined(("n", "first", "p")), "p")
         self.assertEqual(self.evidence.find_quarantined(("n", "first", "q")), "q")
@@ -239,20 +239,20 @@
     """Entries that send requests to engines which some parts crash, in virtual time.
 
     An entry sends each request to one of the least loaded engines. Requests have one of 60 first
-    parts; those with a deadly part crash their engine soon after they begin. A request whose engine
+    parts; those with a crashing part end their engine soon after they begin. A request whose engine
     ended is sent once more. Entries exchange their evidence through one control host.
 
     Parameters
     ----------
     seed : int
     entry_count, engine_count : int
-    deadly_parts : tuple of str
-    request_rate, deadly_rate : float
-        Requests per second without and with a deadly part.
+    crashing_parts : tuple of str
+    request_rate, crashing_rate : float
+        Requests per second without and with a crashing part.
     message_seconds : float
         Time that a message takes.
-    deadly_from : float
-        Time of the first request with a deadly part.
+    crashing_from : float
+        Time of the first request with a crashing part.
     """
 
     ANSWER_SECONDS = 1.7
@@ -265,16 +265,16 @@
         *,
         entry_count: int = 9,
         engine_count: int = 23,
-        deadly_parts: tuple[str, ...] = ("deadly",),
+        crashing_parts: tuple[str, ...] = ("crashing",),
         request_rate: float = 23.0,
-        deadly_rate: float = 1.2,
+        crashing_rate: float = 1.2,
         message_seconds: float = 0.01,
-        deadly_from: float = 10.0,
+        crashing_from: float = 10.0,
     ):
         self.loop = virtual_time.VirtualLoop()
-        # By deadly part: the ends of engines that it crashed, and its requests.
-        self.end_times: dict[str, list[float]] = {part: [] for part in deadly_parts}
-        self.sent_times: dict[str, list[float]] = {part: [] for part in deadly_parts}
+        # By crashing part: the ends of engines that it crashed, and its requests.
+        self.end_times: dict[str, list[float]] = {part: [] for part in crashing_parts}
+        self.sent_times: dict[str, list[float]] = {part: [] for part in crashing_parts}
         self.refused: list[tuple[float, str]] = []
         self.sound_count = 0
         self._rng = random.Random(seed)
@@ -288,11 +288,13 @@
         self._down_until = collections.defaultdict(float)
         self._running: dict[str, dict[int, tuple]] = collections.defaultdict(dict)
         self._numbers = itertools.count()
-        self._deadly_parts = deadly_parts
+        self._crashing_parts = crashing_parts
         self.loop.call_every(0.5, self._renew)
         self._renew()
         self._schedule(request_rate, self._send_sound)
-        self.loop.call_later(deadly_from, lambda: self._schedule(deadly_rate, self._send_deadly))
+        self.loop.call_later(
+            crashing_from, lambda: self._schedule(crashing_rate, self._send_crashing)
+        )
 
     def crash_engines(self, share: float) -> None:
         """Let a share of the engines end at once, for another cause."""
@@ -313,37 +315,37 @@
         self.sound_count += 1
         self._send((f"c{next(self._numbers)}", self._first_part()))
 
-    def _send_deadly(self) -> None:
-        deadly = self._rng.choice(self._deadly_parts)
-        self._send((f"c{next(self._numbers)}", self._first_part(), deadly))
+    def _send_crashing(self) -> None:
+        crashing = self._rng.choice(self._crashing_parts)
+        self._send((f"c{next(self._numbers)}", self._first_part(), crashing))
 
     def _send(self, fingerprints: tuple[str, ...], attempt: int = 1, entry=None) -> None:
         entry = entry or self._rng.choice(self._entries)
         now = self.loop.now()
         found = entry.evidence.find_quarantined(fingerprints, with_unconfirmed=attempt > 1)
-        is_deadly = fingerprints[-1] in self._deadly_parts
+        is_crashing = fingerprints[-1] in self._crashing_parts
         tries_suspects = attempt == 1 and entry is self._entries[0]
         if found and tries_suspects and entry.evidence.try_again(found, now):
             found = ""
-        if found and not is_deadly:
+        if found and not is_crashing:
             self.refused.append((now, found))
         usable = [engine for engine in self._engines if self._down_until[engine] <= now]
         if found or not usable:
             return
-        if is_deadly:
+        if is_crashing:
             self.sent_times[fingerprints[-1]].append(now)
         # A few requests share an engine before the next one is used.
         engine = min(usable, key=lambda engine: (len(self._running[engine]) // 4, engine))
         number = next(self._numbers)
         self._running[engine][number] = (entry, fingerprints, now, attempt)
-        seconds = self._rng.uniform(0.05, 0.2) if is_deadly else self.ANSWER_SECONDS
-        self.loop.call_later(seconds, lambda: self._finish(engine, number, is_deadly))
+        seconds = self._rng.uniform(0.05, 0.2) if is_crashing else self.ANSWER_SECONDS
+        self.loop.call_later(seconds, lambda: self._finish(engine, number, is_crashing))
 
-    def _finish(self, engine: str, number: int, is_deadly: bool) -> None:
+    def _finish(self, engine: str, number: int, is_crashing: bool) -> None:
         if number not in self._running[engine]:
             return
         entry, fingerprints, _, _ = self._running[engine][number]
-        if is_deadly:
+        if is_crashing:
             self.end_times[fingerprints[-1]].append(self.loop.now())
             self._end_engine(engine)
             return
@@ -401,7 +403,7 @@
         self._report(entry)
 
 
-class TestLoadWithDeadlyParts(unittest.TestCase):
+class TestLoadWithCrashingParts(unittest.TestCase):
     """Load pattern: a share of the requests crashes each engine that begins to answer them."""
 
     CONTACT_SECONDS = 3.0
@@ -419,30 +421,32 @@
         refusable_count = self.MAX_REFUSED_COUNT + self.MAX_REFUSED_RATIO * load.sound_count
         self.assertLessEqual(len(load.refused), refusable_count, load.refused)
 
-    def test_one_deadly_part_among_common_ones(self):
+    def test_one_crashing_part_among_common_ones(self):
         for seed in range(20):
             with self.subTest(seed=seed):
                 load = CrashingLoad(seed)
                 load.loop.advance(50.0)
                 self.check(load)
-                self.assertLessEqual(len(load.end_times["deadly"]), 12)
+                self.assertLessEqual(len(load.end_times["crashing"]), 12)
 
-    def test_deadly_part_right_after_the_start_of_all_entries(self):
+    def test_crashing_part_right_after_the_start_of_all_entries(self):
         for seed in range(20):
             with self.subTest(seed=seed):
-                load = CrashingLoad(seed, deadly_from=0.0)
+                load = CrashingLoad(seed, crashing_from=0.0)
                 load.loop.advance(40.0)
                 self.check(load)
 
-    def test_deadly_part_that_comes_for_minutes(self):
+    def test_crashing_part_that_comes_for_minutes(self):
         load = CrashingLoad(1, request_rate=5.0)
         load.loop.advance(150.0)
         self.check(load)
 
-    def test_two_deadly_parts_at_once(self):
+    def test_two_crashing_parts_at_once(self):
         for seed in range(10):
             with self.subTest(seed=seed):
-                load = CrashingLoad(seed, deadly_parts=("deadly", "lethal"), deadly_rate=2.4)
+                load = CrashingLoad(
+                    seed, crashing_parts=("crashing", "crashing too"), crashing_rate=2.4
+                )
                 load.loop.advance(40.0)
                 self.check(load)
 
@@ -454,7 +458,7 @@
                     entry_count=60,
                     engine_count=78,
                     request_rate=62.0,
-                    deadly_rate=3.0,
+                    crashing_rate=3.0,
                     message_seconds=0.1,
                 )
                 load.loop.advance(30.0)
@@ -463,14 +467,14 @@
     def test_engines_that_end_together_for_another_cause(self):
         for seed in range(10):
             with self.subTest(seed=seed):
-                load = CrashingLoad(seed, deadly_rate=0.001)
+                load = CrashingLoad(seed, crashing_rate=0.001)
                 for _ in range(4):
                     load.loop.advance(5.0)
                     load.crash_engines(0.4)
                 load.loop.advance(10.0)
                 self.assertEqual(load.refused, [])
 
-    def test_deadly_part_while_engines_end_for_another_cause(self):
+    def test_crashing_part_while_engines_end_for_another_cause(self):
         for seed in range(10):
             with self.subTest(seed=seed):
                 load = CrashingLoad(seed)
--- a/flamingoramp/platform/tests/test_crashing_parts.py
+++ b/flamingoramp/platform/tests/test_crashing_parts.py
@@ -12,11 +12,11 @@
 CONTACT_SECONDS = 3.0
 BOUNDED_CRASH_COUNT = 5
 MAX_LATE_REQUESTS = 3
-DEADLY_PART = b"dead01"
+CRASHING_PART = b"dead01"
 ENGINE_COUNT = 14
 LOAD_SECONDS = 9.0
 SOUND_REQUESTS_PER_SECOND = 20.0
-DEADLY_REQUESTS_PER_SECOND = 3.0
+CRASHING_REQUESTS_PER_SECOND = 3.0
 # Sound answers of this time at the end of the load have to be whole.
 SERVED_SECONDS = 3.0
 
@@ -27,7 +27,7 @@
     def start_engines(self) -> tuple[fleets.Fleet, list[fake_server.FakeServer]]:
         """Start four entries and engines that the part crashes."""
         fleet = self.start_serving(entries=4)
-        behaviour = {"event_interval_seconds": 0.05, "crash_part": DEADLY_PART}
+        behaviour = {"event_interval_seconds": 0.05, "crash_part": CRASHING_PART}
         engines = [
             fleet.add_server(f"e{number}", "llm", fake_server.Behaviour(**behaviour))
             for number in range(ENGINE_COUNT)
@@ -48,7 +48,8 @@
             Number of different contents of the sound requests.
         """
         started_at = time.monotonic()
-        deadly_count = 0
+        crashing_count = 0
+        part_id = CRASHING_PART.decode()
         results = []
         with futures.ThreadPoolExecutor(fleets.LOAD_THREAD_COUNT) as pool:
             for number in range(int(SOUND_REQUESTS_PER_SECOND * LOAD_SECONDS)):
@@ -64,15 +65,15 @@
                         x_prompt_prefix=f"5c{number % 3}:40,0{number}:900",
                     )
                 )
-                if due * DEADLY_REQUESTS_PER_SECOND >= deadly_count:
-                    deadly_count += 1
+                if due * CRASHING_REQUESTS_PER_SECOND >= crashing_count:
+                    crashing_count += 1
                     pool.submit(
                         self.send,
                         fleet,
                         "stream",
-                        address=fleet.caller_address(deadly_count % len(fleet.entries)),
-                        body=b"deadly %d" % number,
-                        x_prompt_prefix=f"5c{number % 3}:40,{DEADLY_PART.decode()}:9,d{number}:900",
+                        address=fleet.caller_address(crashing_count % len(fleet.entries)),
+                        body=b"crashing %d" % number,
+                        x_prompt_prefix=f"5c{number % 3}:40,{part_id}:9,d{number}:900",
                     )
         return [result.result() for result in results]
 
@@ -93,7 +94,7 @@
             time
             for engine in engines
             for request, time in zip(engine.requests, engine.arrival_times, strict=True)
-            if DEADLY_PART in (request.header(b"x-prompt-prefix") or b"") and time > bounded_from
+            if CRASHING_PART in (request.header(b"x-prompt-prefix") or b"") and time > bounded_from
         ]
         self.assertLessEqual(len(late), MAX_LATE_REQUESTS, f"{len(crash_times)} crashes")
         self.check_served(answers)
