--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -200,8 +200,8 @@
         """Subscribe to all control hosts, or renew the subscriptions.
 
         The primary sends its records and new versions; to the others, this entry subscribes as
-        standby. A host gets the entry's record and all evidence of crashes if it has none yet or
-        has reconnected. Every
+        standby. A host gets the entry's record and the evidence against refused contents if it has
+        none yet or has reconnected. Every
         `SUBSCRIPTIONS_PER_RECORD_RENEWAL` renewals, one host gets a record with a higher sequence
         number.
         """
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -309,9 +309,10 @@
         self._on_result = on_result
         self._sock: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setblocking(False)
-        loop.register(self._sock, selectors.EVENT_WRITE, self._handle_writable)
         code = self._sock.connect_ex(transport.parse_address(address))
-        if code in (0, errno.EINPROGRESS):
+        self._is_registered = code in (0, errno.EINPROGRESS)
+        if self._is_registered:
+            loop.register(self._sock, selectors.EVENT_WRITE, self._handle_writable)
             loop.call_later(timeout_seconds, lambda: self._finish(errno.ETIMEDOUT))
         else:
             loop.call_later(0.0, lambda: self._finish(code))
@@ -323,7 +324,8 @@
         if self._sock is None:
             return
         sock, self._sock = self._sock, None
-        self._loop.unregister(sock)
+        if self._is_registered:
+            self._loop.unregister(sock)
         sock.close()
         self._on_result({0: True, errno.ECONNREFUSED: False}.get(code))
 
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -417,6 +417,8 @@
 
     def _accept(self, _events: Any) -> None:
         for _ in range(MAX_ACCEPTS_PER_ITERATION):
+            if self._listener is None:
+                return  # closed by another callback of this iteration
             try:
                 sock, _ = self._listener.accept()
             except OSError:
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -138,6 +138,26 @@
         self.assertEqual(read_response(sock)[2], b"whole")
 
 
+class TestListener(unittest.TestCase):
+    """The listening socket of a server that stops."""
+
+    # Guards against a loop that ends since the listener was closed by a request whose event came in
+    # the same iteration as a new connection.
+    def test_event_of_a_closed_listener_causes_no_error(self):
+        event_loop = loop.Loop()
+        self.addCleanup(event_loop.close)
+        stopping = server.Server(event_loop, "127.0.0.1:0", lambda _exchange: None)
+        host, _, port = stopping.address.rpartition(":")
+        with socket.create_connection((host, int(port))):
+            [(key, events)] = [
+                (key, events)
+                for key, events in event_loop._selector.select(1.0)
+                if key.data == stopping._accept
+            ]
+            stopping.close()
+            key.data(events)
+
+
 class TestBadInput(ServerTestCase):
     """Invalid requests are refused with the matching status."""
 
