Failed connections are no attempts, and turn a request to other zones

Cause: each of a request's two attempts was refused a connection by an engine of the entry's own zone; such a send counted as an attempt of the route and spent the shared allowance of retries, though no server got anything.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import secrets
 from collections.abc import Callable
 from typing import Any
@@ -13,7 +14,12 @@
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
 from flamingoramp.backends import event_blocks
-from flamingoramp.dispatch import attempts, forwarding_context, memory_reservations
+from flamingoramp.dispatch import (
+    attempts,
+    forwarding_context,
+    memory_reservations,
+    unreached_servers,
+)
 from flamingoramp.http import client
 from flamingoramp.http import messages as http_messages
 
@@ -76,6 +82,7 @@
         self._run_count = self._attempt_count
         self._reservation_count = 0
         self._excluded: set[str] = set()
+        self._unreached = unreached_servers.UnreachedServers(context.list_servers_of_zone)
         self._attempt: attempts.Attempt | None = None
         self._target: attempts.AttemptTarget | None = None
         self._reservation: memory_reservations.MemoryReservation | None = None
@@ -98,7 +105,7 @@
         if self._is_done:
             return
         try:
-            target = self._context.choose_target(self._admitted, self._excluded)
+            target = self._choose_target()
         except errors.FlamingorampError as error:
             self._end_refused(error)
             return
@@ -123,6 +130,13 @@
             self._handle_reserved,
         )
 
+    def _choose_target(self) -> attempts.AttemptTarget:
+        """Choose the servers of the next attempt, those of avoided zones only if none are left."""
+        if avoided := self._unreached.avoided:
+            with contextlib.suppress(errors.FlamingorampError):
+                return self._context.choose_target(self._admitted, self._excluded | avoided)
+        return self._context.choose_target(self._admitted, self._excluded)
+
     def _handle_reserved(self, refused_servers: tuple[str, ...]) -> None:
         if self._is_done:
             return
@@ -277,7 +291,7 @@
         if not self._can_retry() or self._context.has_backlog(self._admitted, server):
             return False
         try:
-            replacement = self._context.choose_target(self._admitted, self._excluded)
+            replacement = self._choose_target()
         except errors.FlamingorampError:
             return False
         if replacement.predicted_seconds > MAX_REPLACEMENT_WAIT_RATIO * idle_seconds:
@@ -300,17 +314,19 @@
         if self._context.is_cut_off:
             has_sends_left = self._peer_send_count < MAX_PEER_SENDS
         else:
-            has_sends_left = self._attempt_count < route.attempts
+            reached_count = self._attempt_count - len(self._unreached)
+            has_sends_left = reached_count < route.attempts and self._unreached.may_try_more
         return has_sends_left and (not self._may_have_run or route.is_retryable)
 
-    def _retry(self, reason: str) -> bool:
+    def _retry(self, reason: str, *, was_reached: bool = True) -> bool:
         """Send the request to another server; False if the retry allowance is used up.
 
-        A request that has not reached any server and is passed on needs no allowance, since it is
-        the first that a server gets of it.
+        A send that replaces one that reached no server needs no allowance, nor does a request that
+        is passed on and has not reached any: no server gets it a second time.
         """
         is_first_arrival = self._context.is_cut_off and not self._run_count
-        if not is_first_arrival and not self._context.try_spend_retry(self._admitted.service):
+        needs_allowance = was_reached and not is_first_arrival
+        if needs_allowance and not self._context.try_spend_retry(self._admitted.service):
             self._context.record_step(self._admitted, "request.retry_denied", why=reason)
             return False
         self._context.record_step(self._admitted, "request.retried", why=reason)
@@ -446,7 +462,10 @@
         self._may_have_run = self._may_have_run or may_have_run
         self._run_count -= not may_have_run
         self._record_failure(attempt, crashed=crashed)
-        self._handle_broken_attempt(failure.value)
+        was_reached = may_have_run or attempt.target.is_peer
+        if not was_reached:
+            self._unreached.record(attempt.target.server)
+        self._handle_broken_attempt(failure.value, was_reached=was_reached)
 
     def _record_sound(self, attempt: attempts.Attempt) -> None:
         """Record a complete answer of a server, if one that was cut off would have shown."""
@@ -542,9 +561,9 @@
             "the servers refused it", retry_after=attempts.RETRY_AFTER_SECONDS
         )
 
-    def _handle_broken_attempt(self, reason: str) -> None:
+    def _handle_broken_attempt(self, reason: str, *, was_reached: bool = True) -> None:
         """Retry, refuse or fail the request after an attempt without a complete answer."""
-        if self._can_retry() and self._retry(reason):
+        if self._can_retry() and self._retry(reason, was_reached=was_reached):
             return
         if not self._may_have_run:
             self._end_refused(
--- a/flamingoramp/dispatch/forwarding_context.py
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -36,6 +36,9 @@
             If no server is available or none has capacity.
         """
 
+    def list_servers_of_zone(self, service: str, zone: str) -> set[str]:
+        """Return the names of a service's servers in an availability zone."""
+
     def record_target(self, target: attempts.AttemptTarget) -> None:
         """Add the load of an attempt to its servers, and count it towards their limits."""
 
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -366,6 +366,14 @@
             control_reachable=self._receives_control_updates(),
         )
 
+    def list_servers_of_zone(self, service: str, zone: str) -> set[str]:
+        """Return the names of a service's servers in an availability zone."""
+        return {
+            record.server
+            for record in self._registry.servers()
+            if record.service == service and record.zone == zone
+        }
+
     def has_backlog(
         self, admitted: attempts.AdmittedRequest, server: messages.ServerRecord
     ) -> bool:
