Entries that place at the same moment choose different engines

Cause: all entries of a zone rank the engines alike, and a placement is known 10 to 50 ms later. Now an entry draws from as many engines of about equal cost as others are expected to place requests meanwhile, by the placements that they report; at low rates that is one, as before. The tests of spreading failed before (no such choice existed).

--- a/bench/experiment/workloads.py
+++ b/bench/experiment/workloads.py
@@ -269,6 +269,24 @@
         zone_delay_seconds=0.0014,
         caller_delay_seconds=0.001,
     ),
+    "many-entries": Deployment(
+        "many-entries",
+        engines_by_zone={"a": 23, "b": 23, "c": 23},
+        entries_by_zone={"a": 35, "b": 34, "c": 43},
+        request_kinds=_make_request_kinds(50.6, 3.44, 2.12, long_objective_seconds=3.0),
+        cost_model=attrs.evolve(
+            _ENGINE_COST_MODEL,
+            slots=6,
+            memory_tokens=197_200,
+            step_seconds=0.00102,
+            prefill_tokens_per_second=206_000.0,
+            pair_seconds=0.138e-9,
+            steps_per_pass=48,
+        ),
+        max_queued_requests=12,
+        zone_delay_seconds=0.0005,
+        caller_delay_seconds=0.003,
+    ),
 }
 
 
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -211,6 +211,7 @@
         self._reported: dict[str, dict[str, _ReportedLoad]] = {}
         self._arrivals: dict[str, rates.RateMeter] = {}
         self._requests: dict[str, rates.RateMeter] = {}
+        self._reported_placements = rates.RateMeter()
         self._statements = statements.ServerStatements()
         # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
@@ -261,6 +262,10 @@
             if self._is_counted(reporter, now)
         )
 
+    def reported_placement_rate(self, now: float) -> float:
+        """Return the requests per second that other entries of this zone place, as reported."""
+        return self._reported_placements.rate(now)
+
     def has_summaries(self, now: float) -> bool:
         """Return whether the load of other zones arrives in summaries."""
         return any(
@@ -337,10 +342,14 @@
                 previous = self._reported[server][key]
                 if previous.part == report.part and previous.sequence < report.sequence:
                     self._remove_reported(server, key)
+        counts_placements = reporter.zone == self._zone and not reporter.is_summary
         for server, load in loads.items():
             reports = self._reported.setdefault(server, {})
             previous = reports.get(key)
             if previous is None or previous.sequence < report.sequence:
+                previous_count = previous.load.request_count if previous is not None else 0
+                if counts_placements and load.request_count > previous_count:
+                    self._reported_placements.add(load.request_count - previous_count, now)
                 reports[key] = _ReportedLoad(reporter, load, report.sequence, now, report.part)
                 reporter.servers.add(server)
 
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -52,6 +52,9 @@
 # cost of using each of them.
 SPARE_SLOT_COUNT = 3
 SPARE_SLOT_COST = 0.09
+# Engines whose costs exceed the least one by up to this much are as good. Entries that place
+# requests at the same moment then choose different ones.
+SPREAD_COST = 0.1
 # Share of an engine's memory that placements may fill; the rest is for answers that grow.
 USABLE_MEMORY_RATIO = 0.94
 # An engine with more prefill outstanding than this counts as blocked for short prompts.
@@ -297,6 +300,8 @@
         self._model = model
         self._chunk_seconds = model.chunk_tokens / model.prefill_tokens_per_second
         self._arriving_credit = 0.0
+        self._spread_count = 1
+        self._draw = 0.0
         self._candidates: list[Candidate] = []
         self._decode_costs: dict[str, float] = {}
         self._blocked_seconds: list[float] = []
@@ -308,6 +313,8 @@
         candidates: list[Candidate],
         *,
         arriving_credit: float = 0.0,
+        unreported_count: float = 0.0,
+        draw: float = 0.0,
     ) -> Placement | None:
         """Return the placement of least risk.
 
@@ -317,6 +324,11 @@
         candidates : list of Candidate
         arriving_credit : float
             Credit per second of the requests that arrive at all entries.
+        unreported_count : float
+            Expected number of requests that other entries place before this entry learns of it.
+            The more there are, the more engines of about equal cost are drawn from.
+        draw : float
+            Random number from 0 up to 1 that decides between these engines.
 
         Returns
         -------
@@ -325,6 +337,8 @@
             disconnected, or if other requests would lose more than this one gains.
         """
         self._arriving_credit = arriving_credit
+        self._spread_count = 1 + round(unreported_count)
+        self._draw = draw
         self._candidates = candidates
         usable = [candidate for candidate in candidates if self._has_slot(candidate, request)]
         if not usable:
@@ -391,14 +405,7 @@
         ]
         if not with_memory:
             return None
-        primary = min(
-            with_memory,
-            key=lambda candidate: (
-                self._primary_cost(candidate, request, part_seconds, pause)
-                + self._decode_costs[candidate.server],
-                _tie_break_order(candidate.server),
-            ),
-        )
+        primary = self._choose_primary(with_memory, request, part_seconds, pause)
         helpers = []
         for _, _, position in ranked_helpers:
             if len(helpers) == size - 1:
@@ -412,6 +419,27 @@
             return None
         return self._evaluate(request, primary, tuple(helpers), part_seconds, pause, held_tokens)
 
+    def _choose_primary(
+        self,
+        candidates: list[Candidate],
+        request: PlacementRequest,
+        part_seconds: float,
+        pause: float,
+    ) -> Candidate:
+        """Return the engine of least cost, or one of several with about the same."""
+        ranked = sorted(
+            (
+                self._primary_cost(candidate, request, part_seconds, pause)
+                + self._decode_costs[candidate.server],
+                _tie_break_order(candidate.server),
+                position,
+            )
+            for position, candidate in enumerate(candidates)
+        )
+        max_cost = ranked[0][0] + SPREAD_COST
+        near = [position for cost, _, position in ranked[: self._spread_count] if cost < max_cost]
+        return candidates[near[int(self._draw * len(near))]]
+
     def _helper_cost(
         self, candidate: Candidate, request: PlacementRequest, part_seconds: float, pause: float
     ) -> float:
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -107,7 +107,13 @@
         request = _to_placement_request(admitted, self._zone)
         planner = placement.Planner(service.engine)
         arriving_credit = self._loads.arriving_credit(service.name, now)
-        chosen = planner.place(request, candidates, arriving_credit=arriving_credit)
+        chosen = planner.place(
+            request,
+            candidates,
+            arriving_credit=arriving_credit,
+            unreported_count=REPORT_DELAY_SECONDS * self._loads.reported_placement_rate(now),
+            draw=random.random(),
+        )
         if not excluded:
             self._loads.record_arrival(service.name, request.credit, now)
         if chosen is None:
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -56,6 +56,13 @@
         self.send_report(1, 10.0, incarnation="j")
         self.assertEqual(self.table.load("e1", 10.0).strict, 0)
 
+    def test_new_work_of_entries_of_the_zone_counts_as_placements(self):
+        for number in range(30):
+            self.other.add(attrs.evolve(self.work, server=f"e{number % 5}"))
+            self.send_report(number, 10.0 + number / 10)
+        self.assertAlmostEqual(self.table.reported_placement_rate(13.0), 10.0, delta=5.0)
+        self.assertEqual(self.other.reported_placement_rate(13.0), 0.0)
+
     def test_work_of_silent_entry_expires(self):
         self.other.add(self.work)
         self.send_report(1, 10.0)
--- a/flamingoramp/routing/tests/test_placement.py
+++ b/flamingoramp/routing/tests/test_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import random
 import unittest
 
 import attrs
@@ -84,6 +86,37 @@
         self.assertIsNone(place(LONG, make_engines(3, **full)))
 
 
+class TestBurstAtManyEntries(unittest.TestCase):
+    """Several entries place short prompts before they learn of each other's placements."""
+
+    def count_by_engine(self, unreported_count: float) -> collections.Counter:
+        half_full = load_table.ServerLoad(strict=2)
+        engines = make_engines(8, e0=half_full, e1=half_full)
+        rng = random.Random(1)
+        return collections.Counter(
+            place(
+                SHORT, engines, unreported_count=unreported_count, draw=rng.random()
+            ).primary.server
+            for _ in range(120)
+        )
+
+    # Guards against one engine that gets the short prompts of all entries within milliseconds.
+    def test_placements_are_spread_over_as_many_engines_as_entries_place_at_once(self):
+        counts = self.count_by_engine(3.0)
+        self.assertEqual(len(counts), 4)
+        self.assertLess(max(counts.values()), 120 / 2)
+
+    def test_engine_of_least_cost_is_chosen_while_placements_are_reported_in_time(self):
+        self.assertEqual(len(self.count_by_engine(0.4)), 1)
+
+    def test_engines_of_higher_cost_are_not_drawn(self):
+        busy = load_table.ServerLoad(patient=1, reading_seconds=1.0, part_seconds=1.0)
+        engines = make_engines(4, e1=busy, e2=busy, e3=busy)
+        for draw in (0.0, 0.5, 0.99):
+            placed = place(SHORT, engines, unreported_count=5.0, draw=draw)
+            self.assertEqual(placed.primary.server, "e0")
+
+
 class TestBurstBeyondAllSlots(unittest.TestCase):
     """More short prompts arrive than all engines have slots for."""
 
