Frames between processes are MessagePack by position, without a schema

Callers saw starts of more than a second on small hosts, of which pycapnp and its schema took a third, and an entry decoded each load report in 55 us.

The attrs classes are sent by position behind a byte for the format and one for the class. Frames of the former format are refused by name and the connection is closed. Stored data is unchanged. pycapnp is no longer used.

--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -1,98 +1,200 @@
-"""Encoding of messages as Cap'n Proto frames: length-prefixed in streams, bare in datagrams."""
+"""Encoding of messages as MessagePack frames: length-prefixed in streams, bare in datagrams.
+
+A frame has a byte for its format, a byte for the class of the message and an array of the sender,
+its clock and the fields of the message by position. Records within a message are arrays of their
+fields, too. A field that a frame lacks takes its default, and further ones are ignored: a later
+build may add fields at the end of a class, and must not change the others.
+"""
 
 from __future__ import annotations
 
-import pathlib
-import re
+import functools
+import operator
 import struct
-from typing import Any, get_args, get_type_hints
+import typing
+from collections.abc import Callable
+from typing import Any
 
 import attrs
-import capnp
+import msgspec
+from msgspec import msgpack
 
 from flamingoramp import errors
 from flamingoramp.protocol import load_reports, messages
 
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
-
-_schema = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
-
-
-def _to_camel_case(name: str) -> str:
-    return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
-
-
-@attrs.frozen
-class _Field:
-    """Mapping of one attribute of a message class to its field in the schema.
-
-    ``struct_class`` is the class of the items if the field is a list of structs.
+MAX_DATAGRAM_BYTES = 65_535
+# A record of one byte in a frame, without any field, takes some hundred bytes of memory.
+MAX_ITEMS = 2**20
+
+# No frame of the former format (Cap'n Proto, packed) begins with this byte.
+FORMAT = 0x4D
+_HEADER = struct.Struct("BB")
+
+_CLASS_BY_TAG = {
+    1: messages.VoteRequest,
+    2: messages.VoteReply,
+    3: messages.AppendRequest,
+    4: messages.AppendReply,
+    5: messages.InstallSnapshot,
+    6: messages.FoundingProbe,
+    7: messages.FoundingReply,
+    8: messages.Form,
+    9: messages.JoinRequest,
+    10: messages.SessionHeartbeat,
+    11: messages.SessionGrant,
+    12: messages.ClaimRequest,
+    13: messages.ClaimReply,
+    14: messages.ClaimSettle,
+    15: messages.SuspectReport,
+    16: messages.Settled,
+    17: messages.Reserve,
+    18: messages.Grant,
+    19: messages.Refuse,
+    20: messages.Release,
+    21: messages.PrefillDone,
+    22: messages.HoldReport,
+    23: messages.HoldUnknown,
+    24: messages.Announcement,
+    25: messages.Ping,
+    26: messages.Pong,
+    28: messages.Subscribe,
+    29: messages.ClusterUpdate,
+    30: messages.DeclareRequest,
+    31: messages.DeclareReply,
+    32: messages.ReadRequest,
+    33: messages.ReadReply,
+    34: load_reports.LoadReport,
+    35: messages.ServerLeaving,
+}
+_TAG_BY_CLASS = {message_class: tag for tag, message_class in _CLASS_BY_TAG.items()}
+
+# Whole numbers are shorter than floating-point numbers; the decoder takes either.
+_WHOLE_NUMBERS = {float(number): number for number in range(128)}
+_ENCODED_WHOLE_NUMBERS = {number: msgpack.encode(int(number)) for number in _WHOLE_NUMBERS}
+_ENCODED_SINGLE = struct.Struct(">Bf")
+_SINGLE_MARKER = 0xCA
+_ENCODED_DOUBLE = struct.Struct(">Bd")
+_DOUBLE_MARKER = 0xCB
+_ARRAY_HEADER = struct.Struct(">BI")
+_ARRAY_MARKER = 0xDD
+
+_UnsignedInteger = typing.Annotated[int, msgspec.Meta(ge=0)]
+_encoder = msgpack.Encoder()
+
+
+@attrs.define(eq=False)
+class _Layout:
+    """Encoding of the fields of one class.
+
+    ``decoded_class`` has the same fields; the decoder builds its instances from arrays, and
+    ``read_fields`` returns the values of the fields of either. ``numbers`` has the positions of
+    floating-point numbers, ``number_lists`` those of lists of them and whether single precision
+    suffices, ``records`` those of lists of records and the layout of the records.
     """
 
-    name: str
-    schema_name: str
-    struct_class: type | None
-    is_tuple: bool
-
-
-def _list_fields(message_class: type) -> tuple[_Field, ...]:
-    hints = get_type_hints(message_class)
-    fields = []
-    for attribute in attrs.fields(message_class):
-        arguments = get_args(hints[attribute.name])
-        struct_class = arguments[0] if arguments and attrs.has(arguments[0]) else None
-        fields.append(
-            _Field(attribute.name, _to_camel_case(attribute.name), struct_class, bool(arguments))
-        )
-    return tuple(fields)
-
-
-_MESSAGE_CLASSES = {
-    name: message_class
-    for module in (messages, load_reports)
-    for name, message_class in vars(module).items()
-    if attrs.has(message_class)
-}
-_FIELDS_BY_CLASS = {
-    message_class: _list_fields(message_class) for message_class in _MESSAGE_CLASSES.values()
-}
-_UNION_MEMBER_BY_CLASS = {
-    message_class: name[0].lower() + name[1:] for name, message_class in _MESSAGE_CLASSES.items()
-}
-_CLASS_BY_UNION_MEMBER = {
-    union_member: message_class for message_class, union_member in _UNION_MEMBER_BY_CLASS.items()
-}
+    message_class: type
+    decoded_class: type
+    read_fields: Callable[[Any], tuple]
+    numbers: list[int]
+    number_lists: list[tuple[int, bool]]
+    records: list[tuple[int, _Layout]]
+
+
+def _make_reader(names: list[str]) -> Callable[[Any], tuple]:
+    if len(names) > 1:
+        return operator.attrgetter(*names)
+    read_only_value = operator.attrgetter(*names)
+    return lambda instance: (read_only_value(instance),)
+
+
+@functools.cache
+def _get_layout(message_class: type) -> _Layout:
+    """Return the layout of a class, which is made when it is first needed."""
+    hints = typing.get_type_hints(message_class)
+    fields: list[tuple[str, Any, Any]] = []
+    numbers: list[int] = []
+    number_lists: list[tuple[int, bool]] = []
+    records: list[tuple[int, _Layout]] = []
+    for position, attribute in enumerate(attrs.fields(message_class)):
+        field_type = hints[attribute.name]
+        if field_type is float:
+            numbers.append(position)
+        elif item_types := typing.get_args(field_type):
+            item_type = item_types[0]
+            if attrs.has(item_type):
+                records.append((position, _get_layout(item_type)))
+                item_type = records[-1][1].decoded_class
+            elif item_type is float:
+                is_single = attribute.metadata.get(load_reports.SINGLE_PRECISION, False)
+                number_lists.append((position, is_single))
+            list_type = tuple[_restrict(item_type), ...]
+            field_type = typing.Annotated[list_type, msgspec.Meta(max_length=MAX_ITEMS)]
+        fields.append((attribute.name, _restrict(field_type), attribute.default))
+    names = [name for name, _, _ in fields]
+    return _Layout(
+        message_class=message_class,
+        decoded_class=msgspec.defstruct(message_class.__name__, fields, array_like=True, gc=False),
+        read_fields=_make_reader(names),
+        numbers=numbers,
+        number_lists=number_lists,
+        records=records,
+    )
+
+
+def _restrict(field_type: Any) -> Any:
+    return _UnsignedInteger if field_type is int else field_type
+
+
+@functools.cache
+def _get_decoder(message_class: type) -> msgpack.Decoder:
+    """Return the decoder of the part of a frame after its first two bytes."""
+    fields_class = _get_layout(message_class).decoded_class
+    frame_class = msgspec.defstruct(
+        "Frame",
+        [("sender", str), ("clock", _UnsignedInteger), ("fields", fields_class)],
+        array_like=True,
+        gc=False,
+    )
+    return msgpack.Decoder(frame_class)
+
+
+def _list_values(layout: _Layout, message: Any) -> list:
+    """Return the values of a message's fields in the form in which they are sent."""
+    values = list(layout.read_fields(message))
+    for position in layout.numbers:
+        values[position] = _WHOLE_NUMBERS.get(values[position], values[position])
+    for position, is_single in layout.number_lists:
+        if values[position]:
+            values[position] = _encode_numbers(values[position], is_single)
+    for position, item_layout in layout.records:
+        values[position] = [_list_values(item_layout, item) for item in values[position]]
+    return values
+
+
+def _encode_numbers(numbers: tuple[float, ...], is_single: bool) -> msgspec.Raw:
+    """Return the encoded array of floating-point numbers."""
+    if is_single:
+        marker, encode_number = _SINGLE_MARKER, _ENCODED_SINGLE.pack
+    else:
+        marker, encode_number = _DOUBLE_MARKER, _ENCODED_DOUBLE.pack
+    find = _ENCODED_WHOLE_NUMBERS.get
+    try:
+        items = [find(number) or encode_number(marker, number) for number in numbers]
+    except OverflowError:  # exceeds single precision
+        return _encode_numbers(numbers, is_single=False)
+    return msgspec.Raw(_ARRAY_HEADER.pack(_ARRAY_MARKER, len(items)) + b"".join(items))
 
 
-def _set_fields(builder: Any, message: Any) -> None:
-    """Set the fields of a Cap'n Proto builder, which is much cheaper than passing a dictionary."""
-    for field in _FIELDS_BY_CLASS[type(message)]:
-        value = getattr(message, field.name)
-        if not value:
-            continue  # equal to the default in the schema
-        if field.struct_class is not None:
-            items = builder.init(field.schema_name, len(value))
-            for position, item in enumerate(value):
-                _set_fields(items[position], item)
-        elif isinstance(value, tuple):
-            setattr(builder, field.schema_name, list(value))
-        else:
-            setattr(builder, field.schema_name, value)
-
-
-def _read_struct(message_class: type, reader: Any) -> Any:
-    """Build a message from the fields of a reader, passed in the order of its constructor."""
-    values = []
-    for field in _FIELDS_BY_CLASS[message_class]:
-        value = getattr(reader, field.schema_name)
-        if field.struct_class is not None:
-            struct_class = field.struct_class
-            value = tuple([_read_struct(struct_class, item) for item in value])
-        elif field.is_tuple:
-            value = tuple(value)
-        values.append(value)
-    return message_class(*values)
+def _build_message(layout: _Layout, decoded: Any) -> Any:
+    """Build a message, or a record of one, from an instance of the layout's decoded class."""
+    values = layout.read_fields(decoded)
+    if layout.records:
+        values = list(values)
+        for position, item_layout in layout.records:
+            values[position] = tuple([_build_message(item_layout, i) for i in values[position]])
+    return layout.message_class(*values)
 
 
 @attrs.frozen
@@ -104,12 +206,6 @@
     message: Any
 
 
-# Limits on the unpacked size, in words of 8 bytes. The packed encoding omits zero bytes, so a small
-# frame can unpack to a very large one.
-MAX_FRAME_WORDS = 2**26
-MAX_DATAGRAM_WORDS = 2**20
-
-
 def encode(sender: str, message: Any, *, clock: int = 0) -> bytes:
     """Encode a message as a length-prefixed frame.
 
@@ -127,7 +223,7 @@
     bytes
         Length of the frame as 4 bytes in big-endian order, then the frame.
     """
-    payload = _build_frame(sender, message, clock).to_bytes_packed()
+    payload = _encode_frame(sender, message, clock)
     return LENGTH_PREFIX.pack(len(payload)) + payload
 
 
@@ -137,15 +233,14 @@
     The sender's name is left empty, since the messages sent as datagrams identify their sender in
     their own fields.
     """
-    return _build_frame("", message, 0).to_bytes_packed()
+    return _encode_frame("", message, 0)
 
 
-def _build_frame(sender: str, message: Any, clock: int) -> Any:
-    frame = _schema.Frame.new_message()
-    frame.sender = sender
-    frame.clock = clock
-    _set_fields(frame.init(_UNION_MEMBER_BY_CLASS[type(message)]), message)
-    return frame
+def _encode_frame(sender: str, message: Any, clock: int) -> bytes:
+    message_class = type(message)
+    header = _HEADER.pack(FORMAT, _TAG_BY_CLASS[message_class])
+    values = _list_values(_get_layout(message_class), message)
+    return header + _encoder.encode((sender, clock, values))
 
 
 def decode_datagram(data: bytes) -> Envelope:
@@ -154,15 +249,9 @@
     Raises
     ------
     flamingoramp.errors.ProtocolError
-        If the bytes are not a valid frame, or unpack to more than `MAX_DATAGRAM_WORDS`.
+        If the bytes are not a valid frame, or more than `MAX_DATAGRAM_BYTES`.
     """
-    return _decode(data, MAX_DATAGRAM_WORDS)
-
-
-def _read_frame(frame: Any) -> Envelope:
-    union_member = str(frame.which())
-    message = _read_struct(_CLASS_BY_UNION_MEMBER[union_member], getattr(frame, union_member))
-    return Envelope(frame.sender, frame.clock, message)
+    return _decode(data, MAX_DATAGRAM_BYTES)
 
 
 def decode(payload: bytes) -> Envelope:
@@ -171,19 +260,33 @@
     Raises
     ------
     flamingoramp.errors.ProtocolError
-        If the bytes are not a valid frame, or unpack to more than `MAX_FRAME_WORDS`.
+        If the bytes are not a valid frame, or more than `MAX_FRAME_BYTES`.
     """
-    return _decode(payload, MAX_FRAME_WORDS)
+    return _decode(payload, MAX_FRAME_BYTES)
 
 
-def _decode(data: bytes, max_words: int) -> Envelope:
+def _decode(data: bytes, max_bytes: int) -> Envelope:
+    if not _HEADER.size <= len(data) <= max_bytes:
+        raise errors.ProtocolError(
+            f"cannot decode frame of {len(data)} bytes, takes {_HEADER.size} to {max_bytes} bytes"
+        )
+    frame_format, tag = _HEADER.unpack_from(data)
+    if frame_format != FORMAT:
+        raise errors.ProtocolError(
+            f"cannot decode frame of format {frame_format}, takes format {FORMAT}: "
+            "the sender runs another build; run the same build on all hosts"
+        )
+    message_class = _CLASS_BY_TAG.get(tag)
+    if message_class is None:
+        raise errors.ProtocolError(f"cannot decode frame: found no message with the tag {tag}")
     try:
-        frame = _schema.Frame.from_bytes_packed(data, traversal_limit_in_words=max_words)
-        return _read_frame(frame)
-    except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as error:
+        frame = _get_decoder(message_class).decode(memoryview(data)[_HEADER.size :])
+        message = _build_message(_get_layout(message_class), frame.fields)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise errors.ProtocolError(
-            f"cannot decode frame of {len(data)} bytes: not a valid message of the schema"
+            f"cannot decode {message_class.__name__} of {len(data)} bytes: {error}"
         ) from error
+    return Envelope(frame.sender, frame.clock, message)
 
 
 class FrameBuffer:
--- a/flamingoramp/protocol/load_reports.py
+++ b/flamingoramp/protocol/load_reports.py
@@ -10,6 +10,8 @@
 LOAD_VALUE_COUNT = 8
 # Values of one server among the statements of a `LoadReport`.
 STATEMENT_VALUE_COUNT = 7
+# Metadata of a list of numbers that is sent as floating-point numbers of 32 bits.
+SINGLE_PRECISION = "single precision"
 
 
 @attrs.frozen
@@ -37,7 +39,7 @@
     incarnation: str = ""
     sequence: int = 0
     servers: tuple[str, ...] = ()
-    loads: tuple[float, ...] = attrs.field(default=())
+    loads: tuple[float, ...] = attrs.field(default=(), metadata={SINGLE_PRECISION: True})
     zone: str = ""
     is_summary: bool = False
     part: int = 0
@@ -45,10 +47,10 @@
     forwarded: bool = False
     valid_seconds: float = 0.0
     services: tuple[str, ...] = ()
-    arrivals: tuple[float, ...] = attrs.field(default=())
+    arrivals: tuple[float, ...] = attrs.field(default=(), metadata={SINGLE_PRECISION: True})
     stated_servers: tuple[str, ...] = ()
     statements: tuple[float, ...] = attrs.field(default=())
-    request_rates: tuple[float, ...] = attrs.field(default=())
+    request_rates: tuple[float, ...] = attrs.field(default=(), metadata={SINGLE_PRECISION: True})
 
     @arrivals.validator
     def _check_arrivals(self, _attribute: attrs.Attribute, arrivals: tuple[float, ...]) -> None:
@@ -68,5 +70,7 @@
 
 
 def _check_numbers(field: str, numbers: tuple[float, ...], count: int) -> None:
-    if len(numbers) != count or not all(map(math.isfinite, numbers)):
+    # A finite sum shows that all of them are; one of large numbers may be infinite.
+    are_finite = math.isfinite(sum(numbers)) or all(map(math.isfinite, numbers))
+    if len(numbers) != count or not are_finite:
         raise ValueError(f"{field}: takes {count} finite numbers, found {len(numbers)} values")
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -1,7 +1,7 @@
 """Messages between the system's processes, as attrs classes.
 
-The classes and their attributes have the names of the structs and fields in ``schema.capnp``, in
-camel case there. Durations and ages are in seconds unless stated otherwise.
+Their fields are sent by position: a later build may add fields, with a default, at the end only.
+Durations and ages are in seconds unless stated otherwise.
 """
 
 from __future__ import annotations
--- a/flamingoramp/runtime/tests/test_transport.py
+++ b/flamingoramp/runtime/tests/test_transport.py
@@ -6,8 +6,9 @@
 import socket
 import unittest
 
+from flamingoramp import errors
 from flamingoramp.backends import transfers
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import codec, messages
 from flamingoramp.runtime import clock, loop, timeline, transport
 from flamingoramp.tests import relays
 
@@ -81,6 +82,18 @@
 
         self.run_until(second_message_received)
 
+    def test_connection_of_a_build_with_another_format_is_closed_with_an_error(self):
+        received: list = []
+        receiver = self.make_transport("receiver", received)
+        with socket.create_connection(transport.parse_address(receiver.address)) as sock:
+            # A ping as builds that used Cap'n Proto sent it.
+            ping = bytes.fromhex("1007500202011801091105421104017f656e7472792d610103")
+            sock.sendall(codec.LENGTH_PREFIX.pack(len(ping)) + ping)
+            self.run_until(lambda: received)
+            self.assertEqual(sock.recv(1), b"")
+        self.assertIsInstance(received[0], errors.ProtocolError)
+        self.assertIn("another build", str(received[0]))
+
     def test_only_a_connection_without_other_messages_is_pinged(self):
         busy, idle, receiver = (
             self.make_transport(name, []) for name in ("busy", "idle", "receiver")
