Settings and stored state are converted without cattrs

A start imported cattrs and compiled converters for one settings file. The few lines that read a document replace it, with the same texts and key paths; msgspec converts the state of the control replicas. A test reads its settings by attrs.asdict instead of cattrs, with the same result.

--- a/flamingoramp/dispatch/claims.py
+++ b/flamingoramp/dispatch/claims.py
@@ -10,13 +10,11 @@
 from typing import Any
 
 import attrs
-import cattrs
+import msgspec
 
 from flamingoramp import errors
 from flamingoramp.intent import cluster_time
 
-_converter = cattrs.Converter()
-
 
 class ClaimStatus(enum.StrEnum):
     """Status of a claim of a key.
@@ -145,14 +143,14 @@
     def dump(self) -> list[Any]:
         """Return the table as data that can be encoded as JSON."""
         return [
-            [*table_key, _converter.unstructure(claim)] for table_key, claim in self._claims.items()
+            [*table_key, msgspec.to_builtins(claim)] for table_key, claim in self._claims.items()
         ]
 
     def load(self, rows: list[Any]) -> None:
         """Replace the table with the result of `dump`."""
         self._claims.clear()
         for workspace, key, claim in rows:
-            self._claims[(workspace, key)] = _converter.structure(claim, Claim)
+            self._claims[(workspace, key)] = msgspec.convert(claim, Claim)
 
     def _check_existing(self, existing: Claim, command: Any) -> ClaimResult:
         if existing.fingerprint != command.fingerprint:
--- a/flamingoramp/dispatch/suspects.py
+++ b/flamingoramp/dispatch/suspects.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import attrs
-import cattrs
+import msgspec
 
 from flamingoramp.protocol import messages
 
@@ -20,8 +20,6 @@
 MAX_SUSPECTS = 4096
 MAX_REPORT_IDS = 256
 
-_converter = cattrs.Converter()
-
 
 @attrs.frozen
 class SuspectRecord:
@@ -95,14 +93,14 @@
         """Return the table as data that can be encoded as JSON."""
         return {
             "version": self._version,
-            "records": _converter.unstructure(self._records),
+            "records": msgspec.to_builtins(self._records),
             "reports": list(self._report_ids),
         }
 
     def load(self, stored: dict[str, Any]) -> None:
         """Replace the table with the result of `dump`."""
         self._version = stored["version"]
-        self._records = _converter.structure(stored["records"], dict[str, SuspectRecord])
+        self._records = msgspec.convert(stored["records"], dict[str, SuspectRecord])
         self._report_ids = dict.fromkeys(stored["reports"], True)
 
     def _evict_expired(self, now: float) -> None:
--- a/flamingoramp/intent/commands.py
+++ b/flamingoramp/intent/commands.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import attrs
-import cattrs
+import msgspec
 
 
 @attrs.frozen
@@ -93,7 +93,6 @@
     now: float
 
 
-_converter = cattrs.Converter()
 _COMMAND_CLASSES = {
     command_class.__name__: command_class
     for command_class in (StorePlan, ConfirmPlan, MakeClaim, SettleClaim, AssignShards, RecordCrash)
@@ -102,11 +101,11 @@
 
 def encode(command: Any) -> tuple[str, bytes]:
     """Return the kind and payload of a log entry."""
-    return type(command).__name__, json.dumps(_converter.unstructure(command)).encode()
+    return type(command).__name__, json.dumps(msgspec.to_builtins(command)).encode()
 
 
 def decode(kind: str, payload: bytes) -> Any | None:
     """Return the command of a log entry, None for the consensus layer's own entries."""
     if kind not in _COMMAND_CLASSES:
         return None
-    return _converter.structure(json.loads(payload), _COMMAND_CLASSES[kind])
+    return msgspec.convert(json.loads(payload), _COMMAND_CLASSES[kind])
--- a/flamingoramp/intent/declarations.py
+++ b/flamingoramp/intent/declarations.py
@@ -150,7 +150,7 @@
 
 def render(declaration: Declaration) -> str:
     """Return the declaration as JSON; sorted keys make equal declarations equal texts."""
-    return json.dumps(utils.converter.unstructure(declaration), sort_keys=True)
+    return json.dumps(attrs.asdict(declaration), sort_keys=True)
 
 
 def _validate(declaration: Declaration, source: str) -> None:
--- a/flamingoramp/intent/state.py
+++ b/flamingoramp/intent/state.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import attrs
-import cattrs
+import msgspec
 
 from flamingoramp import errors
 from flamingoramp.dispatch import claims, suspects
@@ -21,8 +21,6 @@
 MAX_PLANS = 256
 EMPTY_DOCUMENT = declarations.render(declarations.Declaration())
 
-_converter = cattrs.Converter()
-
 
 @attrs.frozen
 class Plan:
@@ -131,9 +129,9 @@
             "document": self._document,
             "generation": self._last_generation,
             "time": self._time,
-            "plans": _converter.unstructure(self._plans),
-            "operations": _converter.unstructure(self._operations),
-            "owners": _converter.unstructure(self._owners),
+            "plans": msgspec.to_builtins(self._plans),
+            "operations": msgspec.to_builtins(self._operations),
+            "owners": msgspec.to_builtins(self._owners),
             "claims": self.claims.dump(),
             "suspects": self.suspects.dump(),
         }
@@ -155,9 +153,9 @@
         self._document = state["document"]
         self._last_generation = state["generation"]
         self._time = state.get("time", 0.0)
-        self._plans = _converter.structure(state["plans"], dict[str, Plan])
-        self._operations = _converter.structure(state["operations"], dict[str, ConfirmResult])
-        self._owners = _converter.structure(state["owners"], dict[str, messages.ShardOwner])
+        self._plans = msgspec.convert(state["plans"], dict[str, Plan])
+        self._operations = msgspec.convert(state["operations"], dict[str, ConfirmResult])
+        self._owners = msgspec.convert(state["owners"], dict[str, messages.ShardOwner])
         self.claims.load(state["claims"])
         self.suspects.load(state["suspects"])
 
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -12,7 +12,7 @@
 import threading
 import unittest
 
-import cattrs
+import attrs
 
 from flamingoramp.platform import main
 from flamingoramp.platform.tests import fake_server
@@ -35,7 +35,7 @@
     def __init__(self, fleet: fleets.Fleet, host_index: int):
         folder = pathlib.Path(tempfile.mkdtemp(dir=fleet.folder))
         self.settings_path = folder / "settings.json"
-        self.settings = cattrs.unstructure(fleet.settings(host_index))
+        self.settings = attrs.asdict(fleet.settings(host_index))
         self.write_settings(self.settings)
         self._log_path = folder / "log"
         with self._log_path.open("wb") as log:
--- a/flamingoramp/runtime/tests/test_settings.py
+++ b/flamingoramp/runtime/tests/test_settings.py
@@ -57,6 +57,11 @@
             ),
             ({**VALID_SETTINGS, "hosts": [VALID_HOST, VALID_HOST]}, ("'h'", "stands twice")),
             ({**VALID_SETTINGS, "hosts": []}, ("control_inner_port",)),
+            ({**VALID_SETTINGS, "hosts": "h"}, ("hosts", "'h'", "takes a list")),
+            ({**VALID_SETTINGS, "hosts": ["h"]}, ("hosts[0]", "'h'", "takes an object")),
+            ({**VALID_SETTINGS, "seed": True}, ("seed", "True", "takes a whole number")),
+            ({**VALID_SETTINGS, "seed": 1.5, "x": 1}, ("seed", "1.5", "unknown keys x")),
+            ([], ("[]", "takes an object")),
             ({**VALID_SETTINGS, "logs": {"level": "loud"}}, ("logs", "'loud'", "info")),
             (
                 {**VALID_SETTINGS, "timing": {"election_max_seconds": 0.3}},
--- a/flamingoramp/utils.py
+++ b/flamingoramp/utils.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import pathlib
+import typing
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import attrs
-import cattrs
-from cattrs import errors as cattrs_errors
-from cattrs import gen
 
 from flamingoramp import errors
 
@@ -49,51 +48,62 @@
     return attrs.field(validator=_check)
 
 
-def _exact_type_hook(expected: type, description: str) -> Callable[[Any, Any], Any]:
-    def _structure(value: Any, _target: Any) -> Any:
-        if expected is float and type(value) is int:
-            return float(value)
-        if type(value) is not expected:
-            raise TypeError(f"found {value!r}, takes {description}")
-        return value
-
-    return _structure
-
-
-def _make_converter() -> cattrs.Converter:
-    converter = cattrs.Converter(forbid_extra_keys=True)
-    converter.register_structure_hook(str, _exact_type_hook(str, "a text"))
-    converter.register_structure_hook(int, _exact_type_hook(int, "a whole number"))
-    converter.register_structure_hook(float, _exact_type_hook(float, "a number"))
-    converter.register_structure_hook(bool, _exact_type_hook(bool, "true or false"))
-    converter.register_structure_hook_factory(attrs.has, _attrs_class_hook)
-    return converter
-
-
-def _attrs_class_hook(cls: type) -> Callable[[Any, Any], Any]:
-    structure_attributes = gen.make_dict_structure_fn(
-        cls, converter, _cattrs_forbid_extra_keys=True
-    )
-
-    def _structure(value: Any, target: Any) -> Any:
-        if not isinstance(value, dict):
-            raise TypeError(f"found {value!r}, takes an object")
-        return structure_attributes(value, target)
-
-    return _structure
-
-
-converter: cattrs.Converter = _make_converter()
-
-
-def _format_problem(error: BaseException, _cls: type | None) -> str:
-    if isinstance(error, KeyError):
-        return f"key {error} is missing"
-    if isinstance(error, cattrs_errors.ForbiddenExtraKeysError):
-        return f"unknown keys {', '.join(sorted(error.extra_fields))}"
-    if isinstance(error, ValueError | TypeError):
-        return str(error)
-    return "invalid value"
+_DESCRIPTIONS = {
+    str: "a text",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+}
+_get_type_hints = functools.cache(typing.get_type_hints)
+
+
+def _structure(data: Any, target: Any, path: str, problems: list[str]) -> Any:
+    """Convert plain data to a type; add what is wrong to ``problems``, with the key path."""
+    item_types = typing.get_args(target)
+    if attrs.has(target):
+        return _structure_object(data, target, path, problems)
+    if item_types and isinstance(data, list | tuple):
+        return tuple(
+            [
+                _structure(item, item_types[0], f"{path}[{position}]", problems)
+                for position, item in enumerate(data)
+            ]
+        )
+    if target is float and type(data) is int:
+        return float(data)
+    if type(data) is not target:
+        description = "a list" if item_types else _DESCRIPTIONS[target]
+        problems.append(f"found {data!r}, takes {description} @ {path}")
+    return data
+
+
+def _structure_object(data: Any, cls: type[T], path: str, problems: list[str]) -> T | None:
+    """Convert an object to an attrs class and validate it; None if there are problems."""
+    if not isinstance(data, dict):
+        problems.append(f"found {data!r}, takes an object @ {path}")
+        return None
+    problem_count = len(problems)
+    hints = _get_type_hints(cls)
+    values = {}
+    for attribute in attrs.fields(cls):
+        if attribute.name in data:
+            values[attribute.name] = _structure(
+                data[attribute.name],
+                hints[attribute.name],
+                f"{path}.{attribute.name}",
+                problems,
+            )
+        elif attribute.default is attrs.NOTHING:
+            problems.append(f"key {attribute.name!r} is missing @ {path}")
+    if unknown_keys := data.keys() - hints.keys():
+        problems.append(f"unknown keys {', '.join(sorted(unknown_keys))} @ {path}")
+    if len(problems) > problem_count:
+        return None
+    try:
+        return cls(**values)
+    except ValueError as error:
+        problems.append(f"{error} @ {path}")
+        return None
 
 
 def structure(data: Any, cls: type[T], source: str) -> T:
@@ -113,11 +123,11 @@
     flamingoramp.errors.SettingsError
         If the data is invalid; names the source, the key path, the value and the allowed values.
     """
-    try:
-        return converter.structure(data, cls)
-    except Exception as error:
-        problems = cattrs.transform_error(error, format_exception=_format_problem)
-        raise errors.SettingsError(f"{source}: " + "; ".join(problems)) from error
+    problems: list[str] = []
+    result = _structure_object(data, cls, "$", problems)
+    if problems:
+        raise errors.SettingsError(f"{source}: " + "; ".join(problems))
+    return result
 
 
 def read_json(path: str | pathlib.Path) -> Any:
