--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -30,7 +30,7 @@
 from flamingoramp.dispatch import claims
 from flamingoramp.intent import commands, declarations, state
 from flamingoramp.membership import control_session
-from flamingoramp.protocol import codec, messages
+from flamingoramp.protocol import codec, messages, shard_messages
 from flamingoramp.routing import isolation, scheduler
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import settings as settings_module
@@ -141,9 +141,9 @@
     """Do nothing with the result of a proposal."""
 
 
-def make_heartbeat(number: int, now: float) -> messages.SessionHeartbeat:
+def make_heartbeat(number: int, now: float) -> shard_messages.SessionHeartbeat:
     """Return the first heartbeat of entry ``number``, which has no revision and no table yet."""
-    return messages.SessionHeartbeat(
+    return shard_messages.SessionHeartbeat(
         entry=f"hall-{number % 5}-{number}",
         incarnation="0123456789ab",
         sent_at=now,
@@ -187,7 +187,7 @@
     daemon, _, heartbeats = make_leader(330)
     reply_recorder = _ReplySizeRecorder()
     daemon._handle_message("entry", codec.decode(heartbeats[0]).message, reply_recorder)
-    grant = messages.SessionGrant(
+    grant = shard_messages.SessionGrant(
         sent_at=1.0, granted=True, leader="h0#0123456789abcdef", term=3, revision=0,
         lease_seconds=5.0, table_version=daemon._ownership_table.version,
     )  # fmt: skip
@@ -223,9 +223,9 @@
     return shard_owner
 
 
-def make_announcement(number: int, sequence: int) -> messages.Announcement:
+def make_announcement(number: int, sequence: int) -> shard_messages.Announcement:
     """Return an announcement of engine ``number``; its next one needs a higher ``sequence``."""
-    return messages.Announcement(
+    return shard_messages.Announcement(
         server=f"engine-{number}", service="llm", incarnation=1, sequence=sequence,
         url=f"http://10.1.{number // 250}.{number % 250}:9000", zone="z",
         memory_tokens=3_000_000, slots=256, prefill_rate=4e4, decode_seconds=0.02,
@@ -245,7 +245,7 @@
 
         def handle_messages(shard_owner=shard_owner, request_numbers=request_numbers) -> None:
             number = next(request_numbers)
-            reserve = messages.Reserve(
+            reserve = shard_messages.Reserve(
                 request_id=f"{number:032x}", attempt=1, service="llm", shard="llm/0",
                 workspace="w", model="m", prompt_tokens=2000, output_tokens=300,
                 prefix_hashes=(number, number + 1), remaining=60.0, entry="e",
@@ -256,11 +256,11 @@
             for effect in shard_owner.handle(decoded, now):
                 if hasattr(effect, "message"):
                     codec.encode("o", effect.message)
-            prefill_done = messages.PrefillDone(reserve.request_id, 1, "llm/0", 0.1)
+            prefill_done = shard_messages.PrefillDone(reserve.request_id, 1, "llm/0", 0.1)
             shard_owner.handle(
                 codec.decode(codec.encode("e", prefill_done)[4:]).message, now + 0.01
             )
-            release = messages.Release(reserve.request_id, 1, "llm/0", "done", "engine-1")
+            release = shard_messages.Release(reserve.request_id, 1, "llm/0", "done", "engine-1")
             shard_owner.handle(codec.decode(codec.encode("e", release)[4:]).message, now + 0.02)
 
         microseconds_per_request.append(time_calls(handle_messages, 300))
@@ -294,7 +294,7 @@
     sizes, costs = [], []
     for request_count in HELD_REQUEST_COUNTS:
         renewed = tuple(f"{number:032x}/1" for number in range(request_count))
-        report = messages.HoldReport("hall-1-100", "10.0.0.1:18100", "llm/0", renewed=renewed)
+        report = shard_messages.HoldReport("hall-1-100", "10.0.0.1:18100", "llm/0", renewed=renewed)
         sizes.append(float(request_count))
         costs.append(float(len(codec.encode("entry-hall-1-100", report))))
     return LinearFit("entry: hold report, by requests held", "bytes", sizes, costs)
--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -20,7 +20,7 @@
 from flamingoramp.dispatch import claims
 from flamingoramp.intent import changes, cluster_time, commands, declarations, state
 from flamingoramp.membership import session_table
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import messages, shard_messages
 from flamingoramp.runtime import http_server, transport
 from flamingoramp.runtime import settings as settings_module
 
@@ -171,13 +171,13 @@
     def _handle_message(self, sender: str, message: Any, connection: transport.Connection) -> None:
         now = self._process.loop.now()
         match message:
-            case messages.SessionHeartbeat():
+            case shard_messages.SessionHeartbeat():
                 connection.send(self._answer_heartbeat(message, now))
-            case messages.ClaimRequest():
+            case shard_messages.ClaimRequest():
                 self._handle_claim(message, connection)
-            case messages.ClaimSettle():
+            case shard_messages.ClaimSettle():
                 self._handle_claim_result(message, connection)
-            case messages.SuspectReport():
+            case shard_messages.SuspectReport():
                 self._handle_suspect_report(message, connection)
             case _ if isinstance(message, node.CONSENSUS_MESSAGES):
                 self._apply_effects(self._replica.handle(sender, message, now))
@@ -278,10 +278,10 @@
     # Sessions of entries.
 
     def _answer_heartbeat(
-        self, heartbeat: messages.SessionHeartbeat, now: float
-    ) -> messages.SessionGrant:
+        self, heartbeat: shard_messages.SessionHeartbeat, now: float
+    ) -> shard_messages.SessionGrant:
         if not self._replica.holds_lease(now):
-            return messages.SessionGrant(
+            return shard_messages.SessionGrant(
                 sent_at=heartbeat.sent_at, granted=False, leader=self._replica.leader
             )
         self._sessions.handle(heartbeat, now)
@@ -289,7 +289,7 @@
         suspects = self._state.suspects
         has_current_suspects = heartbeat.quarantine_version == suspects.version
         has_current_table = heartbeat.table_version == self._ownership_table.version
-        return messages.SessionGrant(
+        return shard_messages.SessionGrant(
             sent_at=heartbeat.sent_at,
             granted=True,
             leader=self._replica.identity,
@@ -339,7 +339,7 @@
     # Claims and crash suspects.
 
     def _handle_claim(
-        self, request: messages.ClaimRequest, connection: transport.Connection
+        self, request: shard_messages.ClaimRequest, connection: transport.Connection
     ) -> None:
         now = self._cluster_time()
 
@@ -350,7 +350,7 @@
             if status is claims.ClaimStatus.RECORDED and not has_response:
                 status = claims.ClaimStatus.UNKNOWN
             connection.send(
-                messages.ClaimReply(
+                shard_messages.ClaimReply(
                     request.request_id,
                     status.value,
                     claim.http_status if has_response else 0,
@@ -370,7 +370,7 @@
         self.propose(command, _send_reply, lambda _error: None)  # the entry resends its claim
 
     def _handle_claim_result(
-        self, result: messages.ClaimSettle, connection: transport.Connection
+        self, result: shard_messages.ClaimSettle, connection: transport.Connection
     ) -> None:
         command = commands.SettleClaim(
             request_id=result.request_id,
@@ -381,11 +381,11 @@
             body=result.body,
             now=self._cluster_time(),
         )
-        acknowledgement = messages.Settled(f"claim/{result.request_id}")
+        acknowledgement = shard_messages.Settled(f"claim/{result.request_id}")
         self.propose(command, lambda _result: connection.send(acknowledgement), lambda _error: None)
 
     def _handle_suspect_report(
-        self, report: messages.SuspectReport, connection: transport.Connection
+        self, report: shard_messages.SuspectReport, connection: transport.Connection
     ) -> None:
         command = commands.RecordCrash(
             report.report_id,
@@ -397,7 +397,7 @@
         )
 
         def _acknowledge(version: int) -> None:
-            connection.send(messages.Settled(f"suspects/{report.report_id}", version))
+            connection.send(shard_messages.Settled(f"suspects/{report.report_id}", version))
 
         self.propose(command, _acknowledge, lambda _error: None)
 
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -14,7 +14,7 @@
 from flamingoramp.daemons import caller_connections, owned_shards, process
 from flamingoramp.dispatch import dispatcher, requests
 from flamingoramp.membership import control_session, session_table
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.runtime import http_server, metrics, transport
 from flamingoramp.runtime import settings as settings_module
 
@@ -91,7 +91,7 @@
         )
         self._dispatcher = self._make_dispatcher()
         self._shards_with_holds: set[str] = set()
-        self._unacknowledged_claim_results: dict[str, messages.ClaimSettle] = {}
+        self._unacknowledged_claim_results: dict[str, shard_messages.ClaimSettle] = {}
         self._stop_began_at = 0.0
         self._lease_lapsed = True
         loop.call_every(TICK_INTERVAL_SECONDS, self._tick)
@@ -123,8 +123,8 @@
         """Serve until the planned stop that SIGTERM or SIGINT begins is complete."""
         self._process.run(self.begin_stop)
 
-    def _base_heartbeat(self) -> messages.SessionHeartbeat:
-        return messages.SessionHeartbeat(
+    def _base_heartbeat(self) -> shard_messages.SessionHeartbeat:
+        return shard_messages.SessionHeartbeat(
             entry=self._host.name,
             incarnation=self._incarnation,
             url=self._process.http.url,
@@ -168,31 +168,31 @@
         self, _sender: str, message: Any, _connection: transport.Connection
     ) -> None:
         match message:
-            case messages.SessionGrant():
+            case shard_messages.SessionGrant():
                 self._handle_session_grant(message)
             case (
-                messages.ClaimReply()
-                | messages.Refuse()
-                | messages.Grant()
-                | messages.ServerLeaving()
+                shard_messages.ClaimReply()
+                | shard_messages.Refuse()
+                | shard_messages.Grant()
+                | shard_messages.ServerLeaving()
             ):
                 self._dispatch(message)
-            case messages.Settled(qualified_id, version):
+            case shard_messages.Settled(qualified_id, version):
                 item_kind, _, item_id = qualified_id.partition("/")
                 if item_kind == "claim":
                     self._unacknowledged_claim_results.pop(item_id, None)
                 else:
                     self._owned_shards.handle_report_committed(item_id, version)
-            case messages.HoldUnknown(shard, generation):
+            case shard_messages.HoldUnknown(shard, generation):
                 if generation == self._shard_generation(shard):
                     self._send_full_report(shard)
-            case messages.Announcement():
+            case shard_messages.Announcement():
                 self.handle_announcement(message, forwarded=True)
             case (
-                messages.Reserve()
-                | messages.Release()
-                | messages.PrefillDone()
-                | messages.HoldReport()
+                shard_messages.Reserve()
+                | shard_messages.Release()
+                | shard_messages.PrefillDone()
+                | shard_messages.HoldReport()
             ):
                 self._owned_shards.handle(message.shard, message)
 
@@ -222,7 +222,7 @@
             self._process.transport.disconnect(self._control_addresses[previous_target])
         self._send_to_control(heartbeat)
 
-    def _handle_session_grant(self, grant: messages.SessionGrant) -> None:
+    def _handle_session_grant(self, grant: shard_messages.SessionGrant) -> None:
         now = self._process.loop.now()
         changes = self._session.handle(grant, now)
         if changes.declaration_changed:
@@ -274,7 +274,7 @@
                 case requests.SendToOwner(shard, message):
                     self._send_to_owner(shard, message)
                 case requests.SendToControl(message):
-                    if isinstance(message, messages.ClaimSettle):
+                    if isinstance(message, shard_messages.ClaimSettle):
                         self._unacknowledged_claim_results[message.request_id] = message
                     self._send_to_control(message)
                 case requests.StartGenerate():
@@ -447,7 +447,7 @@
         except ValueError as error:
             raise errors.BadRequestError("body: not JSON") from error
         try:
-            announcement = utils.structure(body, messages.Announcement, "announcement")
+            announcement = utils.structure(body, shard_messages.Announcement, "announcement")
         except errors.SettingsError as error:
             raise errors.BadRequestError(str(error)) from error
         self._process.loop.post(lambda: self.handle_announcement(announcement))
@@ -459,7 +459,7 @@
         )
 
     def handle_announcement(
-        self, announcement: messages.Announcement, *, forwarded: bool = False
+        self, announcement: shard_messages.Announcement, *, forwarded: bool = False
     ) -> None:
         """Apply a backend server's announcement, or forward it to the owner of its shard.
 
--- a/flamingoramp/daemons/owned_shards.py
+++ b/flamingoramp/daemons/owned_shards.py
@@ -12,7 +12,7 @@
 from flamingoramp.intent import declarations
 from flamingoramp.membership import control_session
 from flamingoramp.orders import reconciler
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import effects, isolation, scheduler
 
 REPORT_RESEND_INTERVAL_SECONDS = 1.0
@@ -61,7 +61,7 @@
         self._crash_trackers: dict[str, isolation.CrashTracker] = {}
         self._reconcilers: dict[str, reconciler.Reconciler] = {}
         self._order_sender = make_order_sender(process.loop, self._handle_order_result)
-        self._unacknowledged_reports: dict[str, messages.SuspectReport] = {}
+        self._unacknowledged_reports: dict[str, shard_messages.SuspectReport] = {}
         self._released_all = False
         # Messages for shards that other processes already know to be owned by this entry, before
         # this entry itself knows.
@@ -140,7 +140,7 @@
             self._early_messages.append((now, shard, message))
             return
         self._apply_effects(shard, shard_scheduler.handle(message, now))
-        if isinstance(message, messages.Announcement):
+        if isinstance(message, shard_messages.Announcement):
             self._reconcile(shard, now)
 
     def handle_report_committed(self, report_id: str, version: int) -> None:
@@ -156,7 +156,7 @@
         for shard, shard_scheduler in list(self._schedulers.items()):
             self._apply_effects(shard, shard_scheduler.tick(now))
 
-    def _begin_ownership(self, owner: messages.ShardOwner, now: float) -> None:
+    def _begin_ownership(self, owner: shard_messages.ShardOwner, now: float) -> None:
         timing = self._process.settings.timing
         shard_scheduler = scheduler.Scheduler(
             shard=owner.shard,
@@ -216,7 +216,7 @@
 
     def _report_crash(self, effect: effects.ReportSuspects) -> None:
         crash_report = effect.report
-        report = messages.SuspectReport(
+        report = shard_messages.SuspectReport(
             crash_report.report_id,
             effect.service,
             crash_report.fingerprints,
--- a/flamingoramp/daemons/tests/test_owned_shards.py
+++ b/flamingoramp/daemons/tests/test_owned_shards.py
@@ -10,7 +10,7 @@
 
 from flamingoramp.daemons import owned_shards
 from flamingoramp.intent import declarations
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.runtime import settings
 
 SHARD = "llm/0"
@@ -18,16 +18,16 @@
     services=(declarations.ServiceDeclaration("llm"),),
     workspaces=(declarations.WorkspaceDeclaration("w"),),
 )
-ENGINE = messages.Announcement(
+ENGINE = shard_messages.Announcement(
     server="s", service="llm", incarnation=1, sequence=1, url="http://s", zone="z",
     memory_tokens=1000, slots=8, prefill_rate=1000.0, models=("m@1",),
 )  # fmt: skip
-RESERVE = messages.Reserve(
+RESERVE = shard_messages.Reserve(
     request_id="r", attempt=1, service="llm", shard=SHARD, workspace="w", model="m",
     prompt_tokens=10, output_tokens=1, remaining=10.0, entry="other", entry_address="other:1",
     fingerprint="f",
 )  # fmt: skip
-HOLD_REPORT = messages.HoldReport("other", "other:1", SHARD, (), ("r",), True, ())
+HOLD_REPORT = shard_messages.HoldReport("other", "other:1", SHARD, (), ("r",), True, ())
 
 
 class OwnedShardsCase(unittest.TestCase):
@@ -39,7 +39,7 @@
         self.sent_messages: list = []
         self.session = types.SimpleNamespace(
             shards={},
-            entries=(messages.EntryAddress("other", "http://other", "z", False),),
+            entries=(shard_messages.EntryAddress("other", "http://other", "z", False),),
             declaration=DECLARATION,
             suspects=(),
             suspects_version=0,
@@ -59,11 +59,13 @@
         )
 
     def begin_ownership(self) -> None:
-        self.session.shards = {SHARD: messages.ShardOwner(SHARD, "e#1", "e:1", 1)}
+        self.session.shards = {SHARD: shard_messages.ShardOwner(SHARD, "e#1", "e:1", 1)}
         self.owned_shards.update_ownership(self.now)
 
     def sent_grants(self) -> list:
-        return [message for message in self.sent_messages if isinstance(message, messages.Grant)]
+        return [
+            message for message in self.sent_messages if isinstance(message, shard_messages.Grant)
+        ]
 
 
 class TestEarlyMessages(OwnedShardsCase):
--- a/flamingoramp/dispatch/dispatcher.py
+++ b/flamingoramp/dispatch/dispatcher.py
@@ -10,7 +10,7 @@
 
 from flamingoramp import errors
 from flamingoramp.dispatch import budget, claims, inflight, requests, shards
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 MAX_ATTEMPTS = 6
 MAX_RESUMES = 3  # in a row without new text
@@ -86,13 +86,13 @@
                 self._submit(spec, now)
             case requests.CallerDisconnected(request_id):
                 self._handle_caller_disconnected(request_id, now)
-            case messages.ClaimReply():
+            case shard_messages.ClaimReply():
                 self._handle_claim_reply(message, now)
-            case messages.Grant():
+            case shard_messages.Grant():
                 self._handle_grant(message, now)
-            case messages.Refuse():
+            case shard_messages.Refuse():
                 self._handle_refuse(message, now)
-            case messages.ServerLeaving():
+            case shard_messages.ServerLeaving():
                 self._handle_server_leaving(message, now)
             case requests.MemberStarted():
                 self._handle_member_started(message)
@@ -118,7 +118,7 @@
                 self._fail(request, error, now)
         return self._drain_effects()
 
-    def make_hold_report(self, shard: str, *, full: bool) -> messages.HoldReport:
+    def make_hold_report(self, shard: str, *, full: bool) -> shard_messages.HoldReport:
         """Return the reservations held and requested at a shard; only ids unless ``full``."""
         held = []
         renewed = []
@@ -132,7 +132,7 @@
                 renewed.append(f"{request.spec.request_id}/{request.attempt}")
             elif request.phase is inflight.Phase.WAITING:
                 waiting.append(request.spec.request_id)
-        return messages.HoldReport(
+        return shard_messages.HoldReport(
             self._entry, self._address, shard, tuple(held), tuple(waiting), full, tuple(renewed)
         )
 
@@ -191,7 +191,7 @@
     def _send_claim(self, request: inflight.Request, now: float) -> None:
         request.last_sent_at = now
         spec = request.spec
-        claim = messages.ClaimRequest(
+        claim = shard_messages.ClaimRequest(
             spec.request_id,
             spec.workspace,
             spec.key,
@@ -201,7 +201,7 @@
         )
         self._emit(requests.SendToControl(claim))
 
-    def _handle_claim_reply(self, reply: messages.ClaimReply, now: float) -> None:
+    def _handle_claim_reply(self, reply: shard_messages.ClaimReply, now: float) -> None:
         request = self._requests.get(reply.request_id)
         if request is None or request.phase is not inflight.Phase.CLAIMING:
             return
@@ -223,7 +223,7 @@
     def _send_reserve(self, request: inflight.Request, now: float) -> None:
         request.last_sent_at = now
         spec = request.spec
-        reserve = messages.Reserve(
+        reserve = shard_messages.Reserve(
             request_id=spec.request_id,
             attempt=request.attempt,
             service=spec.service,
@@ -244,7 +244,7 @@
         )
         self._emit(requests.SendToOwner(request.shard, reserve))
 
-    def _handle_grant(self, grant: messages.Grant, now: float) -> None:
+    def _handle_grant(self, grant: shard_messages.Grant, now: float) -> None:
         request = self._requests.get(grant.request_id)
         is_current = request is not None and request.attempt == grant.attempt
         if is_current and request.phase is inflight.Phase.RUNNING:
@@ -294,7 +294,7 @@
             )
         )
 
-    def _handle_refuse(self, refusal: messages.Refuse, now: float) -> None:
+    def _handle_refuse(self, refusal: shard_messages.Refuse, now: float) -> None:
         request = self._requests.get(refusal.request_id)
         if request is None or request.attempt != refusal.attempt:
             return
@@ -339,7 +339,7 @@
         if request is not None:
             request.members_started = started.position + 1
 
-    def _handle_server_leaving(self, notice: messages.ServerLeaving, now: float) -> None:
+    def _handle_server_leaving(self, notice: shard_messages.ServerLeaving, now: float) -> None:
         """End an attempt on a group if a leaving member has not been sent its part yet."""
         request = self._find_running(notice)
         if request is None or notice.server not in request.grant.servers[request.members_started :]:
@@ -382,7 +382,7 @@
 
     def _report_prefill(self, request: inflight.Request, now: float) -> None:
         prefill_seconds = now - request.dispatched_at
-        message = messages.PrefillDone(
+        message = shard_messages.PrefillDone(
             request.spec.request_id, request.attempt, request.shard, prefill_seconds
         )
         self._emit(requests.SendToOwner(request.shard, message))
@@ -555,7 +555,7 @@
         self._finish(request, self._build_error(request, error))
 
     def _cancel_reservation(self, request: inflight.Request) -> None:
-        release = messages.Release(
+        release = shard_messages.Release(
             request.spec.request_id, request.attempt, request.shard, "cancelled", ""
         )
         self._emit(requests.SendToOwner(request.shard, release))
@@ -584,8 +584,8 @@
             spec = request.spec
             self._emit(requests.CancelTransfer(spec.request_id, request.attempt, earlier_urls))
 
-    def _send_release(self, grant: messages.Grant, result: str, server: str = "") -> None:
-        release = messages.Release(
+    def _send_release(self, grant: shard_messages.Grant, result: str, server: str = "") -> None:
+        release = shard_messages.Release(
             grant.request_id, grant.attempt, grant.shard, result, server or grant.servers[-1]
         )
         self._emit(requests.SendToOwner(grant.shard, release))
@@ -595,13 +595,13 @@
             return
         request.holds_claim = False
         spec = request.spec
-        message = messages.ClaimSettle(
+        message = shard_messages.ClaimSettle(
             spec.request_id, spec.workspace, spec.key, outcome, status, body.decode("latin-1")
         )
         self._emit(requests.SendToControl(message))
 
 
-def _server_at(grant: messages.Grant, url: str) -> str:
+def _server_at(grant: shard_messages.Grant, url: str) -> str:
     """Return the server at a URL of a grant; the grant's last server if none is there."""
     server_by_url = dict(zip(grant.urls, grant.servers, strict=True))
     return server_by_url.get(url, grant.servers[-1])
--- a/flamingoramp/dispatch/inflight.py
+++ b/flamingoramp/dispatch/inflight.py
@@ -8,7 +8,7 @@
 
 from flamingoramp import errors
 from flamingoramp.dispatch import requests
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 
 class Phase(enum.Enum):
@@ -46,7 +46,7 @@
         When the claim or the reserve request was last sent.
     retry_at : float
         When the backoff ends and the next attempt is requested.
-    grant : messages.Grant, optional
+    grant : shard_messages.Grant, optional
         Reservation of the running attempt.
     may_have_run : bool
         Whether an earlier attempt may have executed the request, at least in part.
@@ -84,7 +84,7 @@
     best_refusal: errors.FlamingorampError | None = None
     last_sent_at: float = 0.0
     retry_at: float = 0.0
-    grant: messages.Grant | None = None
+    grant: shard_messages.Grant | None = None
     may_have_run: bool = False
     dispatched_at: float = 0.0
     members_started: int = 0
@@ -108,9 +108,9 @@
         """Text delivered so far, over all attempts."""
         return "".join(self.chunks)
 
-    def describe_reservation(self) -> messages.HeldReservation:
+    def describe_reservation(self) -> shard_messages.HeldReservation:
         """Return the reservation of the running attempt, as in a full hold report."""
-        return messages.HeldReservation(
+        return shard_messages.HeldReservation(
             self.spec.request_id,
             self.attempt,
             self.grant.servers,
--- a/flamingoramp/dispatch/suspects.py
+++ b/flamingoramp/dispatch/suspects.py
@@ -13,7 +13,7 @@
 import attrs
 import msgspec
 
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 QUARANTINE_CRASH_COUNT = 2
 QUARANTINE_SECONDS = 3600.0
@@ -82,10 +82,12 @@
         self._evict_expired(command.now)
         return self._version
 
-    def list_suspects(self) -> tuple[messages.Suspect, ...]:
+    def list_suspects(self) -> tuple[shard_messages.Suspect, ...]:
         """Return all suspects as protocol messages, the quarantined ones included."""
         return tuple(
-            messages.Suspect(fingerprint, record.lonely_crashes, record.quarantined, record.service)
+            shard_messages.Suspect(
+                fingerprint, record.lonely_crashes, record.quarantined, record.service
+            )
             for fingerprint, record in self._records.items()
         )
 
--- a/flamingoramp/dispatch/tests/test_dispatcher.py
+++ b/flamingoramp/dispatch/tests/test_dispatcher.py
@@ -9,7 +9,7 @@
 
 from flamingoramp import errors
 from flamingoramp.dispatch import budget, claims, dispatcher, requests
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 STREAM_SPEC = requests.RequestSpec(
     "r", requests.RequestKind.COMPLETION, "w", "llm", model="m", prompt="p", prompt_tokens=100,
@@ -23,7 +23,7 @@
     streams=False,
     call=requests.PlainCall("POST", "holds"),
 )
-GRANT = messages.Grant("r", 1, "llm/0", 1, ("s1",), ("http://s1",), (105,))
+GRANT = shard_messages.Grant("r", 1, "llm/0", 1, ("s1",), ("http://s1",), (105,))
 
 
 class DispatcherCase(unittest.TestCase):
@@ -112,7 +112,7 @@
         self.assertEqual(self.caller_text(), "abcd")
         self.assertEqual(self.effects_of(requests.CallerEnd)[0].text, "abcd")
         self.assertEqual(
-            [release.result for release in self.sent_to_owner(messages.Release)], ["done"]
+            [release.result for release in self.sent_to_owner(shard_messages.Release)], ["done"]
         )
 
     def test_late_chunk_of_earlier_attempt_is_dropped(self):
@@ -150,18 +150,18 @@
         second_grant = attrs.evolve(GRANT, attempt=2, servers=("s2",), urls=("http://s2",))
         (start,) = self.effects_of(requests.StartGenerate, self.send(second_grant))
         self.assertEqual((start.offset, start.delivered_text), (2, "ab"))
-        reserve = self.sent_to_owner(messages.Reserve)[-1]
+        reserve = self.sent_to_owner(shard_messages.Reserve)[-1]
         self.assertEqual(reserve.excluded, ("s1",))
 
     def test_silent_server_without_output_is_not_resumed(self):
         batch = self.end_transfer(requests.TransferResult.SILENT)
         self.assertEqual(self.effects_of(requests.StartResume, batch), [])
-        self.assertEqual(self.sent_to_owner(messages.Release)[-1].result, "silent")
+        self.assertEqual(self.sent_to_owner(shard_messages.Release)[-1].result, "silent")
 
     def test_caller_disconnect_cancels_attempt_and_releases_reservation(self):
         self.send(requests.CallerDisconnected("r"))
         self.assertEqual(self.effects_of(requests.CancelTransfer)[0].urls, ("http://s1",))
-        self.assertEqual(self.sent_to_owner(messages.Release)[-1].result, "cancelled")
+        self.assertEqual(self.sent_to_owner(shard_messages.Release)[-1].result, "cancelled")
         self.assertEqual(len(self.dispatcher), 0)
 
 
@@ -169,7 +169,9 @@
     """An error's outcome says whether the request may have run."""
 
     def test_refusal_before_any_attempt_is_not_run(self):
-        self.send(requests.Submit(STREAM_SPEC), messages.Refuse("r", 1, "overloaded", "full", 2.5))
+        self.send(
+            requests.Submit(STREAM_SPEC), shard_messages.Refuse("r", 1, "overloaded", "full", 2.5)
+        )
         self.assertEqual(self.caller_error().outcome, errors.Outcome.NOT_RUN)
         self.assertEqual(self.caller_error().retry_after, 2.5)
 
@@ -177,7 +179,7 @@
         self.send(requests.Submit(STREAM_SPEC), GRANT)
         self.end_transfer(requests.TransferResult.GONE)
         self.tick(0.2)
-        self.send(messages.Refuse("r", 2, "overloaded", "full", 2.5))
+        self.send(shard_messages.Refuse("r", 2, "overloaded", "full", 2.5))
         self.assertEqual(self.caller_error().outcome, errors.Outcome.FAILED)
 
     def test_refusal_after_group_processed_a_segment_is_failed(self):
@@ -187,7 +189,7 @@
         self.send(requests.Submit(STREAM_SPEC), group)
         self.end_transfer(requests.TransferResult.NOT_SENT)
         self.tick(0.2)
-        self.send(messages.Refuse("r", 2, "overloaded", "full", 2.5))
+        self.send(shard_messages.Refuse("r", 2, "overloaded", "full", 2.5))
         self.assertEqual(self.caller_error().outcome, errors.Outcome.FAILED)
 
     def test_time_limit_is_not_run_while_waiting_and_failed_while_running(self):
@@ -213,34 +215,36 @@
         self.now += 5.0
         self.send(GRANT)
         self.assertEqual(self.effects_of(requests.StartGenerate), [])
-        self.assertEqual(self.sent_to_owner(messages.Release)[-1].result, "not_sent")
+        self.assertEqual(self.sent_to_owner(shard_messages.Release)[-1].result, "not_sent")
 
     def test_grant_for_unknown_request_is_released(self):
         self.send(GRANT)
-        self.assertEqual(self.sent_to_owner(messages.Release)[-1].request_id, "r")
+        self.assertEqual(self.sent_to_owner(shard_messages.Release)[-1].request_id, "r")
 
     def test_unanswered_reserve_is_resent(self):
         self.send(requests.Submit(STREAM_SPEC))
         self.tick(2.0)
-        self.assertGreaterEqual(len(self.sent_to_owner(messages.Reserve)), 3)
+        self.assertGreaterEqual(len(self.sent_to_owner(shard_messages.Reserve)), 3)
 
 
 class TestNonIdempotent(DispatcherCase):
     """A non-idempotent request starts once, after its claim is committed, and never again."""
 
     def reply_to_claim(self, status: claims.ClaimStatus, **values) -> list:
-        return self.send(messages.ClaimReply("r", status.value, **values))
+        return self.send(shard_messages.ClaimReply("r", status.value, **values))
 
     def recorded_outcomes(self) -> list[str]:
         sent = [effect.message for effect in self.effects_of(requests.SendToControl)]
-        return [message.outcome for message in sent if isinstance(message, messages.ClaimSettle)]
+        return [
+            message.outcome for message in sent if isinstance(message, shard_messages.ClaimSettle)
+        ]
 
     def test_reserve_is_sent_only_after_claim_is_granted(self):
         self.send(requests.Submit(PLAIN_SPEC))
         self.tick(3.0)
-        self.assertEqual(self.sent_to_owner(messages.Reserve), [])
+        self.assertEqual(self.sent_to_owner(shard_messages.Reserve), [])
         self.reply_to_claim(claims.ClaimStatus.GRANTED)
-        self.assertEqual(len(self.sent_to_owner(messages.Reserve)), 1)
+        self.assertEqual(len(self.sent_to_owner(shard_messages.Reserve)), 1)
 
     def test_failed_attempt_is_not_retried_and_outcome_is_unknown(self):
         for result in (requests.TransferResult.BROKEN, requests.TransferResult.SILENT):
@@ -267,7 +271,7 @@
     def test_refusal_records_not_run_for_the_key(self):
         self.send(requests.Submit(PLAIN_SPEC))
         self.reply_to_claim(claims.ClaimStatus.GRANTED)
-        self.send(messages.Refuse("r", 1, "overloaded", "full", 1.0))
+        self.send(shard_messages.Refuse("r", 1, "overloaded", "full", 1.0))
         self.assertEqual(self.recorded_outcomes(), ["not_run"])
 
     def test_recorded_response_is_returned(self):
@@ -284,7 +288,7 @@
                 self.setUp()
                 self.send(requests.Submit(PLAIN_SPEC))
                 self.reply_to_claim(status)
-                self.assertEqual(self.sent_to_owner(messages.Reserve), [])
+                self.assertEqual(self.sent_to_owner(shard_messages.Reserve), [])
                 self.assertEqual(len(self.effects_of(requests.CallerError)), 1)
 
     def test_caller_disconnect_does_not_cancel_running_request(self):
@@ -306,7 +310,7 @@
         self.send(attrs.evolve(GRANT, attempt=2, servers=("s2",), urls=("http://s2",)))
         for _ in range(dispatcher.MAX_RESUMES + 1):
             self.receive_chunk(10, "late", attempt=2)
-        releases = self.sent_to_owner(messages.Release)
+        releases = self.sent_to_owner(shard_messages.Release)
         self.assertEqual([release.server for release in releases], ["s1", "s2"])
 
 
@@ -325,16 +329,16 @@
         self.send(requests.Submit(STREAM_SPEC), self.group, requests.MemberStarted("r", 1, 1))
 
     def send_notice(self, server: str, attempt: int = 1) -> None:
-        self.send(messages.ServerLeaving("r", attempt, "llm/0", server))
+        self.send(shard_messages.ServerLeaving("r", attempt, "llm/0", server))
 
     def test_member_that_has_not_started_ends_the_attempt(self):
         self.send_notice("s3")
         (cancel,) = self.effects_of(requests.CancelTransfer)
         self.assertEqual(cancel.urls, self.group.urls)
-        (release,) = self.sent_to_owner(messages.Release)
+        (release,) = self.sent_to_owner(shard_messages.Release)
         self.assertEqual((release.attempt, release.result), (1, "cancelled"))
         self.tick(1.0)
-        latest = self.sent_to_owner(messages.Reserve)[-1]
+        latest = self.sent_to_owner(shard_messages.Reserve)[-1]
         self.assertEqual((latest.attempt, latest.excluded), (2, ("s3",)))
 
     def test_members_that_have_started_go_on(self):
@@ -349,7 +353,7 @@
     def test_refusal_after_a_withdrawn_attempt_does_not_say_not_run(self):
         self.send_notice("s3")
         self.tick(1.0)
-        self.send(messages.Refuse("r", 2, "overloaded", "full", 1.0))
+        self.send(shard_messages.Refuse("r", 2, "overloaded", "full", 1.0))
         self.assertEqual(self.caller_error().outcome, errors.Outcome.FAILED)
 
 
@@ -382,12 +386,12 @@
         self.send(requests.Submit(STREAM_SPEC))
 
     def refuse(self, code: str = "overloaded", retry_after: float = 2.0) -> None:
-        (*_, reserve) = self.sent_to_owner(messages.Reserve)
-        self.send(messages.Refuse("r", reserve.attempt, code, "full", retry_after))
+        (*_, reserve) = self.sent_to_owner(shard_messages.Reserve)
+        self.send(shard_messages.Refuse("r", reserve.attempt, code, "full", retry_after))
 
     def test_refused_request_is_sent_to_another_shard(self):
         self.refuse()
-        first, second = self.sent_to_owner(messages.Reserve)
+        first, second = self.sent_to_owner(shard_messages.Reserve)
         self.assertNotEqual(first.shard, second.shard)
         self.assertEqual(self.effects_of(requests.CallerError), [])
 
@@ -399,14 +403,14 @@
         self.assertEqual(self.caller_error().retry_after, 1.0)
         self.assertEqual(self.caller_error().outcome, errors.Outcome.NOT_RUN)
         self.assertEqual(
-            len({reserve.shard for reserve in self.sent_to_owner(messages.Reserve)}), 3
+            len({reserve.shard for reserve in self.sent_to_owner(shard_messages.Reserve)}), 3
         )
 
     # Guards against a content that crashes engines and is run by two shards at once.
     def test_refused_request_with_suspect_content_is_sent_to_no_other_shard(self):
         self.suspects.add(STREAM_SPEC.fingerprint)
         self.refuse("no_backend")
-        self.assertEqual(len(self.sent_to_owner(messages.Reserve)), 1)
+        self.assertEqual(len(self.sent_to_owner(shard_messages.Reserve)), 1)
         self.assertEqual(self.caller_error().code, "no_backend")
 
     def test_quota_refusal_fails_request_without_another_shard(self):
@@ -416,7 +420,7 @@
     def test_late_grant_of_first_shard_is_released(self):
         self.refuse()
         self.send(GRANT)
-        (release,) = self.sent_to_owner(messages.Release)
+        (release,) = self.sent_to_owner(shard_messages.Release)
         self.assertEqual((release.attempt, release.shard, release.result), (1, "llm/0", "not_sent"))
         self.assertEqual(self.effects_of(requests.StartGenerate), [])
 
@@ -424,13 +428,13 @@
         for number in range(20):
             self.send(requests.Submit(attrs.evolve(STREAM_SPEC, request_id=f"s{number}")))
         self.assertEqual(
-            len({reserve.shard for reserve in self.sent_to_owner(messages.Reserve)}), 1
+            len({reserve.shard for reserve in self.sent_to_owner(shard_messages.Reserve)}), 1
         )
 
     def test_request_moves_off_removed_shard(self):
-        (first,) = self.sent_to_owner(messages.Reserve)
+        (first,) = self.sent_to_owner(shard_messages.Reserve)
         self.assertEqual(first.shard, "llm/3")
         self.shard_count = 3
         self.tick(1.0)
-        (*_, latest) = self.sent_to_owner(messages.Reserve)
+        (*_, latest) = self.sent_to_owner(shard_messages.Reserve)
         self.assertEqual(latest.shard, "llm/0")
--- a/flamingoramp/intent/state.py
+++ b/flamingoramp/intent/state.py
@@ -15,7 +15,7 @@
 from flamingoramp import errors
 from flamingoramp.dispatch import claims, suspects
 from flamingoramp.intent import commands, declarations
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 MAX_OPERATIONS = 4096
 MAX_PLANS = 256
@@ -58,7 +58,7 @@
         self._declaration: declarations.Declaration | None = None
         self._plans: dict[str, Plan] = {}
         self._operations: dict[str, ConfirmResult] = {}
-        self._owners: dict[str, messages.ShardOwner] = {}
+        self._owners: dict[str, shard_messages.ShardOwner] = {}
         self._last_generation = 0
         self._time = 0.0
         self.claims = claims.ClaimTable(self._claim_limits)
@@ -87,7 +87,7 @@
         return self._time
 
     @property
-    def owners(self) -> dict[str, messages.ShardOwner]:
+    def owners(self) -> dict[str, shard_messages.ShardOwner]:
         """Owners by shard name."""
         return self._owners
 
@@ -155,7 +155,7 @@
         self._time = state.get("time", 0.0)
         self._plans = msgspec.convert(state["plans"], dict[str, Plan])
         self._operations = msgspec.convert(state["operations"], dict[str, ConfirmResult])
-        self._owners = msgspec.convert(state["owners"], dict[str, messages.ShardOwner])
+        self._owners = msgspec.convert(state["owners"], dict[str, shard_messages.ShardOwner])
         self.claims.load(state["claims"])
         self.suspects.load(state["suspects"])
 
@@ -210,8 +210,12 @@
                     owner = self._owners[shard]
                     self._owners[shard] = attrs.evolve(owner, generation=self._last_generation)
 
-    def _assign_shards(self, command: commands.AssignShards) -> dict[str, messages.ShardOwner]:
+    def _assign_shards(
+        self, command: commands.AssignShards
+    ) -> dict[str, shard_messages.ShardOwner]:
         for shard, owner, address in command.owners:
             self._last_generation += 1
-            self._owners[shard] = messages.ShardOwner(shard, owner, address, self._last_generation)
+            self._owners[shard] = shard_messages.ShardOwner(
+                shard, owner, address, self._last_generation
+            )
         return self._owners
--- a/flamingoramp/membership/control_session.py
+++ b/flamingoramp/membership/control_session.py
@@ -5,7 +5,7 @@
 import attrs
 
 from flamingoramp.intent import declarations
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 # Without a grant for this long, the next heartbeats are sent to another control host.
 CONTROL_TIMEOUT_SECONDS = 0.6
@@ -25,12 +25,12 @@
 
     Parameters
     ----------
-    heartbeat : messages.SessionHeartbeat
+    heartbeat : shard_messages.SessionHeartbeat
         Template with the constant fields: name, incarnation, addresses and zone.
     control_hosts : tuple of str
     """
 
-    def __init__(self, heartbeat: messages.SessionHeartbeat, control_hosts: tuple[str, ...]):
+    def __init__(self, heartbeat: shard_messages.SessionHeartbeat, control_hosts: tuple[str, ...]):
         self._heartbeat_template = heartbeat
         self._control_hosts = control_hosts
         self._target_index = 0
@@ -40,9 +40,9 @@
         self._granted_heartbeat_sent_at = float("-inf")
         self._declaration = declarations.Declaration()
         self._revision = 0
-        self._shards: dict[str, messages.ShardOwner] = {}
-        self._entries: tuple[messages.EntryAddress, ...] = ()
-        self._suspects: tuple[messages.Suspect, ...] = ()
+        self._shards: dict[str, shard_messages.ShardOwner] = {}
+        self._entries: tuple[shard_messages.EntryAddress, ...] = ()
+        self._suspects: tuple[shard_messages.Suspect, ...] = ()
         self._suspects_version = 0
         self._table_version = 0
         self._drain_requested = False
@@ -63,16 +63,16 @@
         return self._revision
 
     @property
-    def shards(self) -> dict[str, messages.ShardOwner]:
+    def shards(self) -> dict[str, shard_messages.ShardOwner]:
         """Owners by shard name."""
         return self._shards
 
     @property
-    def entries(self) -> tuple[messages.EntryAddress, ...]:
+    def entries(self) -> tuple[shard_messages.EntryAddress, ...]:
         """Addresses of all entries that hold a lease."""
         return self._entries
 
-    def usable_entries(self, *, leaving: bool) -> tuple[messages.EntryAddress, ...]:
+    def usable_entries(self, *, leaving: bool) -> tuple[shard_messages.EntryAddress, ...]:
         """Return the entries that callers may use: this one, unless it is leaving, and the others.
 
         The table may lag behind the state of this entry.
@@ -81,10 +81,10 @@
         others = (entry for entry in self._entries if entry.name != own.entry and not entry.leaving)
         if leaving:
             return tuple(others)
-        return (messages.EntryAddress(own.entry, own.url, own.zone), *others)
+        return (shard_messages.EntryAddress(own.entry, own.url, own.zone), *others)
 
     @property
-    def suspects(self) -> tuple[messages.Suspect, ...]:
+    def suspects(self) -> tuple[shard_messages.Suspect, ...]:
         """Crash suspects as committed by the control replicas."""
         return self._suspects
 
@@ -115,7 +115,7 @@
 
     def make_heartbeat(
         self, now: float, *, leaving: bool, streams: int
-    ) -> messages.SessionHeartbeat:
+    ) -> shard_messages.SessionHeartbeat:
         """Return the next heartbeat; switch to another control host if this one times out."""
         if now - max(self._grant_received_at, self._target_since) > CONTROL_TIMEOUT_SECONDS:
             self._switch_target((self._target_index + 1) % len(self._control_hosts), now)
@@ -129,7 +129,7 @@
             table_version=self._table_version,
         )
 
-    def handle(self, grant: messages.SessionGrant, now: float) -> GrantEffect:
+    def handle(self, grant: shard_messages.SessionGrant, now: float) -> GrantEffect:
         """Handle the response to a heartbeat and return what it has changed."""
         if not grant.granted:
             self._follow_leader_hint(grant, now)
@@ -158,7 +158,9 @@
             self._suspects_version = grant.quarantine_version
         return GrantEffect(declaration_changed, moved_shards, suspects_changed)
 
-    def _merge_entries(self, grant: messages.SessionGrant) -> tuple[messages.EntryAddress, ...]:
+    def _merge_entries(
+        self, grant: shard_messages.SessionGrant
+    ) -> tuple[shard_messages.EntryAddress, ...]:
         """Return the entries of a grant; a list that may lack some removes none known before.
 
         A new leader learns of the entries from their heartbeats, so its first lists are empty. A
@@ -171,7 +173,7 @@
         by_name = {entry.name: entry for entry in (*self._entries, *grant.entries)}
         return tuple(by_name[name] for name in sorted(by_name))
 
-    def _merge_shards(self, shards: tuple[messages.ShardOwner, ...]) -> tuple[str, ...]:
+    def _merge_shards(self, shards: tuple[shard_messages.ShardOwner, ...]) -> tuple[str, ...]:
         moved = []
         merged = {}
         for owner in shards:
@@ -183,7 +185,7 @@
         self._shards = merged
         return tuple(moved)
 
-    def _follow_leader_hint(self, grant: messages.SessionGrant, now: float) -> None:
+    def _follow_leader_hint(self, grant: shard_messages.SessionGrant, now: float) -> None:
         hint = grant.leader.partition("#")[0]
         if hint in self._control_hosts:
             index = self._control_hosts.index(hint)
--- a/flamingoramp/membership/server_directory.py
+++ b/flamingoramp/membership/server_directory.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 # Retention of the last announcement of a server that sends no more; late ones are compared to it.
 TOMBSTONE_SECONDS = 120.0
@@ -31,7 +31,7 @@
 class Member:
     """Last announcement of a backend server, and its arrival on the shard owner's clock."""
 
-    announcement: messages.Announcement
+    announcement: shard_messages.Announcement
     renewed_at: float
     lapsed: bool = False
 
@@ -41,7 +41,7 @@
         return precedence(self.announcement)
 
 
-def precedence(announcement: messages.Announcement) -> tuple[int, int, bool]:
+def precedence(announcement: shard_messages.Announcement) -> tuple[int, int, bool]:
     """Return the order of an announcement among those of its server."""
     return (announcement.incarnation, announcement.sequence, announcement.leaving)
 
@@ -63,7 +63,7 @@
         """Return a server, also one whose lease has lapsed; None if unknown."""
         return self._members.get(server)
 
-    def handle(self, announcement: messages.Announcement, now: float) -> AnnouncementEffect:
+    def handle(self, announcement: shard_messages.Announcement, now: float) -> AnnouncementEffect:
         """Process an announcement, which renews the server's lease unless it is stale."""
         member = self._members.get(announcement.server)
         if member is None:
@@ -102,7 +102,7 @@
             return False
         return now - member.renewed_at <= self._lease_seconds
 
-    def live_announcements(self, now: float) -> list[messages.Announcement]:
+    def live_announcements(self, now: float) -> list[shard_messages.Announcement]:
         """Return the last announcements of all servers that may get new work."""
         return [
             member.announcement
--- a/flamingoramp/membership/session_table.py
+++ b/flamingoramp/membership/session_table.py
@@ -8,7 +8,7 @@
 import attrs
 
 from flamingoramp.intent import declarations
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 RENDEZVOUS_CACHE_SIZE = 65_536
 
@@ -17,7 +17,7 @@
 class SessionRecord:
     """Last heartbeat of an entry, and its arrival on the leader's clock, in seconds."""
 
-    heartbeat: messages.SessionHeartbeat
+    heartbeat: shard_messages.SessionHeartbeat
     received_at: float
 
     @property
@@ -48,14 +48,14 @@
     """
 
     version: int = 0
-    shards: tuple[messages.ShardOwner, ...] = ()
-    entries: tuple[messages.EntryAddress, ...] = ()
+    shards: tuple[shard_messages.ShardOwner, ...] = ()
+    entries: tuple[shard_messages.EntryAddress, ...] = ()
     is_partial: bool = False
 
 
 def make_cluster_table(
-    shards: tuple[messages.ShardOwner, ...],
-    entries: tuple[messages.EntryAddress, ...],
+    shards: tuple[shard_messages.ShardOwner, ...],
+    entries: tuple[shard_messages.EntryAddress, ...],
     *,
     is_partial: bool,
 ) -> ClusterTable:
@@ -87,7 +87,7 @@
         self._sessions = {}
         self._term_started_at = now
 
-    def handle(self, heartbeat: messages.SessionHeartbeat, now: float) -> None:
+    def handle(self, heartbeat: shard_messages.SessionHeartbeat, now: float) -> None:
         """Start or renew the session of an entry."""
         self._sessions[heartbeat.entry] = SessionRecord(heartbeat, now)
 
@@ -119,10 +119,10 @@
         """Return whether no entry can be using an older revision any more."""
         return self.holds_all_leases(now) and not self.outdated_entries(revision, now)
 
-    def addresses(self, now: float) -> tuple[messages.EntryAddress, ...]:
+    def addresses(self, now: float) -> tuple[shard_messages.EntryAddress, ...]:
         """Return the addresses of the entries whose lease may not have expired yet."""
         return tuple(
-            messages.EntryAddress(
+            shard_messages.EntryAddress(
                 session.heartbeat.entry,
                 session.heartbeat.url,
                 session.heartbeat.zone,
@@ -136,7 +136,7 @@
     def choose_owners(
         self,
         shards: tuple[str, ...],
-        owners: dict[str, messages.ShardOwner],
+        owners: dict[str, shard_messages.ShardOwner],
         now: float,
     ) -> tuple[tuple[str, str, str], ...]:
         """Return (shard, owner, address) for each shard that needs a new owner.
--- a/flamingoramp/membership/tests/test_directory.py
+++ b/flamingoramp/membership/tests/test_directory.py
@@ -7,16 +7,16 @@
 import unittest
 
 from flamingoramp.membership import server_directory
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 LEASE_SECONDS = 2.5
 
 
 def make_announcement(
     incarnation: int, sequence: int, *, leaving: bool = False
-) -> messages.Announcement:
+) -> shard_messages.Announcement:
     """Return an announcement of one server."""
-    return messages.Announcement(
+    return shard_messages.Announcement(
         server="s", incarnation=incarnation, sequence=sequence, leaving=leaving
     )
 
--- a/flamingoramp/membership/tests/test_sessions.py
+++ b/flamingoramp/membership/tests/test_sessions.py
@@ -8,16 +8,16 @@
 
 from flamingoramp.intent import declarations
 from flamingoramp.membership import control_session, session_table
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 LEASE_SECONDS = 2.0
 CLOCK_RATE_BOUND = 0.05
 MAX_LEASE_SECONDS = LEASE_SECONDS * (1 + CLOCK_RATE_BOUND)
 
 
-def make_heartbeat(entry: str, revision: int = 0, **changes) -> messages.SessionHeartbeat:
+def make_heartbeat(entry: str, revision: int = 0, **changes) -> shard_messages.SessionHeartbeat:
     """Return a heartbeat."""
-    return messages.SessionHeartbeat(
+    return shard_messages.SessionHeartbeat(
         entry=entry, incarnation="1", revision=revision, inner=f"{entry}:1", **changes
     )
 
@@ -58,7 +58,7 @@
         )
         self.table.start_term(0.0)
         self.owners = {
-            "llm/0": messages.ShardOwner("llm/0", "a#1", "a:1", 1),
+            "llm/0": shard_messages.ShardOwner("llm/0", "a#1", "a:1", 1),
         }
 
     def choose(self, now: float) -> tuple:
@@ -117,12 +117,13 @@
     def receive(self, *names: str, partial: bool, leaving: bool = False) -> None:
         """Handle a grant whose table names these entries."""
         self.sent_at += 1.0
-        grant = messages.SessionGrant(
+        grant = shard_messages.SessionGrant(
             sent_at=self.sent_at,
             granted=True,
             table_version=int(self.sent_at),
             entries=tuple(
-                messages.EntryAddress(name, f"http://{name}", leaving=leaving) for name in names
+                shard_messages.EntryAddress(name, f"http://{name}", leaving=leaving)
+                for name in names
             ),
             partial_entries=partial,
         )
@@ -179,7 +180,7 @@
 class TestControlSession(unittest.TestCase):
     """The entry's side: leases start when heartbeats are sent, revisions only grow."""
 
-    GRANT = messages.SessionGrant(
+    GRANT = shard_messages.SessionGrant(
         sent_at=1.0,
         granted=True,
         leader="h0#1",
@@ -211,7 +212,7 @@
         )
 
     def test_owner_of_an_older_generation_is_ignored(self):
-        owner = messages.ShardOwner("llm/0", "b#1", "b:1", 7)
+        owner = shard_messages.ShardOwner("llm/0", "b#1", "b:1", 7)
         self.session.handle(attrs.evolve(self.GRANT, table_version=1, shards=(owner,)), 1.1)
         old = attrs.evolve(owner, owner="c#1", generation=6)
         grant = attrs.evolve(self.GRANT, sent_at=2.0, table_version=2, shards=(old,))
@@ -227,6 +228,6 @@
         self.assertEqual(targets, {"h0", "h1", "h2"})
 
     def test_refusal_with_a_leader_hint_switches_to_that_host(self):
-        refusal = messages.SessionGrant(granted=False, leader="h2#9")
+        refusal = shard_messages.SessionGrant(granted=False, leader="h2#9")
         self.session.handle(refusal, 1.0)
         self.assertEqual(self.session.target, "h2")
--- a/flamingoramp/orders/reconciler.py
+++ b/flamingoramp/orders/reconciler.py
@@ -10,7 +10,7 @@
 import attrs
 
 from flamingoramp.intent import declarations
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 MAX_CONCURRENT_LOADS = 2
 ORDER_TIMEOUT_SECONDS = 60.0
@@ -61,7 +61,7 @@
     def next_orders(
         self,
         service: declarations.ServiceDeclaration,
-        announcements: list[messages.Announcement],
+        announcements: list[shard_messages.Announcement],
         now: float,
     ) -> list[Order]:
         """Return the orders to send now to engines whose models differ from the declaration.
@@ -90,7 +90,7 @@
             del self._pending_orders[order.server]
 
     def _should_order(
-        self, announcement: messages.Announcement, desired: tuple[str, ...], now: float
+        self, announcement: shard_messages.Announcement, desired: tuple[str, ...], now: float
     ) -> bool:
         if (
             announcement.server in self._pending_orders
@@ -102,7 +102,7 @@
         return announcement.honours_fencing or now - self._owned_since >= self._max_delivery_seconds
 
     def _make_order(
-        self, announcement: messages.Announcement, desired: tuple[str, ...], now: float
+        self, announcement: shard_messages.Announcement, desired: tuple[str, ...], now: float
     ) -> Order:
         self._last_order_number += 1
         order = Order(
@@ -117,7 +117,7 @@
         return order
 
     def _remove_finished(
-        self, announcements: list[messages.Announcement], desired: tuple[str, ...], now: float
+        self, announcements: list[shard_messages.Announcement], desired: tuple[str, ...], now: float
     ) -> None:
         by_server = {announcement.server: announcement for announcement in announcements}
         for server, (order, sent_at) in list(self._pending_orders.items()):
--- a/flamingoramp/orders/tests/test_reconciler.py
+++ b/flamingoramp/orders/tests/test_reconciler.py
@@ -8,7 +8,7 @@
 
 from flamingoramp.intent import declarations
 from flamingoramp.orders import reconciler
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 SERVICE = declarations.ServiceDeclaration(
     "llm", models=(declarations.ModelDeclaration("m", "2", ("tone",)),)
@@ -16,10 +16,10 @@
 DESIRED_MODELS = ("m@2", "tone@2")
 
 
-def make_announcement(name: str, **changes) -> messages.Announcement:
+def make_announcement(name: str, **changes) -> shard_messages.Announcement:
     """Return the announcement of an engine that has the previous model version loaded."""
     fields = {"server": name, "incarnation": 1, "models": ("m@1",), "honours_fencing": True}
-    return messages.Announcement(**(fields | changes))
+    return shard_messages.Announcement(**(fields | changes))
 
 
 class TestReconciler(unittest.TestCase):
@@ -31,7 +31,7 @@
         )
 
     def ordered_servers(
-        self, *announcements: messages.Announcement, now: float = 100.0
+        self, *announcements: shard_messages.Announcement, now: float = 100.0
     ) -> list[str]:
         return [
             order.server for order in self.reconciler.next_orders(SERVICE, list(announcements), now)
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -32,43 +32,43 @@
 FORMAT = 0x4D
 _HEADER = struct.Struct("BB")
 
-_CLASS_BY_TAG = {
-    1: messages.VoteRequest,
-    2: messages.VoteReply,
-    3: messages.AppendRequest,
-    4: messages.AppendReply,
-    5: messages.InstallSnapshot,
-    6: messages.FoundingProbe,
-    7: messages.FoundingReply,
-    8: messages.Form,
-    9: messages.JoinRequest,
-    10: messages.SessionHeartbeat,
-    11: messages.SessionGrant,
-    12: messages.ClaimRequest,
-    13: messages.ClaimReply,
-    14: messages.ClaimSettle,
-    15: messages.SuspectReport,
-    16: messages.Settled,
-    17: messages.Reserve,
-    18: messages.Grant,
-    19: messages.Refuse,
-    20: messages.Release,
-    21: messages.PrefillDone,
-    22: messages.HoldReport,
-    23: messages.HoldUnknown,
-    24: messages.Announcement,
-    25: messages.Ping,
-    26: messages.Pong,
-    28: messages.Subscribe,
-    29: messages.ClusterUpdate,
-    30: messages.DeclareRequest,
-    31: messages.DeclareReply,
-    32: messages.ReadRequest,
-    33: messages.ReadReply,
-    34: load_reports.LoadReport,
-    35: messages.ServerLeaving,
+_NAME_BY_TAG = {
+    1: "VoteRequest",
+    2: "VoteReply",
+    3: "AppendRequest",
+    4: "AppendReply",
+    5: "InstallSnapshot",
+    6: "FoundingProbe",
+    7: "FoundingReply",
+    8: "Form",
+    9: "JoinRequest",
+    10: "SessionHeartbeat",
+    11: "SessionGrant",
+    12: "ClaimRequest",
+    13: "ClaimReply",
+    14: "ClaimSettle",
+    15: "SuspectReport",
+    16: "Settled",
+    17: "Reserve",
+    18: "Grant",
+    19: "Refuse",
+    20: "Release",
+    21: "PrefillDone",
+    22: "HoldReport",
+    23: "HoldUnknown",
+    24: "Announcement",
+    25: "Ping",
+    26: "Pong",
+    28: "Subscribe",
+    29: "ClusterUpdate",
+    30: "DeclareRequest",
+    31: "DeclareReply",
+    32: "ReadRequest",
+    33: "ReadReply",
+    34: "LoadReport",
+    35: "ServerLeaving",
 }
-_TAG_BY_CLASS = {message_class: tag for tag, message_class in _CLASS_BY_TAG.items()}
+_TAG_BY_NAME = {name: tag for tag, name in _NAME_BY_TAG.items()}
 
 # Whole numbers are shorter than floating-point numbers; the decoder takes either.
 _WHOLE_NUMBERS = {float(number): number for number in range(128)}
@@ -84,6 +84,21 @@
 _encoder = msgpack.Encoder()
 
 
+@functools.cache
+def _find_class(tag: int) -> type | None:
+    """Return the class of messages with a tag, None if there is none."""
+    name = _NAME_BY_TAG.get(tag)
+    if name is None:
+        return None
+    for module in (messages, load_reports):
+        if hasattr(module, name):
+            return getattr(module, name)
+    # Imported on first use, since processes that find each other by seeds never use it.
+    from flamingoramp.protocol import shard_messages
+
+    return getattr(shard_messages, name)
+
+
 @attrs.define(eq=False)
 class _Layout:
     """Encoding of the fields of one class.
@@ -214,7 +229,7 @@
     sender : str
         Name of the sending process.
     message : object
-        Instance of a class of `flamingoramp.protocol.messages`.
+        Instance of a class of `messages`, `shard_messages` or `load_reports`.
     clock : int
         The sender's hybrid logical clock.
 
@@ -238,7 +253,7 @@
 
 def _encode_frame(sender: str, message: Any, clock: int) -> bytes:
     message_class = type(message)
-    header = _HEADER.pack(FORMAT, _TAG_BY_CLASS[message_class])
+    header = _HEADER.pack(FORMAT, _TAG_BY_NAME[message_class.__name__])
     values = _list_values(_get_layout(message_class), message)
     return header + _encoder.encode((sender, clock, values))
 
@@ -276,7 +291,7 @@
             f"cannot decode frame of format {frame_format}, takes format {FORMAT}: "
             "the sender runs another build; run the same build on all hosts"
         )
-    message_class = _CLASS_BY_TAG.get(tag)
+    message_class = _find_class(tag)
     if message_class is None:
         raise errors.ProtocolError(f"cannot decode frame: found no message with the tag {tag}")
     try:
--- a/flamingoramp/protocol/tests/test_codec.py
+++ b/flamingoramp/protocol/tests/test_codec.py
@@ -12,11 +12,11 @@
 from hypothesis import strategies
 
 from flamingoramp import errors
-from flamingoramp.protocol import codec, load_reports, messages
+from flamingoramp.protocol import codec, load_reports, messages, shard_messages
 
 MESSAGE_CLASSES = [
     message_class
-    for module in (messages, load_reports)
+    for module in (messages, shard_messages, load_reports)
     for message_class in vars(module).values()
     if attrs.has(message_class)
 ]
@@ -203,7 +203,7 @@
                     codec.decode(changed_frame)
 
     def test_negative_numbers_for_counts_are_protocol_errors(self):
-        for message in (messages.Ping(-1), messages.Reserve(prefix_hashes=(1, -1))):
+        for message in (messages.Ping(-1), shard_messages.Reserve(prefix_hashes=(1, -1))):
             with self.assertRaises(errors.ProtocolError):
                 codec.decode_datagram(codec.encode_datagram(message))
 
--- a/flamingoramp/routing/choice.py
+++ b/flamingoramp/routing/choice.py
@@ -13,7 +13,7 @@
 
 from flamingoramp.intent import declarations
 from flamingoramp.membership import session_table
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import fleet as fleet_module
 from flamingoramp.routing import queue
 
@@ -35,7 +35,7 @@
 class Placement:
     """Servers for one request, the tokens to reserve on each and the predicted prefill time."""
 
-    servers: tuple[messages.Announcement, ...]
+    servers: tuple[shard_messages.Announcement, ...]
     tokens: tuple[int, ...]
     prefill_seconds: float
     cached_tokens: int = 0
@@ -61,7 +61,7 @@
 
 
 def long_prompt_servers(
-    servers: list[messages.Announcement],
+    servers: list[shard_messages.Announcement],
     *,
     long_ratio: float,
     policy: declarations.PolicyDeclaration,
@@ -91,7 +91,7 @@
     return frozenset(server.server for server in ranked[:size])
 
 
-def can_serve(server: messages.Announcement, reserve: messages.Reserve) -> bool:
+def can_serve(server: shard_messages.Announcement, reserve: shard_messages.Reserve) -> bool:
     """Return whether a server offers a request's service and model and isn't excluded by it."""
     if server.service != reserve.service or server.server in reserve.excluded:
         return False
@@ -104,14 +104,14 @@
     return frozenset(loaded.partition("@")[0] for loaded in models)
 
 
-def needs_group(servers: list[messages.Announcement], required_tokens: int) -> bool:
+def needs_group(servers: list[shard_messages.Announcement], required_tokens: int) -> bool:
     """Return whether a request needs more tokens than any single server's memory holds."""
     return required_tokens > max((server.memory_tokens for server in servers), default=0) > 0
 
 
 def choose_single(
     fleet: fleet_module.Fleet,
-    servers: list[messages.Announcement],
+    servers: list[shard_messages.Announcement],
     waiting: queue.WaitingRequest,
     constraints: Constraints,
     policy: declarations.PolicyDeclaration,
@@ -140,7 +140,7 @@
 
 def _is_eligible(
     fleet: fleet_module.Fleet,
-    server: messages.Announcement,
+    server: shard_messages.Announcement,
     waiting: queue.WaitingRequest,
     constraints: Constraints,
     required_tokens: int,
@@ -168,7 +168,7 @@
 
 
 def _may_spill_to(
-    fleet: fleet_module.Fleet, server: messages.Announcement, constraints: Constraints
+    fleet: fleet_module.Fleet, server: shard_messages.Announcement, constraints: Constraints
 ) -> bool:
     """Return whether a medium or long request may use an idle server meant for short ones."""
     short_servers = [
@@ -182,7 +182,7 @@
 
 def _penalty_seconds(
     fleet: fleet_module.Fleet,
-    server: messages.Announcement,
+    server: shard_messages.Announcement,
     waiting: queue.WaitingRequest,
     constraints: Constraints,
     policy: declarations.PolicyDeclaration,
@@ -203,7 +203,7 @@
 
 def choose_group(
     fleet: fleet_module.Fleet,
-    servers: list[messages.Announcement],
+    servers: list[shard_messages.Announcement],
     waiting: queue.WaitingRequest,
     constraints: Constraints,
     now: float,
@@ -242,7 +242,7 @@
 
 def choose_isolated(
     fleet: fleet_module.Fleet,
-    servers: list[messages.Announcement],
+    servers: list[shard_messages.Announcement],
     waiting: queue.WaitingRequest,
     constraints: Constraints,
     now: float,
@@ -265,7 +265,7 @@
 
 def choose_to_drain(
     fleet: fleet_module.Fleet,
-    servers: list[messages.Announcement],
+    servers: list[shard_messages.Announcement],
     waiting: queue.WaitingRequest,
     constraints: Constraints,
     now: float,
@@ -299,7 +299,7 @@
 
 def choose_to_empty(
     fleet: fleet_module.Fleet,
-    servers: list[messages.Announcement],
+    servers: list[shard_messages.Announcement],
     waiting: queue.WaitingRequest,
     constraints: Constraints,
 ) -> frozenset[str]:
@@ -318,7 +318,7 @@
 
 
 def choose_least_loaded(
-    servers: list[messages.Announcement], reserve: messages.Reserve
+    servers: list[shard_messages.Announcement], reserve: shard_messages.Reserve
 ) -> Placement | None:
     """Choose the servers that report the fewest running requests, then the least memory in use.
 
--- a/flamingoramp/routing/fleet.py
+++ b/flamingoramp/routing/fleet.py
@@ -5,7 +5,7 @@
 import math
 
 from flamingoramp.membership import server_directory
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import breaker, ledger, prefix
 
 MIN_BACKLOG_RATIO = 0.1
@@ -40,7 +40,7 @@
         member = self.directory.find(server)
         return member.announcement.url if member else ""
 
-    def free_tokens(self, server: messages.Announcement, now: float) -> int:
+    def free_tokens(self, server: shard_messages.Announcement, now: float) -> int:
         """Return a server's memory that is not reserved, in tokens."""
         used = self.ledger.reserved_tokens(server.server)
         if now < self.reported_memory_until:
@@ -48,7 +48,7 @@
             used = max(used, server.memory_used)
         return server.memory_tokens - used
 
-    def free_slots(self, server: messages.Announcement) -> int:
+    def free_slots(self, server: shard_messages.Announcement) -> int:
         """Return how many more requests a server can run concurrently."""
         return server.slots - self.ledger.reservation_count(server.server)
 
@@ -74,7 +74,9 @@
         elapsed = now - self._prefill_progress_at.get(server, now)
         return max(total - elapsed, MIN_BACKLOG_RATIO * max(preceding))
 
-    def prefill_seconds(self, server: messages.Announcement, reserve: messages.Reserve) -> float:
+    def prefill_seconds(
+        self, server: shard_messages.Announcement, reserve: shard_messages.Reserve
+    ) -> float:
         """Predict a request's prefill time on a server, without the prefix that is cached there."""
         if server.prefill_rate <= 0:
             return 0.0
--- a/flamingoramp/routing/isolation.py
+++ b/flamingoramp/routing/isolation.py
@@ -17,7 +17,7 @@
 
 from flamingoramp import errors
 from flamingoramp.dispatch import suspects
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import ledger
 
 MAX_FINISHED_FINGERPRINT_COUNT = 8192
@@ -78,12 +78,12 @@
         self._finished: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._watches: dict[str, _CrashWatch] = {}
 
-    def load(self, suspect_list: tuple[messages.Suspect, ...], version: int) -> None:
+    def load(self, suspect_list: tuple[shard_messages.Suspect, ...], version: int) -> None:
         """Replace the suspects by the committed ones, then reapply the changes they don't contain.
 
         Parameters
         ----------
-        suspect_list : tuple of messages.Suspect
+        suspect_list : tuple of shard_messages.Suspect
         version : int
             Version of the list; changes committed in later versions are reapplied.
         """
@@ -143,7 +143,7 @@
         self,
         server: str,
         ran: dict[str, bool],
-        last: messages.Announcement,
+        last: shard_messages.Announcement,
         *,
         disconnected: bool,
     ) -> SuspectChanges:
@@ -154,7 +154,7 @@
         server : str
         ran : dict of str to bool
             Fingerprints of the requests that ran there, and whether each ran alone.
-        last : messages.Announcement
+        last : shard_messages.Announcement
             Its last known announcement.
         disconnected : bool
             Whether its connections broke; one that merely doesn't answer may only be frozen.
@@ -180,12 +180,12 @@
         """Return whether a server may have crashed; until this is clear it gets no new requests."""
         return server in self._watches
 
-    def shows_restart(self, announcement: messages.Announcement) -> bool:
+    def shows_restart(self, announcement: shard_messages.Announcement) -> bool:
         """Return whether an announcement shows that a watched server has restarted."""
         watch = self._watches.get(announcement.server)
         return watch is not None and announcement.incarnation > watch.incarnation
 
-    def end_watch(self, announcement: messages.Announcement) -> SuspectChanges:
+    def end_watch(self, announcement: shard_messages.Announcement) -> SuspectChanges:
         """End the watch of a server once it has kept announcing itself for long enough.
 
         Returns
--- a/flamingoramp/routing/ledger.py
+++ b/flamingoramp/routing/ledger.py
@@ -5,7 +5,7 @@
 import attrs
 
 from flamingoramp import errors
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 # Request id and number of the attempt.
 AttemptKey = tuple[str, int]
@@ -132,7 +132,9 @@
     return request_id, int(attempt)
 
 
-def restore(report: messages.HoldReport, held: messages.HeldReservation, now: float) -> Reservation:
+def restore(
+    report: shard_messages.HoldReport, held: shard_messages.HeldReservation, now: float
+) -> Reservation:
     """Return the reservation that an entry reports to a new owner, as if granted now."""
     return Reservation(
         request_id=held.request_id,
--- a/flamingoramp/routing/prediction.py
+++ b/flamingoramp/routing/prediction.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from flamingoramp.intent import declarations
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import choice, queue
 from flamingoramp.routing import fleet as fleet_module
 
@@ -13,7 +13,7 @@
 
 def predict_request(
     fleet: fleet_module.Fleet,
-    reserve: messages.Reserve,
+    reserve: shard_messages.Reserve,
     policy: declarations.PolicyDeclaration,
     now: float,
 ) -> queue.WaitingRequest:
@@ -49,7 +49,9 @@
     )
 
 
-def _count_engines(servers: list[messages.Announcement], reserve: messages.Reserve) -> int:
+def _count_engines(
+    servers: list[shard_messages.Announcement], reserve: shard_messages.Reserve
+) -> int:
     required_tokens = reserve.prompt_tokens + reserve.output_tokens
     return (
         fleet_module.group_size(required_tokens, [server.memory_tokens for server in servers]) or 1
@@ -69,7 +71,7 @@
     fleet: fleet_module.Fleet,
     waiting_queue: queue.WaitingQueue,
     waiting: queue.WaitingRequest,
-    servers: list[messages.Announcement],
+    servers: list[shard_messages.Announcement],
     now: float,
 ) -> float:
     """Predict how long a request waits for its prefill to begin, in seconds.
--- a/flamingoramp/routing/prefix.py
+++ b/flamingoramp/routing/prefix.py
@@ -9,7 +9,7 @@
 
 import collections
 
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 MAX_CACHED_PREFIX_COUNT = 4096
 FIRST_BLOCK_TOKENS = 1024
@@ -27,7 +27,7 @@
         self._hashes: dict[str, collections.OrderedDict[int, None]] = {}
         self._sequences: dict[str, int] = {}
 
-    def handle(self, announcement: messages.Announcement) -> None:
+    def handle(self, announcement: shard_messages.Announcement) -> None:
         """Apply the cache events of an announcement."""
         server = announcement.server
         cached = self._hashes.setdefault(server, collections.OrderedDict())
--- a/flamingoramp/routing/queue.py
+++ b/flamingoramp/routing/queue.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 
 URGENT_SLACK_RATIO = 0.25
 MAX_TRACKED_WORKSPACE_COUNT = 10_000
@@ -32,7 +32,7 @@
     the entry last reported the request as waiting.
     """
 
-    reserve: messages.Reserve
+    reserve: shard_messages.Reserve
     arrived_at: float
     deadline: float
     length_class: LengthClass
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -15,7 +15,7 @@
 from flamingoramp import errors
 from flamingoramp.intent import declarations
 from flamingoramp.membership import server_directory
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import choice, effects, isolation, ledger, mix, prediction, queue
 from flamingoramp.routing import fleet as fleet_module
 
@@ -109,16 +109,16 @@
     def handle(self, message: Any, now: float) -> list[Any]:
         """Process a message, place waiting requests and return the effects to perform."""
         match message:
-            case messages.Announcement():
+            case shard_messages.Announcement():
                 self._handle_announcement(message, now)
-            case messages.Reserve():
+            case shard_messages.Reserve():
                 self._handle_reserve(message, now)
-            case messages.Release():
+            case shard_messages.Release():
                 self._handle_release(message, now)
-            case messages.PrefillDone():
+            case shard_messages.PrefillDone():
                 key = (message.request_id, message.attempt)
                 self._fleet.finish_prefill(key, now)
-            case messages.HoldReport():
+            case shard_messages.HoldReport():
                 self._handle_hold_report(message, now)
         self._place_waiting(now)
         return self._flush_effects()
@@ -142,7 +142,7 @@
     def _record_event(self, kind: str, request: str = "", **fields: Any) -> None:
         self._effects.append(effects.RecordEvent(kind, request, fields))
 
-    def _handle_announcement(self, announcement: messages.Announcement, now: float) -> None:
+    def _handle_announcement(self, announcement: shard_messages.Announcement, now: float) -> None:
         change = self._fleet.directory.handle(announcement, now)
         server = announcement.server
         if change is server_directory.AnnouncementEffect.STALE:
@@ -168,7 +168,7 @@
         """
         for reservation in self._fleet.ledger.reservations_on(server):
             if len(reservation.servers) > 1 and not reservation.prefill_done:
-                notice = messages.ServerLeaving(
+                notice = shard_messages.ServerLeaving(
                     reservation.request_id, reservation.attempt, self._shard, server
                 )
                 self._effects.append(effects.Reply(reservation.entry_address, notice))
@@ -196,7 +196,7 @@
         if report:
             self._effects.append(effects.ReportSuspects(self._service, report))
 
-    def _handle_reserve(self, reserve: messages.Reserve, now: float) -> None:
+    def _handle_reserve(self, reserve: shard_messages.Reserve, now: float) -> None:
         key = (reserve.request_id, reserve.attempt)
         granted = self._fleet.ledger.find(key)
         if granted is not None:
@@ -219,16 +219,16 @@
         self._workload_mix.count(waiting, now)
         self._queue.add(waiting, workspace.weight)
 
-    def _end_previous_attempt(self, reserve: messages.Reserve, now: float) -> None:
+    def _end_previous_attempt(self, reserve: shard_messages.Reserve, now: float) -> None:
         # A new attempt shows that the previous one ended, but its release message may be lost. As
         # its result is unknown, its server is watched as crashed until it keeps announcing itself.
         previous = self._fleet.ledger.find((reserve.request_id, reserve.attempt - 1))
         failed = [name for name in previous.servers if name in reserve.excluded] if previous else []
         if failed:
-            release = messages.Release(*previous.key, self._shard, "crashed", failed[0])
+            release = shard_messages.Release(*previous.key, self._shard, "crashed", failed[0])
             self._handle_release(release, now)
 
-    def _predict(self, reserve: messages.Reserve, now: float) -> queue.WaitingRequest:
+    def _predict(self, reserve: shard_messages.Reserve, now: float) -> queue.WaitingRequest:
         return prediction.predict_request(self._fleet, reserve, self._declaration.policy, now)
 
     def _recheck_admissions(self, now: float) -> None:
@@ -292,7 +292,7 @@
             )
         return None
 
-    def _handle_release(self, message: messages.Release, now: float) -> None:
+    def _handle_release(self, message: shard_messages.Release, now: float) -> None:
         key = (message.request_id, message.attempt)
         self._queue.remove(key)
         reservation = self._fleet.release(key, now)
@@ -312,7 +312,7 @@
 
     def _watch(self, server: str, ran: list[ledger.Reservation], *, disconnected: bool) -> None:
         member = self._fleet.directory.find(server)
-        last = member.announcement if member else messages.Announcement(server=server)
+        last = member.announcement if member else shard_messages.Announcement(server=server)
         report = self._crash_tracker.watch(
             server, isolation.ran_alone(ran), last, disconnected=disconnected
         )
@@ -325,7 +325,7 @@
         member = self._fleet.directory.find(server)
         return member is None or member.lapsed
 
-    def _handle_hold_report(self, report: messages.HoldReport, now: float) -> None:
+    def _handle_hold_report(self, report: shard_messages.HoldReport, now: float) -> None:
         listed = self._renew_reported(report, now)
         for reservation in self._fleet.ledger.all():
             same_entry = reservation.entry == report.entry
@@ -337,7 +337,9 @@
         if not self._awaited_entries:
             self._rebuilding_until = min(self._rebuilding_until, now)
 
-    def _renew_reported(self, report: messages.HoldReport, now: float) -> set[ledger.AttemptKey]:
+    def _renew_reported(
+        self, report: shard_messages.HoldReport, now: float
+    ) -> set[ledger.AttemptKey]:
         held = {(item.request_id, item.attempt): item for item in report.held}
         listed = set(held) | {ledger.parse_key(text) for text in report.renewed}
         unknown = [key for key in listed if key not in self._fleet.ledger]
@@ -349,12 +351,12 @@
             if key in held:
                 self._restore_reservation(report, held[key], now)
         if unknown and not report.full:
-            request = messages.HoldUnknown(self._shard, self._generation)
+            request = shard_messages.HoldUnknown(self._shard, self._generation)
             self._effects.append(effects.Reply(report.entry_address, request))
         return listed
 
     def _restore_reservation(
-        self, report: messages.HoldReport, held: messages.HeldReservation, now: float
+        self, report: shard_messages.HoldReport, held: shard_messages.HeldReservation, now: float
     ) -> None:
         reservation = ledger.restore(report, held, now)
         self._fleet.reserve(reservation, ())
@@ -373,7 +375,7 @@
         if reservation.isolated or self._has_lapsed(server):
             self._watch(server, [reservation], disconnected=False)
 
-    def _update_reported_waiting(self, report: messages.HoldReport, now: float) -> None:
+    def _update_reported_waiting(self, report: shard_messages.HoldReport, now: float) -> None:
         reported = set(report.waiting)
         for waiting in self._queue.all():
             if waiting.reserve.entry != report.entry:
@@ -412,8 +414,8 @@
             )
             self._refuse(waiting.reserve, error)
 
-    def _refuse(self, reserve: messages.Reserve, error: errors.FlamingorampError) -> None:
-        refusal = messages.Refuse(
+    def _refuse(self, reserve: shard_messages.Reserve, error: errors.FlamingorampError) -> None:
+        refusal = shard_messages.Refuse(
             reserve.request_id, reserve.attempt, error.code, str(error), error.retry_after
         )
         self._effects.append(effects.Reply(reserve.entry_address, refusal))
@@ -439,7 +441,7 @@
             long_servers=self._long_prompt_servers(servers),
         )
 
-    def _long_prompt_servers(self, servers: list[messages.Announcement]) -> frozenset[str]:
+    def _long_prompt_servers(self, servers: list[shard_messages.Announcement]) -> frozenset[str]:
         policy = self._declaration.policy
         return choice.long_prompt_servers(
             servers, long_ratio=self._workload_mix.long_ratio(policy), policy=policy
@@ -491,7 +493,7 @@
     def _choose_servers(
         self,
         waiting: queue.WaitingRequest,
-        servers: list[messages.Announcement],
+        servers: list[shard_messages.Announcement],
         constraints: choice.Constraints,
         running: set[str],
         now: float,
@@ -522,7 +524,7 @@
     def _maybe_start_draining(
         self,
         waiting: queue.WaitingRequest,
-        servers: list[messages.Announcement],
+        servers: list[shard_messages.Announcement],
         constraints: choice.Constraints,
         now: float,
     ) -> None:
@@ -581,7 +583,7 @@
     def _send_grant(
         self, reservation: ledger.Reservation, now: float, cached_tokens: int = 0
     ) -> None:
-        grant = messages.Grant(
+        grant = shard_messages.Grant(
             request_id=reservation.request_id,
             attempt=reservation.attempt,
             shard=self._shard,
--- a/flamingoramp/routing/tests/test_queue.py
+++ b/flamingoramp/routing/tests/test_queue.py
@@ -4,10 +4,10 @@
 
 import unittest
 
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import queue
 
-RESERVE = messages.Reserve(request_id="r", attempt=1, prompt_tokens=250_000, output_tokens=10)
+RESERVE = shard_messages.Reserve(request_id="r", attempt=1, prompt_tokens=250_000, output_tokens=10)
 
 
 def make_waiting(engine_count: int, *, has_prediction: bool) -> queue.WaitingRequest:
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -10,7 +10,7 @@
 
 from flamingoramp import errors
 from flamingoramp.intent import declarations
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.routing import effects, fleet, isolation, ledger, scheduler
 
 PREFILL_TOKENS_PER_SECOND = 10_000.0
@@ -33,7 +33,7 @@
     )
 
 
-def announce(name: str, sequence: int = 1, **changes) -> messages.Announcement:
+def announce(name: str, sequence: int = 1, **changes) -> shard_messages.Announcement:
     """Return an engine's announcement, with ``changes`` of its fields."""
     values = {
         "server": name,
@@ -48,10 +48,10 @@
         "decode_seconds": 0.02,
         "models": ("m@1",),
     }
-    return messages.Announcement(**(values | changes))
+    return shard_messages.Announcement(**(values | changes))
 
 
-def reserve(request: str, tokens: int = 1000, **changes) -> messages.Reserve:
+def reserve(request: str, tokens: int = 1000, **changes) -> shard_messages.Reserve:
     """Return a reserve message, with ``changes`` of its fields."""
     values = {
         "attempt": 1,
@@ -66,7 +66,7 @@
         "zone": "z",
         "fingerprint": request,
     }
-    return messages.Reserve(request_id=request, **(values | changes))
+    return shard_messages.Reserve(request_id=request, **(values | changes))
 
 
 class SchedulerHarness:
@@ -84,22 +84,22 @@
         self.scheduler.begin_ownership(1, set(), START_SECONDS)
         self.names = [f"e{number}" for number in range(engines)]
         self.sequence = 0
-        self.grants: dict[str, messages.Grant] = {}
-        self.refusals: dict[str, messages.Refuse] = {}
+        self.grants: dict[str, shard_messages.Grant] = {}
+        self.refusals: dict[str, shard_messages.Refuse] = {}
         self.cancelled: list[effects.CancelAtServer] = []
         self.reports: list[effects.ReportSuspects] = []
-        self.leave_notices: list[messages.ServerLeaving] = []
+        self.leave_notices: list[shard_messages.ServerLeaving] = []
         self.advance(3.0)
 
     def collect(self, batch: list) -> None:
         """Store effects by type and mark reports as committed."""
         for effect in batch:
             match effect:
-                case effects.Reply(_, messages.Grant() as grant):
+                case effects.Reply(_, shard_messages.Grant() as grant):
                     self.grants[grant.request_id] = grant
-                case effects.Reply(_, messages.Refuse() as refusal):
+                case effects.Reply(_, shard_messages.Refuse() as refusal):
                     self.refusals[refusal.request_id] = refusal
-                case effects.Reply(_, messages.ServerLeaving() as notice):
+                case effects.Reply(_, shard_messages.ServerLeaving() as notice):
                     self.leave_notices.append(notice)
                 case effects.CancelAtServer():
                     self.cancelled.append(effect)
@@ -139,11 +139,13 @@
     def finish(self, request: str, result: str = "done") -> None:
         """Release a granted attempt with a result."""
         grant = self.grants[request]
-        self.send(messages.Release(request, grant.attempt, "llm/0", result, grant.servers[-1]))
+        self.send(
+            shard_messages.Release(request, grant.attempt, "llm/0", result, grant.servers[-1])
+        )
 
     def finish_prefill(self, request: str) -> None:
         """Report the first token of a granted attempt."""
-        self.send(messages.PrefillDone(request, self.grants[request].attempt, "llm/0", 0.1))
+        self.send(shard_messages.PrefillDone(request, self.grants[request].attempt, "llm/0", 0.1))
 
 
 class TestPlacement(unittest.TestCase):
@@ -228,7 +230,7 @@
         harness.send(reserve("small"))
         for sequence in (1, 2):
             harness.send(announce("e1", harness.sequence + sequence, leaving=True))
-        notice = messages.ServerLeaving("large", 1, "llm/0", "e1")
+        notice = shard_messages.ServerLeaving("large", 1, "llm/0", "e1")
         self.assertEqual(harness.leave_notices, [notice, notice])
 
     def test_holder_of_group_is_not_told_of_leave_after_first_token(self):
@@ -356,7 +358,7 @@
         harness = SchedulerHarness(2)
         harness.send(reserve("r", 5000, entry="stopped"))
         harness.now += 2.0
-        harness.send(messages.HoldReport("stopped", "e:1", "llm/0"))
+        harness.send(shard_messages.HoldReport("stopped", "e:1", "llm/0"))
         self.assertEqual(len(harness.scheduler.fleet.ledger), 0)
 
     def test_restart_of_one_engine_releases_and_cancels_its_group(self):
@@ -377,10 +379,10 @@
         self.assertNotIn(
             "new", harness.grants, "granted before the entries reported their reservations"
         )
-        held = messages.HeldReservation("old", 1, ("e0",), (80_000,), "f", True)
-        harness.send(messages.HoldReport("e", "e:1", "llm/0", (held,), ("new",), True))
+        held = shard_messages.HeldReservation("old", 1, ("e0",), (80_000,), "f", True)
+        harness.send(shard_messages.HoldReport("e", "e:1", "llm/0", (held,), ("new",), True))
         self.assertNotIn("new", harness.grants)
-        harness.send(messages.Release("old", 1, "llm/0", "done", "e0"))
+        harness.send(shard_messages.Release("old", 1, "llm/0", "done", "e0"))
         self.assertIn("new", harness.grants)
 
 
@@ -475,11 +477,11 @@
         tracker.record_crash("e0", {})
         second = tracker.watch("e1", {"f": True}, last, disconnected=True)
         tracker.mark_committed(second.report_id, 3)
-        tracker.load((messages.Suspect("f", 0, False, "llm"),), 2)
+        tracker.load((shard_messages.Suspect("f", 0, False, "llm"),), 2)
         third = tracker.watch("e2", {"f": True}, last, disconnected=True)
         tracker.mark_committed(third.report_id, 4)
         self.assertTrue(tracker.is_confirmed("f"))
-        tracker.load((messages.Suspect("f", 2, True, "llm"),), 4)
+        tracker.load((shard_messages.Suspect("f", 2, True, "llm"),), 4)
         self.assertTrue(tracker.is_confirmed("f"))
 
 
--- a/flamingoramp/runtime/tests/test_transport.py
+++ b/flamingoramp/runtime/tests/test_transport.py
@@ -8,7 +8,7 @@
 
 from flamingoramp import errors
 from flamingoramp.backends import transfers
-from flamingoramp.protocol import codec, messages
+from flamingoramp.protocol import codec, shard_messages
 from flamingoramp.runtime import clock, loop, timeline, transport
 from flamingoramp.tests import relays
 
@@ -59,7 +59,7 @@
             self.make_transport("receiver", received),
         )
         for number in range(200):
-            sender.send(receiver.address, messages.Settled(f"{number}"))
+            sender.send(receiver.address, shard_messages.Settled(f"{number}"))
         self.run_until(lambda: len(received) == 200)
         self.assertEqual([message.id for _, message in received], [f"{n}" for n in range(200)])
 
@@ -70,14 +70,14 @@
             self.make_transport("receiver", received),
         )
         relay = self.make_relay(receiver.address)
-        sender.send(relay.address, messages.Settled("first"))
+        sender.send(relay.address, shard_messages.Settled("first"))
         self.run_until(lambda: len(received) == 1)
         relay.blackhole_open_connections()
-        sender.send(relay.address, messages.Settled("lost"))
+        sender.send(relay.address, shard_messages.Settled("lost"))
         self.run_until(lambda: sender.traffic.reconnects == 1)
 
         def second_message_received() -> bool:
-            sender.send(relay.address, messages.Settled("second"))
+            sender.send(relay.address, shard_messages.Settled("second"))
             return any(message.id == "second" for _, message in received)
 
         self.run_until(second_message_received)
@@ -99,11 +99,11 @@
             self.make_transport(name, []) for name in ("busy", "idle", "receiver")
         )
         receiver.deliver = lambda _sender, message, connection: connection.send(message)
-        idle.send(receiver.address, messages.Settled("once"))
+        idle.send(receiver.address, shard_messages.Settled("once"))
 
         def _send_until(end: float) -> None:
             if busy.loop.now() < end:
-                busy.send(receiver.address, messages.Settled("often"))
+                busy.send(receiver.address, shard_messages.Settled("often"))
                 busy.loop.call_later(0.3, lambda: _send_until(end))
 
         _send_until(busy.loop.now() + 3 * transport.PING_INTERVAL_SECONDS)
@@ -120,12 +120,12 @@
         with socket.create_connection(transport.parse_address(receiver.address)) as sock:
             sock.sendall(b"\0\0\0\x08garbage!")
             self.run_until(lambda: len(received) == 1)
-        sender.send(receiver.address, messages.Settled("x"))
+        sender.send(receiver.address, shard_messages.Settled("x"))
         self.run_until(lambda: len(received) == 2)
 
     def test_refused_connection_counts_as_reconnect(self):
         sender = self.make_transport("sender", [])
-        sender.send("127.0.0.1:1", messages.Settled("x"))
+        sender.send("127.0.0.1:1", shard_messages.Settled("x"))
         self.run_until(lambda: sender.traffic.reconnects == 1)
 
 
--- a/flamingoramp/tests/backends.py
+++ b/flamingoramp/tests/backends.py
@@ -11,7 +11,7 @@
 from flamingoramp.backends import runner
 from flamingoramp.dispatch import requests
 from flamingoramp.orders import reconciler
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import shard_messages
 from flamingoramp.tests import worlds
 from standins import texts
 
@@ -206,7 +206,7 @@
 
     def _send_announcement(self) -> None:
         self.sequence += 1
-        announcement = messages.Announcement(
+        announcement = shard_messages.Announcement(
             server=self.name,
             service=self.service,
             incarnation=self.incarnation,
