--- a/flamingoramp/backends/event_blocks.py
+++ b/flamingoramp/backends/event_blocks.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from flamingoramp import value_classes
+
 _ID_FIELD = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 MAX_BLANK_LINE_BYTES = 4
@@ -13,8 +15,8 @@
 MAX_EVENT_BYTES = 256 * 1024
 
 
-@attrs.frozen
-class EventBlock:
+@attrs.frozen(eq=False, repr=False)
+class EventBlock(value_classes.Value):
     """One server-sent event in its received encoding.
 
     Parameters
--- a/flamingoramp/consensus/effects.py
+++ b/flamingoramp/consensus/effects.py
@@ -10,11 +10,12 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.protocol import messages
 
 
-@attrs.frozen
-class Membership:
+@attrs.frozen(eq=False, repr=False)
+class Membership(value_classes.Value):
     """Identities (``host#incarnation``) of the replicas of a cluster.
 
     Voters elect the leader and commit entries; learners only receive the log.
@@ -29,8 +30,8 @@
         return len(self.voters) // 2 + 1
 
 
-@attrs.frozen
-class HardState:
+@attrs.frozen(eq=False, repr=False)
+class HardState(value_classes.Value):
     """State besides the log that must survive restarts: term, vote and name of the cluster."""
 
     term: int = 0
@@ -38,8 +39,8 @@
     cluster: str = ""
 
 
-@attrs.frozen
-class Snapshot:
+@attrs.frozen(eq=False, repr=False)
+class Snapshot(value_classes.Value):
     """Serialized state machine after all entries up to and including ``last_index``."""
 
     last_index: int = 0
@@ -48,16 +49,16 @@
     data: bytes = b""
 
 
-@attrs.frozen
-class Send:
+@attrs.frozen(eq=False, repr=False)
+class Send(value_classes.Value):
     """Send a message to the replica on a host."""
 
     host: str
     message: Any
 
 
-@attrs.frozen
-class Persist:
+@attrs.frozen(eq=False, repr=False)
+class Persist(value_classes.Value):
     """Write the hard state, drop all entries from index ``truncate_from`` on, append ``entries``.
 
     With ``truncate_from`` 0 no entry is dropped.
@@ -68,8 +69,8 @@
     entries: tuple[messages.LogEntry, ...] = ()
 
 
-@attrs.frozen
-class SaveSnapshot:
+@attrs.frozen(eq=False, repr=False)
+class SaveSnapshot(value_classes.Value):
     """Store a snapshot of the local state machine, with the entries that follow it."""
 
     hard_state: HardState
@@ -77,8 +78,8 @@
     entries: tuple[messages.LogEntry, ...] = ()
 
 
-@attrs.frozen
-class RestoreSnapshot:
+@attrs.frozen(eq=False, repr=False)
+class RestoreSnapshot(value_classes.Value):
     """Store a snapshot received from another replica and load the state machine from it.
 
     The first snapshot of a new cluster, with its membership and no data, is handled alike.
@@ -88,15 +89,15 @@
     snapshot: Snapshot
 
 
-@attrs.frozen
-class Apply:
+@attrs.frozen(eq=False, repr=False)
+class Apply(value_classes.Value):
     """Apply a committed entry to the state machine."""
 
     entry: messages.LogEntry
 
 
-@attrs.frozen
-class LeaderChanged:
+@attrs.frozen(eq=False, repr=False)
+class LeaderChanged(value_classes.Value):
     """The replica became leader or lost leadership, or it follows another leader than before.
 
     ``leader`` is the identity of the new leader, empty if none is known.
--- a/flamingoramp/consensus/entry_log.py
+++ b/flamingoramp/consensus/entry_log.py
@@ -4,12 +4,13 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.consensus import effects
 from flamingoramp.protocol import messages
 
 
-@attrs.frozen
-class RecoveredState:
+@attrs.frozen(eq=False, repr=False)
+class RecoveredState(value_classes.Value):
     """State that a replica reads from its storage at the start."""
 
     hard_state: effects.HardState = attrs.field(factory=effects.HardState)
--- a/flamingoramp/consensus/node.py
+++ b/flamingoramp/consensus/node.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 from flamingoramp.consensus import driver, effects, replica, storage
 from flamingoramp.protocol import messages
 
@@ -43,15 +43,15 @@
         """Return the serialized state for a snapshot."""
 
 
-@attrs.frozen
-class _Proposal:
+@attrs.frozen(eq=False, repr=False)
+class _Proposal(value_classes.Value):
     term: int
     on_applied: Callable[[Any], None]
     on_failed: Callable[[errors.FlamingorampError], None]
 
 
-@attrs.frozen
-class NodeConfig:
+@attrs.frozen(eq=False, repr=False)
+class NodeConfig(value_classes.Value):
     """Settings of a node in its cluster.
 
     Parameters
--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 from flamingoramp.consensus import effects, entry_log, founding
 from flamingoramp.protocol import messages
 
@@ -17,8 +17,8 @@
 MAX_ENTRIES_PER_APPEND = 256
 
 
-@attrs.frozen
-class Timing:
+@attrs.frozen(eq=False, repr=False)
+class Timing(value_classes.Value):
     """Timeouts and intervals of a replica, and the drift of clocks that its leases allow for."""
 
     heartbeat_seconds: float = 0.1
@@ -46,8 +46,8 @@
         return self.election_min_seconds * (1 - self.clock_rate_bound)
 
 
-@attrs.define
-class _Peer:
+@attrs.define(eq=False, repr=False)
+class _Peer(value_classes.MutableValue):
     next_index: int
     match_index: int = 0
     # When the newest request that the peer acknowledged was sent.
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -15,7 +15,7 @@
 import attrs
 
 from flamingoramp import dialect as dialects
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 from flamingoramp.consensus import effects, node, replica, storage
 from flamingoramp.daemons import node_process
 from flamingoramp.http import server as http_server
@@ -52,8 +52,8 @@
 )
 
 
-@attrs.define
-class _PendingCall:
+@attrs.define(eq=False, repr=False)
+class _PendingCall(value_classes.MutableValue):
     """A call that waits for a commit, for a quorum or for the leader's reply."""
 
     deadline: float
@@ -61,8 +61,8 @@
     on_error: Callable[[errors.FlamingorampError], None]
 
 
-@attrs.define
-class _PendingRead:
+@attrs.define(eq=False, repr=False)
+class _PendingRead(value_classes.MutableValue):
     """A read that waits until a quorum confirms this host as leader."""
 
     requested_at: float
--- a/flamingoramp/dialect.py
+++ b/flamingoramp/dialect.py
@@ -11,15 +11,15 @@
 
 import attrs
 
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 from flamingoramp.http import client, messages
 from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import statements
 
 
-@attrs.frozen
-class SubmitDeclaration:
+@attrs.frozen(eq=False, repr=False)
+class SubmitDeclaration(value_classes.Value):
     """An operator's call that submits a declaration.
 
     Parameters
@@ -34,20 +34,20 @@
     document: bytes
 
 
-@attrs.frozen
-class ReadDeclaration:
+@attrs.frozen(eq=False, repr=False)
+class ReadDeclaration(value_classes.Value):
     """An operator's call that reads the declaration in force."""
 
 
-@attrs.frozen
-class AnnounceServer:
+@attrs.frozen(eq=False, repr=False)
+class AnnounceServer(value_classes.Value):
     """A backend server's call that announces its address and state."""
 
     record: protocol_messages.ServerRecord
 
 
-@attrs.frozen
-class WithdrawServer:
+@attrs.frozen(eq=False, repr=False)
+class WithdrawServer(value_classes.Value):
     """A backend server's call, made when it ends, that removes it from the registry."""
 
     server: str
@@ -56,8 +56,8 @@
 ControlCall = SubmitDeclaration | ReadDeclaration | AnnounceServer | WithdrawServer
 
 
-@attrs.frozen
-class CallerRequest:
+@attrs.frozen(eq=False, repr=False)
+class CallerRequest(value_classes.Value):
     """A caller's request, decoded.
 
     Parameters
@@ -97,8 +97,8 @@
         return self.attempts_used is not None
 
 
-@attrs.frozen
-class HelperEngine:
+@attrs.frozen(eq=False, repr=False)
+class HelperEngine(value_classes.Value):
     """An engine that prefills part of a prompt for another engine.
 
     Parameters
@@ -112,8 +112,8 @@
     ticket: str = ""
 
 
-@attrs.frozen
-class ForwardedRequest:
+@attrs.frozen(eq=False, repr=False)
+class ForwardedRequest(value_classes.Value):
     """A caller's request and the fields that the entry adds for the backend server.
 
     Parameters
@@ -144,8 +144,8 @@
     helpers: tuple[HelperEngine, ...] = ()
 
 
-@attrs.frozen
-class PeerRequest:
+@attrs.frozen(eq=False, repr=False)
+class PeerRequest(value_classes.Value):
     """A caller's request that this entry passes on to another one.
 
     Parameters
@@ -187,8 +187,8 @@
     FOREIGN = "foreign"
 
 
-@attrs.frozen
-class AnswerHead:
+@attrs.frozen(eq=False, repr=False)
+class AnswerHead(value_classes.Value):
     """The decoded head of a backend server's answer.
 
     Parameters
--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -7,6 +7,7 @@
 import attrs
 
 from flamingoramp import dialect as dialects
+from flamingoramp import value_classes
 from flamingoramp.backends import event_blocks
 from flamingoramp.http import client
 from flamingoramp.http import server as http_server
@@ -18,8 +19,8 @@
 RETRY_AFTER_SECONDS = 0.4
 
 
-@attrs.frozen
-class AttemptTarget:
+@attrs.frozen(eq=False, repr=False)
+class AttemptTarget(value_classes.Value):
     """Backend servers that one attempt is sent to, and the load that it adds there.
 
     Parameters
@@ -50,8 +51,8 @@
     is_peer: bool = False
 
 
-@attrs.frozen
-class AdmittedRequest:
+@attrs.frozen(eq=False, repr=False)
+class AdmittedRequest(value_classes.Value):
     """A caller's request that passed admission, whose answer goes to its exchange.
 
     ``workspace`` is empty if the request has none. ``priority`` is the rank at the engines, 0 being
--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -23,6 +23,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.protocol import messages
 
 # Independent unexplained ends after which a content is refused: one without any complete answer so
@@ -57,8 +58,8 @@
     return "part-" + hashlib.blake2b(part_id.encode(), digest_size=12).hexdigest()
 
 
-@attrs.frozen
-class ServerEnd:
+@attrs.frozen(eq=False, repr=False)
+class ServerEnd(value_classes.Value):
     """End of a server while it had a request; times are monotonic seconds.
 
     Parameters
--- a/flamingoramp/dispatch/memory_reservations.py
+++ b/flamingoramp/dispatch/memory_reservations.py
@@ -10,6 +10,7 @@
 import attrs
 
 from flamingoramp import dialect as dialects
+from flamingoramp import value_classes
 from flamingoramp.http import client
 from flamingoramp.runtime import loop as loops
 
@@ -24,8 +25,8 @@
 RELEASE_RETRY_INTERVAL_SECONDS = 0.6
 
 
-@attrs.frozen
-class MemoryHold:
+@attrs.frozen(eq=False, repr=False)
+class MemoryHold(value_classes.Value):
     """Memory to reserve at one engine; the engine knows the hold by its ``ticket``."""
 
     server: str
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -16,6 +16,7 @@
 import attrs
 import h11
 
+from flamingoramp import value_classes
 from flamingoramp.http import messages
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import stream, transport
@@ -52,8 +53,8 @@
     TOO_LARGE = "too_large"
 
 
-@attrs.frozen
-class Head:
+@attrs.frozen(eq=False, repr=False)
+class Head(value_classes.Value):
     """Status and headers of a response."""
 
     status: int
--- a/flamingoramp/http/messages.py
+++ b/flamingoramp/http/messages.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from flamingoramp import value_classes
+
 # Headers that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -48,8 +50,8 @@
     return tuple((key, value) for key, value in headers if key not in removed)
 
 
-@attrs.frozen
-class Request:
+@attrs.frozen(eq=False, repr=False)
+class Request(value_classes.Value):
     """A complete HTTP request; header names are in lower case."""
 
     method: bytes
@@ -72,8 +74,8 @@
         return find_header(self.headers, name)
 
 
-@attrs.frozen
-class Response:
+@attrs.frozen(eq=False, repr=False)
+class Response(value_classes.Value):
     """A complete HTTP response that this process sends."""
 
     status: int
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -10,6 +10,7 @@
 import attrs
 import h11
 
+from flamingoramp import value_classes
 from flamingoramp.http import messages
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import stream, transport
@@ -24,8 +25,8 @@
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
 
 
-@attrs.frozen
-class Limits:
+@attrs.frozen(eq=False, repr=False)
+class Limits(value_classes.Value):
     """Limits on the size and duration of requests.
 
     ``header_bytes`` and ``body_bytes`` limit the sizes. ``header_seconds`` limits the time until
--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 
 
 class Idempotency(enum.Enum):
@@ -18,16 +18,16 @@
     NON_IDEMPOTENT = "non_idempotent"
 
 
-@attrs.frozen
-class TrafficShare:
+@attrs.frozen(eq=False, repr=False)
+class TrafficShare(value_classes.Value):
     """Weight of one service in the traffic split of a route."""
 
     service: str
     weight: int = 1
 
 
-@attrs.frozen
-class Route:
+@attrs.frozen(eq=False, repr=False)
+class Route(value_classes.Value):
     """Routing rule for a host and path prefix: target services, time limits and retry policy.
 
     Parameters
@@ -84,8 +84,8 @@
         raise errors.InvariantViolationError("the weights of a route add up to nothing")
 
 
-@attrs.frozen
-class EngineCostModel:
+@attrs.frozen(eq=False, repr=False)
+class EngineCostModel(value_classes.Value):
     """Cost model of a model engine, which works in passes of several token steps.
 
     Parameters
@@ -138,8 +138,8 @@
         return self.steps_per_pass * self.step_seconds
 
 
-@attrs.frozen
-class Service:
+@attrs.frozen(eq=False, repr=False)
+class Service(value_classes.Value):
     """A service and, if its backend servers are model engines, their cost model."""
 
     name: str
@@ -147,8 +147,8 @@
     engine: EngineCostModel | None = None
 
 
-@attrs.frozen
-class Workspace:
+@attrs.frozen(eq=False, repr=False)
+class Workspace(value_classes.Value):
     """A workspace, its API keys, and its priority (None: the priority of the route)."""
 
     name: str
@@ -156,8 +156,8 @@
     priority: int | None = None
 
 
-@attrs.frozen
-class CallerLimits:
+@attrs.frozen(eq=False, repr=False)
+class CallerLimits(value_classes.Value):
     """Limits on the size of requests, and timeouts of caller connections."""
 
     header_bytes: int = 16 * 1024
@@ -166,8 +166,8 @@
     idle_seconds: float = 15.0
 
 
-@attrs.frozen(slots=False)
-class TrafficDeclaration:
+@attrs.frozen(slots=False, eq=False, repr=False)
+class TrafficDeclaration(value_classes.Value):
     """Complete traffic configuration under the version that its operator gave it."""
 
     version: int = 0
--- a/flamingoramp/intent/versioned_declaration.py
+++ b/flamingoramp/intent/versioned_declaration.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 from flamingoramp.protocol import messages
 
 KIND_DECLARE = "declare_zlib"
@@ -27,8 +27,8 @@
 _ZLIB_FIRST_BYTE = b"\x78"  # JSON never begins with it
 
 
-@attrs.frozen
-class DeclareResult:
+@attrs.frozen(eq=False, repr=False)
+class DeclareResult(value_classes.Value):
     """Result of applying a declaration: the version in force afterwards."""
 
     version: int
--- a/flamingoramp/membership/control_contacts.py
+++ b/flamingoramp/membership/control_contacts.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.membership import subscriptions
 
 # The primary sends a heartbeat every `subscriptions.PRIMARY_HEARTBEAT_SECONDS`, the other control
@@ -17,8 +18,8 @@
 LEADER_CONTACT_TIMEOUT_SECONDS = 2.5
 
 
-@attrs.define
-class _Contact:
+@attrs.define(eq=False, repr=False)
+class _Contact(value_classes.MutableValue):
     """What was last heard from one control host; times in monotonic seconds."""
 
     updated_at: float = float("-inf")
--- a/flamingoramp/membership/registry.py
+++ b/flamingoramp/membership/registry.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.protocol import messages
 
 # Retention of the record of a server or entry that is gone; longer than any report may be in
@@ -27,8 +28,8 @@
 Record = messages.ServerRecord | messages.EntryRecord
 
 
-@attrs.define
-class _StoredRecord:
+@attrs.define(eq=False, repr=False)
+class _StoredRecord(value_classes.MutableValue):
     """A record, the time when it was reported, and the number of its last change."""
 
     record: Record
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
 
@@ -28,8 +29,8 @@
 MAX_CRASH_RECORDS = 16_384
 
 
-@attrs.define
-class _Subscriber:
+@attrs.define(eq=False, repr=False)
+class _Subscriber(value_classes.MutableValue):
     is_control: bool
     renewed_at: float
     standby: bool = False
@@ -49,8 +50,8 @@
         return PRIMARY_HEARTBEAT_SECONDS if is_primary else HEARTBEAT_SECONDS
 
 
-@attrs.frozen
-class _StoredCrash:
+@attrs.frozen(eq=False, repr=False)
+class _StoredCrash(value_classes.Value):
     """A crash record, the number of its addition, and the time that it tells of."""
 
     record: messages.CrashRecord
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -19,7 +19,7 @@
 import msgspec
 from msgspec import msgpack
 
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 from flamingoramp.protocol import load_reports, messages
 
 LENGTH_PREFIX = struct.Struct(">I")
@@ -212,8 +212,8 @@
     return layout.message_class(*values)
 
 
-@attrs.frozen
-class Envelope:
+@attrs.frozen(eq=False, repr=False)
+class Envelope(value_classes.Value):
     """A received message, its sender and the sender's hybrid logical clock."""
 
     sender: str
--- a/flamingoramp/protocol/load_reports.py
+++ b/flamingoramp/protocol/load_reports.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from flamingoramp import value_classes
+
 # Values of one server in a `LoadReport`.
 LOAD_VALUE_COUNT = 8
 # Values of one server among the statements of a `LoadReport`.
@@ -14,8 +16,8 @@
 SINGLE_PRECISION = "single precision"
 
 
-@attrs.frozen
-class LoadReport:
+@attrs.frozen(eq=False, repr=False)
+class LoadReport(value_classes.Value):
     """Load of one entry, or of all entries of an availability zone (``is_summary``), by server.
 
     A report on many servers is split into numbered parts; a part replaces the previous part of the
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -8,9 +8,11 @@
 
 import attrs
 
+from flamingoramp import value_classes
 
-@attrs.frozen
-class LogEntry:
+
+@attrs.frozen(eq=False, repr=False)
+class LogEntry(value_classes.Value):
     """One entry of the replicated log."""
 
     index: int = 0
@@ -19,8 +21,8 @@
     payload: bytes = b""
 
 
-@attrs.frozen
-class VoteRequest:
+@attrs.frozen(eq=False, repr=False)
+class VoteRequest(value_classes.Value):
     """A candidate's request for a vote, or for a pre-vote if ``pre`` is set."""
 
     term: int = 0
@@ -31,8 +33,8 @@
     cluster: str = ""
 
 
-@attrs.frozen
-class VoteReply:
+@attrs.frozen(eq=False, repr=False)
+class VoteReply(value_classes.Value):
     """Reply to a `VoteRequest`."""
 
     term: int = 0
@@ -40,8 +42,8 @@
     pre: bool = False
 
 
-@attrs.frozen
-class AppendRequest:
+@attrs.frozen(eq=False, repr=False)
+class AppendRequest(value_classes.Value):
     """Log entries and heartbeat of the leader; ``sent_at`` is in seconds of the leader's clock."""
 
     term: int = 0
@@ -54,8 +56,8 @@
     cluster: str = ""
 
 
-@attrs.frozen
-class AppendReply:
+@attrs.frozen(eq=False, repr=False)
+class AppendReply(value_classes.Value):
     """Reply to an `AppendRequest`; ``sent_at`` is that of the request."""
 
     term: int = 0
@@ -64,8 +66,8 @@
     sent_at: float = 0.0
 
 
-@attrs.frozen
-class InstallSnapshot:
+@attrs.frozen(eq=False, repr=False)
+class InstallSnapshot(value_classes.Value):
     """A snapshot for a replica that needs entries which the leader's log no longer contains."""
 
     term: int = 0
@@ -79,15 +81,15 @@
     cluster: str = ""
 
 
-@attrs.frozen
-class FoundingProbe:
+@attrs.frozen(eq=False, repr=False)
+class FoundingProbe(value_classes.Value):
     """Question of a replica without data to its peers, whether they belong to a cluster."""
 
     replica: str = ""
 
 
-@attrs.frozen
-class FoundingReply:
+@attrs.frozen(eq=False, repr=False)
+class FoundingReply(value_classes.Value):
     """Reply to a `FoundingProbe`: the replica's identity and its cluster (empty if it has none).
 
     ``probe`` is the identity of the replica that asked, ``members`` are those of the cluster.
@@ -99,23 +101,23 @@
     members: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class Form:
+@attrs.frozen(eq=False, repr=False)
+class Form(value_classes.Value):
     """Initial replicas of a new cluster."""
 
     cluster: str = ""
     replicas: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class JoinRequest:
+@attrs.frozen(eq=False, repr=False)
+class JoinRequest(value_classes.Value):
     """Request of a new replica to the leader to be added to the cluster."""
 
     replica: str = ""
 
 
-@attrs.frozen
-class EntryRecord:
+@attrs.frozen(eq=False, repr=False)
+class EntryRecord(value_classes.Value):
     """Last state that an entry reported of itself.
 
     ``callers`` and ``inner`` are its addresses for callers and for the system's own processes.
@@ -138,8 +140,8 @@
     cut_off: bool = False
 
 
-@attrs.frozen
-class ServerRecord:
+@attrs.frozen(eq=False, repr=False)
+class ServerRecord(value_classes.Value):
     """Last state that a backend server announced.
 
     ``born`` is the Unix time of the server's start in milliseconds (0 if unknown), ``sequence``
@@ -164,8 +166,8 @@
     silent: bool = False
 
 
-@attrs.frozen
-class CrashRecord:
+@attrs.frozen(eq=False, repr=False)
+class CrashRecord(value_classes.Value):
     """A fingerprint of a request that a backend server had when it ended.
 
     ``born`` is that of the server's `ServerRecord`; ``age`` is the time in seconds since the end,
@@ -182,8 +184,8 @@
     is_clearance: bool = False
 
 
-@attrs.frozen
-class Subscribe:
+@attrs.frozen(eq=False, repr=False)
+class Subscribe(value_classes.Value):
     """Subscription to the updates of a control host, with the subscriber's own reports.
 
     ``version`` is that of the declaration that the subscriber has. A control host as subscriber
@@ -200,8 +202,8 @@
     standby: bool = False
 
 
-@attrs.frozen
-class ClusterUpdate:
+@attrs.frozen(eq=False, repr=False)
+class ClusterUpdate(value_classes.Value):
     """Changes since the previous update on this connection.
 
     ``confirmed`` is set if the sender is in contact with the leader, so that its version of the
@@ -220,8 +222,8 @@
     zone: str = ""
 
 
-@attrs.frozen
-class DeclareRequest:
+@attrs.frozen(eq=False, repr=False)
+class DeclareRequest(value_classes.Value):
     """Declaration of an operator, forwarded to the leader; ``document`` is compressed."""
 
     request_id: str = ""
@@ -229,8 +231,8 @@
     document: bytes = b""
 
 
-@attrs.frozen
-class DeclareReply:
+@attrs.frozen(eq=False, repr=False)
+class DeclareReply(value_classes.Value):
     """Reply of the leader to a `DeclareRequest`."""
 
     request_id: str = ""
@@ -240,8 +242,8 @@
     text: str = ""
 
 
-@attrs.frozen
-class ReadRequest:
+@attrs.frozen(eq=False, repr=False)
+class ReadRequest(value_classes.Value):
     """Request to the leader for the latest declaration, confirmed by a quorum.
 
     ``known_version`` is the version that the sender has.
@@ -251,8 +253,8 @@
     known_version: int = 0
 
 
-@attrs.frozen
-class ReadReply:
+@attrs.frozen(eq=False, repr=False)
+class ReadReply(value_classes.Value):
     """Reply to a `ReadRequest`; holds the latest version if a quorum confirmed the leader.
 
     ``document`` is compressed, and empty if the sender of the request has that version.
@@ -264,15 +266,15 @@
     document: bytes = b""
 
 
-@attrs.frozen
-class Ping:
+@attrs.frozen(eq=False, repr=False)
+class Ping(value_classes.Value):
     """Liveness check of a connection."""
 
     sequence: int = 0
 
 
-@attrs.frozen
-class Pong:
+@attrs.frozen(eq=False, repr=False)
+class Pong(value_classes.Value):
     """Reply to a `Ping`."""
 
     sequence: int = 0
--- a/flamingoramp/protocol/shard_messages.py
+++ b/flamingoramp/protocol/shard_messages.py
@@ -8,9 +8,11 @@
 
 import attrs
 
+from flamingoramp import value_classes
 
-@attrs.frozen
-class Suspect:
+
+@attrs.frozen(eq=False, repr=False)
+class Suspect(value_classes.Value):
     """A request content, by fingerprint, that ran on engines when they crashed.
 
     ``crashes`` counts the crashes of engines on which it ran alone; ``confirmed`` is set if they
@@ -23,8 +25,8 @@
     service: str = ""
 
 
-@attrs.frozen
-class ShardOwner:
+@attrs.frozen(eq=False, repr=False)
+class ShardOwner(value_classes.Value):
     """The entry that owns a shard, and the generation of its ownership."""
 
     shard: str = ""
@@ -33,8 +35,8 @@
     generation: int = 0
 
 
-@attrs.frozen
-class EntryAddress:
+@attrs.frozen(eq=False, repr=False)
+class EntryAddress(value_classes.Value):
     """Address at which callers reach an entry."""
 
     name: str = ""
@@ -43,8 +45,8 @@
     leaving: bool = False
 
 
-@attrs.frozen
-class SessionHeartbeat:
+@attrs.frozen(eq=False, repr=False)
+class SessionHeartbeat(value_classes.Value):
     """Heartbeat of an entry to a control host; ``sent_at`` is in seconds of the entry's clock.
 
     ``url`` and ``inner`` are its addresses for callers and for the system's own processes,
@@ -66,8 +68,8 @@
     table_version: int = 0
 
 
-@attrs.frozen
-class SessionGrant:
+@attrs.frozen(eq=False, repr=False)
+class SessionGrant(value_classes.Value):
     """Reply to a `SessionHeartbeat`: configuration lease, shard owners, entries and suspects.
 
     It omits what the entry has already in the current version. With ``partial_entries`` there may
@@ -91,8 +93,8 @@
     partial_entries: bool = False
 
 
-@attrs.frozen
-class ClaimRequest:
+@attrs.frozen(eq=False, repr=False)
+class ClaimRequest(value_classes.Value):
     """Claim of the right to dispatch a non-idempotent request, which is granted once.
 
     ``remaining`` is the time in seconds until the deadline of the request.
@@ -106,8 +108,8 @@
     remaining: float = 0.0
 
 
-@attrs.frozen
-class ClaimReply:
+@attrs.frozen(eq=False, repr=False)
+class ClaimReply(value_classes.Value):
     """Reply to a `ClaimRequest`.
 
     ``http_status`` and ``body`` are those of the stored response, if there is one.
@@ -119,8 +121,8 @@
     body: str = ""
 
 
-@attrs.frozen
-class ClaimSettle:
+@attrs.frozen(eq=False, repr=False)
+class ClaimSettle(value_classes.Value):
     """Outcome of a claimed request, to be recorded."""
 
     request_id: str = ""
@@ -131,8 +133,8 @@
     body: str = ""
 
 
-@attrs.frozen
-class SuspectReport:
+@attrs.frozen(eq=False, repr=False)
+class SuspectReport(value_classes.Value):
     """Fingerprints of request contents that ran on a crashed engine, and of cleared ones.
 
     ``lonely`` are those that ran alone on the engine, ``cleared`` those that are no longer suspect,
@@ -146,16 +148,16 @@
     cleared: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class Settled:
+@attrs.frozen(eq=False, repr=False)
+class Settled(value_classes.Value):
     """Acknowledgement that a command was committed; ``version`` is that of the suspects."""
 
     id: str = ""
     version: int = 0
 
 
-@attrs.frozen
-class Reserve:
+@attrs.frozen(eq=False, repr=False)
+class Reserve(value_classes.Value):
     """Request to the owner of a shard to reserve memory on backend servers.
 
     ``remaining`` is the time in seconds until the deadline of the request.
@@ -180,8 +182,8 @@
     idempotent: bool = False
 
 
-@attrs.frozen
-class Grant:
+@attrs.frozen(eq=False, repr=False)
+class Grant(value_classes.Value):
     """Reply to a `Reserve`: memory reserved on one or more backend servers.
 
     ``urls`` and ``tokens`` have the address of each server and the size of its reservation.
@@ -200,8 +202,8 @@
     cached_tokens: int = 0
 
 
-@attrs.frozen
-class Refuse:
+@attrs.frozen(eq=False, repr=False)
+class Refuse(value_classes.Value):
     """Reply to a `Reserve`: the owner of the shard refuses the request."""
 
     request_id: str = ""
@@ -211,8 +213,8 @@
     retry_after: float = 0.0
 
 
-@attrs.frozen
-class Release:
+@attrs.frozen(eq=False, repr=False)
+class Release(value_classes.Value):
     """End of an attempt, which frees its reserved memory.
 
     ``result`` is the result of the attempt at ``server``, such as ``done`` or ``crashed``.
@@ -225,8 +227,8 @@
     server: str = ""
 
 
-@attrs.frozen
-class PrefillDone:
+@attrs.frozen(eq=False, repr=False)
+class PrefillDone(value_classes.Value):
     """Arrival of the first token, ``seconds`` after dispatch."""
 
     request_id: str = ""
@@ -235,8 +237,8 @@
     seconds: float = 0.0
 
 
-@attrs.frozen
-class HeldReservation:
+@attrs.frozen(eq=False, repr=False)
+class HeldReservation(value_classes.Value):
     """A reservation that an entry is using."""
 
     request_id: str = ""
@@ -247,8 +249,8 @@
     prefill_done: bool = False
 
 
-@attrs.frozen
-class HoldReport:
+@attrs.frozen(eq=False, repr=False)
+class HoldReport(value_classes.Value):
     """Reservations that an entry uses and waits for in one shard.
 
     ``held`` describes reservations in full, ``renewed`` only names them, as ``request/attempt``;
@@ -264,16 +266,16 @@
     renewed: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class HoldUnknown:
+@attrs.frozen(eq=False, repr=False)
+class HoldUnknown(value_classes.Value):
     """Request of a shard's owner for a full `HoldReport`: it doesn't know a named reservation."""
 
     shard: str = ""
     generation: int = 0
 
 
-@attrs.frozen
-class ServerLeaving:
+@attrs.frozen(eq=False, repr=False)
+class ServerLeaving(value_classes.Value):
     """Notice of a shard's owner that a server of a granted group has announced its leave."""
 
     request_id: str = ""
@@ -282,8 +284,8 @@
     server: str = ""
 
 
-@attrs.frozen
-class Announcement:
+@attrs.frozen(eq=False, repr=False)
+class Announcement(value_classes.Value):
     """Announcement of a backend server: address, capacity, load and cache changes.
 
     ``prefill_rate`` is in tokens per second, ``decode_seconds`` the time for one output token.
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.protocol import load_reports
 from flamingoramp.routing import rates, statements
 
@@ -23,8 +24,8 @@
 MAX_SERVERS_PER_PART = 45
 
 
-@attrs.define
-class WorkItem:
+@attrs.define(eq=False, repr=False)
+class WorkItem(value_classes.MutableValue):
     """The work of one request on one server, as sent by this entry.
 
     Parameters
@@ -54,8 +55,8 @@
     credit: float = 0.0
 
 
-@attrs.define
-class ServerLoad:
+@attrs.define(eq=False, repr=False)
+class ServerLoad(value_classes.MutableValue):
     """Total known load of one server.
 
     Parameters
@@ -152,8 +153,8 @@
     }
 
 
-@attrs.define
-class _Reporter:
+@attrs.define(eq=False, repr=False)
+class _Reporter(value_classes.MutableValue):
     """One entry, or the relay of one zone, and the servers on which it reported load.
 
     ``sequences`` holds the sequence number of the last full report, by part, ``arrivals`` the
@@ -177,8 +178,8 @@
         return now - self.received_at >= self.valid_seconds
 
 
-@attrs.define
-class _ReportedLoad:
+@attrs.define(eq=False, repr=False)
+class _ReportedLoad(value_classes.MutableValue):
     """Latest report on one server, and the number of the report part that contained it."""
 
     reporter: _Reporter
--- a/flamingoramp/routing/observations.py
+++ b/flamingoramp/routing/observations.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.protocol import messages
 from flamingoramp.routing import breaker
 
@@ -25,8 +26,8 @@
     return f"{record.server}/{record.born}"
 
 
-@attrs.define
-class _History:
+@attrs.define(eq=False, repr=False)
+class _History(value_classes.MutableValue):
     """Averages of one server instance, and when each was last updated (monotonic seconds)."""
 
     slowdown: float = 1.0
--- a/flamingoramp/routing/placement.py
+++ b/flamingoramp/routing/placement.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.intent import traffic
 from flamingoramp.routing import load_table
 
@@ -76,8 +77,8 @@
 SINGLE_ENGINE_MEMORY_RATIO = 0.55
 
 
-@attrs.frozen
-class Candidate:
+@attrs.frozen(eq=False, repr=False)
+class Candidate(value_classes.Value):
     """An engine that may be given work.
 
     Parameters
@@ -99,8 +100,8 @@
     is_last_resort: bool = False
 
 
-@attrs.frozen(slots=False)
-class PlacementRequest:
+@attrs.frozen(slots=False, eq=False, repr=False)
+class PlacementRequest(value_classes.Value):
     """A request to be placed; times in seconds.
 
     Parameters
@@ -137,8 +138,8 @@
         return max(0.2, (self.prompt_tokens / CREDIT_UNIT_TOKENS) ** CREDIT_EXPONENT)
 
 
-@attrs.frozen
-class Placement:
+@attrs.frozen(eq=False, repr=False)
+class Placement(value_classes.Value):
     """The engines of a request.
 
     Parameters
--- a/flamingoramp/routing/report_targets.py
+++ b/flamingoramp/routing/report_targets.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.protocol import messages
 
 # Up to this many entries, this one included, report to each other directly.
@@ -24,8 +25,8 @@
 FORWARDER_CANDIDATE_COUNT = 2
 
 
-@attrs.frozen
-class ReportTargets:
+@attrs.frozen(eq=False, repr=False)
+class ReportTargets(value_classes.Value):
     """Addresses for each kind of report.
 
     Parameters
--- a/flamingoramp/routing/statements.py
+++ b/flamingoramp/routing/statements.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from flamingoramp import value_classes
 from flamingoramp.protocol import load_reports, messages
 
 # Requests that a limit allows at once: those of this time, and within these bounds.
@@ -41,8 +42,8 @@
 NO_LIMIT = -1.0
 
 
-@attrs.frozen
-class ServerStatement:
+@attrs.frozen(eq=False, repr=False)
+class ServerStatement(value_classes.Value):
     """What one answer states of the server that sent it.
 
     Parameters
@@ -68,8 +69,8 @@
     starts_trial: bool = False
 
 
-@attrs.frozen
-class StatementChange:
+@attrs.frozen(eq=False, repr=False)
+class StatementChange(value_classes.Value):
     """A change of what is known of a server.
 
     Parameters
@@ -105,8 +106,8 @@
     reporter: str = ""
 
 
-@attrs.define
-class _Known:
+@attrs.define(eq=False, repr=False)
+class _Known(value_classes.MutableValue):
     """The latest statement of one run of a server, and the requests sent since it was known.
 
     ``stated_at`` is the time of the latest answer that named the limit, or of the first that named
--- a/flamingoramp/runtime/loop.py
+++ b/flamingoramp/runtime/loop.py
@@ -14,14 +14,14 @@
 
 import attrs
 
-from flamingoramp import errors
+from flamingoramp import errors, value_classes
 
 MAX_POSTED_CALLBACKS = 10_000
 MAX_SELECT_SECONDS = 0.5
 
 
-@attrs.define
-class Timer:
+@attrs.define(eq=False, repr=False)
+class Timer(value_classes.MutableValue):
     """A callback scheduled with `Loop.call_later`, which can be cancelled."""
 
     callback: Callable[[], None]
--- a/flamingoramp/runtime/metrics.py
+++ b/flamingoramp/runtime/metrics.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from flamingoramp import value_classes
+
 LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.74, 1, 2.5, 5, 10, 30, 60, 120)
 PROMPT_LENGTH_BOUNDS_TOKENS = (4_000, 16_000, 64_000, 100_000, 250_000, 500_000, 1_000_000)
 METRIC_NAME_PREFIX = "flamingoramp_"
@@ -26,8 +28,8 @@
     return f">{PROMPT_LENGTH_BOUNDS_TOKENS[-1]}"
 
 
-@attrs.define
-class _Histogram:
+@attrs.define(eq=False, repr=False)
+class _Histogram(value_classes.MutableValue):
     counts: list[int] = attrs.field(factory=lambda: [0] * (len(LATENCY_BUCKETS_SECONDS) + 1))
     sum_seconds: float = 0.0
 
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from flamingoramp import errors, utils
+from flamingoramp import errors, utils, value_classes
 
 
-@attrs.frozen
-class ListenSettings:
+@attrs.frozen(eq=False, repr=False)
+class ListenSettings(value_classes.Value):
     """Listening addresses for external calls, ``ip:port``; empty if the process doesn't serve them.
 
     Parameters
@@ -32,8 +32,8 @@
     metrics: str = ""
 
 
-@attrs.frozen
-class BoundSettings:
+@attrs.frozen(eq=False, repr=False)
+class BoundSettings(value_classes.Value):
     """Intervals, shutdown times and the retry budget, given under the key ``bounds``.
 
     Parameters
@@ -70,8 +70,8 @@
         return self.announce_milliseconds / 1000
 
 
-@attrs.frozen
-class NodeSettings:
+@attrs.frozen(eq=False, repr=False)
+class NodeSettings(value_classes.Value):
     """Settings of one process.
 
     Parameters
