--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -6,11 +6,9 @@
 from __future__ import annotations
 
 import collections
-import pathlib
-import secrets
+import os
 import signal
 import time
-import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -103,7 +101,7 @@
 
     def new_incarnation(self) -> str:
         """Return a random id that no earlier start of any process had."""
-        return secrets.token_hex(6)
+        return os.urandom(6).hex()
 
     def record_protocol_error(self, error: errors.ProtocolError) -> None:
         """Count and log bytes from another process that could not be decoded."""
@@ -124,8 +122,11 @@
             self._error_times.popleft()
         self._error_times.append(now)
         self.metrics.count("unexpected_errors", type=type(error).__name__)
+        # Imported on first use, since the import would delay the start of the process.
+        import traceback
+
         frame = traceback.extract_tb(error.__traceback__)[-1]
-        place = f"{pathlib.Path(frame.filename).name}:{frame.lineno}"
+        place = f"{os.path.basename(frame.filename)}:{frame.lineno}"
         self.log.write("process.error", type=type(error).__name__, text=str(error), place=place)
         if len(self._error_times) > MAX_ERRORS:
             raise error
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import secrets
+import os
 from collections.abc import Callable
 from typing import Any
 
@@ -110,7 +110,7 @@
         self._reservation_count += 1
         holds = tuple(
             memory_reservations.MemoryHold(
-                helper.server, helper.address, tokens, secrets.token_hex(6)
+                helper.server, helper.address, tokens, os.urandom(6).hex()
             )
             for helper, tokens in zip(target.helpers, target.held_tokens, strict=True)
             if tokens
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
-
-from flamingoramp import errors
-from flamingoramp.platform import platform_dialect
-from flamingoramp.runtime import node_settings
+from typing import Any
 
 SETTINGS_PATH_VARIABLE = "FLAMINGORAMP_CONFIG"
 
@@ -17,23 +15,35 @@
 
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
-    settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
+    # The modules and the daemon live as long as the process: searching them for garbage while they
+    # are made takes a tenth of a start.
+    gc.disable()
+    daemon = _make_daemon(role, os.environ.get(SETTINGS_PATH_VARIABLE, ""))
+    gc.freeze()
+    gc.enable()
+    daemon.run()
+
+
+def _make_daemon(role: str, settings_path: str) -> Any:
+    """Import a role's modules only, which shortens a restart, and return its daemon."""
+    from flamingoramp import errors
+    from flamingoramp.platform import platform_dialect
+    from flamingoramp.runtime import node_settings
+
     try:
         settings = node_settings.load(settings_path)
     except errors.SettingsError as error:
         print(f"flamingoramp: {error}", file=sys.stderr)
         sys.exit(2)
-    # Each role imports only its own modules, which shortens a restart.
     if role == "control":
         from flamingoramp.daemons import coordinator
 
-        coordinator.Coordinator(settings, platform_dialect.PlatformDialect()).run()
-    else:
-        from flamingoramp.daemons import gateway
+        return coordinator.Coordinator(settings, platform_dialect.PlatformDialect())
+    from flamingoramp.daemons import gateway
 
-        gateway.Gateway(
-            settings, platform_dialect.PlatformDialect(), settings_path=settings_path
-        ).run()
+    return gateway.Gateway(
+        settings, platform_dialect.PlatformDialect(), settings_path=settings_path
+    )
 
 
 if __name__ == "__main__":
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -22,27 +22,35 @@
 EVENT_INTERVAL_SECONDS = 0.05
 
 
-class EntryProcess:
-    """The entry program of one host of a fleet, run as a process.
+class DaemonProcess:
+    """The program of one host of a fleet, run as a process.
 
     Parameters
     ----------
     fleet : fleets.Fleet
     host_index : int
         Index of the host whose settings it gets.
+    role : str
+        ``entry`` or ``control``.
     """
 
-    def __init__(self, fleet: fleets.Fleet, host_index: int):
+    def __init__(self, fleet: fleets.Fleet, host_index: int, role: str = "entry"):
         folder = pathlib.Path(tempfile.mkdtemp(dir=fleet.folder))
         self.settings_path = folder / "settings.json"
         self.settings = attrs.asdict(fleet.settings(host_index))
         self.write_settings(self.settings)
         self._log_path = folder / "log"
-        with self._log_path.open("wb") as log:
+        self._imports_path = folder / "imports"
+        # As on the platform without `site`, whose modules are none of the program's.
+        command = [sys.executable, "-S", "-X", "importtime", "-m", "flamingoramp.platform.main"]
+        environment = {
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
+            main.SETTINGS_PATH_VARIABLE: str(self.settings_path),
+        }
+        with self._log_path.open("wb") as log, self._imports_path.open("wb") as imports:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "flamingoramp.platform.main", "entry"],
-                env={**os.environ, main.SETTINGS_PATH_VARIABLE: str(self.settings_path)},
-                stdout=log,
+                [*command, role], env=environment, stdout=log, stderr=imports
             )
 
     @property
@@ -50,6 +58,12 @@
         """Address at which the process serves callers."""
         return self.settings["listen"]["callers"]
 
+    @property
+    def imported_modules(self) -> set[str]:
+        """Names of the modules that the process has imported so far."""
+        lines = self._imports_path.read_text().splitlines()
+        return {line.rpartition("|")[2].strip() for line in lines if "import time:" in line}
+
     def write_settings(self, settings: dict) -> None:
         """Replace the settings file atomically."""
         new_file = self.settings_path.with_suffix(".new")
@@ -84,7 +98,7 @@
         self.fleet.wait_in_force(1)
         # The entry process takes the place and the address of the fleet's entry.
         self.fleet.entries.pop().stop()
-        self.entry = EntryProcess(self.fleet, 1)
+        self.entry = DaemonProcess(self.fleet, 1)
         self.addCleanup(self.entry.close)
         self.entry.wait_for_event("declaration.in_force")
         behaviour = fake_server.Behaviour(
@@ -172,3 +186,38 @@
         self.entry.wait_for_event("process.stopping")
         self.assert_complete(*self.begin_stream())
         self.assertEqual(self.entry.process.wait(fleets.TIMEOUT_SECONDS), 0)
+
+
+class TestImports(EntryProcessTestCase):
+    """Start budget: a restarted host serves nobody while it imports.
+
+    The sets hold what both roles once imported and don't use, and what only one of them uses.
+    """
+
+    UNUSED_MODULES = frozenset(
+        {
+            "asyncio", "capnp", "cattrs", "concurrent.futures", "email", "hmac", "http.client",
+            "http.server", "logging", "multiprocessing", "prometheus_client", "pycurl", "secrets",
+            "ssl", "subprocess", "tempfile", "traceback", "werkzeug",
+            "flamingoramp.protocol.shard_messages", "flamingoramp.runtime.settings",
+        }
+    )  # fmt: skip
+
+    def assert_unused_is_not_imported(self, process: DaemonProcess, others: set[str]) -> None:
+        modules = process.imported_modules
+        self.assertIn("flamingoramp.protocol.codec", modules)
+        self.assertEqual(modules & (self.UNUSED_MODULES | others), set())
+
+    def test_entry_that_has_answered_a_caller_has_imported_nothing_unused(self):
+        self.assert_complete(*self.begin_stream())
+        others = {"flamingoramp.daemons.coordinator", "flamingoramp.consensus.node", "pathlib"}
+        self.assert_unused_is_not_imported(self.entry, others)
+
+    def test_control_host_that_has_committed_has_imported_nothing_unused(self):
+        self.fleet.controls.pop().stop()
+        control = DaemonProcess(self.fleet, 0, "control")
+        self.addCleanup(control.close)
+        self.fleet.declare(2)
+        control.wait_for_event("declaration.committed")
+        others = {"flamingoramp.daemons.gateway", "flamingoramp.dispatch.request_handler"}
+        self.assert_unused_is_not_imported(control, others)
--- a/flamingoramp/utils.py
+++ b/flamingoramp/utils.py
@@ -4,7 +4,7 @@
 
 import functools
 import json
-import pathlib
+import os
 import typing
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -130,7 +130,12 @@
     return result
 
 
-def read_json(path: str | pathlib.Path) -> Any:
+def _read_text(path: str | os.PathLike) -> str:
+    with open(path, encoding="utf-8") as file:
+        return file.read()
+
+
+def read_json(path: str | os.PathLike) -> Any:
     """Return the decoded content of a JSON file.
 
     Raises
@@ -139,14 +144,14 @@
         If the file can't be read or isn't valid JSON.
     """
     try:
-        return json.loads(pathlib.Path(path).read_text())
+        return json.loads(_read_text(path))
     except OSError as error:
         raise errors.SettingsError(f"{path}: {error.strerror}") from error
     except ValueError as error:
         raise errors.SettingsError(f"{path}: not JSON: {error}") from error
 
 
-def load(path: str | pathlib.Path, cls: type[T]) -> T:
+def load(path: str | os.PathLike, cls: type[T]) -> T:
     """Convert a JSON file to an instance of an attrs class, and validate it."""
     return structure(read_json(path), cls, str(path))
 
