--- a/flamingoramp/dialect.py
+++ b/flamingoramp/dialect.py
@@ -7,15 +7,18 @@
 from __future__ import annotations
 
 import enum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from flamingoramp import errors, value_classes
-from flamingoramp.http import client, messages
+from flamingoramp.http import messages
 from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages as protocol_messages
-from flamingoramp.routing import statements
+
+if TYPE_CHECKING:  # a control host sends no requests to backend servers
+    from flamingoramp.http import client
+    from flamingoramp.routing import statements
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -5,13 +5,16 @@
 import json
 import math
 import re
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from flamingoramp import dialect, errors, json_documents
-from flamingoramp.http import client, messages
+from flamingoramp.http import messages
 from flamingoramp.platform import wire_names
 from flamingoramp.protocol import messages as protocol_messages
-from flamingoramp.routing import statements
+
+if TYPE_CHECKING:
+    from flamingoramp.http import client
+    from flamingoramp.routing import statements
 
 _SERVER_STATES = ("ready", "draining")
 # With these an entry promises that a request has not run.
@@ -173,6 +176,9 @@
 
 
 def _decode_statement(head: client.Head) -> statements.ServerStatement:
+    # A control host, which reads no answers, doesn't import it.
+    from flamingoramp.routing import statements
+
     limits = [value for name, value in head.headers if name == wire_names.SERVER_LIMIT]
     is_refusal = head.header(wire_names.NOT_RUN) is not None
     times = [value for name, value in head.headers if name == wire_names.RETRY_AFTER]
--- a/flamingoramp/platform/platform_dialect.py
+++ b/flamingoramp/platform/platform_dialect.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from urllib import parse
 
 from flamingoramp import dialect, errors
-from flamingoramp.http import client, messages
+from flamingoramp.http import messages
 from flamingoramp.intent import traffic
 from flamingoramp.platform import backends, declarations, wire_names
 
+if TYPE_CHECKING:
+    from flamingoramp.http import client
+
 
 class PlatformDialect:
     """Implementation of `flamingoramp.dialect.Dialect` for the platform."""
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -219,5 +219,8 @@
         self.addCleanup(control.close)
         self.fleet.declare(2)
         control.wait_for_event("declaration.committed")
-        others = {"flamingoramp.daemons.gateway", "flamingoramp.dispatch.request_handler"}
+        others = {
+            "flamingoramp.daemons.gateway", "flamingoramp.http.client",
+            "flamingoramp.protocol.load_reports", "flamingoramp.routing.statements",
+        }  # fmt: skip
         self.assert_unused_is_not_imported(control, others)
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -20,7 +20,7 @@
 from msgspec import msgpack
 
 from flamingoramp import errors, value_classes
-from flamingoramp.protocol import load_reports, messages
+from flamingoramp.protocol import messages
 
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -90,10 +90,14 @@
     name = _NAME_BY_TAG.get(tag)
     if name is None:
         return None
-    for module in (messages, load_reports):
-        if hasattr(module, name):
-            return getattr(module, name)
-    # Imported on first use, since processes that find each other by seeds never use it.
+    if hasattr(messages, name):
+        return getattr(messages, name)
+    # Imported on first use: only entries exchange load reports, and processes that find each other
+    # by seeds have no messages of shards.
+    if name == "LoadReport":
+        from flamingoramp.protocol import load_reports
+
+        return load_reports.LoadReport
     from flamingoramp.protocol import shard_messages
 
     return getattr(shard_messages, name)
@@ -142,7 +146,7 @@
                 records.append((position, _get_layout(item_type)))
                 item_type = records[-1][1].decoded_class
             elif item_type is float:
-                is_single = attribute.metadata.get(load_reports.SINGLE_PRECISION, False)
+                is_single = attribute.metadata.get(messages.SINGLE_PRECISION, False)
                 number_lists.append((position, is_single))
             list_type = tuple[_restrict(item_type), ...]
             field_type = typing.Annotated[list_type, msgspec.Meta(max_length=MAX_ITEMS)]
--- a/flamingoramp/protocol/load_reports.py
+++ b/flamingoramp/protocol/load_reports.py
@@ -7,13 +7,12 @@
 import attrs
 
 from flamingoramp import value_classes
+from flamingoramp.protocol import messages
 
 # Values of one server in a `LoadReport`.
 LOAD_VALUE_COUNT = 8
 # Values of one server among the statements of a `LoadReport`.
 STATEMENT_VALUE_COUNT = 7
-# Metadata of a list of numbers that is sent as floating-point numbers of 32 bits.
-SINGLE_PRECISION = "single precision"
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -41,7 +40,7 @@
     incarnation: str = ""
     sequence: int = 0
     servers: tuple[str, ...] = ()
-    loads: tuple[float, ...] = attrs.field(default=(), metadata={SINGLE_PRECISION: True})
+    loads: tuple[float, ...] = attrs.field(default=(), metadata={messages.SINGLE_PRECISION: True})
     zone: str = ""
     is_summary: bool = False
     part: int = 0
@@ -49,10 +48,14 @@
     forwarded: bool = False
     valid_seconds: float = 0.0
     services: tuple[str, ...] = ()
-    arrivals: tuple[float, ...] = attrs.field(default=(), metadata={SINGLE_PRECISION: True})
+    arrivals: tuple[float, ...] = attrs.field(
+        default=(), metadata={messages.SINGLE_PRECISION: True}
+    )
     stated_servers: tuple[str, ...] = ()
     statements: tuple[float, ...] = attrs.field(default=())
-    request_rates: tuple[float, ...] = attrs.field(default=(), metadata={SINGLE_PRECISION: True})
+    request_rates: tuple[float, ...] = attrs.field(
+        default=(), metadata={messages.SINGLE_PRECISION: True}
+    )
 
     @arrivals.validator
     def _check_arrivals(self, _attribute: attrs.Attribute, arrivals: tuple[float, ...]) -> None:
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -10,6 +10,9 @@
 
 from flamingoramp import value_classes
 
+# Metadata of a list of numbers that is sent as floating-point numbers of 32 bits.
+SINGLE_PRECISION = "single precision"
+
 
 @attrs.frozen(eq=False, repr=False)
 class LogEntry(value_classes.Value):
