--- a/flamingoramp/protocol/load_reports.py
+++ b/flamingoramp/protocol/load_reports.py
@@ -6,14 +6,17 @@
 
 import attrs
 
+from flamingoramp import value_classes
+from flamingoramp.protocol import messages
+
 # Values of one server in a `LoadReport`.
 LOAD_VALUE_COUNT = 8
 # Values of one server among the statements of a `LoadReport`.
 STATEMENT_VALUE_COUNT = 7
 
 
-@attrs.frozen
-class LoadReport:
+@attrs.frozen(eq=False, repr=False)
+class LoadReport(value_classes.Value):
     """Load of one entry, or of all entries of an availability zone (``is_summary``), by server.
 
     A report on many servers is split into numbered parts; a part replaces the previous part of the
@@ -37,7 +40,7 @@
     incarnation: str = ""
     sequence: int = 0
     servers: tuple[str, ...] = ()
-    loads: tuple[float, ...] = attrs.field(default=())
+    loads: tuple[float, ...] = attrs.field(default=(), metadata={messages.SINGLE_PRECISION: True})
     zone: str = ""
     is_summary: bool = False
     part: int = 0
@@ -45,10 +48,14 @@
     forwarded: bool = False
     valid_seconds: float = 0.0
     services: tuple[str, ...] = ()
-    arrivals: tuple[float, ...] = attrs.field(default=())
+    arrivals: tuple[float, ...] = attrs.field(
+        default=(), metadata={messages.SINGLE_PRECISION: True}
+    )
     stated_servers: tuple[str, ...] = ()
     statements: tuple[float, ...] = attrs.field(default=())
-    request_rates: tuple[float, ...] = attrs.field(default=())
+    request_rates: tuple[float, ...] = attrs.field(
+        default=(), metadata={messages.SINGLE_PRECISION: True}
+    )
 
     @arrivals.validator
     def _check_arrivals(self, _attribute: attrs.Attribute, arrivals: tuple[float, ...]) -> None:
@@ -68,5 +75,7 @@
 
 
 def _check_numbers(field: str, numbers: tuple[float, ...], count: int) -> None:
-    if len(numbers) != count or not all(map(math.isfinite, numbers)):
+    # A finite sum shows that all of them are; one of large numbers may be infinite.
+    are_finite = math.isfinite(sum(numbers)) or all(map(math.isfinite, numbers))
+    if len(numbers) != count or not are_finite:
         raise ValueError(f"{field}: takes {count} finite numbers, found {len(numbers)} values")
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -1,30 +1,21 @@
 """Messages between the system's processes, as attrs classes.
 
-The classes and their attributes have the names of the structs and fields in ``schema.capnp``, in
-camel case there. Durations and ages are in seconds unless stated otherwise.
+Their fields are sent by position: a later build may add fields, with a default, at the end only.
+Durations and ages are in seconds unless stated otherwise.
 """
 
 from __future__ import annotations
 
 import attrs
 
+from flamingoramp import value_classes
 
-@attrs.frozen
-class Suspect:
-    """A request content, by fingerprint, that ran on engines when they crashed.
-
-    ``crashes`` counts the crashes of engines on which it ran alone; ``confirmed`` is set if they
-    suffice for its quarantine.
-    """
-
-    fingerprint: str = ""
-    crashes: int = 0
-    confirmed: bool = False
-    service: str = ""
+# Metadata of a list of numbers that is sent as floating-point numbers of 32 bits.
+SINGLE_PRECISION = "single precision"
 
 
-@attrs.frozen
-class LogEntry:
+@attrs.frozen(eq=False, repr=False)
+class LogEntry(value_classes.Value):
     """One entry of the replicated log."""
 
     index: int = 0
@@ -33,8 +24,8 @@
     payload: bytes = b""
 
 
-@attrs.frozen
-class VoteRequest:
+@attrs.frozen(eq=False, repr=False)
+class VoteRequest(value_classes.Value):
     """A candidate's request for a vote, or for a pre-vote if ``pre`` is set."""
 
     term: int = 0
@@ -45,8 +36,8 @@
     cluster: str = ""
 
 
-@attrs.frozen
-class VoteReply:
+@attrs.frozen(eq=False, repr=False)
+class VoteReply(value_classes.Value):
     """Reply to a `VoteRequest`."""
 
     term: int = 0
@@ -54,8 +45,8 @@
     pre: bool = False
 
 
-@attrs.frozen
-class AppendRequest:
+@attrs.frozen(eq=False, repr=False)
+class AppendRequest(value_classes.Value):
     """Log entries and heartbeat of the leader; ``sent_at`` is in seconds of the leader's clock."""
 
     term: int = 0
@@ -68,8 +59,8 @@
     cluster: str = ""
 
 
-@attrs.frozen
-class AppendReply:
+@attrs.frozen(eq=False, repr=False)
+class AppendReply(value_classes.Value):
     """Reply to an `AppendRequest`; ``sent_at`` is that of the request."""
 
     term: int = 0
@@ -78,8 +69,8 @@
     sent_at: float = 0.0
 
 
-@attrs.frozen
-class InstallSnapshot:
+@attrs.frozen(eq=False, repr=False)
+class InstallSnapshot(value_classes.Value):
     """A snapshot for a replica that needs entries which the leader's log no longer contains."""
 
     term: int = 0
@@ -93,15 +84,15 @@
     cluster: str = ""
 
 
-@attrs.frozen
-class FoundingProbe:
+@attrs.frozen(eq=False, repr=False)
+class FoundingProbe(value_classes.Value):
     """Question of a replica without data to its peers, whether they belong to a cluster."""
 
     replica: str = ""
 
 
-@attrs.frozen
-class FoundingReply:
+@attrs.frozen(eq=False, repr=False)
+class FoundingReply(value_classes.Value):
     """Reply to a `FoundingProbe`: the replica's identity and its cluster (empty if it has none).
 
     ``probe`` is the identity of the replica that asked, ``members`` are those of the cluster.
@@ -113,314 +104,23 @@
     members: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class Form:
+@attrs.frozen(eq=False, repr=False)
+class Form(value_classes.Value):
     """Initial replicas of a new cluster."""
 
     cluster: str = ""
     replicas: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class JoinRequest:
+@attrs.frozen(eq=False, repr=False)
+class JoinRequest(value_classes.Value):
     """Request of a new replica to the leader to be added to the cluster."""
 
     replica: str = ""
 
 
-@attrs.frozen
-class ShardOwner:
-    """The entry that owns a shard, and the generation of its ownership."""
-
-    shard: str = ""
-    owner: str = ""
-    address: str = ""
-    generation: int = 0
-
-
-@attrs.frozen
-class EntryAddress:
-    """Address at which callers reach an entry."""
-
-    name: str = ""
-    url: str = ""
-    zone: str = ""
-    leaving: bool = False
-
-
-@attrs.frozen
-class SessionHeartbeat:
-    """Heartbeat of an entry to a control host; ``sent_at`` is in seconds of the entry's clock.
-
-    ``url`` and ``inner`` are its addresses for callers and for the system's own processes,
-    ``streams`` is the number of its requests in progress. ``revision``, ``quarantine_version`` and
-    ``table_version`` are those of the declaration, the suspects, and the shard owners and entries
-    that it has.
-    """
-
-    entry: str = ""
-    incarnation: str = ""
-    sent_at: float = 0.0
-    revision: int = 0
-    url: str = ""
-    inner: str = ""
-    zone: str = ""
-    leaving: bool = False
-    streams: int = 0
-    quarantine_version: int = 0
-    table_version: int = 0
-
-
-@attrs.frozen
-class SessionGrant:
-    """Reply to a `SessionHeartbeat`: configuration lease, shard owners, entries and suspects.
-
-    It omits what the entry has already in the current version. With ``partial_entries`` there may
-    be entries that it doesn't list. ``drain`` requests that the entry drains and stops. A reply
-    without a lease (``granted`` is false) sets only ``sent_at`` and ``leader``.
-    """
-
-    sent_at: float = 0.0
-    granted: bool = False
-    leader: str = ""
-    term: int = 0
-    revision: int = 0
-    document: str = ""
-    lease_seconds: float = 0.0
-    shards: tuple[ShardOwner, ...] = ()
-    entries: tuple[EntryAddress, ...] = ()
-    quarantine_version: int = 0
-    suspects: tuple[Suspect, ...] = ()
-    drain: bool = False
-    table_version: int = 0
-    partial_entries: bool = False
-
-
-@attrs.frozen
-class ClaimRequest:
-    """Claim of the right to dispatch a non-idempotent request, which is granted once.
-
-    ``remaining`` is the time in seconds until the deadline of the request.
-    """
-
-    request_id: str = ""
-    workspace: str = ""
-    key: str = ""
-    fingerprint: str = ""
-    entry: str = ""
-    remaining: float = 0.0
-
-
-@attrs.frozen
-class ClaimReply:
-    """Reply to a `ClaimRequest`.
-
-    ``http_status`` and ``body`` are those of the stored response, if there is one.
-    """
-
-    request_id: str = ""
-    status: str = ""
-    http_status: int = 0
-    body: str = ""
-
-
-@attrs.frozen
-class ClaimSettle:
-    """Outcome of a claimed request, to be recorded."""
-
-    request_id: str = ""
-    workspace: str = ""
-    key: str = ""
-    outcome: str = ""
-    http_status: int = 0
-    body: str = ""
-
-
-@attrs.frozen
-class SuspectReport:
-    """Fingerprints of request contents that ran on a crashed engine, and of cleared ones.
-
-    ``lonely`` are those that ran alone on the engine, ``cleared`` those that are no longer suspect,
-    since a request with this content finished or the engine had not crashed.
-    """
-
-    report_id: str = ""
-    service: str = ""
-    fingerprints: tuple[str, ...] = ()
-    lonely: tuple[str, ...] = ()
-    cleared: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class Settled:
-    """Acknowledgement that a command was committed; ``version`` is that of the suspects."""
-
-    id: str = ""
-    version: int = 0
-
-
-@attrs.frozen
-class Reserve:
-    """Request to the owner of a shard to reserve memory on backend servers.
-
-    ``remaining`` is the time in seconds until the deadline of the request.
-    """
-
-    request_id: str = ""
-    attempt: int = 0
-    service: str = ""
-    shard: str = ""
-    generation: int = 0
-    workspace: str = ""
-    model: str = ""
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    prefix_hashes: tuple[int, ...] = ()
-    remaining: float = 0.0
-    entry: str = ""
-    entry_address: str = ""
-    zone: str = ""
-    excluded: tuple[str, ...] = ()
-    fingerprint: str = ""
-    idempotent: bool = False
-
-
-@attrs.frozen
-class Grant:
-    """Reply to a `Reserve`: memory reserved on one or more backend servers.
-
-    ``urls`` and ``tokens`` have the address of each server and the size of its reservation.
-    ``priority`` is the class of the predicted prefill time, 0 for the shortest.
-    """
-
-    request_id: str = ""
-    attempt: int = 0
-    shard: str = ""
-    generation: int = 0
-    servers: tuple[str, ...] = ()
-    urls: tuple[str, ...] = ()
-    tokens: tuple[int, ...] = ()
-    priority: int = 0
-    predicted_prefill: float = 0.0
-    cached_tokens: int = 0
-
-
-@attrs.frozen
-class Refuse:
-    """Reply to a `Reserve`: the owner of the shard refuses the request."""
-
-    request_id: str = ""
-    attempt: int = 0
-    code: str = ""
-    text: str = ""
-    retry_after: float = 0.0
-
-
-@attrs.frozen
-class Release:
-    """End of an attempt, which frees its reserved memory.
-
-    ``result`` is the result of the attempt at ``server``, such as ``done`` or ``crashed``.
-    """
-
-    request_id: str = ""
-    attempt: int = 0
-    shard: str = ""
-    result: str = ""
-    server: str = ""
-
-
-@attrs.frozen
-class PrefillDone:
-    """Arrival of the first token, ``seconds`` after dispatch."""
-
-    request_id: str = ""
-    attempt: int = 0
-    shard: str = ""
-    seconds: float = 0.0
-
-
-@attrs.frozen
-class HeldReservation:
-    """A reservation that an entry is using."""
-
-    request_id: str = ""
-    attempt: int = 0
-    servers: tuple[str, ...] = ()
-    tokens: tuple[int, ...] = ()
-    fingerprint: str = ""
-    prefill_done: bool = False
-
-
-@attrs.frozen
-class HoldReport:
-    """Reservations that an entry uses and waits for in one shard.
-
-    ``held`` describes reservations in full, ``renewed`` only names them, as ``request/attempt``;
-    ``full`` is set if all are in ``held``. ``waiting`` has the ids of requests without a grant.
-    """
-
-    entry: str = ""
-    entry_address: str = ""
-    shard: str = ""
-    held: tuple[HeldReservation, ...] = ()
-    waiting: tuple[str, ...] = ()
-    full: bool = False
-    renewed: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class HoldUnknown:
-    """Request of a shard's owner for a full `HoldReport`: it doesn't know a named reservation."""
-
-    shard: str = ""
-    generation: int = 0
-
-
-@attrs.frozen
-class ServerLeaving:
-    """Notice of a shard's owner that a server of a granted group has announced its leave."""
-
-    request_id: str = ""
-    attempt: int = 0
-    shard: str = ""
-    server: str = ""
-
-
-@attrs.frozen
-class Announcement:
-    """Announcement of a backend server: address, capacity, load and cache changes.
-
-    ``prefill_rate`` is in tokens per second, ``decode_seconds`` the time for one output token.
-    ``cached`` and ``evicted`` are hashes of prompt prefixes. ``highest_fence`` is the highest
-    fencing number of the orders that the server accepted; with ``honours_fencing`` it rejects
-    orders with a lower one.
-    """
-
-    server: str = ""
-    service: str = ""
-    incarnation: int = 0
-    sequence: int = 0
-    leaving: bool = False
-    url: str = ""
-    zone: str = ""
-    memory_tokens: int = 0
-    slots: int = 0
-    prefill_rate: float = 0.0
-    decode_seconds: float = 0.0
-    models: tuple[str, ...] = ()
-    honours_fencing: bool = False
-    running: int = 0
-    memory_used: int = 0
-    cache_sequence: int = 0
-    cached: tuple[int, ...] = ()
-    evicted: tuple[int, ...] = ()
-    role: str = ""
-    highest_fence: int = 0
-
-
-@attrs.frozen
-class EntryRecord:
+@attrs.frozen(eq=False, repr=False)
+class EntryRecord(value_classes.Value):
     """Last state that an entry reported of itself.
 
     ``callers`` and ``inner`` are its addresses for callers and for the system's own processes.
@@ -443,8 +143,8 @@
     cut_off: bool = False
 
 
-@attrs.frozen
-class ServerRecord:
+@attrs.frozen(eq=False, repr=False)
+class ServerRecord(value_classes.Value):
     """Last state that a backend server announced.
 
     ``born`` is the Unix time of the server's start in milliseconds (0 if unknown), ``sequence``
@@ -469,8 +169,8 @@
     silent: bool = False
 
 
-@attrs.frozen
-class CrashRecord:
+@attrs.frozen(eq=False, repr=False)
+class CrashRecord(value_classes.Value):
     """A fingerprint of a request that a backend server had when it ended.
 
     ``born`` is that of the server's `ServerRecord`; ``age`` is the time in seconds since the end,
@@ -487,8 +187,8 @@
     is_clearance: bool = False
 
 
-@attrs.frozen
-class Subscribe:
+@attrs.frozen(eq=False, repr=False)
+class Subscribe(value_classes.Value):
     """Subscription to the updates of a control host, with the subscriber's own reports.
 
     ``version`` is that of the declaration that the subscriber has. A control host as subscriber
@@ -505,8 +205,8 @@
     standby: bool = False
 
 
-@attrs.frozen
-class ClusterUpdate:
+@attrs.frozen(eq=False, repr=False)
+class ClusterUpdate(value_classes.Value):
     """Changes since the previous update on this connection.
 
     ``confirmed`` is set if the sender is in contact with the leader, so that its version of the
@@ -525,8 +225,8 @@
     zone: str = ""
 
 
-@attrs.frozen
-class DeclareRequest:
+@attrs.frozen(eq=False, repr=False)
+class DeclareRequest(value_classes.Value):
     """Declaration of an operator, forwarded to the leader; ``document`` is compressed."""
 
     request_id: str = ""
@@ -534,8 +234,8 @@
     document: bytes = b""
 
 
-@attrs.frozen
-class DeclareReply:
+@attrs.frozen(eq=False, repr=False)
+class DeclareReply(value_classes.Value):
     """Reply of the leader to a `DeclareRequest`."""
 
     request_id: str = ""
@@ -545,8 +245,8 @@
     text: str = ""
 
 
-@attrs.frozen
-class ReadRequest:
+@attrs.frozen(eq=False, repr=False)
+class ReadRequest(value_classes.Value):
     """Request to the leader for the latest declaration, confirmed by a quorum.
 
     ``known_version`` is the version that the sender has.
@@ -556,8 +256,8 @@
     known_version: int = 0
 
 
-@attrs.frozen
-class ReadReply:
+@attrs.frozen(eq=False, repr=False)
+class ReadReply(value_classes.Value):
     """Reply to a `ReadRequest`; holds the latest version if a quorum confirmed the leader.
 
     ``document`` is compressed, and empty if the sender of the request has that version.
@@ -569,15 +269,15 @@
     document: bytes = b""
 
 
-@attrs.frozen
-class Ping:
+@attrs.frozen(eq=False, repr=False)
+class Ping(value_classes.Value):
     """Liveness check of a connection."""
 
     sequence: int = 0
 
 
-@attrs.frozen
-class Pong:
+@attrs.frozen(eq=False, repr=False)
+class Pong(value_classes.Value):
     """Reply to a `Ping`."""
 
     sequence: int = 0
--- a/flamingoramp/runtime/tests/test_transport.py
+++ b/flamingoramp/runtime/tests/test_transport.py
@@ -6,8 +6,9 @@
 import socket
 import unittest
 
+from flamingoramp import errors
 from flamingoramp.backends import transfers
-from flamingoramp.protocol import messages
+from flamingoramp.protocol import codec, shard_messages
 from flamingoramp.runtime import clock, loop, timeline, transport
 from flamingoramp.tests import relays
 
@@ -58,7 +59,7 @@
             self.make_transport("receiver", received),
         )
         for number in range(200):
-            sender.send(receiver.address, messages.Settled(f"{number}"))
+            sender.send(receiver.address, shard_messages.Settled(f"{number}"))
         self.run_until(lambda: len(received) == 200)
         self.assertEqual([message.id for _, message in received], [f"{n}" for n in range(200)])
 
@@ -69,28 +70,40 @@
             self.make_transport("receiver", received),
         )
         relay = self.make_relay(receiver.address)
-        sender.send(relay.address, messages.Settled("first"))
+        sender.send(relay.address, shard_messages.Settled("first"))
         self.run_until(lambda: len(received) == 1)
         relay.blackhole_open_connections()
-        sender.send(relay.address, messages.Settled("lost"))
+        sender.send(relay.address, shard_messages.Settled("lost"))
         self.run_until(lambda: sender.traffic.reconnects == 1)
 
         def second_message_received() -> bool:
-            sender.send(relay.address, messages.Settled("second"))
+            sender.send(relay.address, shard_messages.Settled("second"))
             return any(message.id == "second" for _, message in received)
 
         self.run_until(second_message_received)
 
+    def test_connection_of_a_build_with_another_format_is_closed_with_an_error(self):
+        received: list = []
+        receiver = self.make_transport("receiver", received)
+        with socket.create_connection(transport.parse_address(receiver.address)) as sock:
+            # A ping as builds that used Cap'n Proto sent it.
+            ping = bytes.fromhex("1007500202011801091105421104017f656e7472792d610103")
+            sock.sendall(codec.LENGTH_PREFIX.pack(len(ping)) + ping)
+            self.run_until(lambda: received)
+            self.assertEqual(sock.recv(1), b"")
+        self.assertIsInstance(received[0], errors.ProtocolError)
+        self.assertIn("another build", str(received[0]))
+
     def test_only_a_connection_without_other_messages_is_pinged(self):
         busy, idle, receiver = (
             self.make_transport(name, []) for name in ("busy", "idle", "receiver")
         )
         receiver.deliver = lambda _sender, message, connection: connection.send(message)
-        idle.send(receiver.address, messages.Settled("once"))
+        idle.send(receiver.address, shard_messages.Settled("once"))
 
         def _send_until(end: float) -> None:
             if busy.loop.now() < end:
-                busy.send(receiver.address, messages.Settled("often"))
+                busy.send(receiver.address, shard_messages.Settled("often"))
                 busy.loop.call_later(0.3, lambda: _send_until(end))
 
         _send_until(busy.loop.now() + 3 * transport.PING_INTERVAL_SECONDS)
@@ -107,12 +120,12 @@
         with socket.create_connection(transport.parse_address(receiver.address)) as sock:
             sock.sendall(b"\0\0\0\x08garbage!")
             self.run_until(lambda: len(received) == 1)
-        sender.send(receiver.address, messages.Settled("x"))
+        sender.send(receiver.address, shard_messages.Settled("x"))
         self.run_until(lambda: len(received) == 2)
 
     def test_refused_connection_counts_as_reconnect(self):
         sender = self.make_transport("sender", [])
-        sender.send("127.0.0.1:1", messages.Settled("x"))
+        sender.send("127.0.0.1:1", shard_messages.Settled("x"))
         self.run_until(lambda: sender.traffic.reconnects == 1)
 
 
