--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -4,13 +4,14 @@
 
 import enum
 import functools
+import operator
 import zlib
-from collections.abc import Callable, Generator, Iterable
+from collections.abc import Callable, Generator, Iterable, Sequence
 from typing import Any
 
 import attrs
 
-from flamingoramp import errors, steps
+from flamingoramp import errors, sequences, steps
 
 # Number of routes that one step of a check covers.
 ROUTES_PER_STEP = 100
@@ -247,20 +248,17 @@
         self, previous: TrafficDeclaration | None = None
     ) -> Generator[None, None, None]:
         """Do what `check` does, in short steps."""
+        unchecked: Sequence[Route] = self.routes
         if previous is not None:
-            self._update_indexes(previous)
+            changes = _compare_items(previous.routes, self.routes)
+            self._update_indexes(previous, changes)
+            if previous._service_by_name.keys() <= self._service_by_name.keys():
+                unchecked = changes.added
         if len(self._service_by_name) != len(self.services):
             raise errors.InvalidDeclarationError("services: a name stands twice")
         if len(self._route_by_prefix) != len(self.routes):
             raise errors.InvalidDeclarationError("routes: a host and prefix stand twice")
         yield
-        unchecked: Iterable[Route] = self.routes
-        if (
-            previous is not None
-            and previous._service_by_name.keys() <= self._service_by_name.keys()
-        ):
-            checked_ids = set(map(id, previous.routes))
-            unchecked = [route for route in self.routes if id(route) not in checked_ids]
         for number, route in enumerate(unchecked, start=1):
             self._check_route(route)
             if number % ROUTES_PER_STEP == 0:
@@ -268,24 +266,19 @@
         if len(self._workspace_by_key) != sum(len(item.keys) for item in self.workspaces):
             self._check_keys()
 
-    def _update_indexes(self, previous: TrafficDeclaration) -> None:
+    def _update_indexes(self, previous: TrafficDeclaration, routes: _ItemChanges) -> None:
         """Build the indexes from those of a declaration that shares most items."""
         self.__dict__["_route_by_prefix"] = _update_index(
-            previous._route_by_prefix,
-            previous.routes,
-            self.routes,
-            lambda route: ((route.host, route.prefix),),
+            previous._route_by_prefix, routes, lambda route: ((route.host, route.prefix),)
         )
         self.__dict__["_service_by_name"] = _update_index(
             previous._service_by_name,
-            previous.services,
-            self.services,
+            _compare_items(previous.services, self.services),
             lambda service: (service.name,),
         )
         workspace_by_key = _update_index(
             previous._workspace_by_key,
-            previous.workspaces,
-            self.workspaces,
+            _compare_items(previous.workspaces, self.workspaces),
             lambda workspace: workspace.keys,
         )
         # If a key stands twice, the order of the workspaces decides, which was not kept.
@@ -321,26 +314,37 @@
             raise errors.InvalidDeclarationError(f"route {route.name}: no attempt is allowed")
 
 
+@attrs.frozen
+class _ItemChanges:
+    """Items that only the previous declaration has, and those that only the new one has."""
+
+    removed: Sequence[Any]
+    added: Sequence[Any]
+
+
+def _compare_items(previous_items: tuple[Any, ...], items: tuple[Any, ...]) -> _ItemChanges:
+    start, end = sequences.count_equal_ends(previous_items, items, operator.is_)
+    removed = previous_items[start : len(previous_items) - end]
+    added = items[start : len(items) - end]
+    removed_ids, added_ids = set(map(id, removed)), set(map(id, added))
+    return _ItemChanges(
+        [item for item in removed if id(item) not in added_ids],
+        [item for item in added if id(item) not in removed_ids],
+    )
+
+
 def _update_index(
-    index: dict[Any, Any],
-    previous_items: tuple[Any, ...],
-    items: tuple[Any, ...],
-    keys_of: Callable[[Any], Iterable[Any]],
+    index: dict[Any, Any], changes: _ItemChanges, keys_of: Callable[[Any], Iterable[Any]]
 ) -> dict[Any, Any]:
-    """Return an index of items, made from that of items which are mostly the same objects.
+    """Return an index with changed items.
 
     It is complete if it has as many keys as all items together; else a key stands twice.
     """
-    previous_ids, ids = set(map(id, previous_items)), set(map(id, items))
     updated = index.copy()
-    if previous_ids == ids:
-        return updated
-    for item in previous_items:
-        if id(item) not in ids:
-            for key in keys_of(item):
-                updated.pop(key, None)
-    for item in items:
-        if id(item) not in previous_ids:
-            for key in keys_of(item):
-                updated[key] = item
+    for item in changes.removed:
+        for key in keys_of(item):
+            updated.pop(key, None)
+    for item in changes.added:
+        for key in keys_of(item):
+            updated[key] = item
     return updated
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import math
+import operator
 from collections.abc import Callable, Generator
 from typing import Any
 
-from flamingoramp import errors, json_documents, steps
+import attrs
+
+from flamingoramp import errors, json_documents, sequences, steps
 from flamingoramp.intent import traffic
 
 # Number of routes, services or workspaces that one step of decoding covers.
@@ -106,6 +109,15 @@
     return declaration
 
 
+@attrs.frozen
+class _DecodedList:
+    """An array of a document, the texts of its elements, and the items that they decode to."""
+
+    text: bytes = b""
+    texts: list[bytes] = attrs.field(factory=list)
+    items: tuple[Any, ...] = ()
+
+
 class Decoder:
     """Decodes one document after the other; items whose text is unchanged are taken over.
 
@@ -116,6 +128,7 @@
         self._document = b""
         self._declaration: traffic.TrafficDeclaration | None = None
         self._members: dict[str, bytes] = {}
+        self._lists = dict.fromkeys(_ITEM_DECODERS, _DecodedList())
         self._items_by_text: dict[str, dict[bytes, Any]] = {name: {} for name in _ITEM_DECODERS}
 
     def decode(self, document: bytes) -> traffic.TrafficDeclaration:
@@ -169,22 +182,29 @@
 
     def _decode_items(self, name: str, text: bytes) -> Generator[None, None, tuple[Any, ...]]:
         """Decode the elements of an array, except those that were decoded before."""
+        previous = self._lists[name]
+        if text == previous.text:
+            return previous.items
         texts = json_documents.split_array(text)
         yield
+        start, end = sequences.count_equal_ends(previous.texts, texts, operator.eq)
         items_by_text = self._items_by_text[name]
-        items = list(map(items_by_text.get, texts))
+        items = list(map(items_by_text.get, texts[start : len(texts) - end]))
         missing = [position for position, item in enumerate(items) if item is None]
         for number, position in enumerate(missing, start=1):
-            data = json_documents.parse(texts[position])
+            item_text = texts[start + position]
+            data = json_documents.parse(item_text)
             if not isinstance(data, dict):
                 raise errors.InvalidDeclarationError(f"configuration: {name} takes objects")
-            item = _ITEM_DECODERS[name](data)
-            items[position] = items_by_text[texts[position]] = item
+            items[position] = items_by_text[item_text] = _ITEM_DECODERS[name](data)
             if number % ITEMS_PER_STEP == 0:
                 yield
-        if len(items_by_text) > 2 * len(items) + MAX_EARLIER_ITEMS:
-            self._items_by_text[name] = dict(zip(texts, items, strict=True))
-        return tuple(items)
+        first, last = previous.items[:start], previous.items[len(previous.items) - end :]
+        decoded = _DecodedList(text, texts, (*first, *items, *last))
+        self._lists[name] = decoded
+        if len(items_by_text) > 2 * len(texts) + MAX_EARLIER_ITEMS:
+            self._items_by_text[name] = dict(zip(texts, decoded.items, strict=True))
+        return decoded.items
 
 
 def _seconds_field(data: dict[str, Any], name: str, where: str, default: Any = ...) -> float:
