Entries get differences between versions and put in force the newest one

Each version of 0.5 MB was sent whole to each entry, and each was decoded, even if a newer one had arrived.

--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -231,7 +231,11 @@
             self._directory.record_report(entry, now)
             self._registry.renew_entry(entry, now)
         has_news = message.crashes or self._registry.change_number != change_number
-        if has_news or self._publisher.lacks_records(connection):
+        if (
+            has_news
+            or self._publisher.lacks_records(connection)
+            or self._publisher.lacks_version(connection)
+        ):
             self._publish_is_due = True
 
     def _mark_unreported(self) -> None:
@@ -297,6 +301,26 @@
         )
         for connection, update in updates:
             connection.send(update)
+        self._record_sent_versions([update for _, update in updates])
+
+    def _record_sent_versions(self, updates: list[messages.ClusterUpdate]) -> None:
+        """Record how a version was sent: as whole documents or as differences."""
+        documents = [update.document for update in updates if update.document]
+        deltas = [delta for update in updates for delta in update.deltas]
+        if not documents and not deltas:
+            return
+        delta_bytes = sum(len(delta.added) for delta in deltas)
+        self._metrics.count("declaration_documents_sent", len(documents))
+        self._metrics.count("declaration_deltas_sent", len(deltas))
+        self._metrics.count("declaration_delta_bytes", delta_bytes)
+        self._log.write(
+            "declaration.sent",
+            version=self._state.version,
+            documents=len(documents),
+            document_bytes=sum(map(len, documents)),
+            deltas=len(deltas),
+            delta_bytes=delta_bytes,
+        )
 
     def _record_version(self) -> None:
         self._log.write("declaration.committed", version=self._state.version)
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -13,11 +13,11 @@
 
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
-from flamingoramp.daemons import node_process
+from flamingoramp.daemons import declaration_updates, node_process
 from flamingoramp.dispatch import request_handler
 from flamingoramp.http import client, messages
 from flamingoramp.http import server as http_server
-from flamingoramp.intent import traffic, versioned_declaration
+from flamingoramp.intent import traffic
 from flamingoramp.membership import (
     control_contacts,
     entry_directory,
@@ -96,6 +96,15 @@
         self._server_loads = load_table.LoadTable(settings.availability_zone)
         self._pool = client.Pool(self.loop)
         self._request_handler = self._make_request_handler()
+        self._declaration_updates = declaration_updates.DeclarationUpdates(
+            self.loop,
+            dialect,
+            log=self._log,
+            metrics=self._metrics,
+            find_declaration=lambda: self.declaration,
+            apply=self._apply_declaration,
+            on_base_missing=self._subscribe,
+        )
         self._subscribe_count = 0
         self._is_crash_report_scheduled = False
         self._sent_record: protocol_messages.EntryRecord | None = None
@@ -232,7 +241,8 @@
                 entries = (attrs.evolve(record, sequence=record.sequence + self._subscribe_count),)
             message = protocol_messages.Subscribe(
                 name=self._process.name,
-                version=self.declaration.version if self.declaration else 0,
+                version=self._declaration_updates.held_version,
+                base_version=self._declaration_updates.base_version(host),
                 entries=entries,
                 crashes=crashes,
                 standby=host != primary,
@@ -299,8 +309,9 @@
             self._control_hosts = update.controls
             self._log.write("control.hosts", hosts=update.controls)
         delay_is_over = now - self._started_at > UNCONFIRMED_DECLARATION_DELAY_SECONDS
-        if update.document and (update.confirmed or self.declaration or delay_is_over):
-            self._apply_declaration(update.version, update.document, sender)
+        has_version = update.document or update.deltas
+        if has_version and (update.confirmed or self.declaration or delay_is_over):
+            self._declaration_updates.receive(update, sender)
         if update.servers:
             self._request_handler.handle_announcements()
 
@@ -326,23 +337,9 @@
             if current.leaving or current.gone:
                 self._pool.close_idle_connections(current.address)
 
-    def _apply_declaration(self, version: int, document: bytes, source: str) -> None:
-        """Put a declaration in force if it is newer than the one in force."""
-        if self.declaration is not None and version <= self.declaration.version:
-            return
-        try:
-            declaration = self._dialect.decode_declaration(
-                versioned_declaration.decompress(document)
-            )
-        except (errors.InvalidDeclarationError, errors.ProtocolError) as error:
-            # Control hosts reject invalid declarations, so this would be a fault of this program.
-            self._log.write("declaration.unreadable", version=version, text=str(error))
-            self._metrics.count("unreadable_declarations")
-            return
+    def _apply_declaration(self, declaration: traffic.TrafficDeclaration) -> None:
         was_ready = self.is_ready
         self._request_handler.apply_declaration(declaration)
-        self._metrics.set_gauge("declaration_version", version)
-        self._log.write("declaration.in_force", version=version, source=source)
         if not was_ready:
             self._subscribe()
 
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -2,7 +2,8 @@
 
 An entry receives the records of servers and entries, and new versions at once, from one control
 host. It subscribes to the others as standby: they send it heartbeats, and a new version only if the
-entry still reports an older one after a delay.
+entry still reports an older one after a delay. A version goes to an entry as the difference from
+the one that it has, or as the whole document if that one is unknown.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 import attrs
 
+from flamingoramp.intent import document_deltas
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
 
@@ -36,6 +38,7 @@
     entry: str = ""
     sent_number: int = 0
     version: int = 0
+    takes_deltas: bool = False
     controls: tuple[str, ...] = ()
     confirmed: bool = False
     sent_crash_number: int = 0
@@ -130,6 +133,7 @@
         self._zone = zone
         self._subscribers: dict[Any, _Subscriber] = {}
         self._crashes = _CrashRecords()
+        self._history = document_deltas.DocumentHistory()
         self._version = 0
         self._version_changed_at = float("-inf")
 
@@ -155,6 +159,9 @@
         if subscriber.standby and not message.standby:
             subscriber.sent_number = subscriber.sent_crash_number = 0
         subscriber.standby = message.standby
+        subscriber.takes_deltas = message.base_version > 0
+        if message.version and not subscriber.takes_deltas:
+            subscriber.version = message.version  # it could not use what was sent to it since
         subscriber.version = max(subscriber.version, message.version)
         for record in message.entries:
             subscriber.entry = record.entry
@@ -167,6 +174,15 @@
         subscriber = self._subscribers.get(connection)
         return subscriber is not None and not subscriber.sent_number and not subscriber.standby
 
+    def lacks_version(self, connection: Any) -> bool:
+        """Return whether a subscriber asked for a whole document that is newer than its own."""
+        subscriber = self._subscribers.get(connection)
+        return (
+            subscriber is not None
+            and not subscriber.takes_deltas
+            and 0 < subscriber.version < self._version
+        )
+
     def add_crashes(self, records: tuple[messages.CrashRecord, ...], now: float) -> None:
         """Store crash records that are not stored yet."""
         for record in records:
@@ -199,6 +215,7 @@
         self._crashes.remove_expired(now)
         if version != self._version:
             self._version, self._version_changed_at = version, now
+            self._history.add(version, document)
         updates = []
         for connection, subscriber in list(self._subscribers.items()):
             is_gone = (
@@ -243,6 +260,9 @@
         if not subscriber.standby:
             subscriber.sent_number = self._registry.update_number
             subscriber.sent_crash_number = self._crashes.last_number
+        delta = None
+        if has_new_version and subscriber.takes_deltas:
+            delta = self._history.find_delta(subscriber.version)
         subscriber.version = max(subscriber.version, version)
         subscriber.controls, subscriber.confirmed = controls, confirmed
         subscriber.sent_at = now
@@ -250,11 +270,12 @@
         subscriber.sent_zone = True
         return messages.ClusterUpdate(
             version=version,
-            document=document if has_new_version else b"",
+            document=document if has_new_version and delta is None else b"",
             confirmed=confirmed,
             controls=controls if controls_changed else (),
             servers=servers,
             entries=entries,
             crashes=crashes,
             zone=zone,
+            deltas=() if delta is None else (delta,),
         )
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -487,11 +487,34 @@
     is_clearance: bool = False
 
 
+@attrs.frozen
+class DocumentPiece:
+    """A number of added bytes, and after them a range of bytes that the earlier document has."""
+
+    added_length: int = 0
+    offset: int = 0
+    copied_length: int = 0
+
+
+@attrs.frozen
+class DocumentDelta:
+    """Difference of a document from an earlier version that the receiver has.
+
+    ``added`` has the added bytes of all pieces, compressed, ``digest`` is that of the result.
+    """
+
+    base_version: int = 0
+    pieces: tuple[DocumentPiece, ...] = ()
+    added: bytes = b""
+    digest: bytes = b""
+
+
 @attrs.frozen
 class Subscribe:
     """Subscription to the updates of a control host, with the subscriber's own reports.
 
-    ``version`` is that of the declaration that the subscriber has. A control host as subscriber
+    ``version`` is that of the declaration that the subscriber has. It takes differences from
+    ``base_version``, and only whole documents if that is 0. A control host as subscriber
     sets ``is_control``, and its address in ``control``. A subscriber that receives the records of
     servers and entries from another control host sets ``standby``.
     """
@@ -503,6 +526,7 @@
     crashes: tuple[CrashRecord, ...] = ()
     control: str = ""
     standby: bool = False
+    base_version: int = 0
 
 
 @attrs.frozen
@@ -512,7 +536,7 @@
     ``confirmed`` is set if the sender is in contact with the leader, so that its version of the
     declaration is not outdated. ``document`` (the declaration, compressed), ``controls`` (the
     addresses of the control hosts) and ``zone`` (the sender's availability zone) are empty if they
-    haven't changed.
+    haven't changed. ``deltas`` has one item if a new version is sent as a difference.
     """
 
     version: int = 0
@@ -523,6 +547,7 @@
     entries: tuple[EntryRecord, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     zone: str = ""
+    deltas: tuple[DocumentDelta, ...] = ()
 
 
 @attrs.frozen
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -40,8 +40,10 @@
 struct EntryRecord { entry @0 :Text; incarnation @1 :Text; callers @2 :Text; inner @3 :Text; zone @4 :Text; ready @5 :Bool; leaving @6 :Bool; sequence @7 :UInt64; age @8 :Float64; born @9 :Float64; gone @10 :Bool; cutOff @11 :Bool; }
 struct ServerRecord { server @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; software @4 :Text; slots @5 :UInt32; leaving @6 :Bool; coldSeconds @7 :Float64; sequence @8 :UInt64; born @9 :UInt64; age @10 :Float64; gone @11 :Bool; silent @12 :Bool; }
 struct CrashRecord { fingerprint @0 :Text; server @1 :Text; born @2 :UInt64; age @3 :Float64; seconds @4 :Float64; isClearance @5 :Bool; }
-struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; standby @6 :Bool; }
-struct ClusterUpdate { version @0 :UInt64; document @1 :Data; confirmed @2 :Bool; controls @3 :List(Text); servers @4 :List(ServerRecord); entries @5 :List(EntryRecord); crashes @6 :List(CrashRecord); zone @7 :Text; }
+struct DocumentPiece { addedLength @0 :UInt64; offset @1 :UInt64; copiedLength @2 :UInt64; }
+struct DocumentDelta { baseVersion @0 :UInt64; pieces @1 :List(DocumentPiece); added @2 :Data; digest @3 :Data; }
+struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; standby @6 :Bool; baseVersion @7 :UInt64; }
+struct ClusterUpdate { version @0 :UInt64; document @1 :Data; confirmed @2 :Bool; controls @3 :List(Text); servers @4 :List(ServerRecord); entries @5 :List(EntryRecord); crashes @6 :List(CrashRecord); zone @7 :Text; deltas @8 :List(DocumentDelta); }
 struct DeclareRequest { requestId @0 :Text; version @1 :UInt64; document @2 :Data; }
 struct DeclareReply { requestId @0 :Text; accepted @1 :Bool; version @2 :UInt64; code @3 :Text; text @4 :Text; }
 struct ReadRequest { requestId @0 :Text; knownVersion @1 :UInt64; }
--- a/flamingoramp/protocol/tests/test_codec.py
+++ b/flamingoramp/protocol/tests/test_codec.py
@@ -48,7 +48,13 @@
 
     def test_each_framed_message_decodes_to_itself(self):
         unframed_names = {"LogEntry", "Suspect", "ShardOwner", "EntryAddress", "HeldReservation"}
-        unframed_names |= {"EntryRecord", "ServerRecord", "CrashRecord"}
+        unframed_names |= {
+            "EntryRecord",
+            "ServerRecord",
+            "CrashRecord",
+            "DocumentPiece",
+            "DocumentDelta",
+        }
         for message_class in MESSAGE_CLASSES:
             if message_class.__name__ in unframed_names:
                 continue
