--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -538,7 +538,7 @@
             # The leader omits a document that this host has; meanwhile it may have a newer one.
             has_reply_document = reply is not None and reply.document
             document = (
-                versioned_declaration.decompress(versioned_declaration.compress(reply.document))
+                versioned_declaration.expand(reply.document)
                 if has_reply_document
                 else self._state.document
             )
--- a/flamingoramp/daemons/declaration_updates.py
+++ b/flamingoramp/daemons/declaration_updates.py
@@ -15,7 +15,7 @@
 # Decoding yields to other work after this time, 10 ms at a tenth of a core.
 SLICE_SECONDS = 0.001
 # Decoding that lasts longer goes on without yielding, so that a version is in force within 1 s.
-MAX_SLICED_SECONDS = 0.3
+MAX_SLICED_SECONDS = 0.45
 
 
 class DeclarationUpdates:
@@ -54,7 +54,8 @@
         self._apply = apply
         self._on_base_missing = on_base_missing
         self._intake = version_intake.VersionIntake()
-        self._hosts_without_base: set[str] = set()
+        # Newest version of which each control host sent a difference from an unknown base.
+        self._missing_version_by_host: dict[str, int] = {}
         self._is_start_scheduled = False
 
     @property
@@ -64,14 +65,14 @@
 
     def base_version(self, host: str) -> int:
         """Return the version from which a control host may send differences; 0 for none."""
-        return 0 if host in self._hosts_without_base else self.held_version
+        is_missing = self._missing_version_by_host.get(host, 0) > self.held_version
+        return 0 if is_missing else self.held_version
 
     def receive(self, update: messages.ClusterUpdate, source: str) -> None:
         """Receive the version in an update, if there is one."""
         host = source.partition("#")[0]
         now = self._loop.now()
         if update.document:
-            self._hosts_without_base.discard(host)
             self._intake.receive_document(update.version, update.document, source, now)
         for delta in update.deltas:
             try:
@@ -81,9 +82,10 @@
         self._schedule_start()
 
     def _request_document(self, host: str, version: int, reason: str) -> None:
-        if host in self._hosts_without_base:
-            return  # asked for already; each renewed subscription repeats it
-        self._hosts_without_base.add(host)
+        is_requested = not self.base_version(host)
+        self._missing_version_by_host[host] = version
+        if is_requested:
+            return  # each renewed subscription repeats it
         self._log.write("declaration.base_missing", version=version, source=host, text=reason)
         self._metrics.count("declaration_bases_missing")
         self._on_base_missing()
@@ -102,7 +104,7 @@
     def _start(self) -> None:
         """Begin to decode the newest version, all at once if none is in force."""
         self._is_start_scheduled = False
-        received, skipped_count = self._intake.take()
+        received, skipped_count = self._intake.take(self._loop.now())
         if skipped_count:
             self._metrics.count("declarations_skipped", skipped_count)
         decoding = _Decoding(received, skipped_count, started_at=self._loop.now())
@@ -120,33 +122,38 @@
             self._find_declaration() is not None
             and started_at - decoding.started_at < MAX_SLICED_SECONDS
         )
+        declaration = None
         try:
-            while True:
+            next(decoding.steps)
+            while not is_sliced or self._loop.now() - started_at < SLICE_SECONDS:
                 next(decoding.steps)
-                if is_sliced and self._loop.now() - started_at >= SLICE_SECONDS:
-                    break
         except StopIteration as end:
-            decoding.seconds += self._loop.now() - started_at
-            self._finish(decoding, end.value)
+            declaration = end.value
         except errors.InvalidDeclarationError as error:
             # Control hosts reject invalid declarations, so this would be a fault of this program.
             self._discard(decoding, error)
+            return
         except Exception as error:
             self._discard(decoding, error)
             raise
-        else:
-            decoding.seconds += self._loop.now() - started_at
-            decoding.slice_count += 1
-            self._loop.call_later(0.0, lambda: self._decode_slice(decoding))
+        decoding.seconds += self._loop.now() - started_at
+        if declaration is not None:
+            self._finish(decoding, declaration)
+            return
+        decoding.slice_count += 1
+        self._loop.call_later(0.0, lambda: self._decode_slice(decoding))
 
     def _finish(self, decoding: _Decoding, declaration: traffic.TrafficDeclaration) -> None:
         received = decoding.received
         reused_count = declaration.count_shared_items(self._find_declaration())
         started_at = self._loop.now()
-        self._apply(declaration)
-        now = self._loop.now()
-        decoding.seconds += now - started_at
-        self._intake.finish(received, seconds=decoding.seconds, now=now)
+        try:
+            self._apply(declaration)
+        finally:
+            now = self._loop.now()
+            decoding.seconds += now - started_at
+            self._intake.finish(received, seconds=decoding.seconds, now=now)
+            self._schedule_start()
         self._metrics.set_gauge("declaration_version", received.version)
         self._metrics.observe("declaration_work_seconds", decoding.seconds)
         self._metrics.observe("declaration_delay_seconds", now - received.received_at)
@@ -162,7 +169,6 @@
             reused=reused_count,
             skipped=decoding.skipped_count,
         )
-        self._schedule_start()
 
     def _discard(self, decoding: _Decoding, error: Exception) -> None:
         version = decoding.received.version
--- a/flamingoramp/intent/document_deltas.py
+++ b/flamingoramp/intent/document_deltas.py
@@ -85,7 +85,9 @@
         if found >= 0:
             length = _count_equal_bytes(base, found, document, start)
             if length >= _MIN_RANGE_BYTES or start + length == len(document):
-                return _EqualRange(start, found, length)
+                skipped_part, base_part = document[position:start], base[:found][position - start :]
+                before = _count_equal_bytes(base_part[::-1], 0, skipped_part[::-1], 0)
+                return _EqualRange(start - before, found - before, length + before)
         skipped = 2 * skipped or _FIRST_SKIPPED_BYTES
 
 
@@ -95,8 +97,11 @@
     Raises
     ------
     flamingoramp.errors.ProtocolError
-        The result isn't the document of the sender, so the sender had another base.
+        The result isn't the document of the sender, which had another base, or is too large.
     """
+    length = sum(piece.added_length + piece.copied_length for piece in delta.pieces)
+    if length > versioned_declaration.MAX_DOCUMENT_BYTES:
+        raise errors.ProtocolError(f"the difference leads to a document of {length} bytes")
     added_bytes = versioned_declaration.decompress(delta.added)
     parts = []
     start = 0
--- a/flamingoramp/intent/version_intake.py
+++ b/flamingoramp/intent/version_intake.py
@@ -10,8 +10,9 @@
 
 # Share of the time of an entry that putting versions in force takes.
 TIME_RATIO = 0.1
-# Pause between two versions; bounds the delay of a version after one that took long.
-MAX_PAUSE_SECONDS = 0.4
+# Time from the start of one version to that of the next, if the work of the first takes no longer;
+# bounds the delay of versions.
+MAX_CYCLE_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -32,7 +33,7 @@
         flamingoramp.errors.ProtocolError
             The compressed document is corrupt.
         """
-        return versioned_declaration.decompress(versioned_declaration.compress(self.data))
+        return versioned_declaration.expand(self.data)
 
 
 class VersionIntake:
@@ -48,6 +49,7 @@
         self._is_pending = False
         self._is_busy = False
         self._skipped_count = 0
+        self._started_at = 0.0
         self._next_start_at = float("-inf")
 
     @property
@@ -89,7 +91,7 @@
         self._held = received
         self._is_pending = True
 
-    def take(self) -> tuple[ReceivedVersion, int]:
+    def take(self, now: float) -> tuple[ReceivedVersion, int]:
         """Begin to put the newest version in force.
 
         Returns
@@ -106,15 +108,16 @@
         if self._held is None or self.due_at is None:
             raise errors.InvariantViolationError("no version can be put in force now")
         self._is_pending, self._is_busy = False, True
+        self._started_at = now
         skipped_count, self._skipped_count = self._skipped_count, 0
         return self._held, skipped_count
 
     def finish(self, received: ReceivedVersion, *, seconds: float, now: float) -> None:
-        """Record that a version was put in force, which took ``seconds``."""
+        """Record that a version was put in force, with ``seconds`` of work."""
         self._is_busy = False
         self._previous = received
-        pause_seconds = min(MAX_PAUSE_SECONDS, seconds * (1 / TIME_RATIO - 1))
-        self._next_start_at = now + pause_seconds
+        pause_seconds = seconds * (1 / TIME_RATIO - 1)
+        self._next_start_at = min(now + pause_seconds, self._started_at + MAX_CYCLE_SECONDS)
 
     def discard(self, received: ReceivedVersion) -> None:
         """Discard a version that can't be put in force."""
--- a/flamingoramp/intent/versioned_declaration.py
+++ b/flamingoramp/intent/versioned_declaration.py
@@ -44,6 +44,17 @@
     return document if document[:1] == _ZLIB_FIRST_BYTE else zlib.compress(document)
 
 
+def expand(data: bytes) -> bytes:
+    """Return a document that may be zlib data.
+
+    Raises
+    ------
+    flamingoramp.errors.ProtocolError
+        If the data is invalid or truncated, or the document exceeds ``MAX_DOCUMENT_BYTES``.
+    """
+    return decompress(data) if data[:1] == _ZLIB_FIRST_BYTE else data
+
+
 @functools.lru_cache(maxsize=2)
 def decompress(data: bytes) -> bytes:
     """Return the document of zlib data.
--- a/flamingoramp/json_documents.py
+++ b/flamingoramp/json_documents.py
@@ -29,6 +29,10 @@
     RecursionError
         The document is nested too deeply.
     """
+    try:
+        return msgspec.json.decode(document)
+    except (msgspec.MsgspecError, UnicodeEncodeError, RecursionError):
+        pass  # invalid, or one of the extensions that `json` accepts
     value = json.loads(document)
     escape = b"\\u" if isinstance(document, bytes) else "\\u"
     if escape in document:
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -18,6 +18,8 @@
 MAX_EARLIER_ITEMS = 1000
 
 _MILLISECONDS_PER_SECOND = 1000.0
+_NUMBER = (int, float)
+_MAX_USUAL_NUMBER = 1e300
 
 
 def _field(
@@ -25,9 +27,13 @@
 ) -> Any:
     """Return a field of a JSON object after a type check; ``where`` names the object in errors."""
     value = data.get(name, default)
+    value_type = type(value)
+    is_usual = value_type is kind or (kind is _NUMBER and value_type in _NUMBER)
+    if is_usual and (value_type not in _NUMBER or -_MAX_USUAL_NUMBER < value < _MAX_USUAL_NUMBER):
+        return value  # without the checks below, which take longer
     if value is ...:
         raise errors.InvalidDeclarationError(f"{where}: {name} is missing")
-    is_number = kind in (int, (int, float))
+    is_number = kind in (int, _NUMBER)
     if value is not default and (not isinstance(value, kind) or (is_number and value is True)):
         raise errors.InvalidDeclarationError(f"{where}: {name} has the wrong type")
     if is_number and value is not default and not _is_finite(value):
@@ -208,7 +214,7 @@
 
 
 def _seconds_field(data: dict[str, Any], name: str, where: str, default: Any = ...) -> float:
-    return _field(data, name, (int, float), where, default) / _MILLISECONDS_PER_SECOND
+    return _field(data, name, _NUMBER, where, default) / _MILLISECONDS_PER_SECOND
 
 
 def _decode_route(data: dict[str, Any]) -> traffic.Route:
@@ -259,7 +265,7 @@
 
 def _decode_engine(data: dict[str, Any], where: str) -> traffic.EngineCostModel:
     def _number_field(name: str, default: float) -> float:
-        return _field(data, name, (int, float), where, default)
+        return _field(data, name, _NUMBER, where, default)
 
     return traffic.EngineCostModel(
         slots=_field(data, "slots", int, where),
