--- a/flamingoramp/daemons/declaration_updates.py
+++ b/flamingoramp/daemons/declaration_updates.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
+import attrs
+
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
 from flamingoramp.intent import traffic, version_intake
@@ -12,8 +14,8 @@
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import metrics as metrics_module
 
-# Decoding yields to other work after this time, 10 ms at a tenth of a core.
-SLICE_SECONDS = 0.001
+# Decoding yields to other work after this time, at the end of a step.
+SLICE_SECONDS = 0.0005
 # Decoding that lasts longer goes on without yielding, so that a version is in force within 1 s.
 MAX_SLICED_SECONDS = 0.45
 
@@ -107,13 +109,15 @@
         received, skipped_count = self._intake.take(self._loop.now())
         if skipped_count:
             self._metrics.count("declarations_skipped", skipped_count)
-        decoding = _Decoding(received, skipped_count, started_at=self._loop.now())
-        try:
-            decoding.steps = self._dialect.decode_declaration_in_steps(received.document)
-        except errors.ProtocolError as error:
-            self._discard(decoding, error)
-            return
-        self._decode_slice(decoding)
+        steps = self._decode_in_steps(received)
+        self._decode_slice(_Decoding(received, skipped_count, steps, self._loop.now()))
+
+    def _decode_in_steps(
+        self, received: version_intake.ReceivedVersion
+    ) -> Generator[None, None, traffic.TrafficDeclaration]:
+        document = received.document
+        yield
+        return (yield from self._dialect.decode_declaration_in_steps(document))
 
     def _decode_slice(self, decoding: _Decoding) -> None:
         """Decode until the time of a slice is over, or to the end."""
@@ -129,7 +133,7 @@
                 next(decoding.steps)
         except StopIteration as end:
             declaration = end.value
-        except errors.InvalidDeclarationError as error:
+        except (errors.InvalidDeclarationError, errors.ProtocolError) as error:
             # Control hosts reject invalid declarations, so this would be a fault of this program.
             self._discard(decoding, error)
             return
@@ -178,15 +182,13 @@
         self._schedule_start()
 
 
+@attrs.define
 class _Decoding:
     """A version that is being decoded, and the time spent on it."""
 
-    def __init__(
-        self, received: version_intake.ReceivedVersion, skipped_count: int, *, started_at: float
-    ):
-        self.received = received
-        self.skipped_count = skipped_count
-        self.started_at = started_at
-        self.steps: Generator[None, None, traffic.TrafficDeclaration] = iter(())
-        self.seconds = 0.0
-        self.slice_count = 1
+    received: version_intake.ReceivedVersion
+    skipped_count: int
+    steps: Generator[None, None, traffic.TrafficDeclaration]
+    started_at: float
+    seconds: float = 0.0
+    slice_count: int = 1
--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -13,8 +13,8 @@
 
 from flamingoramp import errors, sequences, steps
 
-# Number of routes that one step of a check covers.
-ROUTES_PER_STEP = 100
+# Number of items that one step of a check covers.
+ITEMS_PER_STEP = 200
 
 
 class Idempotency(enum.Enum):
@@ -251,7 +251,7 @@
         unchecked: Sequence[Route] = self.routes
         if previous is not None:
             changes = _compare_items(previous.routes, self.routes)
-            self._update_indexes(previous, changes)
+            yield from self._update_indexes(previous, changes)
             if previous._service_by_name.keys() <= self._service_by_name.keys():
                 unchecked = changes.added
         if len(self._service_by_name) != len(self.services):
@@ -261,22 +261,24 @@
         yield
         for number, route in enumerate(unchecked, start=1):
             self._check_route(route)
-            if number % ROUTES_PER_STEP == 0:
+            if number % ITEMS_PER_STEP == 0:
                 yield
         if len(self._workspace_by_key) != sum(len(item.keys) for item in self.workspaces):
             self._check_keys()
 
-    def _update_indexes(self, previous: TrafficDeclaration, routes: _ItemChanges) -> None:
+    def _update_indexes(
+        self, previous: TrafficDeclaration, routes: _ItemChanges
+    ) -> Generator[None, None, None]:
         """Build the indexes from those of a declaration that shares most items."""
-        self.__dict__["_route_by_prefix"] = _update_index(
+        self.__dict__["_route_by_prefix"] = yield from _update_index(
             previous._route_by_prefix, routes, lambda route: ((route.host, route.prefix),)
         )
-        self.__dict__["_service_by_name"] = _update_index(
+        self.__dict__["_service_by_name"] = yield from _update_index(
             previous._service_by_name,
             _compare_items(previous.services, self.services),
             lambda service: (service.name,),
         )
-        workspace_by_key = _update_index(
+        workspace_by_key = yield from _update_index(
             previous._workspace_by_key,
             _compare_items(previous.workspaces, self.workspaces),
             lambda workspace: workspace.keys,
@@ -335,16 +337,20 @@
 
 def _update_index(
     index: dict[Any, Any], changes: _ItemChanges, keys_of: Callable[[Any], Iterable[Any]]
-) -> dict[Any, Any]:
-    """Return an index with changed items.
+) -> Generator[None, None, dict[Any, Any]]:
+    """Return an index with changed items, built in short steps.
 
     It is complete if it has as many keys as all items together; else a key stands twice.
     """
     updated = index.copy()
-    for item in changes.removed:
+    for number, item in enumerate(changes.removed, start=1):
         for key in keys_of(item):
             updated.pop(key, None)
-    for item in changes.added:
+        if number % ITEMS_PER_STEP == 0:
+            yield
+    for number, item in enumerate(changes.added, start=1):
         for key in keys_of(item):
             updated[key] = item
+        if number % ITEMS_PER_STEP == 0:
+            yield
     return updated
