--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -21,6 +21,9 @@
 # Delay of a new version for standby subscribers, in which those that received it elsewhere report
 # it with their renewed subscriptions.
 STANDBY_DELAY_SECONDS = 0.8
+# A subscriber that still reports an older version this long after a version was sent to it did not
+# use it, and is sent one again.
+RESEND_DELAY_SECONDS = 1.0
 # Intervals of updates without changes, which show that this host is up. An entry that receives its
 # records from this host has to notice a failure sooner.
 HEARTBEAT_SECONDS = 1.0
@@ -38,6 +41,7 @@
     entry: str = ""
     sent_number: int = 0
     version: int = 0
+    version_sent_at: float = float("-inf")
     takes_deltas: bool = False
     controls: tuple[str, ...] = ()
     confirmed: bool = False
@@ -160,7 +164,8 @@
             subscriber.sent_number = subscriber.sent_crash_number = 0
         subscriber.standby = message.standby
         subscriber.takes_deltas = message.base_version > 0
-        if message.version and not subscriber.takes_deltas:
+        lacks_base = message.version and not subscriber.takes_deltas
+        if lacks_base or now - subscriber.version_sent_at > RESEND_DELAY_SECONDS:
             subscriber.version = message.version  # it could not use what was sent to it since
         subscriber.version = max(subscriber.version, message.version)
         for record in message.entries:
@@ -261,8 +266,10 @@
             subscriber.sent_number = self._registry.update_number
             subscriber.sent_crash_number = self._crashes.last_number
         delta = None
-        if has_new_version and subscriber.takes_deltas:
-            delta = self._history.find_delta(subscriber.version)
+        if has_new_version:
+            if subscriber.takes_deltas:
+                delta = self._history.find_delta(subscriber.version)
+            subscriber.version_sent_at = now
         subscriber.version = max(subscriber.version, version)
         subscriber.controls, subscriber.confirmed = controls, confirmed
         subscriber.sent_at = now
--- a/flamingoramp/membership/tests/test_subscriptions.py
+++ b/flamingoramp/membership/tests/test_subscriptions.py
@@ -196,3 +196,21 @@
         self.publisher = subscriptions.Publisher(self.registry)
         self.subscribe(0.0, is_control=True)
         self.assertEqual(self.update(5.0, version=3).document, b"")
+
+    def test_version_that_is_not_reported_within_a_delay_is_sent_again(self):
+        self.assertEqual(self.update(0.0, version=3).document, b"doc")
+        self.subscribe(0.9)
+        self.assertEqual(self.update(0.9, version=3).document, b"")
+        self.subscribe(1.1)
+        self.assertEqual(self.update(1.1, version=3).document, b"doc")
+        self.subscribe(2.2, version=3)
+        self.assertEqual(self.update(2.2, version=3).document, b"")
+
+    def test_whole_document_for_a_subscriber_without_base_is_due_at_once(self):
+        self.subscribe(0.0, version=2, base_version=2)
+        self.update(0.0, version=3)
+        self.assertFalse(self.publisher.lacks_version(self.connection))
+        self.subscribe(0.1, version=2)
+        self.assertTrue(self.publisher.lacks_version(self.connection))
+        self.assertEqual(self.update(0.1, version=3).document, b"doc")
+        self.assertFalse(self.publisher.lacks_version(self.connection))
