--- a/flamingoramp/daemons/declaration_updates.py
+++ b/flamingoramp/daemons/declaration_updates.py
@@ -149,7 +149,7 @@
 
     def _finish(self, decoding: _Decoding, declaration: traffic.TrafficDeclaration) -> None:
         received = decoding.received
-        reused_count = declaration.count_shared_items(self._find_declaration())
+        reused_count = declaration.count_reused_items(self._find_declaration())
         started_at = self._loop.now()
         try:
             self._apply(declaration)
--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -187,10 +187,6 @@
         """Number of routes, services and workspaces."""
         return len(self.routes) + len(self.services) + len(self.workspaces)
 
-    @property
-    def _items(self) -> tuple[Any, ...]:
-        return self.routes + self.services + self.workspaces
-
     @functools.cached_property
     def _route_by_prefix(self) -> dict[tuple[str, str], Route]:
         return {(route.host, route.prefix): route for route in self.routes}
@@ -222,12 +218,16 @@
         """Return a service, None if none of that name is declared."""
         return self._service_by_name.get(name)
 
-    def count_shared_items(self, other: TrafficDeclaration | None) -> int:
+    def count_reused_items(self, previous: TrafficDeclaration | None) -> int:
         """Return the number of routes, services and workspaces taken over from another one."""
-        if other is None:
+        if previous is None:
             return 0
-        other_ids = set(map(id, other._items))
-        return sum(id(item) in other_ids for item in self._items)
+        changes = (
+            _compare_items(previous.routes, self.routes),
+            _compare_items(previous.services, self.services),
+            _compare_items(previous.workspaces, self.workspaces),
+        )
+        return self.item_count - sum(len(change.added) for change in changes)
 
     def check(self, previous: TrafficDeclaration | None = None) -> None:
         """Check the declaration for duplicates, undeclared services and invalid values.
--- a/flamingoramp/platform/tests/test_declarations.py
+++ b/flamingoramp/platform/tests/test_declarations.py
@@ -163,6 +163,12 @@
                 document["routes"][1][field] = number
                 self.assert_refused(document, field)
 
+    def test_integers_that_no_float_holds_are_refused(self):
+        document = make_document()
+        document["routes"][1]["timeout_ms"] = 10**400
+        self.assert_refused(document, "timeout_ms takes a finite number")
+        self.assert_refused(make_document(version=10**400), "version takes a finite number")
+
     def test_key_of_two_workspaces_is_refused(self):
         document = make_document()
         document["tenants"].append({"name": "v", "api_keys": ["k1"]})
--- a/flamingoramp/platform/tests/test_incremental_decoding.py
+++ b/flamingoramp/platform/tests/test_incremental_decoding.py
@@ -232,7 +232,7 @@
         change_timeout(document, random.Random(1))
         document["version"] += 1
         second = decoder.decode(encode(document))
-        self.assertEqual(second.count_shared_items(first), second.item_count - 1)
+        self.assertEqual(second.count_reused_items(first), second.item_count - 1)
 
     def test_document_that_was_decoded_last_is_not_decoded_again(self):
         decoder = declarations.Decoder()
--- a/flamingoramp/platform/tests/test_platform_dialect.py
+++ b/flamingoramp/platform/tests/test_platform_dialect.py
@@ -4,8 +4,9 @@
 
 import json
 import unittest
+from unittest import mock
 
-from flamingoramp import dialect, errors
+from flamingoramp import dialect, errors, json_documents
 from flamingoramp.http import messages
 from flamingoramp.platform import platform_dialect
 from flamingoramp.platform.tests import test_backends, test_declarations
@@ -25,6 +26,18 @@
         self.assertEqual(self.decode(b"PUT", b"/v1/config", document), expected)
         self.assertEqual(self.decode(b"GET", b"/v1/config"), dialect.ReadDeclaration())
 
+    def test_declaration_of_a_put_is_split_and_decoded_once(self):
+        document = json.dumps(test_declarations.make_document()).encode()
+        implementation = platform_dialect.PlatformDialect()
+        request = messages.Request(b"PUT", b"/v1/config", (), document)
+        with mock.patch.object(
+            json_documents, "split_object", wraps=json_documents.split_object
+        ) as split_object:
+            call = implementation.decode_control_call(request)
+            declaration = implementation.decode_declaration(call.document)
+        split_object.assert_called_once()
+        self.assertEqual(declaration.version, 7)
+
     def test_put_and_delete_of_server_are_decoded(self):
         body = json.dumps(test_backends.ANNOUNCEMENT).encode()
         decoded = self.decode(b"PUT", b"/v1/instances/i-7f%2B3", body)
