--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -4,11 +4,17 @@
 
 import enum
 import functools
+import operator
 import zlib
+from collections.abc import Callable, Generator, Iterable, Sequence
+from typing import Any
 
 import attrs
 
-from flamingoramp import errors, value_classes
+from flamingoramp import errors, sequences, steps, value_classes
+
+# Number of items that one step of a check covers.
+ITEMS_PER_STEP = 200
 
 
 class Idempotency(enum.Enum):
@@ -176,6 +182,11 @@
     workspaces: tuple[Workspace, ...] = ()
     limits: CallerLimits = attrs.field(factory=CallerLimits)
 
+    @property
+    def item_count(self) -> int:
+        """Number of routes, services and workspaces."""
+        return len(self.routes) + len(self.services) + len(self.workspaces)
+
     @functools.cached_property
     def _route_by_prefix(self) -> dict[tuple[str, str], Route]:
         return {(route.host, route.prefix): route for route in self.routes}
@@ -207,20 +218,76 @@
         """Return a service, None if none of that name is declared."""
         return self._service_by_name.get(name)
 
-    def check(self) -> None:
+    def count_reused_items(self, previous: TrafficDeclaration | None) -> int:
+        """Return the number of routes, services and workspaces taken over from another one."""
+        if previous is None:
+            return 0
+        changes = (
+            _compare_items(previous.routes, self.routes),
+            _compare_items(previous.services, self.services),
+            _compare_items(previous.workspaces, self.workspaces),
+        )
+        return self.item_count - sum(len(change.added) for change in changes)
+
+    def check(self, previous: TrafficDeclaration | None = None) -> None:
         """Check the declaration for duplicates, undeclared services and invalid values.
 
+        Parameters
+        ----------
+        previous : TrafficDeclaration or None
+            A declaration that was checked. Items that are the same objects are not checked again.
+
         Raises
         ------
         flamingoramp.errors.InvalidDeclarationError
             Names the invalid route or service, or the workspaces that share a key.
         """
+        steps.run_all(self.check_in_steps(previous))
+
+    def check_in_steps(
+        self, previous: TrafficDeclaration | None = None
+    ) -> Generator[None, None, None]:
+        """Do what `check` does, in short steps."""
+        unchecked: Sequence[Route] = self.routes
+        if previous is not None:
+            changes = _compare_items(previous.routes, self.routes)
+            yield from self._update_indexes(previous, changes)
+            if previous._service_by_name.keys() <= self._service_by_name.keys():
+                unchecked = changes.added
         if len(self._service_by_name) != len(self.services):
             raise errors.InvalidDeclarationError("services: a name stands twice")
         if len(self._route_by_prefix) != len(self.routes):
             raise errors.InvalidDeclarationError("routes: a host and prefix stand twice")
-        for route in self.routes:
+        yield
+        for number, route in enumerate(unchecked, start=1):
             self._check_route(route)
+            if number % ITEMS_PER_STEP == 0:
+                yield
+        if len(self._workspace_by_key) != sum(len(item.keys) for item in self.workspaces):
+            self._check_keys()
+
+    def _update_indexes(
+        self, previous: TrafficDeclaration, routes: _ItemChanges
+    ) -> Generator[None, None, None]:
+        """Build the indexes from those of a declaration that shares most items."""
+        self.__dict__["_route_by_prefix"] = yield from _update_index(
+            previous._route_by_prefix, routes, lambda route: ((route.host, route.prefix),)
+        )
+        self.__dict__["_service_by_name"] = yield from _update_index(
+            previous._service_by_name,
+            _compare_items(previous.services, self.services),
+            lambda service: (service.name,),
+        )
+        workspace_by_key = yield from _update_index(
+            previous._workspace_by_key,
+            _compare_items(previous.workspaces, self.workspaces),
+            lambda workspace: workspace.keys,
+        )
+        # If a key stands twice, the order of the workspaces decides, which was not kept.
+        if len(workspace_by_key) == sum(len(item.keys) for item in self.workspaces):
+            self.__dict__["_workspace_by_key"] = workspace_by_key
+
+    def _check_keys(self) -> None:
         workspace_by_key: dict[str, str] = {}
         for workspace in self.workspaces:
             for key in workspace.keys:
@@ -247,3 +314,43 @@
             raise errors.InvalidDeclarationError(f"route {route.name}: the timeout is 0")
         if route.attempts < 1:
             raise errors.InvalidDeclarationError(f"route {route.name}: no attempt is allowed")
+
+
+@attrs.frozen
+class _ItemChanges:
+    """Items that only the previous declaration has, and those that only the new one has."""
+
+    removed: Sequence[Any]
+    added: Sequence[Any]
+
+
+def _compare_items(previous_items: tuple[Any, ...], items: tuple[Any, ...]) -> _ItemChanges:
+    start, end = sequences.count_equal_ends(previous_items, items, operator.is_)
+    removed = previous_items[start : len(previous_items) - end]
+    added = items[start : len(items) - end]
+    removed_ids, added_ids = set(map(id, removed)), set(map(id, added))
+    return _ItemChanges(
+        [item for item in removed if id(item) not in added_ids],
+        [item for item in added if id(item) not in removed_ids],
+    )
+
+
+def _update_index(
+    index: dict[Any, Any], changes: _ItemChanges, keys_of: Callable[[Any], Iterable[Any]]
+) -> Generator[None, None, dict[Any, Any]]:
+    """Return an index with changed items, built in short steps.
+
+    It is complete if it has as many keys as all items together; else a key stands twice.
+    """
+    updated = index.copy()
+    for number, item in enumerate(changes.removed, start=1):
+        for key in keys_of(item):
+            updated.pop(key, None)
+        if number % ITEMS_PER_STEP == 0:
+            yield
+    for number, item in enumerate(changes.added, start=1):
+        for key in keys_of(item):
+            updated[key] = item
+        if number % ITEMS_PER_STEP == 0:
+            yield
+    return updated
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -2,7 +2,8 @@
 
 An entry receives the records of servers and entries, and new versions at once, from one control
 host. It subscribes to the others as standby: they send it heartbeats, and a new version only if the
-entry still reports an older one after a delay.
+entry still reports an older one after a delay. A version goes to an entry as the difference from
+the one that it has, or as the whole document if that one is unknown.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import attrs
 
 from flamingoramp import value_classes
+from flamingoramp.intent import document_deltas
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
 
@@ -20,6 +22,9 @@
 # Delay of a new version for standby subscribers, in which those that received it elsewhere report
 # it with their renewed subscriptions.
 STANDBY_DELAY_SECONDS = 0.8
+# A subscriber that still reports an older version this long after a version was sent to it did not
+# use it, and is sent one again.
+RESEND_DELAY_SECONDS = 1.0
 # Intervals of updates without changes, which show that this host is up. An entry that receives its
 # records from this host has to notice a failure sooner.
 HEARTBEAT_SECONDS = 1.0
@@ -37,6 +42,8 @@
     entry: str = ""
     sent_number: int = 0
     version: int = 0
+    version_sent_at: float = float("-inf")
+    takes_deltas: bool = False
     controls: tuple[str, ...] = ()
     confirmed: bool = False
     sent_crash_number: int = 0
@@ -131,6 +138,7 @@
         self._zone = zone
         self._subscribers: dict[Any, _Subscriber] = {}
         self._crashes = _CrashRecords()
+        self._history = document_deltas.DocumentHistory()
         self._version = 0
         self._version_changed_at = float("-inf")
 
@@ -156,6 +164,10 @@
         if subscriber.standby and not message.standby:
             subscriber.sent_number = subscriber.sent_crash_number = 0
         subscriber.standby = message.standby
+        subscriber.takes_deltas = message.base_version > 0
+        lacks_base = message.version and not subscriber.takes_deltas
+        if lacks_base or now - subscriber.version_sent_at > RESEND_DELAY_SECONDS:
+            subscriber.version = message.version  # it could not use what was sent to it since
         subscriber.version = max(subscriber.version, message.version)
         for record in message.entries:
             subscriber.entry = record.entry
@@ -168,6 +180,15 @@
         subscriber = self._subscribers.get(connection)
         return subscriber is not None and not subscriber.sent_number and not subscriber.standby
 
+    def lacks_version(self, connection: Any) -> bool:
+        """Return whether a subscriber asked for a whole document that is newer than its own."""
+        subscriber = self._subscribers.get(connection)
+        return (
+            subscriber is not None
+            and not subscriber.takes_deltas
+            and 0 < subscriber.version < self._version
+        )
+
     def add_crashes(self, records: tuple[messages.CrashRecord, ...], now: float) -> None:
         """Store crash records that are not stored yet."""
         for record in records:
@@ -200,6 +221,7 @@
         self._crashes.remove_expired(now)
         if version != self._version:
             self._version, self._version_changed_at = version, now
+            self._history.add(version, document)
         updates = []
         for connection, subscriber in list(self._subscribers.items()):
             is_gone = (
@@ -244,6 +266,11 @@
         if not subscriber.standby:
             subscriber.sent_number = self._registry.update_number
             subscriber.sent_crash_number = self._crashes.last_number
+        delta = None
+        if has_new_version:
+            if subscriber.takes_deltas:
+                delta = self._history.find_delta(subscriber.version)
+            subscriber.version_sent_at = now
         subscriber.version = max(subscriber.version, version)
         subscriber.controls, subscriber.confirmed = controls, confirmed
         subscriber.sent_at = now
@@ -251,11 +278,12 @@
         subscriber.sent_zone = True
         return messages.ClusterUpdate(
             version=version,
-            document=document if has_new_version else b"",
+            document=document if has_new_version and delta is None else b"",
             confirmed=confirmed,
             controls=controls if controls_changed else (),
             servers=servers,
             entries=entries,
             crashes=crashes,
             zone=zone,
+            deltas=() if delta is None else (delta,),
         )
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 import math
+import operator
+from collections.abc import Callable, Generator
 from typing import Any
 
-from flamingoramp import errors, json_documents
+import attrs
+
+from flamingoramp import errors, json_documents, sequences, steps
 from flamingoramp.intent import traffic
 
+# Number of routes, services or workspaces that one step of decoding covers.
+ITEMS_PER_STEP = 25
+# Decoded items of earlier documents are discarded above twice the current number and this one.
+MAX_EARLIER_ITEMS = 1000
+
 _MILLISECONDS_PER_SECOND = 1000.0
+_NUMBER = (int, float)
+_MAX_USUAL_NUMBER = 1e300
 
 
 def _field(
@@ -16,18 +27,29 @@
 ) -> Any:
     """Return a field of a JSON object after a type check; ``where`` names the object in errors."""
     value = data.get(name, default)
+    value_type = type(value)
+    is_usual = value_type is kind or (kind is _NUMBER and value_type in _NUMBER)
+    if is_usual and (value_type not in _NUMBER or -_MAX_USUAL_NUMBER < value < _MAX_USUAL_NUMBER):
+        return value  # without the checks below, which take longer
     if value is ...:
         raise errors.InvalidDeclarationError(f"{where}: {name} is missing")
-    is_number = kind in (int, (int, float))
+    is_number = kind in (int, _NUMBER)
     if value is not default and (not isinstance(value, kind) or (is_number and value is True)):
         raise errors.InvalidDeclarationError(f"{where}: {name} has the wrong type")
-    if is_number and value is not default and not math.isfinite(value):
+    if is_number and value is not default and not _is_finite(value):
         raise errors.InvalidDeclarationError(f"{where}: {name} takes a finite number")
     if is_number and isinstance(value, bool):
         raise errors.InvalidDeclarationError(f"{where}: {name} has the wrong type")
     return value
 
 
+def _is_finite(value: float) -> bool:
+    try:
+        return math.isfinite(value)
+    except OverflowError:  # an integer that no float can hold
+        return False
+
+
 def _object_list(data: dict[str, Any], name: str, where: str) -> list[dict[str, Any]]:
     values = _field(data, name, list, where, [])
     if not all(isinstance(value, dict) for value in values):
@@ -75,10 +97,11 @@
         The document is malformed or contradicts itself.
     """
     data = decode_object(document)
+    version = decode_version(data)
     _field(data, "routes", list, "configuration")
     _field(data, "services", list, "configuration")
     declaration = traffic.TrafficDeclaration(
-        version=decode_version(data),
+        version=version,
         routes=tuple(_decode_route(item) for item in _object_list(data, "routes", "configuration")),
         services=tuple(
             _decode_service(item) for item in _object_list(data, "services", "configuration")
@@ -92,8 +115,106 @@
     return declaration
 
 
+@attrs.frozen
+class _DecodedList:
+    """An array of a document, the texts of its elements, and the items that they decode to."""
+
+    text: bytes = b""
+    texts: list[bytes] = attrs.field(factory=list)
+    items: tuple[Any, ...] = ()
+
+
+class Decoder:
+    """Decodes one document after the other; items whose text is unchanged are taken over.
+
+    The result equals that of `decode`, and so does the reason of a refusal.
+    """
+
+    def __init__(self):
+        self._document = b""
+        self._declaration: traffic.TrafficDeclaration | None = None
+        self._members: dict[str, bytes] = {}
+        self._lists = dict.fromkeys(_ITEM_DECODERS, _DecodedList())
+        self._items_by_text: dict[str, dict[bytes, Any]] = {name: {} for name in _ITEM_DECODERS}
+
+    def decode(self, document: bytes) -> traffic.TrafficDeclaration:
+        """Decode a document and validate it.
+
+        Raises
+        ------
+        flamingoramp.errors.InvalidDeclarationError
+            The document is malformed or contradicts itself.
+        """
+        return steps.run_all(self.decode_in_steps(document))
+
+    def decode_in_steps(self, document: bytes) -> Generator[None, None, traffic.TrafficDeclaration]:
+        """Do what `decode` does, in short steps."""
+        if self._declaration is not None and document == self._document:
+            return self._declaration
+        try:
+            members = json_documents.split_object(document)
+            yield
+            declaration = yield from self._decode_members(members)
+            yield from declaration.check_in_steps(self._declaration)
+        except (ValueError, RecursionError, errors.InvalidDeclarationError):
+            # It is invalid or can't be split; this finds the reason, or decodes it.
+            members, declaration = {}, decode(document)
+        self._document, self._declaration, self._members = document, declaration, members
+        return declaration
+
+    def _decode_members(
+        self, members: dict[str, bytes]
+    ) -> Generator[None, None, traffic.TrafficDeclaration]:
+        values = {
+            name: json_documents.parse(text)
+            for name, text in members.items()
+            if name not in _ITEM_DECODERS
+            and (name in _PLAIN_MEMBERS or text != self._members.get(name))
+        }
+        version = decode_version(values)
+        limits = _decode_limits(_field(values, "limits", dict, "configuration", {}))
+        for name in ("routes", "services"):
+            _field(members, name, bytes, "configuration")
+        items = {}
+        for name in _ITEM_DECODERS:
+            items[name] = yield from self._decode_items(name, members.get(name, b"[]"))
+        return traffic.TrafficDeclaration(
+            version=version,
+            routes=items["routes"],
+            services=items["services"],
+            workspaces=items["tenants"],
+            limits=limits,
+        )
+
+    def _decode_items(self, name: str, text: bytes) -> Generator[None, None, tuple[Any, ...]]:
+        """Decode the elements of an array, except those that were decoded before."""
+        previous = self._lists[name]
+        if text == previous.text:
+            return previous.items
+        texts = json_documents.split_array(text)
+        yield
+        start, end = sequences.count_equal_ends(previous.texts, texts, operator.eq)
+        items_by_text = self._items_by_text[name]
+        items = list(map(items_by_text.get, texts[start : len(texts) - end]))
+        missing = [position for position, item in enumerate(items) if item is None]
+        for number, position in enumerate(missing, start=1):
+            item_text = texts[start + position]
+            data = json_documents.parse(item_text)
+            if not isinstance(data, dict):
+                raise errors.InvalidDeclarationError(f"configuration: {name} takes objects")
+            items[position] = items_by_text[item_text] = _ITEM_DECODERS[name](data)
+            if number % ITEMS_PER_STEP == 0:
+                yield
+        first, last = previous.items[:start], previous.items[len(previous.items) - end :]
+        decoded = _DecodedList(text, texts, (*first, *items, *last))
+        self._lists[name] = decoded
+        if len(items_by_text) > 2 * len(texts) + MAX_EARLIER_ITEMS:
+            self._items_by_text[name] = dict(zip(texts, decoded.items, strict=True))
+        return decoded.items
+
+
 def _seconds_field(data: dict[str, Any], name: str, where: str, default: Any = ...) -> float:
-    return _field(data, name, (int, float), where, default) / _MILLISECONDS_PER_SECOND
+    return _field(data, name, _NUMBER, where, default) / _MILLISECONDS_PER_SECOND
 
 
 def _decode_route(data: dict[str, Any]) -> traffic.Route:
@@ -144,7 +265,7 @@
 
 def _decode_engine(data: dict[str, Any], where: str) -> traffic.EngineCostModel:
     def _number_field(name: str, default: float) -> float:
-        return _field(data, name, (int, float), where, default)
+        return _field(data, name, _NUMBER, where, default)
 
     return traffic.EngineCostModel(
         slots=_field(data, "slots", int, where),
@@ -178,3 +299,11 @@
         header_seconds=_seconds_field(data, "header_timeout_ms", "limits", 3000),
         idle_seconds=_seconds_field(data, "idle_timeout_ms", "limits", 15000),
     )
+
+
+_ITEM_DECODERS: dict[str, Callable[[dict[str, Any]], Any]] = {
+    "routes": _decode_route,
+    "services": _decode_service,
+    "tenants": _decode_workspace,
+}
+_PLAIN_MEMBERS = ("version", "limits")
--- a/flamingoramp/protocol/tests/test_codec.py
+++ b/flamingoramp/protocol/tests/test_codec.py
@@ -24,7 +24,7 @@
 # Classes of records, which are sent only within messages.
 RECORD_NAMES = {
     "LogEntry", "Suspect", "ShardOwner", "EntryAddress", "HeldReservation", "EntryRecord",
-    "ServerRecord", "CrashRecord",
+    "ServerRecord", "CrashRecord", "DocumentPiece", "DocumentDelta",
 }  # fmt: skip
 FRAMED_CLASSES = [
     message_class for message_class in MESSAGE_CLASSES if message_class.__name__ not in RECORD_NAMES
