Operators can evacuate an availability zone: nothing new goes to its servers

Callers kept getting placed on servers of a zone that is being worked on; declarations had no means to say so. POST and DELETE /v1/evacuation/ZONE are committed to the control hosts' log beside the declaration, published to the entries with a number, and server selection leaves the zones out.

--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -109,6 +109,8 @@
         self._term_start_index = 0
         self._elected_at = now
         self._leader_seen_at = now if self._timing.uses_leases else float("-inf")
+        # When this replica, as a follower, last had all that its leader knew to be committed.
+        self._level_at = float("-inf")
         self._started_at = now
         self._effects: list[Any] = []
         self._reset_election_timeout(now)
@@ -178,10 +180,13 @@
         return self._quorum_acknowledged_at(requested_at) >= requested_at
 
     def has_leader_contact(self, now: float) -> bool:
-        """Return whether this replica holds a lease or was recently contacted by a leader."""
+        """Return whether this replica holds a lease or recently was level with a leader's commits.
+
+        A replica that has just started or was cut off hears the leader before it has caught up.
+        """
         if self._is_leader:
             return self.holds_lease(now)
-        return bool(self.cluster) and now < self._leader_seen_at + self._timing.election_max_seconds
+        return bool(self.cluster) and now < self._level_at + self._timing.election_max_seconds
 
     def propose(self, kind: str, payload: bytes, now: float) -> tuple[int, list[Any]]:
         """Append an entry to the log and return its index.
@@ -598,6 +603,10 @@
             self._append(new_entries, truncate_from=conflict_index)
         match_index = request.prev_index + len(request.entries)
         self._commit_to(min(request.commit, match_index))
+        # A leader doesn't know all commits of earlier terms before its first own one.
+        is_of_this_term = self._log.term_at(self._commit_index) == self._hard_state.term
+        if is_of_this_term and self._commit_index >= request.commit:
+            self._level_at = now
         self._send(
             sender, messages.AppendReply(self._hard_state.term, True, match_index, request.sent_at)
         )
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -1,7 +1,7 @@
 """Daemon of a control host that finds its cluster by seed addresses.
 
-It replicates the operators' declaration, receives announcements of backend servers, and publishes
-changes of both to all entries.
+It replicates the operators' declaration and their evacuations of availability zones, receives
+announcements of backend servers, and publishes changes of all to the entries.
 """
 
 from __future__ import annotations
@@ -17,12 +17,12 @@
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
 from flamingoramp.consensus import effects, node, replica, storage
-from flamingoramp.daemons import node_process
+from flamingoramp.daemons import node_process, operator_calls
 from flamingoramp.http import server as http_server
-from flamingoramp.intent import versioned_declaration
+from flamingoramp.intent import operator_state, versioned_declaration
 from flamingoramp.membership import entry_directory, registry, subscriptions
 from flamingoramp.protocol import messages
-from flamingoramp.runtime import node_settings
+from flamingoramp.runtime import node_settings, suspension
 from flamingoramp.runtime import transport as transports
 
 TICK_INTERVAL_SECONDS = 0.05
@@ -37,9 +37,6 @@
 # Announcements missed in a row after which a server counts as silent. Control hosts forward
 # announcements to each other, so any of them may have received the last one.
 MAX_MISSED_ANNOUNCEMENTS = 5
-# Operators' clients time out after 1 s; the answer must arrive before that.
-ANSWER_TIMEOUT_SECONDS = 0.9
-RETRY_AFTER_SECONDS = 0.3
 # A stopping daemon waits this long for calls in progress before it exits.
 STOP_GRACE_SECONDS = 0.5
 
@@ -52,21 +49,12 @@
 )
 
 
-@attrs.define
-class _PendingCall:
-    """A call that waits for a commit, for a quorum or for the leader's reply."""
-
-    deadline: float
-    on_result: Callable[[Any], None]
-    on_error: Callable[[errors.FlamingorampError], None]
-
-
 @attrs.define
 class _PendingRead:
     """A read that waits until a quorum confirms this host as leader."""
 
     requested_at: float
-    pending_call: _PendingCall
+    pending_call: operator_calls.PendingCall
 
 
 class Coordinator:
@@ -89,7 +77,10 @@
     ):
         self._settings = settings
         self._dialect = dialect
-        self._state = versioned_declaration.VersionedDeclarationState()
+        self._operator_state = operator_state.OperatorState()
+        self._state = self._operator_state.declaration
+        self._recorded_version = 0
+        self._recorded_evacuations: tuple[int, tuple[str, ...]] = (0, ())
         self._registry = registry.Registry()
         self._directory = entry_directory.EntryDirectory(self._registry)
         self._publisher = subscriptions.Publisher(self._registry, zone=settings.availability_zone)
@@ -104,11 +95,13 @@
         self._metrics = self._process.metrics
         self._loop = self._process.loop
         self._request_numbers = itertools.count()
-        self._forwarded_calls: dict[str, _PendingCall] = {}
+        self._forwarded_calls: dict[str, operator_calls.PendingCall] = {}
         self._pending_reads: list[_PendingRead] = []
+        self._silence_checks = suspension.SuspensionDetector(MAX_SILENCE_CHECK_GAP_SECONDS)
         self._publish_is_due = False
         self._stopping = False
         self._node = self._make_node()
+        self._evacuation_calls = self._make_evacuation_calls()
         self._process.add_cleanup(self._node.close)
         self._process.transport.name = self._node.identity or settings.control_internal_address
         if settings.listen.operators:
@@ -120,7 +113,7 @@
         self._loop.call_every(PERIODIC_PUBLISH_INTERVAL_SECONDS, self._publish)
         self._loop.call_later(0.0, self._subscribe_to_peers)
         self._loop.call_every(PEER_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_to_peers)
-        self._observed_since = self._silence_checked_at = self._loop.now()
+        self._observed_since = self._loop.now()
         self._loop.call_every(SILENCE_CHECK_INTERVAL_SECONDS, self._mark_unreported)
         self._loop.call_every(
             EVICTION_INTERVAL_SECONDS, lambda: self._registry.remove_expired(self._loop.now())
@@ -159,7 +152,7 @@
         return node.Node(
             config=node.NodeConfig(own_host, seeds, settings.first_start and own_host in seeds),
             store=store,
-            state_machine=self._state,
+            state_machine=self._operator_state,
             send=lambda host, message: self._process.transport.send(host, message),
             on_leader_changed=self._record_leader_change,
             on_storage_status=self._record_storage_status,
@@ -169,6 +162,18 @@
             timing=REPLICA_TIMING,
         )
 
+    def _make_evacuation_calls(self) -> operator_calls.EvacuationCalls:
+        return operator_calls.EvacuationCalls(
+            self._loop,
+            node=self._node,
+            state=self._operator_state.evacuations,
+            leadership=self,
+            zones=self._settings.availability_zones,
+            log=self._log,
+            metrics=self._metrics,
+            wall_time=self._process.wall_time,
+        )
+
     def _record_leader_change(self, change: effects.LeaderChanged) -> None:
         self._log.write("leader.changed", leader=change.leader, term=change.term)
         self._metrics.count("leader_changes")
@@ -200,11 +205,9 @@
     def _handle_message(self, sender: str, message: Any, connection: transports.Connection) -> None:
         match message:
             case _ if isinstance(message, node.CONSENSUS_MESSAGES):
-                previous_version = self._state.version
                 self._node.handle(sender, message)
+                self._record_changes()
                 self._complete_confirmed_reads()
-                if self._state.version != previous_version:
-                    self._record_version()
             case messages.Subscribe():
                 self._handle_subscription(connection, message)
             case messages.ClusterUpdate():
@@ -213,9 +216,9 @@
                 self._handle_forwarded_declaration(message, connection)
             case messages.ReadRequest():
                 self._handle_forwarded_read(message, connection)
-            case messages.DeclareReply():
-                self._complete_forwarded_call(message)
-            case messages.ReadReply():
+            case messages.EvacuationRequest():
+                self._evacuation_calls.handle_request(message, connection.send)
+            case messages.DeclareReply() | messages.ReadReply() | messages.EvacuationReply():
                 self._complete_forwarded_call(message)
 
     def _handle_subscription(
@@ -231,15 +234,13 @@
             self._directory.record_report(entry, now)
             self._registry.renew_entry(entry, now)
         has_news = message.crashes or self._registry.change_number != change_number
-        if has_news or self._publisher.lacks_records(connection):
+        if has_news or self._publisher.awaits_update(connection):
             self._publish_is_due = True
 
     def _mark_unreported(self) -> None:
         """Mark servers and entries that are no longer reported to any control host."""
         now = self._loop.now()
-        was_suspended = now - self._silence_checked_at > MAX_SILENCE_CHECK_GAP_SECONDS
-        self._silence_checked_at = now
-        if was_suspended or not self._node.has_leader_contact:
+        if self._silence_checks.observe(now) or not self._node.has_leader_contact:
             self._observed_since = now
             return
         marked = self._registry.mark_unreported(
@@ -288,43 +289,62 @@
 
     def _publish(self) -> None:
         self._publish_is_due = False
+        evacuations = self._operator_state.evacuations
         updates = self._publisher.make_updates(
             version=self._state.version,
             document=self._state.compressed,
-            confirmed=self._node.has_leader_contact,
+            # After a suspension, contact with the leader may be one of long ago.
+            confirmed=self._node.has_leader_contact and not self._evacuation_calls.was_suspended,
+            evacuation_number=evacuations.number,
+            evacuated_zones=evacuations.zones,
             controls=self._node.hosts,
             now=self._loop.now(),
         )
         for connection, update in updates:
             connection.send(update)
 
-    def _record_version(self) -> None:
-        self._log.write("declaration.committed", version=self._state.version)
-        self._metrics.set_gauge("declaration_version", self._state.version)
+    def _record_changes(self) -> None:
+        """Log and publish what has changed in the replicated state."""
+        evacuations = self._operator_state.evacuations
+        if self._state.version != self._recorded_version:
+            self._recorded_version = self._state.version
+            self._log.write("declaration.committed", version=self._state.version)
+            self._metrics.set_gauge("declaration_version", self._state.version)
+            self._publish_is_due = True
+        if evacuations.number == self._recorded_evacuations[0]:
+            return
+        _, previous_zones = self._recorded_evacuations
+        self._recorded_evacuations = evacuations.number, evacuations.zones
         self._publish_is_due = True
+        if evacuations.zones != previous_zones:
+            self._log.write(
+                "evacuation.committed",
+                zones=evacuations.zones,
+                previous=previous_zones,
+                number=evacuations.number,
+            )
+            self._metrics.set_gauge("evacuated_zones", len(evacuations.zones))
 
     def _tick(self) -> None:
         now = self._loop.now()
-        previous_version = self._state.version
         self._node.tick()
+        self._record_changes()
         if self._node.identity:
             self._process.transport.name = self._node.identity
-        if self._state.version != previous_version:
-            self._record_version()
         self._complete_confirmed_reads()
         for request_id, pending_call in list(self._forwarded_calls.items()):
             if now > pending_call.deadline:
                 del self._forwarded_calls[request_id]
-                pending_call.on_error(_no_quorum_error())
+                pending_call.on_error(operator_calls.no_quorum_error())
         for pending_read in list(self._pending_reads):
             if now > pending_read.pending_call.deadline:
                 self._pending_reads.remove(pending_read)
-                pending_read.pending_call.on_error(_no_quorum_error())
+                pending_read.pending_call.on_error(operator_calls.no_quorum_error())
 
     # Declarations.
 
     def _commit_declaration(
-        self, call: dialects.SubmitDeclaration, pending_call: _PendingCall
+        self, call: dialects.SubmitDeclaration, pending_call: operator_calls.PendingCall
     ) -> None:
         """Commit a declaration if this host leads, else forward it to the leader.
 
@@ -344,30 +364,32 @@
                 pending_call.on_error,
             )
             return
-        request = messages.DeclareRequest(self._next_request_id(), call.version, compressed)
-        self._forward_to_leader(request, pending_call)
+        self.forward_to_leader(
+            lambda request_id: messages.DeclareRequest(request_id, call.version, compressed),
+            pending_call,
+        )
 
-    def _read_declaration(self, pending_call: _PendingCall) -> None:
+    def _read_declaration(self, pending_call: operator_calls.PendingCall) -> None:
         """Read the declaration: by a quorum if this host leads, else from the leader."""
         if self._node.is_leader:
             self._pending_reads.append(_PendingRead(self._node.request_read(), pending_call))
             self._complete_confirmed_reads()
             return
-        request = messages.ReadRequest(self._next_request_id(), self._state.version)
-        self._forward_to_leader(request, pending_call)
+        self.forward_to_leader(
+            lambda request_id: messages.ReadRequest(request_id, self._state.version), pending_call
+        )
 
-    def _forward_to_leader(
-        self, request: messages.DeclareRequest | messages.ReadRequest, pending_call: _PendingCall
+    def forward_to_leader(
+        self, make_request: Callable[[str], Any], pending_call: operator_calls.PendingCall
     ) -> None:
+        """Send the leader a request, made with an id; its reply is the result of the call."""
         leader = self._node.leader_host
         if not leader or leader == self._settings.control_internal_address:
-            pending_call.on_error(_no_quorum_error())
+            pending_call.on_error(operator_calls.no_quorum_error())
             return
-        self._forwarded_calls[request.request_id] = pending_call
-        self._process.transport.send(leader, request)
-
-    def _next_request_id(self) -> str:
-        return f"{self._node.identity}/{next(self._request_numbers)}"
+        request_id = f"{self._node.identity}/{next(self._request_numbers)}"
+        self._forwarded_calls[request_id] = pending_call
+        self._process.transport.send(leader, make_request(request_id))
 
     def _complete_confirmed_reads(self) -> None:
         for pending_read in list(self._pending_reads):
@@ -388,10 +410,12 @@
             connection.send(reply)
 
         if not self._node.is_leader:
-            _on_error(_no_quorum_error())
+            _on_error(operator_calls.no_quorum_error())
             return
         call = dialects.SubmitDeclaration(request.version, request.document)
-        self._commit_declaration(call, _PendingCall(self._answer_deadline(), _on_result, _on_error))
+        self._commit_declaration(
+            call, operator_calls.PendingCall(self._answer_deadline(), _on_result, _on_error)
+        )
 
     def _handle_forwarded_read(
         self, request: messages.ReadRequest, connection: transports.Connection
@@ -405,11 +429,15 @@
             connection.send(messages.ReadReply(request.request_id, False))
 
         if not self._node.is_leader:
-            _on_error(_no_quorum_error())
+            _on_error(operator_calls.no_quorum_error())
             return
-        self._read_declaration(_PendingCall(self._answer_deadline(), _on_result, _on_error))
+        self._read_declaration(
+            operator_calls.PendingCall(self._answer_deadline(), _on_result, _on_error)
+        )
 
-    def _complete_forwarded_call(self, reply: messages.DeclareReply | messages.ReadReply) -> None:
+    def _complete_forwarded_call(
+        self, reply: messages.DeclareReply | messages.ReadReply | messages.EvacuationReply
+    ) -> None:
         pending_call = self._forwarded_calls.pop(reply.request_id, None)
         if pending_call is None:
             return
@@ -418,11 +446,13 @@
                 pending_call.on_result(reply.version)
             case messages.ReadReply(confirmed=True):
                 pending_call.on_result(reply)
+            case messages.EvacuationReply() if reply.accepted or reply.is_outdated:
+                pending_call.on_result(reply)
             case _:
-                pending_call.on_error(_no_quorum_error())
+                pending_call.on_error(operator_calls.no_quorum_error())
 
     def _answer_deadline(self) -> float:
-        return self._loop.now() + ANSWER_TIMEOUT_SECONDS
+        return self._loop.now() + operator_calls.ANSWER_TIMEOUT_SECONDS
 
     # HTTP calls of operators, backend servers and callers.
 
@@ -464,6 +494,10 @@
                 self._handle_declaration(call, exchange, version)
             case dialects.ReadDeclaration():
                 self._handle_read(exchange)
+            case dialects.EvacuateZone(zone):
+                self._handle_zone_order(zone, True, exchange)
+            case dialects.RestoreZone(zone):
+                self._handle_zone_order(zone, False, exchange)
 
     def _handle_announcement(self, record: messages.ServerRecord) -> None:
         previous = self._registry.find_server(record.server)
@@ -506,7 +540,9 @@
 
         self._commit_declaration(
             call,
-            _PendingCall(self._answer_deadline(), _on_result, self._make_error_handler(exchange)),
+            operator_calls.PendingCall(
+                self._answer_deadline(), _on_result, self._make_error_handler(exchange)
+            ),
         )
 
     def _handle_read(self, exchange: http_server.Exchange) -> None:
@@ -521,12 +557,29 @@
             version = reply.version if has_reply_document else self._state.version
             self._log.write("declaration.read", version=version)
             if not document:
-                exchange.respond(self._dialect.encode_error(_no_quorum_error()))
+                exchange.respond(self._dialect.encode_error(operator_calls.no_quorum_error()))
                 return
             exchange.respond(self._dialect.encode_document(document))
 
         self._read_declaration(
-            _PendingCall(self._answer_deadline(), _on_result, self._make_error_handler(exchange))
+            operator_calls.PendingCall(
+                self._answer_deadline(), _on_result, self._make_error_handler(exchange)
+            )
+        )
+
+    def _handle_zone_order(
+        self, zone: str, evacuated: bool, exchange: http_server.Exchange
+    ) -> None:
+        def _on_result() -> None:
+            self._publish()
+            exchange.respond(self._dialect.encode_acknowledgement())
+
+        self._evacuation_calls.submit(
+            zone,
+            evacuated=evacuated,
+            exchange=exchange,
+            on_result=_on_result,
+            on_error=self._make_error_handler(exchange),
         )
 
     def _make_error_handler(
@@ -537,9 +590,3 @@
             exchange.respond(self._dialect.encode_error(error))
 
         return _on_error
-
-
-def _no_quorum_error() -> errors.NotLeaderError:
-    return errors.NotLeaderError(
-        "no leader with a quorum answered; send it again", retry_after=RETRY_AFTER_SECONDS
-    )
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -21,6 +22,7 @@
 from flamingoramp.membership import (
     control_contacts,
     entry_directory,
+    evacuated_zones,
     registry,
     subscriptions,
 )
@@ -88,6 +90,9 @@
         self._start_wall_time = self._process.wall_time()
         self._started_at = self.loop.now()
         self._registry = registry.Registry()
+        self._evacuations = evacuated_zones.EvacuatedZones()
+        # Called with each `evacuated_zones.ZoneChange` that this entry learns of.
+        self.zone_change_hooks: list[Callable[[evacuated_zones.ZoneChange], None]] = []
         self._control_hosts: tuple[str, ...] = ()
         self._contacts = control_contacts.ControlContacts(
             name=settings.name, zone=settings.availability_zone
@@ -129,6 +134,8 @@
             find_peers=self._find_peers,
             tries_suspects=self._tries_suspects,
             on_cut_changed=self._subscribe,
+            evacuations=self._evacuations,
+            awaits_zone_update=self._awaits_zone_update,
         )
 
     def _make_datagram_socket(self) -> datagrams.DatagramSocket:
@@ -166,6 +173,7 @@
         loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
         loop.call_every(EVICTION_INTERVAL_SECONDS, self._evict_expired)
         loop.call_every(SETTINGS_CHECK_INTERVAL_SECONDS, self._check_settings)
+        loop.after_each_iteration(self._observe_suspension)
         loop.after_each_iteration(self._schedule_load_report)
         loop.after_each_iteration(self._report_crashes)
 
@@ -184,6 +192,11 @@
         """Backend servers and entries that control hosts announced to this entry."""
         return self._registry
 
+    @property
+    def evacuated_zones(self) -> tuple[str, ...]:
+        """Evacuated availability zones as this entry knows them, sorted."""
+        return self._evacuations.zones
+
     @property
     def control_hosts(self) -> tuple[str, ...]:
         """Control hosts as the leader last confirmed them."""
@@ -236,6 +249,8 @@
                 entries=entries,
                 crashes=crashes,
                 standby=host != primary,
+                evacuation_number=self._evacuations.number,
+                probe=self._evacuations.probe,
             )
             if self._process.transport.send(host, message):
                 self._hosts_with_record.add(host)
@@ -255,6 +270,23 @@
             self._subscribe()
             self.loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
 
+    def _observe_suspension(self) -> None:
+        """Ask the control hosts what is in force after this process did not run for a time."""
+        if self._evacuations.observe(self.loop.now(), self._process.wall_time()):
+            self._metrics.count("entry_resumes")
+            self._log.write("entry.resumed", number=self._evacuations.number)
+            self._subscribe_until_current()
+
+    def _subscribe_until_current(self) -> None:
+        if self._evacuations.awaits_update(self.loop.now()):
+            self._subscribe()
+            self.loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_current)
+
+    def _awaits_zone_update(self) -> bool:
+        """Return whether what is to be sent to servers has to wait for an update."""
+        self._observe_suspension()
+        return self._evacuations.awaits_update(self.loop.now())
+
     def _make_entry_record(self) -> protocol_messages.EntryRecord:
         state = (self.is_ready, bool(self._stop_began_at), self._request_handler.is_cut_off)
         if state != self._recorded_state:
@@ -298,6 +330,7 @@
         if update.controls and update.confirmed and update.controls != self._control_hosts:
             self._control_hosts = update.controls
             self._log.write("control.hosts", hosts=update.controls)
+        self._apply_evacuations(update, sender)
         delay_is_over = now - self._started_at > UNCONFIRMED_DECLARATION_DELAY_SECONDS
         if update.document and (update.confirmed or self.declaration or delay_is_over):
             self._apply_declaration(update.version, update.document, sender)
@@ -326,6 +359,26 @@
             if current.leaving or current.gone:
                 self._pool.close_idle_connections(current.address)
 
+    def _apply_evacuations(self, update: protocol_messages.ClusterUpdate, source: str) -> None:
+        """Put a newer state of the evacuated zones in force."""
+        number = update.evacuation_number
+        change = self._evacuations.apply(number, update.evacuated_zones)
+        if change.evacuated or change.restored:
+            self._metrics.set_gauge("evacuated_zones", len(self._evacuations.zones))
+            self._log.write(
+                "evacuation.in_force",
+                zones=self._evacuations.zones,
+                evacuated=change.evacuated,
+                restored=change.restored,
+                number=number,
+                source=source,
+            )
+            self._request_handler.handle_zone_change()
+            for hook in self.zone_change_hooks:
+                hook(change)
+        if self._evacuations.handle_probe(update.probe):
+            self._log.write("entry.current", number=self._evacuations.number, source=source)
+
     def _apply_declaration(self, version: int, document: bytes, source: str) -> None:
         """Put a declaration in force if it is newer than the one in force."""
         if self.declaration is not None and version <= self.declaration.version:
--- a/flamingoramp/dialect.py
+++ b/flamingoramp/dialect.py
@@ -53,7 +53,28 @@
     server: str
 
 
-ControlCall = SubmitDeclaration | ReadDeclaration | AnnounceServer | WithdrawServer
+@attrs.frozen
+class EvacuateZone:
+    """An operator's call after which nothing new goes to the servers of an availability zone."""
+
+    zone: str
+
+
+@attrs.frozen
+class RestoreZone:
+    """An operator's call that withdraws the evacuation of an availability zone."""
+
+    zone: str
+
+
+ControlCall = (
+    SubmitDeclaration
+    | ReadDeclaration
+    | AnnounceServer
+    | WithdrawServer
+    | EvacuateZone
+    | RestoreZone
+)
 
 
 @attrs.frozen
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -97,6 +96,8 @@
         """Choose servers, reserve memory at helpers if needed, and send the request."""
         if self._is_done:
             return
+        if self._context.postpone(self._start_attempt):
+            return
         try:
             target = self._context.choose_target(self._admitted, self._excluded)
         except errors.FlamingorampError as error:
@@ -108,24 +109,21 @@
             self._send()
             return
         self._reservation_count += 1
-        holds = tuple(
-            memory_reservations.MemoryHold(
-                helper.server, helper.address, tokens, secrets.token_hex(6)
-            )
-            for helper, tokens in zip(target.helpers, target.held_tokens, strict=True)
-            if tokens
-        )
         self._reservation = memory_reservations.MemoryReservation(
             self._context.loop,
             self._context.pool,
             self._context.dialect,
-            holds,
+            memory_reservations.make_holds(target),
             self._handle_reserved,
         )
 
     def _handle_reserved(self, refused_servers: tuple[str, ...]) -> None:
         if self._is_done:
             return
+        if self._context.postpone(lambda: self._handle_reserved(refused_servers)):
+            return
+        # A zone may have been evacuated since the servers were chosen.
+        refused_servers = refused_servers or self._context.find_evacuated(self._target)
         if not refused_servers:
             self._send()
             return
--- a/flamingoramp/dispatch/forwarding_context.py
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from flamingoramp import dialect as dialects
@@ -25,6 +26,12 @@
     def is_cut_off(self) -> bool:
         """Whether this entry reaches no server, so that other entries are its targets."""
 
+    def postpone(self, step: Callable[[], None]) -> bool:
+        """Repeat a step later, and return True, while the known evacuations may be out of date."""
+
+    def find_evacuated(self, target: attempts.AttemptTarget) -> tuple[str, ...]:
+        """Return the servers of a target that are in evacuated zones."""
+
     def choose_target(
         self, admitted: attempts.AdmittedRequest, excluded: set[str]
     ) -> attempts.AttemptTarget:
--- a/flamingoramp/dispatch/memory_reservations.py
+++ b/flamingoramp/dispatch/memory_reservations.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Callable
 
 import attrs
 
 from flamingoramp import dialect as dialects
+from flamingoramp.dispatch import attempts
 from flamingoramp.http import client
 from flamingoramp.runtime import loop as loops
 
@@ -34,6 +36,15 @@
     ticket: str
 
 
+def make_holds(target: attempts.AttemptTarget) -> tuple[MemoryHold, ...]:
+    """Return the holds, with new tickets, at the helpers of a target that need one."""
+    return tuple(
+        MemoryHold(helper.server, helper.address, tokens, secrets.token_hex(6))
+        for helper, tokens in zip(target.helpers, target.held_tokens, strict=True)
+        if tokens
+    )
+
+
 class MemoryReservation:
     """Reserves memory at several engines and renews the holds until it is released.
 
--- a/flamingoramp/dispatch/reachability.py
+++ b/flamingoramp/dispatch/reachability.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from flamingoramp.http import client
 from flamingoramp.membership import registry
@@ -34,6 +34,8 @@
     metrics : metrics_module.Metrics
     on_change : callable
         Called without arguments when `is_cut_off` has changed.
+    evacuations : container of str
+        Evacuated availability zones, whose servers tell nothing of those that requests go to.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         log: event_log.EventLog,
         metrics: metrics_module.Metrics,
         on_change: Callable[[], None] = lambda: None,
+        evacuations: Container[str] = (),
     ):
         self._loop = loop
         self._pool = pool
@@ -52,6 +55,7 @@
         self._log = log
         self._metrics = metrics
         self._on_change = on_change
+        self._evacuations = evacuations
         self._is_cut_off = False
         self._changed_at = loop.now()
         self._checked_at = float("-inf")
@@ -71,7 +75,11 @@
             self._check()
 
     def _check(self) -> None:
-        servers = [record for record in self._registry.servers() if not record.leaving]
+        servers = [
+            record
+            for record in self._registry.servers()
+            if not record.leaving and record.zone not in self._evacuations
+        ]
         chosen = random.sample(servers, min(SERVERS_PER_CHECK, len(servers)))
         self._checked_at = self._loop.now()
         self._unanswered_count = len(chosen)
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -15,6 +15,7 @@
     allowance,
     attempts,
     crash_evidence,
+    evacuated_services,
     forwarding,
     reachability,
     server_ends,
@@ -22,7 +23,7 @@
 from flamingoramp.http import client
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import traffic
-from flamingoramp.membership import registry
+from flamingoramp.membership import evacuated_zones, registry
 from flamingoramp.protocol import messages
 from flamingoramp.routing import load_table, observations, selection, statements
 from flamingoramp.runtime import loop as loops
@@ -42,6 +43,8 @@
 # Mean interval at which queued requests are started. All entries start theirs at about the same
 # moment, on the few servers that are known by then; load reports have to arrive in between.
 QUEUE_RELEASE_SECONDS = 0.02
+# Interval at which a request checks whether it may be sent to a server, after a suspension.
+ZONE_CHECK_INTERVAL_SECONDS = 0.02
 # Engines accept priorities from 0, the most urgent, to this one.
 LEAST_URGENT_PRIORITY = 9
 # Fewer intervals between events than this say too little about an engine's speed.
@@ -80,6 +83,10 @@
         with it after it has been refused for a time.
     on_cut_changed : callable
         Called without arguments when `is_cut_off` has changed.
+    evacuations : evacuated_zones.EvacuatedZones or None
+        Availability zones whose servers get nothing new; None for none.
+    awaits_zone_update : callable
+        Returns whether these may be out of date, so that nothing may be sent to a server yet.
     """
 
     def __init__(
@@ -98,6 +105,8 @@
         find_peers: Callable[[], list[messages.EntryRecord]] = list,
         tries_suspects: Callable[[str], bool] = lambda _fingerprint: False,
         on_cut_changed: Callable[[], None] = lambda: None,
+        evacuations: evacuated_zones.EvacuatedZones | None = None,
+        awaits_zone_update: Callable[[], bool] = lambda: False,
     ):
         self.loop = loop
         self.pool = pool
@@ -111,6 +120,11 @@
         self._bounds = bounds
         self._receives_control_updates = receives_control_updates
         self._tries_suspects = tries_suspects
+        self._evacuations = evacuations or evacuated_zones.EvacuatedZones()
+        self._awaits_zone_update = awaits_zone_update
+        self._evacuated_services = evacuated_services.EvacuatedServices(
+            server_registry, self._evacuations, log=log, metrics=metrics
+        )
         self._started_at = loop.now()
         self._declaration: traffic.TrafficDeclaration | None = None
         self._observations = observations.Observations()
@@ -119,6 +133,7 @@
             server_loads,
             self._observations,
             zone=zone,
+            evacuations=self._evacuations,
         )
         self._retry_allowances: dict[str, allowance.RetryAllowance] = {}
         self._crash_evidence = crash_evidence.CrashEvidence()
@@ -137,6 +152,7 @@
             log=log,
             metrics=metrics,
             on_change=on_cut_changed,
+            evacuations=self._evacuations,
         )
         self._peer_selector = selection.PeerSelector(find_peers, self._observations)
         self._forwarders: set[forwarding.RequestForwarder] = set()
@@ -163,6 +179,22 @@
         self._declaration = declaration
         self.start_queued()
 
+    def handle_zone_change(self) -> None:
+        """Use a change of the evacuated zones for all servers that are chosen from now on."""
+        self._evacuated_services.update()
+        self.start_queued()
+
+    def postpone(self, step: Callable[[], None]) -> bool:
+        """Repeat a step later, and return True, while the known evacuations may be out of date."""
+        if self._awaits_zone_update():
+            self.loop.call_later(ZONE_CHECK_INTERVAL_SECONDS, step)
+            return True
+        return False
+
+    def find_evacuated(self, target: attempts.AttemptTarget) -> tuple[str, ...]:
+        """Return the servers of a target that are in evacuated zones."""
+        return self._evacuated_services.find_servers(target)
+
     def start_queued(self) -> None:
         """Start the queued requests whose service has a known server, one after the other."""
         if not self._is_releasing:
@@ -198,6 +230,7 @@
         self._metrics.set_gauge("limited_servers", self.server_loads.statements.limited_count)
         self._metrics.set_gauge("closed_servers", self.server_loads.statements.closed_count)
         self._metrics.set_gauge("leaving_servers", self.server_loads.statements.leaving_count)
+        self._evacuated_services.update()
         self._crash_evidence.evict_expired(self.loop.now())
         self._metrics.set_gauge("crash_suspects", self._crash_evidence.suspect_count)
 
@@ -225,7 +258,10 @@
         if route is None:
             return False
         service = route.choose_service(caller.request_id)
-        return all(record.service != service for record in self._registry.servers())
+        return all(
+            record.service != service or record.zone in self._evacuations
+            for record in self._registry.servers()
+        )
 
     def _queue_seconds(self, exchange: http_server.Exchange) -> float:
         """Return how long to queue a request; 0 or less if it can't be queued."""
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -138,6 +138,8 @@
         self.pool = FakePool()
         self.peer_pool = FakePool()
         self.is_cut_off = False
+        self.awaits_zone_update = False
+        self.evacuated_servers: set[str] = set()
         self.dialect = FakeDialect()
         self.server_loads = load_table.LoadTable()
         self.servers = ["s1", "s2", "s3"]
@@ -160,6 +162,15 @@
                 )
         raise errors.NoBackendError("none left", retry_after=0.4)
 
+    def postpone(self, step) -> bool:
+        if self.awaits_zone_update:
+            self.loop.call_later(0.02, step)
+        return self.awaits_zone_update
+
+    def find_evacuated(self, target) -> tuple[str, ...]:
+        servers = (target.server, *target.helpers)
+        return tuple(item.server for item in servers if item.server in self.evacuated_servers)
+
     def record_target(self, target) -> None:
         for work_item in target.work_items:
             self.server_loads.add(work_item)
--- a/flamingoramp/errors.py
+++ b/flamingoramp/errors.py
@@ -103,6 +103,13 @@
     status = 404
 
 
+class UnknownZoneError(BadRequestError):
+    """The settings name no availability zone of this name."""
+
+    code = "unknown_zone"
+    status = 404
+
+
 class PromptTooLongError(BadRequestError):
     """The prompt is too long for every set of engines."""
 
--- a/flamingoramp/intent/versioned_declaration.py
+++ b/flamingoramp/intent/versioned_declaration.py
@@ -10,6 +10,7 @@
 import json
 import struct
 import zlib
+from typing import Any
 
 import attrs
 
@@ -63,6 +64,12 @@
     return document
 
 
+def read_snapshot_header(data: bytes) -> dict[str, Any]:
+    """Return the JSON header of a snapshot."""
+    (length,) = struct.unpack_from(">I", data)
+    return json.loads(data[4 : 4 + length])
+
+
 class VersionedDeclarationState:
     """The declaration in force, as its operator sent it, and its version."""
 
@@ -95,9 +102,12 @@
             self._compressed = compress(entry.payload[_VERSION.size :])
         return DeclareResult(self._version)
 
-    def dump(self) -> bytes:
-        """Return the state for a snapshot: a length, a JSON header, the compressed document."""
-        header = json.dumps({"version": self._version}).encode()
+    def dump(self, header_fields: dict[str, Any] | None = None) -> bytes:
+        """Return the state for a snapshot: a length, a JSON header, the compressed document.
+
+        ``header_fields`` are further fields of the header, which `load` ignores.
+        """
+        header = json.dumps({"version": self._version, **(header_fields or {})}).encode()
         return struct.pack(">I", len(header)) + header + self._compressed
 
     def load(self, data: bytes) -> None:
@@ -107,9 +117,9 @@
         """
         if not data:
             return
-        (length,) = struct.unpack_from(">I", data)
-        version = json.loads(data[4 : 4 + length])["version"]
+        version = read_snapshot_header(data)["version"]
         if version > self._version:
+            (length,) = struct.unpack_from(">I", data)
             self._version = version
             document = data[4 + length :]
             self._compressed = compress(document) if document else b""
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -36,6 +36,9 @@
     entry: str = ""
     sent_number: int = 0
     version: int = 0
+    evacuation_number: int = 0
+    probe: int = 0
+    answered_probe: int = 0
     controls: tuple[str, ...] = ()
     confirmed: bool = False
     sent_crash_number: int = 0
@@ -48,6 +51,11 @@
         is_primary = not (self.is_control or self.standby)
         return PRIMARY_HEARTBEAT_SECONDS if is_primary else HEARTBEAT_SECONDS
 
+    @property
+    def has_open_probe(self) -> bool:
+        """Whether the subscriber waits for an update that answers its probe."""
+        return self.probe not in (0, self.answered_probe)
+
 
 @attrs.frozen
 class _StoredCrash:
@@ -132,6 +140,9 @@
         self._crashes = _CrashRecords()
         self._version = 0
         self._version_changed_at = float("-inf")
+        self._evacuation_number = 0
+        self._evacuated_zones: tuple[str, ...] = ()
+        self._evacuations_changed_at = float("-inf")
 
     @property
     def subscriber_count(self) -> int:
@@ -156,6 +167,8 @@
             subscriber.sent_number = subscriber.sent_crash_number = 0
         subscriber.standby = message.standby
         subscriber.version = max(subscriber.version, message.version)
+        subscriber.evacuation_number = max(subscriber.evacuation_number, message.evacuation_number)
+        subscriber.probe = message.probe
         for record in message.entries:
             subscriber.entry = record.entry
             self._registry.update_entry(record, now)
@@ -167,6 +180,13 @@
         subscriber = self._subscribers.get(connection)
         return subscriber is not None and not subscriber.sent_number and not subscriber.standby
 
+    def awaits_update(self, connection: Any) -> bool:
+        """Return whether a subscriber lacks records or the answer to its probe."""
+        subscriber = self._subscribers.get(connection)
+        return self.lacks_records(connection) or (
+            subscriber is not None and subscriber.has_open_probe
+        )
+
     def add_crashes(self, records: tuple[messages.CrashRecord, ...], now: float) -> None:
         """Store crash records that are not stored yet."""
         for record in records:
@@ -180,6 +200,8 @@
         confirmed: bool,
         controls: tuple[str, ...],
         now: float,
+        evacuation_number: int = 0,
+        evacuated_zones: tuple[str, ...] = (),
     ) -> list[tuple[Any, messages.ClusterUpdate]]:
         """Return the connections that need an update, each with its update.
 
@@ -195,10 +217,16 @@
             Control hosts.
         now : float
             Monotonic clock, in seconds.
+        evacuation_number : int
+            Number of the evacuated zones, which grows with their changes.
+        evacuated_zones : tuple of str
         """
         self._crashes.remove_expired(now)
         if version != self._version:
             self._version, self._version_changed_at = version, now
+        if evacuation_number != self._evacuation_number:
+            self._evacuation_number, self._evacuations_changed_at = evacuation_number, now
+            self._evacuated_zones = evacuated_zones
         updates = []
         for connection, subscriber in list(self._subscribers.items()):
             is_gone = (
@@ -227,15 +255,25 @@
                 subscriber.sent_number, now, with_renewals=subscriber.is_control
             )
             crashes = self._crashes.since(subscriber.sent_crash_number, now)
-        is_delayed = subscriber.standby and now - self._version_changed_at < STANDBY_DELAY_SECONDS
+        answers_probe = subscriber.has_open_probe and confirmed
+        is_delayed = _is_delayed(subscriber, self._version_changed_at, now) and not answers_probe
         if subscriber.is_control or is_delayed:  # control hosts have the log
             version, document = 0, b""
         has_new_version = version > subscriber.version
+        # A subscriber that gets its first declaration must know of evacuations at the same time.
+        has_evacuations = self._evacuation_number > subscriber.evacuation_number and (
+            has_new_version
+            or answers_probe
+            or not _is_delayed(subscriber, self._evacuations_changed_at, now)
+        )
+        if subscriber.is_control:
+            has_evacuations = False
         controls_changed = controls != subscriber.controls
         is_state_unchanged = (controls, confirmed) == (subscriber.controls, subscriber.confirmed)
         sent_recently = now - subscriber.sent_at < subscriber.heartbeat_seconds
         if (
             not (servers or entries or crashes or has_new_version)
+            and not (has_evacuations or answers_probe)
             and is_state_unchanged
             and sent_recently
         ):
@@ -246,6 +284,10 @@
         subscriber.version = max(subscriber.version, version)
         subscriber.controls, subscriber.confirmed = controls, confirmed
         subscriber.sent_at = now
+        if has_evacuations:
+            subscriber.evacuation_number = self._evacuation_number
+        if answers_probe:
+            subscriber.answered_probe = subscriber.probe
         zone = "" if subscriber.sent_zone else self._zone
         subscriber.sent_zone = True
         return messages.ClusterUpdate(
@@ -257,4 +299,12 @@
             entries=entries,
             crashes=crashes,
             zone=zone,
+            evacuation_number=self._evacuation_number if has_evacuations else 0,
+            evacuated_zones=self._evacuated_zones if has_evacuations else (),
+            probe=subscriber.probe if answers_probe else 0,
         )
+
+
+def _is_delayed(subscriber: _Subscriber, changed_at: float, now: float) -> bool:
+    """Return whether a standby subscriber may still receive a change from its primary."""
+    return subscriber.standby and now - changed_at < STANDBY_DELAY_SECONDS
--- a/flamingoramp/platform/platform_dialect.py
+++ b/flamingoramp/platform/platform_dialect.py
@@ -9,6 +9,8 @@
 from flamingoramp.intent import traffic
 from flamingoramp.platform import backends, declarations, wire_names
 
+MAX_ZONE_NAME_LENGTH = 255
+
 
 class PlatformDialect:
     """Implementation of `flamingoramp.dialect.Dialect` for the platform."""
@@ -27,6 +29,12 @@
                 return dialect.SubmitDeclaration(version, request.body)
             case (b"GET", _, wire_names.DECLARATION_PATH):
                 return dialect.ReadDeclaration()
+        zone_match = wire_names.EVACUATION_PATH_PATTERN.match(request.path)
+        match (request.method, zone_match is not None):
+            case (b"POST", True):
+                return dialect.EvacuateZone(_decode_zone(zone_match[1]))
+            case (b"DELETE", True):
+                return dialect.RestoreZone(_decode_zone(zone_match[1]))
         raise errors.UnknownRouteError(f"no such call: {request.path}")
 
     def decode_declaration(self, document: bytes) -> traffic.TrafficDeclaration:
@@ -137,6 +145,25 @@
         return backends.encode_memory_command(server, {"op": "release", "id": ticket})
 
 
+def _decode_zone(quoted: str) -> str:
+    """Return the name of an availability zone in a path.
+
+    Raises
+    ------
+    flamingoramp.errors.BadRequestError
+        The name is too long or no printable text in UTF-8.
+    """
+    try:
+        zone = parse.unquote(quoted, errors="strict")
+    except UnicodeDecodeError as error:
+        raise errors.BadRequestError("the zone's name is no text in UTF-8") from error
+    if len(zone) > MAX_ZONE_NAME_LENGTH or not zone.isprintable():
+        raise errors.BadRequestError(
+            f"the zone's name takes printable text of at most {MAX_ZONE_NAME_LENGTH} characters"
+        )
+    return zone
+
+
 def _decode_shared_parts(request: messages.Request) -> tuple[str, ...]:
     """Return the ids of all parts of a prompt but the last, which is the request's own."""
     values = [value for name, value in request.headers if name == wire_names.PROMPT_PARTS]
--- a/flamingoramp/platform/wire_names.py
+++ b/flamingoramp/platform/wire_names.py
@@ -38,6 +38,7 @@
 READINESS_PATH = "/v1/readyz"
 DIRECTORY_PATH = "/v1/lookup"
 SERVER_PATH_PATTERN = re.compile(r"^/v1/instances/([^/?]+)$")
+EVACUATION_PATH_PATTERN = re.compile(r"^/v1/evacuation/([^/?]+)$")
 MEMORY_COMMAND_PATH = b"/v1/order"
 
 # Headers of a caller's request that another entry gets with this entry's values.
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -493,7 +493,9 @@
 
     ``version`` is that of the declaration that the subscriber has. A control host as subscriber
     sets ``is_control``, and its address in ``control``. A subscriber that receives the records of
-    servers and entries from another control host sets ``standby``.
+    servers and entries from another control host sets ``standby``. ``evacuation_number`` is that of
+    the evacuated zones that the subscriber has. A ``probe`` that is not 0 asks for an update that
+    repeats it, and so was made after the subscriber sent this.
     """
 
     name: str = ""
@@ -503,6 +505,8 @@
     crashes: tuple[CrashRecord, ...] = ()
     control: str = ""
     standby: bool = False
+    evacuation_number: int = 0
+    probe: int = 0
 
 
 @attrs.frozen
@@ -512,7 +516,8 @@
     ``confirmed`` is set if the sender is in contact with the leader, so that its version of the
     declaration is not outdated. ``document`` (the declaration, compressed), ``controls`` (the
     addresses of the control hosts) and ``zone`` (the sender's availability zone) are empty if they
-    haven't changed.
+    haven't changed. ``evacuated_zones`` are all evacuated zones as of ``evacuation_number``, which
+    is 0 if the subscriber has them. ``probe`` is that of the subscriber, 0 for none.
     """
 
     version: int = 0
@@ -523,6 +528,9 @@
     entries: tuple[EntryRecord, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     zone: str = ""
+    evacuation_number: int = 0
+    evacuated_zones: tuple[str, ...] = ()
+    probe: int = 0
 
 
 @attrs.frozen
@@ -569,6 +577,34 @@
     document: bytes = b""
 
 
+@attrs.frozen
+class EvacuationRequest:
+    """Order of an operator about an availability zone, forwarded to the leader.
+
+    ``after`` is the index of the last order about the zone that the sender knew when it read this
+    one.
+    """
+
+    request_id: str = ""
+    zone: str = ""
+    evacuated: bool = False
+    after: int = 0
+
+
+@attrs.frozen
+class EvacuationReply:
+    """Reply of the leader to an `EvacuationRequest`.
+
+    The order is committed (``accepted``), or it is outdated by another one at ``last_index``, or
+    neither: it may be committed later.
+    """
+
+    request_id: str = ""
+    accepted: bool = False
+    is_outdated: bool = False
+    last_index: int = 0
+
+
 @attrs.frozen
 class Ping:
     """Liveness check of a connection."""
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -40,12 +40,14 @@
 struct EntryRecord { entry @0 :Text; incarnation @1 :Text; callers @2 :Text; inner @3 :Text; zone @4 :Text; ready @5 :Bool; leaving @6 :Bool; sequence @7 :UInt64; age @8 :Float64; born @9 :Float64; gone @10 :Bool; cutOff @11 :Bool; }
 struct ServerRecord { server @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; software @4 :Text; slots @5 :UInt32; leaving @6 :Bool; coldSeconds @7 :Float64; sequence @8 :UInt64; born @9 :UInt64; age @10 :Float64; gone @11 :Bool; silent @12 :Bool; }
 struct CrashRecord { fingerprint @0 :Text; server @1 :Text; born @2 :UInt64; age @3 :Float64; seconds @4 :Float64; isClearance @5 :Bool; }
-struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; standby @6 :Bool; }
-struct ClusterUpdate { version @0 :UInt64; document @1 :Data; confirmed @2 :Bool; controls @3 :List(Text); servers @4 :List(ServerRecord); entries @5 :List(EntryRecord); crashes @6 :List(CrashRecord); zone @7 :Text; }
+struct Subscribe { name @0 :Text; version @1 :UInt64; isControl @2 :Bool; entries @3 :List(EntryRecord); crashes @4 :List(CrashRecord); control @5 :Text; standby @6 :Bool; evacuationNumber @7 :UInt64; probe @8 :UInt64; }
+struct ClusterUpdate { version @0 :UInt64; document @1 :Data; confirmed @2 :Bool; controls @3 :List(Text); servers @4 :List(ServerRecord); entries @5 :List(EntryRecord); crashes @6 :List(CrashRecord); zone @7 :Text; evacuationNumber @8 :UInt64; evacuatedZones @9 :List(Text); probe @10 :UInt64; }
 struct DeclareRequest { requestId @0 :Text; version @1 :UInt64; document @2 :Data; }
 struct DeclareReply { requestId @0 :Text; accepted @1 :Bool; version @2 :UInt64; code @3 :Text; text @4 :Text; }
 struct ReadRequest { requestId @0 :Text; knownVersion @1 :UInt64; }
 struct ReadReply { requestId @0 :Text; confirmed @1 :Bool; version @2 :UInt64; document @3 :Data; }
+struct EvacuationRequest { requestId @0 :Text; zone @1 :Text; evacuated @2 :Bool; after @3 :UInt64; }
+struct EvacuationReply { requestId @0 :Text; accepted @1 :Bool; isOutdated @2 :Bool; lastIndex @3 :UInt64; }
 # Not sent any more; LoadReport has `servers` and `loads` instead.
 struct EngineLoad { server @0 :Text; strict @1 :UInt32; relaxed @2 :UInt32; patient @3 :UInt32; readingSeconds @4 :Float32; partSeconds @5 :Float32; memoryTokens @6 :UInt32; helping @7 :UInt32; readingCredit @8 :Float32; }
 struct LoadReport { entry @0 :Text; incarnation @1 :Text; sequence @2 :UInt64; engines @3 :List(EngineLoad); zone @4 :Text; isSummary @5 :Bool; part @6 :UInt32; onlyChanges @7 :Bool; servers @8 :List(Text); loads @9 :List(Float32); forwarded @10 :Bool; validSeconds @11 :Float32; services @12 :List(Text); arrivals @13 :List(Float32); statedServers @14 :List(Text); statements @15 :List(Float64); requestRates @16 :List(Float32); }
@@ -88,5 +90,7 @@
     readReply @33 :ReadReply;
     loadReport @34 :LoadReport;
     serverLeaving @35 :ServerLeaving;
+    evacuationRequest @36 :EvacuationRequest;
+    evacuationReply @37 :EvacuationReply;
   }
 }
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from flamingoramp import errors
 from flamingoramp.dispatch import attempts
@@ -43,6 +43,8 @@
     observed : observations.Observations
     zone : str
         Availability zone of this entry.
+    evacuations : container of str
+        Evacuated availability zones, whose servers are not selected.
     """
 
     def __init__(
@@ -52,12 +54,14 @@
         observed: observations.Observations,
         *,
         zone: str,
+        evacuations: Container[str] = (),
     ):
         self._registry = member_registry
         self._loads = loads
         self._statements = loads.statements
         self._observations = observed
         self._zone = zone
+        self._evacuations = evacuations
 
     def choose(
         self,
@@ -85,7 +89,7 @@
         Raises
         ------
         flamingoramp.errors.NoBackendError
-            If no server of the service is known.
+            If no server of the service is known outside of evacuated zones.
         flamingoramp.errors.OverloadedError
             If no engine can serve the request in time.
         """
@@ -99,7 +103,7 @@
         records = {record.server: record for record in usable}
         if service is None or not candidates:
             raise errors.NoBackendError(
-                f"no server of {admitted.service} is known",
+                self._explain_no_server(admitted.service),
                 retry_after=attempts.RETRY_AFTER_SECONDS,
             )
         if service.engine is None or not admitted.caller.prompt_tokens:
@@ -125,6 +129,8 @@
         for record in self._registry.servers():
             if record.service != service or record.leaving or record.server in excluded:
                 continue
+            if record.zone in self._evacuations:
+                continue
             if self._statements.is_leaving(record):
                 continue
             if self._statements.limit(record) == math.inf:
@@ -148,6 +154,12 @@
         withheld = [record for record in limited if record not in offered]
         return usable + offered, withheld
 
+    def _explain_no_server(self, service: str) -> str:
+        zones = {record.zone for record in self._registry.servers() if record.service == service}
+        if zones and all(zone in self._evacuations for zone in zones):
+            return f"all servers of {service} are in evacuated zones: {', '.join(sorted(zones))}"
+        return f"no server of {service} is known"
+
     def _make_candidates(
         self, usable: list[messages.ServerRecord], now: float, control_reachable: bool
     ) -> list[placement.Candidate]:
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -80,6 +80,8 @@
         Name of the host.
     availability_zone : str
         Availability zone of the host.
+    availability_zones : tuple of str
+        Names of all availability zones, which alone can be evacuated; empty to take any name.
     address : str
         IP address of the host.
     inner_ports : tuple of int
@@ -98,6 +100,7 @@
 
     name: str = utils.name_field()
     availability_zone: str = utils.name_field()
+    availability_zones: tuple[str, ...] = ()
     address: str = "127.0.0.1"
     inner_ports: tuple[int, ...] = ()
     seeds: tuple[str, ...] = ()
