--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -59,7 +59,7 @@
     def __init__(self):
         self.calls: list[FakeCall] = []
 
-    def send(self, address, request, receiver, *, new_connection=False) -> FakeCall:
+    def send(self, address, request, receiver, *, new_connection=False, **_options) -> FakeCall:
         self.calls.append(FakeCall(address, request, receiver, new_connection))
         return self.calls[-1]
 
--- a/flamingoramp/dispatch/tests/test_reachability.py
+++ b/flamingoramp/dispatch/tests/test_reachability.py
@@ -43,11 +43,16 @@
             log=test_request_handler.FakeLog(),
             metrics=metrics.Metrics(),
             on_change=lambda: self.changes.append(self.checks.is_cut_off),
+            evacuations=("evacuated",),
         )
-        for number in range(8):
-            self.servers.update_server(
-                messages.ServerRecord(f"s{number}", "llm", address=f"s{number}:1", sequence=1), 0.0
+        self.add_servers(range(8))
+
+    def add_servers(self, numbers: range, **fields) -> None:
+        for number in numbers:
+            record = messages.ServerRecord(
+                f"s{number}", "llm", address=f"s{number}:1", sequence=1, **fields
             )
+            self.servers.update_server(record, 0.0)
 
     def fail_servers(self, outcome: bool | None, count: int) -> None:
         self.pool.outcomes = {f"s{number}:1": outcome for number in range(count)}
@@ -61,6 +66,11 @@
                 self.fail_servers(outcome, 8)
                 self.assertEqual(self.changes, [True])
 
+    def test_servers_of_evacuated_zones_tell_nothing_of_a_cut(self):
+        self.add_servers(range(8, 100), zone="evacuated")
+        self.fail_servers(None, 8)
+        self.assertEqual(self.changes, [True])
+
     # Guards against an entry that takes a few failed servers for a cut of its own links.
     def test_entry_that_reaches_some_servers_is_not_cut_off(self):
         self.fail_servers(None, reachability.SERVERS_PER_CHECK - 1)
--- a/flamingoramp/dispatch/tests/test_request_handler.py
+++ b/flamingoramp/dispatch/tests/test_request_handler.py
@@ -11,7 +11,7 @@
 from flamingoramp.dispatch import request_handler
 from flamingoramp.dispatch.tests import test_forwarding
 from flamingoramp.intent import traffic
-from flamingoramp.membership import registry
+from flamingoramp.membership import evacuated_zones, registry
 from flamingoramp.protocol import messages
 from flamingoramp.routing import load_table
 from flamingoramp.runtime import metrics, node_settings, virtual_time
@@ -51,8 +51,10 @@
         self.events.append(event)
 
 
-class TestBeforeTheFirstDeclaration(unittest.TestCase):
-    """Callers reconnect to an entry that has just started and has no declaration."""
+class HandlerCase(unittest.TestCase):
+    """Base of tests with a handler and one server."""
+
+    awaits_zone_update = False
 
     def setUp(self):
         self.loop = virtual_time.VirtualLoop()
@@ -60,21 +62,26 @@
         self.dialect = FakeDialect()
         self.servers = registry.Registry()
         self.add_server()
+        self.log = FakeLog()
+        self.metrics = metrics.Metrics()
+        self.zones = evacuated_zones.EvacuatedZones()
         self.handler = request_handler.RequestHandler(
             self.loop,
             self.pool,
             self.dialect,
             server_registry=self.servers,
             server_loads=load_table.LoadTable(),
-            log=FakeLog(),
-            metrics=metrics.Metrics(),
+            log=self.log,
+            metrics=self.metrics,
             bounds=node_settings.BoundSettings(),
             zone="a",
             receives_control_updates=lambda: False,
+            evacuations=self.zones,
+            awaits_zone_update=lambda: self.awaits_zone_update,
         )
 
-    def add_server(self) -> None:
-        record = messages.ServerRecord("s1", "s", address="s1:1", sequence=1)
+    def add_server(self, name: str = "s1", zone: str = "a") -> None:
+        record = messages.ServerRecord(name, "s", address=f"{name}:1", zone=zone, sequence=1)
         self.servers.update_server(record, self.loop.now())
 
     def remove_server(self) -> None:
@@ -87,6 +94,10 @@
         self.handler.handle_request(exchange)
         return exchange
 
+
+class TestBeforeTheFirstDeclaration(HandlerCase):
+    """Callers reconnect to an entry that has just started and has no declaration."""
+
     def test_unexpected_error_fails_only_the_request_that_caused_it(self):
         self.handler.apply_declaration(DECLARATION)
         with mock.patch.object(self.pool, "send", side_effect=ZeroDivisionError):
@@ -202,3 +213,71 @@
         queued_exchanges = [self.send_request() for _ in range(request_handler.MAX_QUEUED_REQUESTS)]
         self.assertEqual(self.send_request().status, 503)
         self.assertEqual({exchange.status for exchange in queued_exchanges}, {0})
+
+
+class TestEvacuation(HandlerCase):
+    """Requests while the zones of some or all servers are evacuated."""
+
+    def setUp(self):
+        super().setUp()
+        self.handler.apply_declaration(DECLARATION)
+
+    def evacuate(self, number: int, *zones: str) -> None:
+        self.zones.apply(number, zones)
+        self.handler.handle_zone_change()
+
+    def skip_startup(self) -> None:
+        self.loop.advance(request_handler.EXPECTED_STARTUP_SECONDS + 0.01)
+
+    def sent_addresses(self) -> list[str]:
+        return [call.address for call in self.pool.calls]
+
+    def test_load_goes_to_the_servers_of_the_other_zones(self):
+        """Load pattern: steady requests while a zone is evacuated and restored."""
+        self.add_server("s2", "b")
+        for _ in range(20):
+            self.send_request()
+        self.assertEqual(set(self.sent_addresses()), {"s1:1", "s2:1"})
+        self.pool.calls.clear()
+        self.evacuate(3, "a")
+        for _ in range(20):
+            self.send_request()
+        self.assertEqual(set(self.sent_addresses()), {"s2:1"})
+        self.pool.calls.clear()
+        self.evacuate(5)
+        for _ in range(40):
+            self.send_request()
+        self.assertEqual(set(self.sent_addresses()), {"s1:1", "s2:1"})
+
+    def test_requests_of_a_service_without_another_zone_are_refused_at_once(self):
+        self.skip_startup()
+        self.evacuate(3, "a")
+        self.assertEqual(self.send_request().status, 503)
+        self.assertIn("service.evacuated", self.log.events)
+        self.assertIn(b"evacuated_services 1.0", self.metrics.render())
+        self.evacuate(4)
+        self.assertIn("service.restored", self.log.events)
+        self.assertIn(b"evacuated_services 0.0", self.metrics.render())
+        self.send_request()
+        self.assertEqual(self.sent_addresses(), ["s1:1"])
+
+    def test_starting_entry_queues_until_it_knows_a_server_of_another_zone(self):
+        self.evacuate(3, "a")
+        self.assertEqual(self.send_request().status, 0)
+        self.add_server("s2", "b")
+        self.handler.handle_announcements()
+        self.assertEqual(self.sent_addresses(), ["s2:1"])
+
+    # Guards against a resumed entry that sends to a zone evacuated while it was suspended.
+    def test_requests_wait_while_the_known_zones_may_be_out_of_date(self):
+        self.add_server("s2", "b")
+        self.skip_startup()
+        self.awaits_zone_update = True
+        for _ in range(5):
+            self.send_request()
+        self.loop.advance(0.1)
+        self.assertEqual(self.pool.calls, [])
+        self.evacuate(3, "a")
+        self.awaits_zone_update = False
+        self.loop.advance(0.1)
+        self.assertEqual(self.sent_addresses(), ["s2:1"] * 5)
--- a/flamingoramp/intent/tests/test_evacuations.py
+++ b/flamingoramp/intent/tests/test_evacuations.py
@@ -19,11 +19,13 @@
 def make_entry(
     index: int, zone: str, evacuated: bool = True, *, after: int = 0
 ) -> messages.LogEntry:
+    """Return a log entry with an order."""
     payload = evacuations.encode(evacuations.ZoneOrder(zone, evacuated, after))
     return messages.LogEntry(index, 1, evacuations.KIND_ZONE_ORDER, payload)
 
 
 def make_log(orders: list[tuple[str, bool, int]]) -> list[messages.LogEntry]:
+    """Return the log entries of orders, given as zone, evacuated and after."""
     return [
         make_entry(index, zone, evacuated, after=after)
         for index, (zone, evacuated, after) in enumerate(orders, 1)
@@ -31,6 +33,7 @@
 
 
 def apply_all(entries: list[messages.LogEntry]) -> operator_state.OperatorState:
+    """Return the state after some log entries."""
     state = operator_state.OperatorState()
     for entry in entries:
         state.apply_entry(entry)
--- a/flamingoramp/membership/tests/test_subscriptions.py
+++ b/flamingoramp/membership/tests/test_subscriptions.py
@@ -30,13 +30,14 @@
         message = messages.Subscribe(name="e", version=version, **fields)
         self.publisher.handle(self.connection, message, now)
 
-    def update(self, now: float, *, version: int = 0):
+    def update(self, now: float, *, version: int = 0, confirmed: bool = True, **evacuations):
         updates = self.publisher.make_updates(
             version=version,
             document=b"doc",
-            confirmed=True,
+            confirmed=confirmed,
             controls=("c",),
             now=now,
+            **evacuations,
         )
         return updates[0][1] if updates else None
 
@@ -196,3 +197,83 @@
         self.publisher = subscriptions.Publisher(self.registry)
         self.subscribe(0.0, is_control=True)
         self.assertEqual(self.update(5.0, version=3).document, b"")
+
+
+class TestEvacuations(PublisherCase):
+    """When the evacuated zones are sent to primary and standby subscribers."""
+
+    EVACUATIONS = {"evacuation_number": 7, "evacuated_zones": ("b",)}
+
+    def check_sent(self, update: messages.ClusterUpdate | None, expected: bool = True) -> None:
+        sent = (update.evacuation_number, update.evacuated_zones) if update else (0, ())
+        self.assertEqual(sent, (7, ("b",)) if expected else (0, ()))
+
+    def test_primary_sends_a_change_at_once_and_only_once(self):
+        self.update(0.0)
+        self.check_sent(self.update(0.1, **self.EVACUATIONS))
+        self.assertIsNone(self.update(0.2, **self.EVACUATIONS))
+        self.check_sent(self.update(0.7, **self.EVACUATIONS), False)
+
+    def test_subscriber_that_has_the_number_is_not_sent_the_zones(self):
+        self.subscribe(0.0, evacuation_number=7)
+        self.check_sent(self.update(0.0, **self.EVACUATIONS), False)
+
+    def test_last_withdrawal_is_sent_as_no_zones(self):
+        self.update(0.0, **self.EVACUATIONS)
+        update = self.update(0.1, evacuation_number=9, evacuated_zones=())
+        self.assertEqual((update.evacuation_number, update.evacuated_zones), (9, ()))
+
+    def test_standby_is_sent_a_change_only_if_it_lacks_it_after_the_delay(self):
+        self.subscribe(0.0, standby=True)
+        self.update(0.0)
+        self.assertIsNone(self.update(0.1, **self.EVACUATIONS))
+        late = 0.1 + subscriptions.STANDBY_DELAY_SECONDS
+        self.check_sent(self.update(late, **self.EVACUATIONS))
+        self.publisher = subscriptions.Publisher(self.registry)
+        self.subscribe(0.0, standby=True)
+        self.update(0.1, **self.EVACUATIONS)
+        self.subscribe(0.5, standby=True, evacuation_number=7)
+        self.check_sent(self.update(late, **self.EVACUATIONS), False)
+
+    # Guards against an entry that starts and serves before it knows of an evacuation.
+    def test_first_declaration_of_a_standby_comes_with_the_evacuations(self):
+        self.update(0.0, version=3)
+        self.connection = Connection()
+        self.subscribe(5.0, standby=True)
+        update = self.update(5.0, version=3, **self.EVACUATIONS)
+        self.assertEqual(update.version, 3)
+        self.check_sent(update)
+
+    def test_control_host_is_sent_no_evacuations(self):
+        self.publisher = subscriptions.Publisher(self.registry)
+        self.subscribe(0.0, is_control=True)
+        self.check_sent(self.update(5.0, **self.EVACUATIONS), False)
+
+
+class TestProbes(PublisherCase):
+    """A probe is answered at once, with what is newer, by a host that knows what is in force."""
+
+    def setUp(self):
+        super().setUp()
+        self.subscribe(0.0, standby=True)
+        self.update(0.0)
+        self.subscribe(0.1, standby=True, probe=4)
+
+    def test_standby_gets_the_answer_at_once_and_only_once(self):
+        self.assertTrue(self.publisher.awaits_update(self.connection))
+        update = self.update(0.1, evacuation_number=7, evacuated_zones=("b",))
+        self.assertEqual((update.probe, update.evacuated_zones), (4, ("b",)))
+        self.assertFalse(self.publisher.awaits_update(self.connection))
+        self.subscribe(0.2, standby=True, probe=4)
+        self.assertIsNone(self.update(0.2, evacuation_number=7, evacuated_zones=("b",)))
+
+    def test_host_without_contact_with_the_leader_does_not_answer(self):
+        update = self.update(0.1, confirmed=False)
+        self.assertEqual(update.probe, 0)
+        self.assertEqual(self.update(0.2).probe, 4)
+
+    def test_no_probe_is_not_answered(self):
+        self.update(0.1)
+        self.subscribe(0.2, standby=True)
+        self.assertFalse(self.publisher.awaits_update(self.connection))
+        self.assertIsNone(self.update(0.2))
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -87,6 +87,8 @@
         Addresses at which control hosts serve operators; announcements go to them in turn.
     behaviour : Behaviour or None
         None for the default behaviour.
+    zone : str
+        Availability zone that it announces.
     """
 
     def __init__(
@@ -95,6 +97,8 @@
         service: str,
         control_addresses: list[str],
         behaviour: Behaviour | None = None,
+        *,
+        zone: str = "a",
     ):
         self.name = name
         self.behaviour = behaviour or Behaviour()
@@ -107,6 +111,7 @@
         self.disconnect_count = 0
         self.endless_byte_count = 0
         self.crash_times: list[float] = []
+        self.zone = zone
         self._service = service
         self._control_addresses = control_addresses
         self._sequence = 0
@@ -158,7 +163,7 @@
         body = {
             "service": self._service,
             "addr": self.address,
-            "zone": "a",
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": self._state,
--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -31,6 +31,10 @@
 COMPLETE_STREAM = b"".join(
     b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 6)
 )
+# An operator sends an order again for this long, and waits for each answer for this long.
+ORDER_SECONDS = 5.0
+ORDER_TIMEOUT_SECONDS = 1.0
+ORDER_RETRY_SECONDS = 0.05
 # Threads that send a load; each is held for the duration of a request.
 LOAD_THREAD_COUNT = 24
 
@@ -183,9 +187,12 @@
     ----------
     controls, entries : int
         Number of control hosts and of entries.
+    zones : tuple of str
+        Availability zones that the settings name; empty to take any name.
     """
 
-    def __init__(self, *, controls: int = 3, entries: int = 2):
+    def __init__(self, *, controls: int = 3, entries: int = 2, zones: tuple[str, ...] = ()):
+        self._zones = zones
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.null_descriptor = os.open(os.devnull, os.O_WRONLY)
         self.controls: list[DaemonThread] = []
@@ -209,6 +216,7 @@
         return node_settings.NodeSettings(
             name=f"host-{index}",
             availability_zone="a",
+            availability_zones=self._zones,
             address=address,
             inner_ports=(self._first_inner_port, self._first_inner_port + 1),
             seeds=tuple(self.seeds),
@@ -258,10 +266,15 @@
         shutil.rmtree(self.folder / f"data-{index}")
 
     def add_server(
-        self, name: str, service: str, behaviour: fake_server.Behaviour | None = None
+        self,
+        name: str,
+        service: str,
+        behaviour: fake_server.Behaviour | None = None,
+        *,
+        zone: str = "a",
     ) -> fake_server.FakeServer:
         """Start a fake server and wait until all entries have its announcement."""
-        server = fake_server.FakeServer(name, service, self.seeds, behaviour)
+        server = fake_server.FakeServer(name, service, self.seeds, behaviour, zone=zone)
         self.servers.append(server)
         for entry in self.entries:
             wait_for(
@@ -289,6 +302,38 @@
 
         return wait_for(_declare_once, f"the acknowledgement of version {version}")
 
+    def order_zone(self, method: str, zone: str, *, addresses: list[str] | None = None) -> float:
+        """Send an order about a zone to control hosts in turn until one acknowledges it.
+
+        Returns
+        -------
+        float
+            Seconds from the first sending to the acknowledgement.
+        """
+        started_at = time.monotonic()
+        for address in itertools.cycle(addresses or self.seeds):
+            seconds = time.monotonic() - started_at
+            if seconds > ORDER_SECONDS:
+                break
+            if self.send_order(method, zone, address) == 200:
+                return time.monotonic() - started_at
+            time.sleep(ORDER_RETRY_SECONDS)
+        raise AssertionError(f"{method} of zone {zone} was not acknowledged in {ORDER_SECONDS} s")
+
+    def send_order(self, method: str, zone: str, address: str) -> int:
+        """Send an order about a zone once; return the status, 0 for none within a second."""
+        try:
+            answer = send_request(
+                address, method, f"/v1/evacuation/{zone}", timeout=ORDER_TIMEOUT_SECONDS
+            )
+        except OSError:
+            return 0
+        return answer.status
+
+    def evacuated_at_entries(self) -> list[tuple[str, ...]]:
+        """Return the zones that each entry knows to be evacuated."""
+        return [entry.daemon.evacuated_zones for entry in self.entries]
+
     def wait_in_force(self, version: int) -> None:
         """Wait until a version, or a later one, is in force at all entries."""
         for entry in self.entries:
--- a/flamingoramp/platform/tests/test_platform_dialect.py
+++ b/flamingoramp/platform/tests/test_platform_dialect.py
@@ -33,8 +33,29 @@
             self.decode(b"DELETE", b"/v1/instances/i-7"), dialect.WithdrawServer("i-7")
         )
 
+    def test_post_and_delete_of_evacuation_are_decoded(self):
+        self.assertEqual(
+            self.decode(b"POST", b"/v1/evacuation/hall%2Db%C3%A9"),
+            dialect.EvacuateZone("hall-b\u00e9"),
+        )
+        self.assertEqual(
+            self.decode(b"DELETE", b"/v1/evacuation/hall-b"), dialect.RestoreZone("hall-b")
+        )
+
+    def test_zone_that_is_no_printable_text_raises_bad_request(self):
+        for zone in (b"%ff", b"a%00b", b"z" * 256):
+            with self.subTest(zone=zone), self.assertRaises(errors.BadRequestError) as caught:
+                self.decode(b"POST", b"/v1/evacuation/" + zone)
+            self.assertEqual(caught.exception.status, 400)
+
     def test_unknown_method_or_path_raises_unknown_route(self):
-        for method, target in [(b"GET", b"/"), (b"POST", b"/v1/config"), (b"PUT", b"/v1/other")]:
+        for method, target in [
+            (b"GET", b"/"),
+            (b"POST", b"/v1/config"),
+            (b"PUT", b"/v1/other"),
+            (b"PUT", b"/v1/evacuation/b"),
+            (b"POST", b"/v1/evacuation/"),
+        ]:
             with self.assertRaises(errors.UnknownRouteError):
                 self.decode(method, target)
 
--- a/flamingoramp/tests/control_scenarios.py
+++ b/flamingoramp/tests/control_scenarios.py
@@ -1,9 +1,9 @@
 """Random simulated runs of a cluster of control hosts that find each other through seed hosts.
 
-Operators declare versions while hosts are killed, frozen, partitioned, replaced by empty ones at
-other addresses, and restarted with other seed hosts. Invariants: an acknowledged version is never
-lost, a confirmed read returns no version older than the newest acknowledged one, and the cluster
-recovers after the faults.
+Operators declare versions and evacuate zones while hosts are killed, frozen, partitioned, replaced
+by empty ones at other addresses, and restarted with other seed hosts. Invariants: an acknowledged
+version or order about a zone is never lost, a confirmed read returns none older than the newest
+acknowledged one, and the cluster recovers after the faults.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from flamingoramp import errors
 from flamingoramp.consensus import effects, node, replica
 from flamingoramp.daemons import coordinator
-from flamingoramp.intent import versioned_declaration
+from flamingoramp.intent import evacuations, operator_state, versioned_declaration
 from flamingoramp.tests import worlds
 
 SEED_HOST_COUNT = 3
@@ -24,6 +24,7 @@
 # Time within which a cluster recovers after the last fault: an unreachable voter is replaced after
 # 8 s, and a new replica becomes a voter some seconds later.
 RECOVERY_SECONDS = 40.0
+ZONES = ("a", "b")
 
 
 class FailingDisk(worlds.SimulatedDisk):
@@ -57,6 +58,7 @@
     start_count: int
     requested_at: float
     min_version: int
+    min_number: int
 
 
 class Host:
@@ -75,9 +77,19 @@
         self._scenario = scenario
         self.simulated_node = scenario.sim.add_node(name)
         self.simulated_node.is_running = False
-        self.state = versioned_declaration.VersionedDeclarationState()
+        self.operator_state = operator_state.OperatorState()
         self.node: node.Node | None = None
 
+    @property
+    def state(self) -> versioned_declaration.VersionedDeclarationState:
+        """The declaration that the host has."""
+        return self.operator_state.declaration
+
+    @property
+    def evacuations(self) -> evacuations.EvacuationState:
+        """The evacuated zones that the host has."""
+        return self.operator_state.evacuations
+
     @property
     def is_running(self) -> bool:
         """Whether the host's process runs; a frozen process counts as running."""
@@ -89,12 +101,12 @@
         self.simulated_node.start_count += 1
         self.simulated_node.is_running = True
         self.simulated_node.frozen_until = 0.0
-        self.state = versioned_declaration.VersionedDeclarationState()
+        self.operator_state = operator_state.OperatorState()
         loop = worlds.SimulatedLoop(sim, self.simulated_node)
         self.node = node.Node(
             config=node.NodeConfig(self.name, tuple(self._scenario.seed_hosts), may_create_cluster),
             store=self.disk,
-            state_machine=self.state,
+            state_machine=self.operator_state,
             send=self._send,
             on_leader_changed=lambda _change: None,
             on_storage_status=lambda _error: None,
@@ -144,6 +156,8 @@
         self._documents_by_version: dict[int, bytes] = {}
         self._newest_version = 0
         self._acknowledged_version = 0
+        self._acknowledged_orders: dict[str, tuple[int, bool]] = {}
+        self._zones_by_number: dict[int, tuple[str, ...]] = {}
         self._pending_reads: list[_Read] = []
         self._calm_until = 0.0
         for _ in range(host_count):
@@ -162,6 +176,7 @@
         self.sim.message_faults_disabled = False
         actions = (
             (self._propose_declaration, 10),
+            (self._order_zone, 6),
             (self._request_read, 6),
             (self._kill, 3),
             (self._kill_most, 1),
@@ -213,12 +228,39 @@
             lambda _error: None,
         )
 
+    def _order_zone(self) -> None:
+        """Evacuate or restore a zone at a host that claims to lead."""
+        leaders = [candidate for candidate in self._responsive_hosts() if candidate.node.is_leader]
+        if not leaders:
+            return
+        host = self._rng.choice(leaders)
+        zone, evacuated = self._rng.choice(ZONES), self._rng.random() < 0.5
+        order = evacuations.ZoneOrder(zone, evacuated, host.evacuations.last_index(zone))
+
+        def _handle_acknowledgement(result: evacuations.OrderResult) -> None:
+            if not result.is_outdated:
+                acknowledged = self._acknowledged_orders.get(zone, (0, False))
+                latest = max(acknowledged, (result.last_index, evacuated))
+                self._acknowledged_orders[zone] = latest
+
+        host.node.propose(
+            evacuations.KIND_ZONE_ORDER,
+            evacuations.encode(order),
+            _handle_acknowledgement,
+            lambda _error: None,
+        )
+
     def _request_read(self) -> None:
         for host in self._responsive_hosts():
             if host.node.is_leader:
                 requested_at = host.node.request_read()
+                numbers = [index for index, _ in self._acknowledged_orders.values()]
                 read = _Read(
-                    host, host.simulated_node.start_count, requested_at, self._acknowledged_version
+                    host,
+                    host.simulated_node.start_count,
+                    requested_at,
+                    self._acknowledged_version,
+                    max(numbers, default=0),
                 )
                 self._pending_reads.append(read)
 
@@ -234,6 +276,11 @@
                     f"{read.host.name} confirmed version {read.host.state.version}, "
                     f"older than the acknowledged {read.min_version}"
                 )
+            elif read.host.evacuations.number < read.min_number:
+                raise worlds.Violation(
+                    f"{read.host.name} confirmed evacuations {read.host.evacuations.number}, "
+                    f"older than the acknowledged {read.min_number}"
+                )
         self._pending_reads = pending
 
     # Faults.
@@ -362,8 +409,14 @@
         membership = leaders[0].node.replica.membership
         voters = {replica.host_of(voter) for voter in membership.voters}
         versions_equal = all(host.state.version == leaders[0].state.version for host in hosts)
+        numbers_equal = len({host.evacuations.number for host in hosts}) == 1
         cluster_ids = {host.node.replica.cluster for host in hosts}
-        return voters == set(self._hosts) and versions_equal and len(cluster_ids) == 1
+        return (
+            voters == set(self._hosts)
+            and versions_equal
+            and numbers_equal
+            and len(cluster_ids) == 1
+        )
 
     def _wait_until_recovered(self) -> None:
         for _ in range(round(RECOVERY_SECONDS)):
@@ -380,11 +433,14 @@
     # Checks.
 
     def _check_documents(self) -> None:
-        """Check that each host's document is the one that was declared under its version."""
+        """Check that hosts agree on the document of a version and the zones of a number."""
         for host in self._responsive_hosts():
             version, document = host.state.version, host.state.document
             if version and document != self._documents_by_version[version]:
                 raise worlds.Violation(f"{host.name} has a wrong document for {version}")
+            number, zones = host.evacuations.number, host.evacuations.zones
+            if self._zones_by_number.setdefault(number, zones) != zones:
+                raise worlds.Violation(f"{host.name} has wrong zones for {number}")
 
     def _check_final_state(self) -> None:
         self._check_documents()
@@ -394,6 +450,14 @@
                     f"version {self._acknowledged_version} was acknowledged, but {host.name} has "
                     f"{host.state.version}"
                 )
+            for zone, (index, evacuated) in self._acknowledged_orders.items():
+                last_index = host.evacuations.last_index(zone)
+                is_same = (zone in host.evacuations.zones) == evacuated
+                if last_index < index or (last_index == index and not is_same):
+                    raise worlds.Violation(
+                        f"order {index} about zone {zone} was acknowledged, but {host.name} has "
+                        f"{last_index} ({host.evacuations.zones})"
+                    )
         previous_version = self._newest_version
         self._propose_declaration()
         self.sim.advance(3.0)
