--- a/flamingoramp/daemons/operator_calls.py
+++ b/flamingoramp/daemons/operator_calls.py
@@ -143,7 +143,7 @@
                 self._metrics.count("evacuation_calls", outcome="abandoned")
                 self._log.write("evacuation.abandoned", zone=zone, evacuated=evacuated)
                 return
-            order = evacuations.ZoneOrder(zone, evacuated, max(after, self._state.last_index(zone)))
+            order = evacuations.ZoneOrder(zone, evacuated, after)
             self._commit_or_forward(order, call)
 
         call = PendingCall(self._loop.now() + ANSWER_TIMEOUT_SECONDS, _handle_result, on_error)
