--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -130,6 +130,64 @@
         return [entry.payload for entry in self.applied[host] if entry.kind == "test"]
 
 
+class ContactCluster(Cluster):
+    """Records what hosts had applied whenever they said that they are level with the leader."""
+
+    def __init__(self, **options):
+        self.payloads_with_contact: dict[str, list[list[bytes]]] = {}
+        super().__init__(**options)
+
+    def execute(self, host: str, batch: list) -> None:
+        super().execute(host, batch)
+        if self.replicas[host].has_leader_contact(self.now):
+            self.payloads_with_contact.setdefault(host, []).append(self.payloads(host))
+
+
+class TestLeaderContact(unittest.TestCase):
+    """A host says that its state is current only if it has all that was committed before."""
+
+    TIMINGS = (replica.Timing(), replica.Timing(uses_leases=False, announces_commits=True))
+
+    # Guards against an old state that a host publishes as current before it has caught up.
+    def test_host_that_returns_is_level_only_after_it_has_caught_up(self):
+        for timing in self.TIMINGS:
+            for returns in ("restart", "cut"):
+                with self.subTest(timing=timing, returns=returns):
+                    cluster = ContactCluster(timing=timing)
+                    cluster.run(5)
+                    host = next(name for name in HOSTS if name != cluster.leader())
+                    if returns == "restart":
+                        cluster.stop(host)
+                    else:
+                        cluster.isolate(host)
+                    cluster.run(2)
+                    for payload in (b"x", b"y"):
+                        self.assertTrue(cluster.propose(payload))
+                        cluster.run(1)
+                    cluster.payloads_with_contact.clear()
+                    cluster.cut_links.clear()
+                    if returns == "restart":
+                        cluster.start(host, first_start=False)
+                    cluster.run(5)
+                    seen = cluster.payloads_with_contact[host]
+                    self.assertEqual(seen, [[b"x", b"y"]] * len(seen))
+
+    def test_all_hosts_are_level_only_after_a_new_leader_has_committed(self):
+        cluster = ContactCluster(timing=self.TIMINGS[1])
+        cluster.run(5)
+        self.assertTrue(cluster.propose(b"x"))
+        cluster.run(1)
+        for host in HOSTS:
+            cluster.stop(host)
+        cluster.payloads_with_contact.clear()
+        for host in HOSTS:
+            cluster.start(host, first_start=False)
+        cluster.run(5)
+        for host in HOSTS:
+            seen = cluster.payloads_with_contact[host]
+            self.assertEqual(seen, [[b"x"]] * len(seen))
+
+
 class TestElections(unittest.TestCase):
     """Cluster creation, elections, leases and votes of hosts that stop, restart or lose links."""
 
--- /dev/null
+++ b/flamingoramp/daemons/tests/test_operator_calls.py
@@ -0,0 +1,202 @@
+"""Tests of operators' orders at one control host, without network and log."""
+
+from __future__ import annotations
+
+import types
+import unittest
+from typing import Any
+
+from flamingoramp import errors
+from flamingoramp.daemons import operator_calls
+from flamingoramp.dispatch.tests import test_request_handler
+from flamingoramp.intent import evacuations
+from flamingoramp.protocol import messages
+from flamingoramp.runtime import metrics, virtual_time
+
+STEP_SECONDS = 0.02
+
+
+class FakeNode:
+    """Node whose proposals are committed when the test says so."""
+
+    def __init__(self, state: evacuations.EvacuationState):
+        self.is_leader = True
+        self.pending: list[tuple[bytes, Any, Any]] = []
+        self._state = state
+        self._index = 10
+
+    def propose(self, kind, payload, on_applied, on_failed) -> None:
+        assert kind == evacuations.KIND_ZONE_ORDER
+        self.pending.append((payload, on_applied, on_failed))
+
+    def commit(self) -> None:
+        """Commit the oldest proposal."""
+        payload, on_applied, _ = self.pending.pop(0)
+        self._index += 1
+        entry = messages.LogEntry(self._index, 1, evacuations.KIND_ZONE_ORDER, payload)
+        on_applied(self._state.apply_entry(entry))
+
+
+class CallsCase(unittest.TestCase):
+    """Base of tests with the calls of a host that leads at first."""
+
+    zones: tuple[str, ...] = ()
+
+    def setUp(self):
+        self.loop = virtual_time.VirtualLoop()
+        self.loop.call_every(STEP_SECONDS, lambda: None)
+        self.state = evacuations.EvacuationState()
+        self.node = FakeNode(self.state)
+        self.forwarded: list[tuple[messages.EvacuationRequest, operator_calls.PendingCall]] = []
+        self.results: list[str] = []
+        self.replies: list[messages.EvacuationReply] = []
+        self.calls = operator_calls.EvacuationCalls(
+            self.loop,
+            node=self.node,
+            state=self.state,
+            leadership=self,
+            zones=self.zones,
+            log=test_request_handler.FakeLog(),
+            metrics=metrics.Metrics(),
+            wall_time=self.loop.now,
+        )
+        self.loop.advance(1.0)
+
+    def forward_to_leader(self, make_request, call) -> None:
+        self.forwarded.append((make_request("r1"), call))
+
+    def submit(self, zone: str = "a", *, evacuated: bool = True) -> types.SimpleNamespace:
+        exchange = types.SimpleNamespace(is_done=False)
+        self.calls.submit(
+            zone,
+            evacuated=evacuated,
+            exchange=exchange,
+            on_result=lambda: self.results.append("acknowledged"),
+            on_error=lambda error: self.results.append(error.code),
+        )
+        return exchange
+
+    def suspend(self, seconds: float) -> None:
+        """Let time pass in which the loop does not run."""
+        self.loop._now += seconds
+
+
+class TestOrders(CallsCase):
+    """Orders that operators send to this host."""
+
+    def test_order_is_acknowledged_after_its_commit(self):
+        self.submit()
+        self.loop.advance(0.1)
+        self.assertEqual(self.results, [])
+        self.node.commit()
+        self.assertEqual((self.results, self.state.zones), (["acknowledged"], ("a",)))
+
+    def test_order_that_changes_nothing_waits_for_a_quorum_too(self):
+        self.submit(evacuated=False)
+        self.loop.advance(0.1)
+        self.assertEqual(self.results, [])
+        self.node.commit()
+        self.assertEqual(self.results, ["acknowledged"])
+
+    # Guards against an order that takes effect though its operator has gone.
+    def test_order_whose_caller_has_gone_is_not_proposed(self):
+        self.submit().is_done = True
+        self.loop.advance(0.1)
+        self.assertEqual(self.node.pending, [])
+
+    def test_order_that_another_one_outdated_is_proposed_again_while_its_caller_waits(self):
+        self.submit()
+        self.submit(evacuated=False)
+        self.loop.advance(0.1)
+        self.node.commit()
+        self.node.commit()
+        self.assertEqual((self.results, self.state.zones), (["acknowledged"], ("a",)))
+        self.node.commit()
+        self.assertEqual((self.results, self.state.zones), (["acknowledged"] * 2, ()))
+
+    def test_outdated_order_is_not_proposed_again_after_its_time_or_a_suspension(self):
+        for seconds in (operator_calls.ANSWER_TIMEOUT_SECONDS, 0.0):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                self.submit()
+                self.submit(evacuated=False)
+                self.loop.advance(0.1)
+                self.node.commit()
+                self.loop.advance(seconds)
+                self.suspend(0.0 if seconds else 0.6)
+                self.node.commit()
+                self.assertEqual(self.node.pending, [])
+                self.assertEqual(self.results, ["acknowledged", "not_leader"])
+
+    def test_order_is_forwarded_with_the_last_one_that_this_host_knew(self):
+        self.submit()
+        self.loop.advance(0.1)
+        self.node.commit()
+        self.node.is_leader = False
+        self.submit(evacuated=False)
+        self.loop.advance(0.1)
+        request, call = self.forwarded[0]
+        self.assertEqual(request, messages.EvacuationRequest("r1", "a", False, 11))
+        call.on_result(messages.EvacuationReply("r1", is_outdated=True, last_index=14))
+        request, call = self.forwarded[1]
+        self.assertEqual(request, messages.EvacuationRequest("r1", "a", False, 14))
+        call.on_result(messages.EvacuationReply("r1", accepted=True, last_index=15))
+        self.assertEqual(self.results, ["acknowledged"] * 2)
+
+    def test_calls_are_refused_for_a_time_after_a_suspension(self):
+        self.suspend(0.6)
+        for _ in range(2):
+            with self.assertRaises(errors.NotReadyError) as caught:
+                self.submit()
+            self.assertEqual(caught.exception.status, 503)
+            self.loop.advance(operator_calls.REFUSAL_AFTER_GAP_SECONDS / 2 - 0.05)
+        self.loop.advance(0.2)
+        self.submit()
+
+
+class TestForwardedOrders(CallsCase):
+    """Orders that other control hosts forward to this one."""
+
+    REQUEST = messages.EvacuationRequest("r7", "a", True, 0)
+
+    def test_reply_tells_of_the_commit(self):
+        self.calls.handle_request(self.REQUEST, self.replies.append)
+        self.assertEqual(self.replies, [])
+        self.node.commit()
+        self.assertEqual(self.replies, [messages.EvacuationReply("r7", True, False, 11)])
+
+    # Guards against an order that waited on its way until the opposite was acknowledged.
+    def test_order_that_comes_after_a_later_one_is_outdated(self):
+        self.submit(evacuated=False)
+        self.loop.advance(0.1)
+        self.node.commit()
+        self.calls.handle_request(self.REQUEST, self.replies.append)
+        self.node.commit()
+        self.assertEqual(self.replies, [messages.EvacuationReply("r7", False, True, 11)])
+        self.assertEqual(self.state.zones, ())
+
+    def test_order_is_refused_after_a_suspension_and_by_a_host_that_does_not_lead(self):
+        self.suspend(0.6)
+        self.calls.handle_request(self.REQUEST, self.replies.append)
+        self.loop.advance(1.0)
+        self.node.is_leader = False
+        self.calls.handle_request(self.REQUEST, self.replies.append)
+        self.assertEqual(self.replies, [messages.EvacuationReply("r7")] * 2)
+        self.assertEqual(self.node.pending, [])
+
+
+class TestZones(CallsCase):
+    """Zones that the settings name."""
+
+    zones = ("a", "b")
+
+    def test_other_zone_is_refused_unless_it_is_evacuated(self):
+        with self.assertRaises(errors.UnknownZoneError):
+            self.submit("c")
+        payload = evacuations.encode(evacuations.ZoneOrder("c", True))
+        entry = messages.LogEntry(5, 1, evacuations.KIND_ZONE_ORDER, payload)
+        self.state.apply_entry(entry)
+        self.submit("c", evacuated=False)
+        self.loop.advance(0.1)
+        self.node.commit()
+        self.assertEqual((self.results, self.state.zones), (["acknowledged"], ()))
