--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -34,6 +34,9 @@
 SILENCE_CHECK_INTERVAL_SECONDS = 0.5
 # A check that is later than this shows that the process was suspended and missed reports.
 MAX_SILENCE_CHECK_GAP_SECONDS = 1.5
+# A host that starts has the state of its last snapshot, which is not published before this time
+# unless the leader confirms it. Hosts that start together elect a leader sooner.
+UNCONFIRMED_STATE_DELAY_SECONDS = 4.0
 # Announcements missed in a row after which a server counts as silent. Control hosts forward
 # announcements to each other, so any of them may have received the last one.
 MAX_MISSED_ANNOUNCEMENTS = 5
@@ -99,6 +102,7 @@
         self._pending_reads: list[_PendingRead] = []
         self._silence_checks = suspension.SuspensionDetector(MAX_SILENCE_CHECK_GAP_SECONDS)
         self._publish_is_due = False
+        self._publishes_state = False
         self._stopping = False
         self._node = self._make_node()
         self._evacuation_calls = self._make_evacuation_calls()
@@ -113,7 +117,7 @@
         self._loop.call_every(PERIODIC_PUBLISH_INTERVAL_SECONDS, self._publish)
         self._loop.call_later(0.0, self._subscribe_to_peers)
         self._loop.call_every(PEER_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_to_peers)
-        self._observed_since = self._loop.now()
+        self._started_at = self._observed_since = self._loop.now()
         self._loop.call_every(SILENCE_CHECK_INTERVAL_SECONDS, self._mark_unreported)
         self._loop.call_every(
             EVICTION_INTERVAL_SECONDS, lambda: self._registry.remove_expired(self._loop.now())
@@ -289,16 +293,20 @@
 
     def _publish(self) -> None:
         self._publish_is_due = False
-        evacuations = self._operator_state.evacuations
+        now = self._loop.now()
+        # After a suspension, contact with the leader may be one of long ago.
+        confirmed = self._node.has_leader_contact and not self._evacuation_calls.was_suspended
+        if confirmed or now - self._started_at > UNCONFIRMED_STATE_DELAY_SECONDS:
+            self._publishes_state = True
+        state = self._operator_state if self._publishes_state else operator_state.OperatorState()
         updates = self._publisher.make_updates(
-            version=self._state.version,
-            document=self._state.compressed,
-            # After a suspension, contact with the leader may be one of long ago.
-            confirmed=self._node.has_leader_contact and not self._evacuation_calls.was_suspended,
-            evacuation_number=evacuations.number,
-            evacuated_zones=evacuations.zones,
+            version=state.declaration.version,
+            document=state.declaration.compressed,
+            confirmed=confirmed,
+            evacuation_number=state.evacuations.number,
+            evacuated_zones=state.evacuations.zones,
             controls=self._node.hosts,
-            now=self._loop.now(),
+            now=now,
         )
         for connection, update in updates:
             connection.send(update)
--- a/flamingoramp/platform/tests/test_evacuation.py
+++ b/flamingoramp/platform/tests/test_evacuation.py
@@ -8,7 +8,8 @@
 from concurrent import futures
 from unittest import mock
 
-from flamingoramp.daemons import operator_calls
+from flamingoramp.consensus import node
+from flamingoramp.daemons import gateway, operator_calls
 from flamingoramp.http import server as http_server
 from flamingoramp.platform.tests import fake_server, server_links
 from flamingoramp.platform.tests import fleet as fleets
@@ -241,6 +242,31 @@
         last = {route: route_answers[-20:] for route, route_answers in answers.items()}
         self.check_served(last)
 
+    # Guards against an entry that starts with the state of a snapshot older than an evacuation.
+    def test_evacuation_after_the_last_snapshot_is_known_before_the_declaration(self):
+        fleet = self.start_fleet(entries=1)
+        with mock.patch.object(node, "SNAPSHOT_THRESHOLD_ENTRIES", 4):
+            for version in range(2, 12):
+                fleet.declare(version)
+            time.sleep(0.3)  # all hosts take snapshots at their timers
+        fleet.order_zone("POST", "a")
+        for daemon_thread in (*fleet.controls, *fleet.entries):
+            daemon_thread.stop()
+        restarted_at = time.monotonic()
+        fleet.entries = [fleet.start_entry(3)]
+        time.sleep(gateway.UNCONFIRMED_DECLARATION_DELAY_SECONDS)
+        fleet.controls = [fleet.start_control(0)]
+        load = self.start_load(fleet, 4.0)
+        time.sleep(1.0)
+        snapshot_state = fleet.controls[0].daemon._operator_state
+        self.assertGreater(snapshot_state.declaration.version, 1)
+        self.assertEqual(snapshot_state.evacuations.zones, ())
+        fleet.controls += [fleet.start_control(number) for number in (1, 2)]
+        self.wait_evacuated(fleet, "a")
+        load.result()
+        self.assertEqual(self.count_arrivals(fleet, "a", restarted_at), 0)
+        self.assertGreater(self.count_arrivals(fleet, "b", restarted_at), 0)
+
     def test_evacuation_survives_the_loss_of_a_disk_right_after_its_acknowledgement(self):
         fleet = self.start_serving(entries=1)
         index = self.leader_index(fleet)
