--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -83,7 +83,7 @@
         self._operator_state = operator_state.OperatorState()
         self._state = self._operator_state.declaration
         self._recorded_version = 0
-        self._recorded_evacuations: tuple[int, tuple[str, ...]] = (0, ())
+        self._recorded_evacuations = (0, ())
         self._registry = registry.Registry()
         self._directory = entry_directory.EntryDirectory(self._registry)
         self._publisher = subscriptions.Publisher(self._registry, zone=settings.availability_zone)
@@ -294,7 +294,7 @@
     def _publish(self) -> None:
         self._publish_is_due = False
         now = self._loop.now()
-        # After a suspension, contact with the leader may be one of long ago.
+        # After a suspension, the last contact with the leader may have been long ago.
         confirmed = self._node.has_leader_contact and not self._evacuation_calls.was_suspended
         if confirmed or now - self._started_at > UNCONFIRMED_STATE_DELAY_SECONDS:
             self._publishes_state = True
@@ -319,19 +319,15 @@
             self._log.write("declaration.committed", version=self._state.version)
             self._metrics.set_gauge("declaration_version", self._state.version)
             self._publish_is_due = True
-        if evacuations.number == self._recorded_evacuations[0]:
-            return
-        _, previous_zones = self._recorded_evacuations
-        self._recorded_evacuations = evacuations.number, evacuations.zones
-        self._publish_is_due = True
-        if evacuations.zones != previous_zones:
+        number, zones = evacuations.number, evacuations.zones
+        previous_number, previous_zones = self._recorded_evacuations
+        self._recorded_evacuations = number, zones
+        self._publish_is_due = self._publish_is_due or number != previous_number
+        if zones != previous_zones:
             self._log.write(
-                "evacuation.committed",
-                zones=evacuations.zones,
-                previous=previous_zones,
-                number=evacuations.number,
+                "evacuation.committed", zones=zones, previous=previous_zones, number=number
             )
-            self._metrics.set_gauge("evacuated_zones", len(evacuations.zones))
+            self._metrics.set_gauge("evacuated_zones", len(zones))
 
     def _tick(self) -> None:
         now = self._loop.now()
--- a/flamingoramp/runtime/tests/test_settings.py
+++ b/flamingoramp/runtime/tests/test_settings.py
@@ -4,13 +4,14 @@
 
 import json
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
 import unittest
 
 from flamingoramp import errors
-from flamingoramp.runtime import settings
+from flamingoramp.runtime import node_settings, settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 VALID_HOST = {"name": "h", "availability_zone": "z", "control_inner_port": 1}
@@ -76,6 +77,40 @@
             self.assertEqual(len(loaded.control_hosts), 5)
 
 
+class TestNodeSettings(SettingsTestCase):
+    """Settings files that the template for the platform gives."""
+
+    TEMPLATE = (ROOT / "deploy" / "settings.json").read_text()
+    ZONES = '{{#zones}}"{{@}}"{{,}}{{/zones}}'
+
+    def render(self, zones: str) -> str:
+        """Fill the template in, with other values that are valid for each of its fields."""
+        self.assertIn(self.ZONES, self.TEMPLATE)
+        text = self.TEMPLATE.replace(self.ZONES, zones)
+        for name, value in (
+            ("node|json", '"n"'),
+            ("zone|json", '"a"'),
+            ("bind_ip|json", '"127.0.0.1"'),
+            ("internal_ports|json", "[7500, 7501]"),
+            ("seed_addrs|json", '["127.0.0.1:9"]'),
+            ("bootstrap|json", "true"),
+            ("heartbeat_ms", "1200"),
+        ):
+            text = text.replace("{{" + name + "}}", value)
+        text = re.sub(r'": {{[^}]*}}', '": 10', text)
+        return re.sub("{{[^}]*}}", "x", text)
+
+    def test_template_gives_the_zones_that_can_be_evacuated(self):
+        for zones, expected in (('"a", "b"', ("a", "b")), ("", ())):
+            loaded = node_settings.load(str(self.write(self.render(zones))))
+            self.assertEqual(loaded.availability_zones, expected)
+
+    def test_settings_of_earlier_builds_name_no_zones(self):
+        document = json.loads(self.render(""))
+        del document["availability_zones"]
+        self.assertEqual(node_settings.load(str(self.write(document))).availability_zones, ())
+
+
 class TestCommandLine(SettingsTestCase):
     """Exit code 0: success; 1: rejected or failed; 2: wrong usage or invalid settings."""
 
