flamingoramp zone evacuate, restore and list: owners of shards leave evacuated zones out

The product's own interface had no way to take a zone out of use. The zones are part of the replicated state, entries get them with each grant of their session, and their schedulers grant nothing there.

--- a/flamingoramp/cli/main.py
+++ b/flamingoramp/cli/main.py
@@ -44,15 +44,60 @@
     print(json.dumps(document, indent=2) if as_json else "\n".join(lines))
 
 
+class ZoneCommands:
+    """Evacuate availability zones: nothing new goes to their servers until they are restored."""
+
+    def evacuate(self, zone: str, settings: str = "", json: bool = False) -> None:
+        """Send nothing new to the backend servers of a zone; what runs there goes on.
+
+        Parameters
+        ----------
+        zone : str
+            Name of the availability zone.
+        """
+        self._order(zone, True, settings, json)
+
+    def restore(self, zone: str, settings: str = "", json: bool = False) -> None:
+        """Withdraw the evacuation of a zone.
+
+        Parameters
+        ----------
+        zone : str
+            Name of the availability zone.
+        """
+        self._order(zone, False, settings, json)
+
+    def list(self, settings: str = "", json: bool = False) -> None:
+        """Show the availability zones and whether they are evacuated."""
+        client = control_client.ControlClient(_load_settings(settings))
+        _print_zones(client.request("GET", "/v1/zones"), json)
+
+    def _order(self, zone: str, evacuated: bool, settings: str, json: bool) -> None:
+        client = control_client.ControlClient(_load_settings(settings))
+        body = {"zone": str(zone), "evacuated": evacuated}
+        _print_zones(client.request("POST", "/v1/zones", body), json)
+
+
+def _print_zones(answer: Any, as_json: bool) -> None:
+    lines = [
+        f"{zone}  {'evacuated' if zone in answer['evacuated_zones'] else 'in use'}"
+        for zone in answer["zones"]
+    ]
+    _print_result(answer, lines, as_json)
+
+
 class Commands:
     """flamingoramp distributes prompts of 1,000 to 1,000,000 tokens over engines.
 
     Daemons: `entry` and `control`, with one settings file for all hosts.
-    Operators: `plan` a declaration, `confirm` the plan, show `status` and `timeline`.
+    Operators: `plan` a declaration, `confirm` the plan, show `status` and `timeline`,
+    `zone evacuate`, `zone restore` and `zone list`.
     Each command takes --settings FILE or reads FLAMINGORAMP_SETTINGS, and --json.
     Exit codes: 0 done, 1 refused or failed, 2 bad usage or settings.
     """
 
+    zone = ZoneCommands()
+
     def entry(self, settings: str = "", host: str = "") -> None:
         """Run the entry daemon of a host.
 
--- a/flamingoramp/daemons/control.py
+++ b/flamingoramp/daemons/control.py
@@ -16,7 +16,7 @@
 
 from flamingoramp import errors
 from flamingoramp.consensus import driver, effects, node, replica, storage
-from flamingoramp.daemons import process
+from flamingoramp.daemons import process, zone_orders
 from flamingoramp.dispatch import claims
 from flamingoramp.intent import changes, cluster_time, commands, declarations, state
 from flamingoramp.membership import session_table
@@ -206,6 +206,8 @@
         if isinstance(command, commands.ConfirmPlan):
             revision = self._state.revision
             self._process.log_change("intent.committed", revision=revision)
+        elif isinstance(command, commands.OrderZone):
+            self._process.log_change("evacuation.committed", zones=result)
         proposal = self._proposals.pop(entry.index, None)
         if proposal is None:
             return
@@ -301,6 +303,7 @@
             shards=() if has_current_table else self._ownership_table.shards,
             entries=() if has_current_table else self._ownership_table.entries,
             partial_entries=self._ownership_table.is_partial,
+            evacuated_zones=self._state.evacuated_zones,
             quarantine_version=suspects.version,
             suspects=() if has_current_suspects else suspects.list_suspects(),
             drain=f"{heartbeat.entry}#{heartbeat.incarnation}" in self._draining_entries,
@@ -415,6 +418,8 @@
                 return self._respond_confirm(request)
             case ("POST", "/v1/drain"):
                 return self._respond_drain(request)
+            case (_, zone_orders.PATH):
+                return zone_orders.respond(request, self, self._settings)
         raise errors.UnknownModelError(f"no such path: {request.method} {request.path}")
 
     def _respond_ready(self) -> werkzeug.Response:
@@ -436,6 +441,7 @@
             "voters": list(membership.voters),
             "learners": list(membership.learners),
             "revision": self._state.revision,
+            "evacuated_zones": list(self._state.evacuated_zones),
             "claims": len(self._state.claims),
             "suspects": len(self._state.suspects.list_suspects()),
             "entries": [],
@@ -472,7 +478,7 @@
             self._read_current_declaration
         )
         differences = changes.compare(current_declaration, declaration)
-        now = self._process.call_in_loop(self._cluster_time)
+        now = self.read_cluster_time()
         plan = commands.StorePlan(
             plan_id=uuid.uuid4().hex[:12],
             base_revision=base_revision,
@@ -480,7 +486,7 @@
             expires=now + PLAN_LIFETIME_SECONDS,
             now=now,
         )
-        self._commit_and_wait(plan)
+        self.commit_and_wait(plan)
         return http_server.json_response(
             {
                 "plan": plan.plan_id,
@@ -504,9 +510,9 @@
         operation_id = body.get("operation_id") or f"confirm/{body['plan']}"
         if not isinstance(operation_id, str):
             raise errors.BadRequestError("operation_id: takes a text")
-        now = self._process.call_in_loop(self._cluster_time)
+        now = self.read_cluster_time()
         command = commands.ConfirmPlan(body["plan"], operation_id, now)
-        result: state.ConfirmResult = self._commit_and_wait(command)
+        result: state.ConfirmResult = self.commit_and_wait(command)
         if result.error:
             raise errors.error_from_code(
                 result.error,
@@ -540,6 +546,15 @@
             revision, now
         )
 
+    def read_evacuated_zones(self) -> tuple[str, ...]:
+        """Return the evacuated zones, for an HTTP thread, if this replica leads."""
+        self._process.call_in_loop(self._read_current_declaration)
+        return self._state.evacuated_zones
+
+    def read_cluster_time(self) -> float:
+        """Return the cluster time in seconds, for an HTTP thread."""
+        return self._process.call_in_loop(self._cluster_time)
+
     def _respond_drain(self, request: werkzeug.Request) -> werkzeug.Response:
         body = request.get_json(force=True, silent=True)
         if not isinstance(body, dict) or not isinstance(body.get("entry"), str):
@@ -559,7 +574,7 @@
         self._process.log_change("entry.draining", entry=entry)
         return {"entry": entry, "draining": True, "streams": matches[0].heartbeat.streams}
 
-    def _commit_and_wait(self, command: Any) -> Any:
+    def commit_and_wait(self, command: Any) -> Any:
         """Propose a command from an HTTP thread and return its result.
 
         Raises
--- a/flamingoramp/daemons/entry.py
+++ b/flamingoramp/daemons/entry.py
@@ -229,6 +229,9 @@
             self._owned_shards.configure(self._session.declaration)
             self._dispatcher.update_shards(self._choose_shard)
             self._process.log_change("intent.in_force", revision=self._session.revision)
+        if changes.zones_changed:
+            self._owned_shards.evacuate(self._session.evacuated_zones)
+            self._process.log_change("evacuation.in_force", zones=self._session.evacuated_zones)
         self._owned_shards.update_ownership(now)
         if changes.suspects_changed:
             self._owned_shards.load_suspects()
--- a/flamingoramp/daemons/owned_shards.py
+++ b/flamingoramp/daemons/owned_shards.py
@@ -122,6 +122,11 @@
         for shard_scheduler in self._schedulers.values():
             shard_scheduler.configure(declaration)
 
+    def evacuate(self, zones: tuple[str, ...]) -> None:
+        """Pass the evacuated zones to all schedulers."""
+        for shard_scheduler in self._schedulers.values():
+            shard_scheduler.evacuate(zones)
+
     def load_suspects(self) -> None:
         """Load the session's committed crash suspects into all shards."""
         for crash_tracker in self._crash_trackers.values():
@@ -166,6 +171,7 @@
             crash_tracker=self._crash_tracker_of(owner.shard),
             holds_lease=self._session.holds_lease,
         )
+        shard_scheduler.evacuate(self._session.evacuated_zones)
         entry_names = {entry.name for entry in self._session.entries}
         shard_scheduler.begin_ownership(owner.generation, entry_names, now)
         self._crash_trackers[owner.shard].load(
--- a/flamingoramp/daemons/tests/test_owned_shards.py
+++ b/flamingoramp/daemons/tests/test_owned_shards.py
@@ -43,6 +43,7 @@
             declaration=DECLARATION,
             suspects=(),
             suspects_version=0,
+            evacuated_zones=(),
             holds_lease=lambda now: now < self.lease_until,
         )
         process = mock.MagicMock()
--- a/flamingoramp/intent/commands.py
+++ b/flamingoramp/intent/commands.py
@@ -93,10 +93,27 @@
     now: float
 
 
+@attrs.frozen
+class OrderZone:
+    """Evacuate an availability zone, or withdraw that."""
+
+    zone: str
+    evacuated: bool
+    now: float
+
+
 _converter = cattrs.Converter()
 _COMMAND_CLASSES = {
     command_class.__name__: command_class
-    for command_class in (StorePlan, ConfirmPlan, MakeClaim, SettleClaim, AssignShards, RecordCrash)
+    for command_class in (
+        StorePlan,
+        ConfirmPlan,
+        MakeClaim,
+        SettleClaim,
+        AssignShards,
+        RecordCrash,
+        OrderZone,
+    )
 }
 
 
--- a/flamingoramp/intent/state.py
+++ b/flamingoramp/intent/state.py
@@ -63,6 +63,7 @@
         self._owners: dict[str, messages.ShardOwner] = {}
         self._last_generation = 0
         self._time = 0.0
+        self._evacuated_zones: frozenset[str] = frozenset()
         self.claims = claims.ClaimTable(self._claim_limits)
         self.suspects = suspects.SuspectTable()
 
@@ -88,6 +89,11 @@
         """Latest cluster time of an applied command, in Unix seconds; it only grows."""
         return self._time
 
+    @property
+    def evacuated_zones(self) -> tuple[str, ...]:
+        """Availability zones whose servers get nothing new, sorted."""
+        return tuple(sorted(self._evacuated_zones))
+
     @property
     def owners(self) -> dict[str, messages.ShardOwner]:
         """Owners by shard name."""
@@ -122,6 +128,11 @@
                 return self._assign_shards(command)
             case commands.RecordCrash():
                 return self.suspects.apply_report(command)
+            case commands.OrderZone(zone, evacuated):
+                change = frozenset({zone})
+                others = self._evacuated_zones - change
+                self._evacuated_zones = others | change if evacuated else others
+                return self.evacuated_zones
         raise errors.InvariantViolationError(f"command of unknown type {type(command).__name__}")
 
     def dump(self) -> bytes:
@@ -136,6 +147,7 @@
             "owners": _converter.unstructure(self._owners),
             "claims": self.claims.dump(),
             "suspects": self.suspects.dump(),
+            "evacuated_zones": self.evacuated_zones,
         }
         return json.dumps(state).encode()
 
@@ -155,6 +167,7 @@
         self._document = state["document"]
         self._last_generation = state["generation"]
         self._time = state.get("time", 0.0)
+        self._evacuated_zones = frozenset(state.get("evacuated_zones", ()))
         self._plans = _converter.structure(state["plans"], dict[str, Plan])
         self._operations = _converter.structure(state["operations"], dict[str, ConfirmResult])
         self._owners = _converter.structure(state["owners"], dict[str, messages.ShardOwner])
--- a/flamingoramp/intent/tests/test_state.py
+++ b/flamingoramp/intent/tests/test_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 from flamingoramp import errors
@@ -157,6 +158,34 @@
         )
 
 
+class TestZones(StateCase):
+    """Orders about availability zones."""
+
+    def order(self, zone: str, evacuated: bool) -> tuple[str, ...]:
+        return self.state.apply(commands.OrderZone(zone, evacuated, 1.0))
+
+    def test_orders_evacuate_and_restore_single_zones(self):
+        self.assertEqual(self.order("b", True), ("b",))
+        self.assertEqual(self.order("a", True), ("a", "b"))
+        self.assertEqual(self.order("a", True), ("a", "b"))
+        self.assertEqual(self.order("b", False), ("a",))
+        self.assertEqual(self.order("b", False), ("a",))
+
+    def test_command_and_snapshot_round_trip(self):
+        command = commands.OrderZone("b", True, 1.0)
+        self.assertEqual(commands.decode(*commands.encode(command)), command)
+        self.state.apply(command)
+        restored = state.ReplicatedState(claims.ClaimLimits())
+        restored.load(self.state.dump())
+        self.assertEqual(restored.evacuated_zones, ("b",))
+
+    def test_snapshot_of_an_earlier_build_holds_no_evacuations(self):
+        dumped = json.loads(self.state.dump())
+        del dumped["evacuated_zones"]
+        self.state.load(json.dumps(dumped).encode())
+        self.assertEqual(self.state.evacuated_zones, ())
+
+
 class TestDeclarations(unittest.TestCase):
     """Errors state the key path, the value found and the allowed values."""
 
--- a/flamingoramp/membership/control_session.py
+++ b/flamingoramp/membership/control_session.py
@@ -18,6 +18,7 @@
     declaration_changed: bool = False
     moved_shards: tuple[str, ...] = ()
     suspects_changed: bool = False
+    zones_changed: bool = False
 
 
 class ControlSession:
@@ -46,6 +47,7 @@
         self._suspects_version = 0
         self._table_version = 0
         self._drain_requested = False
+        self._evacuated_zones: tuple[str, ...] = ()
 
     @property
     def target(self) -> str:
@@ -100,6 +102,11 @@
         """Version of the committed crash suspects."""
         return self._suspects_version
 
+    @property
+    def evacuated_zones(self) -> tuple[str, ...]:
+        """Availability zones whose servers get nothing new, as of the last grant."""
+        return self._evacuated_zones
+
     @property
     def drain_requested(self) -> bool:
         """Whether an operator has requested that this entry drains and stops."""
@@ -147,6 +154,8 @@
         # The lease starts when the heartbeat was sent, so a delayed response grants less time.
         self._lease_until = max(self._lease_until, grant.sent_at + grant.lease_seconds)
         self._drain_requested = grant.drain
+        zones_changed = grant.evacuated_zones != self._evacuated_zones
+        self._evacuated_zones = grant.evacuated_zones
         moved_shards: tuple[str, ...] = ()
         if grant.table_version != self._table_version:
             self._table_version = grant.table_version
@@ -156,7 +165,7 @@
         if suspects_changed:
             self._suspects = grant.suspects
             self._suspects_version = grant.quarantine_version
-        return GrantEffect(declaration_changed, moved_shards, suspects_changed)
+        return GrantEffect(declaration_changed, moved_shards, suspects_changed, zones_changed)
 
     def _merge_entries(self, grant: messages.SessionGrant) -> tuple[messages.EntryAddress, ...]:
         """Return the entries of a grant; a list that may lack some removes none known before.
--- a/flamingoramp/membership/tests/test_sessions.py
+++ b/flamingoramp/membership/tests/test_sessions.py
@@ -219,6 +219,14 @@
         self.assertEqual(effect.moved_shards, ())
         self.assertEqual(self.session.shards["llm/0"].owner, "b#1")
 
+    def test_evacuated_zones_are_those_of_the_latest_heartbeat(self):
+        grant = attrs.evolve(self.GRANT, sent_at=2.0, evacuated_zones=("b",))
+        self.assertTrue(self.session.handle(grant, 2.1).zones_changed)
+        self.session.handle(self.GRANT, 2.2)
+        self.assertEqual(self.session.evacuated_zones, ("b",))
+        grant = attrs.evolve(grant, sent_at=3.0)
+        self.assertFalse(self.session.handle(grant, 3.1).zones_changed)
+
     def test_heartbeats_without_a_grant_try_all_control_hosts_in_turn(self):
         targets = set()
         for step in range(40):
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -175,9 +175,10 @@
 class SessionGrant:
     """Reply to a `SessionHeartbeat`: configuration lease, shard owners, entries and suspects.
 
-    It omits what the entry has already in the current version. With ``partial_entries`` there may
-    be entries that it doesn't list. ``drain`` requests that the entry drains and stops. A reply
-    without a lease (``granted`` is false) sets only ``sent_at`` and ``leader``.
+    It omits what the entry has already in the current version, but names all evacuated zones. With
+    ``partial_entries`` there may be entries that it doesn't list. ``drain`` requests that the entry
+    drains and stops. A reply without a lease (``granted`` is false) sets only ``sent_at`` and
+    ``leader``.
     """
 
     sent_at: float = 0.0
@@ -194,6 +195,7 @@
     drain: bool = False
     table_version: int = 0
     partial_entries: bool = False
+    evacuated_zones: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -15,7 +15,7 @@
 struct ShardOwner { shard @0 :Text; owner @1 :Text; address @2 :Text; generation @3 :UInt64; }
 struct EntryAddress { name @0 :Text; url @1 :Text; zone @2 :Text; leaving @3 :Bool; }
 struct SessionHeartbeat { entry @0 :Text; incarnation @1 :Text; sentAt @2 :Float64; revision @3 :UInt64; url @4 :Text; inner @5 :Text; zone @6 :Text; leaving @7 :Bool; streams @8 :UInt32; quarantineVersion @9 :UInt64; tableVersion @10 :UInt64; }
-struct SessionGrant { sentAt @0 :Float64; granted @1 :Bool; leader @2 :Text; term @3 :UInt64; revision @4 :UInt64; document @5 :Text; leaseSeconds @6 :Float64; shards @7 :List(ShardOwner); entries @8 :List(EntryAddress); quarantineVersion @9 :UInt64; suspects @10 :List(Suspect); drain @11 :Bool; tableVersion @12 :UInt64; partialEntries @13 :Bool; }
+struct SessionGrant { sentAt @0 :Float64; granted @1 :Bool; leader @2 :Text; term @3 :UInt64; revision @4 :UInt64; document @5 :Text; leaseSeconds @6 :Float64; shards @7 :List(ShardOwner); entries @8 :List(EntryAddress); quarantineVersion @9 :UInt64; suspects @10 :List(Suspect); drain @11 :Bool; tableVersion @12 :UInt64; partialEntries @13 :Bool; evacuatedZones @14 :List(Text); }
 struct Suspect { fingerprint @0 :Text; crashes @1 :UInt32; confirmed @2 :Bool; service @3 :Text; }
 
 struct ClaimRequest { requestId @0 :Text; workspace @1 :Text; key @2 :Text; fingerprint @3 :Text; entry @4 :Text; remaining @5 :Float64; }
--- a/flamingoramp/routing/choice.py
+++ b/flamingoramp/routing/choice.py
@@ -174,7 +174,9 @@
     short_servers = [
         member.announcement.server
         for member in fleet.directory.members()
-        if not member.lapsed and member.announcement.server not in constraints.long_servers
+        if not member.lapsed
+        and member.announcement.zone not in fleet.evacuated_zones
+        and member.announcement.server not in constraints.long_servers
     ]
     idle = [name for name in short_servers if not fleet.is_prefilling(name)]
     return server.server in idle and len(idle) > max(1, len(short_servers) * MIN_SPILL_IDLE_RATIO)
--- a/flamingoramp/routing/fleet.py
+++ b/flamingoramp/routing/fleet.py
@@ -24,6 +24,8 @@
     reported_memory_until : float
         Time on the owner's clock until which `free_tokens` also takes the memory use that servers
         report into account.
+    evacuated_zones : frozenset of str
+        Availability zones whose servers get nothing new.
     """
 
     def __init__(self, lease_seconds: float):
@@ -32,6 +34,7 @@
         self.prefixes = prefix.PrefixView()
         self.breaker = breaker.CircuitBreaker()
         self.reported_memory_until = 0.0
+        self.evacuated_zones: frozenset[str] = frozenset()
         # Time at which each server last ended a prefill, or started one with no other pending.
         self._prefill_progress_at: dict[str, float] = {}
 
@@ -40,6 +43,14 @@
         member = self.directory.find(server)
         return member.announcement.url if member else ""
 
+    def usable_servers(self, now: float) -> list[messages.Announcement]:
+        """Return the announcements of live servers that are not in evacuated zones."""
+        return [
+            announcement
+            for announcement in self.directory.live_announcements(now)
+            if announcement.zone not in self.evacuated_zones
+        ]
+
     def free_tokens(self, server: messages.Announcement, now: float) -> int:
         """Return a server's memory that is not reserved, in tokens."""
         used = self.ledger.reserved_tokens(server.server)
--- a/flamingoramp/routing/prediction.py
+++ b/flamingoramp/routing/prediction.py
@@ -24,11 +24,7 @@
     queue.WaitingRequest
         ``has_prediction`` is false if no live server can serve the request.
     """
-    servers = [
-        server
-        for server in fleet.directory.live_announcements(now)
-        if choice.can_serve(server, reserve)
-    ]
+    servers = [server for server in fleet.usable_servers(now) if choice.can_serve(server, reserve)]
     prefill_seconds = min(
         (fleet.prefill_seconds(server, reserve) for server in servers), default=0.0
     )
--- a/flamingoramp/routing/scheduler.py
+++ b/flamingoramp/routing/scheduler.py
@@ -106,6 +106,11 @@
         """Use a newer declaration."""
         self._declaration = declaration
 
+    def evacuate(self, zones: tuple[str, ...]) -> None:
+        """Grant nothing more on servers of these zones; refuse what no other server can run."""
+        self._fleet.evacuated_zones = frozenset(zones)
+        self._admissions_rechecked = False
+
     def handle(self, message: Any, now: float) -> list[Any]:
         """Process a message, place waiting requests and return the effects to perform."""
         match message:
@@ -260,11 +265,8 @@
             return None  # not all servers have announced themselves to this owner yet
         if self._declaration.policy.selection == "naive":
             return None
-        servers = [
-            server
-            for server in self._fleet.directory.live_announcements(now)
-            if choice.can_serve(server, reserve)
-        ]
+        live = self._fleet.usable_servers(now)
+        servers = [server for server in live if choice.can_serve(server, reserve)]
         if not servers:
             if reserve.attempt > 1:
                 return None  # servers may come back within the time limit
@@ -281,7 +283,7 @@
             )
         usable = servers
         if waiting.length_class is queue.LengthClass.LONG:
-            long_servers = self._long_prompt_servers(self._fleet.directory.live_announcements(now))
+            long_servers = self._long_prompt_servers(live)
             usable = [server for server in servers if server.server in long_servers] or servers
         wait = prediction.predict_wait_seconds(self._fleet, self._queue, waiting, usable, now)
         load_ratio = self._workload_mix.preceding_load_ratio(waiting.length_class, len(servers))
@@ -406,7 +408,7 @@
                 continue
             self._queue.remove(waiting.key)
             queued_seconds = self._queue.prefill_seconds_ahead(waiting.length_class)
-            live = max(1, len(self._fleet.directory.live_announcements(now)))
+            live = max(1, len(self._fleet.usable_servers(now)))
             error = errors.OverloadedError(
                 "no backend server became free in time", retry_after=max(0.5, queued_seconds / live)
             )
@@ -420,7 +422,7 @@
         self._record_event("request.refused", reserve.request_id, code=error.code)
 
     def _make_constraints(self, now: float) -> choice.Constraints:
-        servers = self._fleet.directory.live_announcements(now)
+        servers = self._fleet.usable_servers(now)
         isolated = {
             name
             for reservation in self._fleet.ledger.all()
@@ -450,7 +452,7 @@
         nothing_to_place = not len(self._queue) or not self._generation
         if nothing_to_place or not self._holds_lease(now) or now < self._rebuilding_until:
             return
-        servers = self._fleet.directory.live_announcements(now)
+        servers = self._fleet.usable_servers(now)
         self._update_predictions(now)
         live = {server.server for server in servers}
         if self._draining_for not in self._queue or not self._draining <= live:
--- a/flamingoramp/routing/tests/test_scheduler.py
+++ b/flamingoramp/routing/tests/test_scheduler.py
@@ -146,6 +146,66 @@
         self.send(messages.PrefillDone(request, self.grants[request].attempt, "llm/0", 0.1))
 
 
+class TestEvacuatedZones(unittest.TestCase):
+    """Servers of an evacuated zone get nothing new, and keep what runs there."""
+
+    def setUp(self):
+        self.harness = SchedulerHarness(4)
+        self.harness.names = ["e0", "e1"]
+        self.harness.advance(3.0)
+        self.advance(0.2)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, in which two more engines announce themselves from another zone."""
+        for _ in range(round(seconds / 0.1)):
+            self.harness.advance(0.1)
+            for name in ("o0", "o1"):
+                self.harness.send(announce(name, self.harness.sequence, zone="other"))
+
+    def granted_servers(self) -> set[str]:
+        return {name for grant in self.harness.grants.values() for name in grant.servers}
+
+    def test_load_goes_to_the_servers_of_the_other_zone(self):
+        """Load pattern: short requests and a group while a zone is evacuated and restored."""
+        self.harness.send(reserve("before"))
+        self.harness.scheduler.evacuate(("z",))
+        for number in range(8):
+            self.harness.send(reserve(f"r{number}"))
+        self.harness.send(reserve("group", 150_000))
+        self.advance(1.0)
+        for request, grant in self.harness.grants.items():
+            if request != "before":
+                self.assertLessEqual(set(grant.servers), {"o0", "o1"})
+        self.assertEqual(len(self.harness.grants["r7"].servers), 1)
+        self.assertEqual(self.harness.cancelled, [])
+        self.harness.scheduler.evacuate(())
+        for number in range(16):
+            self.harness.send(reserve(f"s{number}"))
+        self.advance(1.0)
+        self.assertTrue(self.granted_servers() & {"e0", "e1"})
+
+    def test_requests_are_refused_at_once_while_all_zones_are_evacuated(self):
+        self.harness.scheduler.evacuate(("z", "other"))
+        self.harness.send(reserve("r"))
+        self.assertEqual(self.harness.refusals["r"].code, errors.NoBackendError.code)
+
+    def test_queued_requests_are_refused_when_all_zones_become_evacuated(self):
+        for number in range(200):
+            self.harness.send(reserve(f"r{number}", 20_000))
+        waiting = self.harness.scheduler.waiting_count
+        self.assertGreater(waiting, 0)
+        self.harness.scheduler.evacuate(("z", "other"))
+        self.advance(0.2)
+        self.assertEqual(self.harness.scheduler.waiting_count, 0)
+
+    def test_least_loaded_selection_leaves_the_zone_out(self):
+        self.harness = SchedulerHarness(2, selection="naive")
+        self.advance(0.2)
+        self.harness.scheduler.evacuate(("z",))
+        self.harness.send(*(reserve(f"r{number}") for number in range(4)))
+        self.assertLessEqual(self.granted_servers(), {"o0", "o1"})
+
+
 class TestPlacement(unittest.TestCase):
     """Choice of the engine for a request that fits one engine."""
 
