--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -59,7 +59,7 @@
     def __init__(self):
         self.calls: list[FakeCall] = []
 
-    def send(self, address, request, receiver, *, new_connection=False) -> FakeCall:
+    def send(self, address, request, receiver, *, new_connection=False, **_options) -> FakeCall:
         self.calls.append(FakeCall(address, request, receiver, new_connection))
         return self.calls[-1]
 
@@ -138,6 +138,8 @@
         self.pool = FakePool()
         self.peer_pool = FakePool()
         self.is_cut_off = False
+        self.awaits_zone_update = False
+        self.evacuated_servers: set[str] = set()
         self.dialect = FakeDialect()
         self.server_loads = load_table.LoadTable()
         self.servers = ["s1", "s2", "s3"]
@@ -165,6 +167,15 @@
     def list_servers_of_zone(self, service, zone) -> set[str]:
         return {name for name in self.servers if self.zones.get(name, name) == zone}
 
+    def postpone(self, step) -> bool:
+        if self.awaits_zone_update:
+            self.loop.call_later(0.02, step)
+        return self.awaits_zone_update
+
+    def find_evacuated(self, target) -> tuple[str, ...]:
+        servers = (target.server, *target.helpers)
+        return tuple(item.server for item in servers if item.server in self.evacuated_servers)
+
     def record_target(self, target) -> None:
         for work_item in target.work_items:
             self.server_loads.add(work_item)
--- a/flamingoramp/intent/state.py
+++ b/flamingoramp/intent/state.py
@@ -61,6 +61,7 @@
         self._owners: dict[str, shard_messages.ShardOwner] = {}
         self._last_generation = 0
         self._time = 0.0
+        self._evacuated_zones: frozenset[str] = frozenset()
         self.claims = claims.ClaimTable(self._claim_limits)
         self.suspects = suspects.SuspectTable()
 
@@ -86,6 +87,11 @@
         """Latest cluster time of an applied command, in Unix seconds; it only grows."""
         return self._time
 
+    @property
+    def evacuated_zones(self) -> tuple[str, ...]:
+        """Availability zones whose servers get nothing new, sorted."""
+        return tuple(sorted(self._evacuated_zones))
+
     @property
     def owners(self) -> dict[str, shard_messages.ShardOwner]:
         """Owners by shard name."""
@@ -120,6 +126,11 @@
                 return self._assign_shards(command)
             case commands.RecordCrash():
                 return self.suspects.apply_report(command)
+            case commands.OrderZone(zone, evacuated):
+                change = frozenset({zone})
+                others = self._evacuated_zones - change
+                self._evacuated_zones = others | change if evacuated else others
+                return self.evacuated_zones
         raise errors.InvariantViolationError(f"command of unknown type {type(command).__name__}")
 
     def dump(self) -> bytes:
@@ -134,6 +145,7 @@
             "owners": msgspec.to_builtins(self._owners),
             "claims": self.claims.dump(),
             "suspects": self.suspects.dump(),
+            "evacuated_zones": self.evacuated_zones,
         }
         return json.dumps(state).encode()
 
@@ -153,6 +165,7 @@
         self._document = state["document"]
         self._last_generation = state["generation"]
         self._time = state.get("time", 0.0)
+        self._evacuated_zones = frozenset(state.get("evacuated_zones", ()))
         self._plans = msgspec.convert(state["plans"], dict[str, Plan])
         self._operations = msgspec.convert(state["operations"], dict[str, ConfirmResult])
         self._owners = msgspec.convert(state["owners"], dict[str, shard_messages.ShardOwner])
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -67,6 +67,8 @@
     33: "ReadReply",
     34: "LoadReport",
     35: "ServerLeaving",
+    36: "EvacuationRequest",
+    37: "EvacuationReply",
 }
 _TAG_BY_NAME = {name: tag for tag, name in _NAME_BY_TAG.items()}
 
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -216,7 +216,9 @@
     ``version`` is that of the declaration that the subscriber has. It takes differences from
     ``base_version``, and only whole documents if that is 0. A control host as subscriber
     sets ``is_control``, and its address in ``control``. A subscriber that receives the records of
-    servers and entries from another control host sets ``standby``.
+    servers and entries from another control host sets ``standby``. ``evacuation_number`` is that of
+    the evacuated zones that the subscriber has. A ``probe`` that is not 0 asks for an update that
+    repeats it, and so was made after the subscriber sent this.
     """
 
     name: str = ""
@@ -227,6 +229,8 @@
     control: str = ""
     standby: bool = False
     base_version: int = 0
+    evacuation_number: int = 0
+    probe: int = 0
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -237,6 +241,8 @@
     declaration is not outdated. ``document`` (the declaration, compressed), ``controls`` (the
     addresses of the control hosts) and ``zone`` (the sender's availability zone) are empty if they
     haven't changed. ``deltas`` has one item if a new version is sent as a difference.
+    haven't changed. ``evacuated_zones`` are all evacuated zones as of ``evacuation_number``, which
+    is 0 if the subscriber has them. ``probe`` is that of the subscriber, 0 for none.
     """
 
     version: int = 0
@@ -248,6 +254,9 @@
     crashes: tuple[CrashRecord, ...] = ()
     zone: str = ""
     deltas: tuple[DocumentDelta, ...] = ()
+    evacuation_number: int = 0
+    evacuated_zones: tuple[str, ...] = ()
+    probe: int = 0
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -294,6 +303,34 @@
     document: bytes = b""
 
 
+@attrs.frozen(eq=False, repr=False)
+class EvacuationRequest(value_classes.Value):
+    """Order of an operator about an availability zone, forwarded to the leader.
+
+    ``after`` is the index of the last order about the zone that the sender knew when it read this
+    one.
+    """
+
+    request_id: str = ""
+    zone: str = ""
+    evacuated: bool = False
+    after: int = 0
+
+
+@attrs.frozen(eq=False, repr=False)
+class EvacuationReply(value_classes.Value):
+    """Reply of the leader to an `EvacuationRequest`.
+
+    The order is committed (``accepted``), or it is outdated by another one at ``last_index``, or
+    neither: it may be committed later.
+    """
+
+    request_id: str = ""
+    accepted: bool = False
+    is_outdated: bool = False
+    last_index: int = 0
+
+
 @attrs.frozen(eq=False, repr=False)
 class Ping(value_classes.Value):
     """Liveness check of a connection."""
--- a/flamingoramp/protocol/shard_messages.py
+++ b/flamingoramp/protocol/shard_messages.py
@@ -72,9 +72,10 @@
 class SessionGrant(value_classes.Value):
     """Reply to a `SessionHeartbeat`: configuration lease, shard owners, entries and suspects.
 
-    It omits what the entry has already in the current version. With ``partial_entries`` there may
-    be entries that it doesn't list. ``drain`` requests that the entry drains and stops. A reply
-    without a lease (``granted`` is false) sets only ``sent_at`` and ``leader``.
+    It omits what the entry has already in the current version, but names all evacuated zones. With
+    ``partial_entries`` there may be entries that it doesn't list. ``drain`` requests that the entry
+    drains and stops. A reply without a lease (``granted`` is false) sets only ``sent_at`` and
+    ``leader``.
     """
 
     sent_at: float = 0.0
@@ -91,6 +92,7 @@
     drain: bool = False
     table_version: int = 0
     partial_entries: bool = False
+    evacuated_zones: tuple[str, ...] = ()
 
 
 @attrs.frozen(eq=False, repr=False)
