--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -90,7 +90,9 @@
         self._start_wall_time = self._process.wall_time()
         self._started_at = self.loop.now()
         self._registry = registry.Registry()
-        self._evacuations = evacuated_zones.EvacuatedZones()
+        self._evacuations = evacuated_zones.EvacuatedZones(
+            waits_after_suspension=settings.bounds.evacuate_milliseconds > 0
+        )
         # Called with each `evacuated_zones.ZoneChange` that this entry learns of.
         self.zone_change_hooks: list[Callable[[evacuated_zones.ZoneChange], None]] = []
         self._control_hosts: tuple[str, ...] = ()
@@ -166,6 +168,7 @@
             incarnation=self._incarnation,
             zone=self._settings.availability_zone,
             send=self._datagrams.send,
+            find_evacuated_zones=lambda: frozenset(self._evacuations.zones),
         )
 
     def _serve_other_endpoints(self, listen: node_settings.ListenSettings) -> None:
--- a/flamingoramp/dispatch/memory_reservations.py
+++ b/flamingoramp/dispatch/memory_reservations.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-import secrets
+import os
 from collections.abc import Callable
 
 import attrs
@@ -40,7 +40,7 @@
 def make_holds(target: attempts.AttemptTarget) -> tuple[MemoryHold, ...]:
     """Return the holds, with new tickets, at the helpers of a target that need one."""
     return tuple(
-        MemoryHold(helper.server, helper.address, tokens, secrets.token_hex(6))
+        MemoryHold(helper.server, helper.address, tokens, os.urandom(6).hex())
         for helper, tokens in zip(target.helpers, target.held_tokens, strict=True)
         if tokens
     )
--- a/flamingoramp/membership/evacuated_zones.py
+++ b/flamingoramp/membership/evacuated_zones.py
@@ -26,9 +26,15 @@
 
     After a suspension of the process, these may be out of date: it then awaits the answer of a
     control host to a probe.
+
+    Parameters
+    ----------
+    waits_after_suspension : bool
+        Whether the process sends nothing to servers meanwhile.
     """
 
-    def __init__(self):
+    def __init__(self, *, waits_after_suspension: bool = True):
+        self._waits_after_suspension = waits_after_suspension
         self._number = 0
         self._zones: frozenset[str] = frozenset()
         self._suspension = suspension.SuspensionDetector(MAX_LOOP_GAP_SECONDS)
@@ -66,7 +72,8 @@
 
     def observe(self, now: float, wall_time: float) -> bool:
         """Record that the process runs; return whether it has just resumed from a suspension."""
-        if not self._suspension.observe(now, wall_time):
+        was_suspended = self._suspension.observe(now, wall_time)
+        if not was_suspended or not self._waits_after_suspension:
             return False
         self._last_probe += 1
         self._is_probe_open = True
--- a/flamingoramp/membership/tests/test_evacuated_zones.py
+++ b/flamingoramp/membership/tests/test_evacuated_zones.py
@@ -53,6 +53,13 @@
         self.assertFalse(self.zones.awaits_update(109.5))
         self.assertEqual(self.zones.probe, 0)
 
+    def test_deployment_without_evacuations_awaits_nothing(self):
+        zones = evacuated_zones.EvacuatedZones(waits_after_suspension=False)
+        zones.observe(100.0, 5000.0)
+        self.assertFalse(zones.observe(110.0, 5010.0))
+        self.assertFalse(zones.awaits_update(110.0))
+        self.assertEqual(zones.probe, 0)
+
     def test_answer_to_the_probe_ends_the_wait(self):
         self.assertTrue(self.zones.observe(110.0, 5010.0))
         self.assertTrue(self.zones.awaits_update(110.0))
--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -229,6 +229,7 @@
                 operators=f"{address}:{self._operators_port}",
             ),
             bounds=node_settings.BoundSettings(
+                evacuate_milliseconds=5000.0,
                 announce_milliseconds=fake_server.ANNOUNCE_INTERVAL_SECONDS * 1000,
                 accept_seconds=0.4,
                 stop_seconds=6.0,
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -50,6 +50,10 @@
     retry_ratio, retry_slack, retry_window_seconds : float
         Retry budget of a service, over all entries: in any window of ``retry_window_seconds``, at
         most ``retry_ratio`` times the number of its requests plus ``retry_slack`` retries.
+    evacuate_milliseconds : float
+        Time after which an evacuated zone gets nothing more from any entry; 0 if the deployment
+        has no evacuations. With one, an entry that was suspended sends nothing to servers until a
+        control host has told it which zones are evacuated.
     """
 
     announce_milliseconds: float = attrs.field(
@@ -63,6 +67,9 @@
     retry_window_seconds: float = attrs.field(
         default=10.0, validator=utils.between(0.1, 600, "seconds")
     )
+    evacuate_milliseconds: float = attrs.field(
+        default=0.0, validator=utils.between(0, 600_000, "milliseconds")
+    )
 
     @property
     def announce_interval_seconds(self) -> float:
--- a/flamingoramp/runtime/tests/test_settings.py
+++ b/flamingoramp/runtime/tests/test_settings.py
@@ -88,10 +88,15 @@
     TEMPLATE = (ROOT / "deploy" / "settings.json").read_text()
     ZONES = '{{#zones}}"{{@}}"{{,}}{{/zones}}'
 
-    def render(self, zones: str) -> str:
-        """Fill the template in, with other values that are valid for each of its fields."""
+    def render(self, zones: str, *, has_optional_values: bool = False) -> str:
+        """Fill the template in, with other values that are valid for each of its fields.
+
+        Sections of values that only some deployments have are left out by default.
+        """
         self.assertIn(self.ZONES, self.TEMPLATE)
         text = self.TEMPLATE.replace(self.ZONES, zones)
+        section = r"{{#(thresholds\.\w+)}}(.*?){{/\1}}"
+        text = re.sub(section, r"\2" if has_optional_values else "", text, flags=re.DOTALL)
         for name, value in (
             ("node|json", '"n"'),
             ("zone|json", '"a"'),
@@ -110,6 +115,12 @@
             loaded = node_settings.load(str(self.write(self.render(zones))))
             self.assertEqual(loaded.availability_zones, expected)
 
+    def test_only_deployments_with_evacuations_have_a_time_for_them(self):
+        for has_optional_values, expected in ((True, 10.0), (False, 0.0)):
+            text = self.render("", has_optional_values=has_optional_values)
+            bounds = node_settings.load(str(self.write(text))).bounds
+            self.assertEqual(bounds.evacuate_milliseconds, expected)
+
     def test_settings_of_earlier_builds_name_no_zones(self):
         document = json.loads(self.render(""))
         del document["availability_zones"]
