A process listens before it imports its modules

Callers saw connections refused for as long as an entry's imports take: 0.2 to 0.3 s of processor time. main.py now reads the addresses from the settings file with the standard json module, listens, and hands the sockets to the servers; a bad settings file gives the same errors and exit code 2. The steps of a start are logged and exported.

--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -17,12 +17,12 @@
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
 from flamingoramp.consensus import effects, node, replica, storage
-from flamingoramp.daemons import node_process
+from flamingoramp.daemons import node_process, start_steps
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import versioned_declaration
 from flamingoramp.membership import entry_directory, registry, subscriptions
 from flamingoramp.protocol import messages
-from flamingoramp.runtime import node_settings
+from flamingoramp.runtime import listeners, node_settings
 from flamingoramp.runtime import transport as transports
 
 TICK_INTERVAL_SECONDS = 0.05
@@ -78,6 +78,8 @@
     dialect : dialects.Dialect
     log_descriptor : int
         File descriptor that log lines are written to.
+    opened : listeners.Listeners or None
+        Listening sockets that the program has opened already.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         dialect: dialects.Dialect,
         *,
         log_descriptor: int = 1,
+        opened: listeners.Listeners | None = None,
     ):
         self._settings = settings
         self._dialect = dialect
@@ -99,6 +102,7 @@
             internal_address=settings.control_internal_address,
             deliver=self._handle_message,
             log_descriptor=log_descriptor,
+            opened=opened,
         )
         self._log = self._process.log
         self._metrics = self._process.metrics
@@ -171,6 +175,8 @@
 
     def _record_leader_change(self, change: effects.LeaderChanged) -> None:
         self._log.write("leader.changed", leader=change.leader, term=change.term)
+        if change.leader:
+            self._process.start_steps.record(start_steps.Step.LEADER_KNOWN)
         self._metrics.count("leader_changes")
         self._publish_is_due = True
 
@@ -478,6 +484,7 @@
         )
         if state_changed:
             self._publish_is_due = True
+            self._process.start_steps.record(start_steps.Step.SERVER_KNOWN)
             self._log.write(
                 "server.announced",
                 server=current.server,
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -13,7 +13,7 @@
 
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
-from flamingoramp.daemons import node_process
+from flamingoramp.daemons import node_process, start_steps
 from flamingoramp.dispatch import request_handler
 from flamingoramp.http import client, messages
 from flamingoramp.http import server as http_server
@@ -27,7 +27,7 @@
 from flamingoramp.protocol import load_reports
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_exchange, load_table, report_targets
-from flamingoramp.runtime import datagrams, node_settings
+from flamingoramp.runtime import datagrams, listeners, node_settings
 from flamingoramp.runtime import transport as transports
 
 SUBSCRIBE_INTERVAL_SECONDS = 0.5
@@ -59,6 +59,8 @@
         Settings file, which is reloaded when it changes; empty to never reload.
     log_descriptor : int
         File descriptor that log lines are written to.
+    opened : listeners.Listeners or None
+        Listening sockets that the program has opened already.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         *,
         settings_path: str = "",
         log_descriptor: int = 1,
+        opened: listeners.Listeners | None = None,
     ):
         self._settings = settings
         self._settings_path = settings_path
@@ -79,6 +82,7 @@
             internal_address=settings.entry_internal_address,
             deliver=self._handle_message,
             log_descriptor=log_descriptor,
+            opened=opened,
             survives_errors=True,
         )
         self.loop = self._process.loop
@@ -308,6 +312,8 @@
         previous = self._registry.find_server(record.server)
         if not self._registry.update_server(record, now):
             return
+        if not record.gone:
+            self._process.start_steps.record(start_steps.Step.SERVER_KNOWN)
         current = self._registry.find_server(record.server)
         if previous is None or (previous.leaving, previous.gone, previous.born) != (
             current.leaving,
@@ -341,6 +347,7 @@
             return
         was_ready = self.is_ready
         self._request_handler.apply_declaration(declaration)
+        self._process.start_steps.record(start_steps.Step.DECLARED)
         self._metrics.set_gauge("declaration_version", version)
         self._log.write("declaration.in_force", version=version, source=source)
         if not was_ready:
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -15,9 +15,18 @@
 from typing import Any
 
 from flamingoramp import errors
+from flamingoramp.daemons import start_steps
 from flamingoramp.http import messages as http_messages
 from flamingoramp.http import server as http_server
-from flamingoramp.runtime import clock, event_log, loop, metrics, node_settings, transport
+from flamingoramp.runtime import (
+    clock,
+    event_log,
+    listeners,
+    loop,
+    metrics,
+    node_settings,
+    transport,
+)
 
 METRICS_PATH = "/metrics"
 # One log line every ten seconds adds no noticeable load.
@@ -41,6 +50,8 @@
         Takes sender, message and connection of each message from another process.
     log_descriptor : int
         File descriptor that log lines are written to.
+    opened : listeners.Listeners or None
+        Listening sockets that the program has opened already; those not served are closed.
     survives_errors : bool
         Whether the process goes on after an unexpected error of one callback: the requests of all
         other callers do. A control host must not acknowledge anything in a state that is only
@@ -55,14 +66,17 @@
         internal_address: str,
         deliver: Callable[[str, Any, transport.Connection], None],
         log_descriptor: int = 1,
+        opened: listeners.Listeners | None = None,
         survives_errors: bool = False,
     ):
         self.name = f"{role}-{settings.name}"
         self.settings = settings
+        self._listeners = opened or listeners.Listeners()
         self.loop = loop.Loop(on_error=self.record_error if survives_errors else None)
         self._error_times: collections.deque[float] = collections.deque()
         self.metrics = metrics.Metrics()
         self.log = event_log.EventLog(self.name, descriptor=log_descriptor)
+        self.start_steps = start_steps.StartSteps(self._listeners, self.log, self.metrics)
         self.transport = transport.Transport(
             self.loop,
             name=self.name,
@@ -70,6 +84,7 @@
             clock=clock.HybridClock(),
             deliver=deliver,
             on_protocol_error=self.record_protocol_error,
+            listener=self._listeners.take(internal_address),
         )
         self._started_at = self.loop.now()
         self.servers: list[http_server.Server] = []
@@ -88,7 +103,12 @@
             self.metrics.count("refused_bytes", status=str(status))
 
         server = http_server.Server(
-            self.loop, listen, handler, on_refused=_count_refused, **options
+            self.loop,
+            listen,
+            handler,
+            on_refused=_count_refused,
+            listener=self._listeners.take(listen),
+            **options,
         )
         self.servers.append(server)
         return server
@@ -147,6 +167,8 @@
 
     def serve_until_stopped(self) -> None:
         """Serve until the loop stops, then close servers, transport, cleanups and loop."""
+        self._listeners.close()
+        self.start_steps.record_listening()
         try:
             self.loop.run()
         finally:
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -11,10 +11,9 @@
 import h11
 
 from flamingoramp.http import messages
+from flamingoramp.runtime import listeners, stream
 from flamingoramp.runtime import loop as loops
-from flamingoramp.runtime import stream, transport
 
-LISTEN_BACKLOG_COUNT = 1024
 # Per iteration of the loop, so that many new connections at once don't delay other work.
 MAX_ACCEPTS_PER_ITERATION = 64
 # A caller that reads so slowly that more response data than this is queued is disconnected.
@@ -335,6 +334,8 @@
         Takes the status with which an invalid request or excess connection was refused.
     max_connections : int
         Maximum number of open connections; further ones are closed immediately.
+    listener : socket.socket or None
+        Socket that listens on this address already; None to open one.
     """
 
     def __init__(
@@ -346,6 +347,7 @@
         limits: Callable[[], Limits] = Limits,
         on_refused: Callable[[int], None] = lambda _status: None,
         max_connections: int = 3000,
+        listener: socket.socket | None = None,
     ):
         self.loop = loop
         self._handler = handler
@@ -354,10 +356,7 @@
         self._max_connections = max_connections
         self._connections: set[Connection] = set()
         self._closing = False
-        self._listener: socket.socket | None = socket.create_server(
-            transport.parse_address(listen), backlog=LISTEN_BACKLOG_COUNT
-        )
-        self._listener.setblocking(False)
+        self._listener: socket.socket | None = listener or listeners.open_listener(listen)
         loop.register(self._listener, selectors.EVENT_READ, self._accept)
         loop.call_every(TIMEOUT_CHECK_INTERVAL_SECONDS, self._close_timed_out)
 
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -5,9 +5,7 @@
 import os
 import sys
 
-from flamingoramp import errors
-from flamingoramp.platform import platform_dialect
-from flamingoramp.runtime import node_settings
+from flamingoramp.runtime import listeners
 
 SETTINGS_PATH_VARIABLE = "FLAMINGORAMP_CONFIG"
 
@@ -18,6 +16,12 @@
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
+    # Connections are accepted by the kernel while the modules below are imported.
+    opened = listeners.open_configured(settings_path, role)
+    from flamingoramp import errors
+    from flamingoramp.platform import platform_dialect
+    from flamingoramp.runtime import node_settings
+
     try:
         settings = node_settings.load(settings_path)
     except errors.SettingsError as error:
@@ -27,12 +31,15 @@
     if role == "control":
         from flamingoramp.daemons import coordinator
 
-        coordinator.Coordinator(settings, platform_dialect.PlatformDialect()).run()
+        coordinator.Coordinator(settings, platform_dialect.PlatformDialect(), opened=opened).run()
     else:
         from flamingoramp.daemons import gateway
 
         gateway.Gateway(
-            settings, platform_dialect.PlatformDialect(), settings_path=settings_path
+            settings,
+            platform_dialect.PlatformDialect(),
+            settings_path=settings_path,
+            opened=opened,
         ).run()
 
 
--- /dev/null
+++ b/flamingoramp/platform/tests/test_start.py
@@ -0,0 +1,123 @@
+"""Tests of the start of the programs as processes: listening before imports, and what follows."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+
+import cattrs
+
+from flamingoramp.platform import main
+from flamingoramp.platform.tests import fake_server, test_programs
+from flamingoramp.platform.tests import fleet as fleets
+from flamingoramp.runtime import listeners
+
+MAX_LISTENING_PROCESSOR_SECONDS = 0.1
+WAITING_CALLER_COUNT = 40
+
+
+class TestListening(unittest.TestCase):
+    """An entry that starts anew while its callers reconnect at once."""
+
+    def setUp(self):
+        self.fleet = fleets.Fleet(controls=1, entries=1)
+        self.addCleanup(self.fleet.close)
+        self.fleet.declare(1)
+        self.fleet.wait_in_force(1)
+        self.fleet.entries.pop().stop()
+
+    def connect_to_starting(self, entry: test_programs.EntryProcess) -> socket.socket:
+        host, _, port = entry.caller_address.rpartition(":")
+
+        def _connect() -> socket.socket | None:
+            try:
+                return socket.create_connection((host, int(port)), timeout=fleets.TIMEOUT_SECONDS)
+            except ConnectionRefusedError:
+                return None
+
+        return fleets.wait_for(_connect, "a connection to the starting entry")
+
+    def test_connections_are_accepted_long_before_the_process_has_started(self):
+        entry = test_programs.EntryProcess(self.fleet, 1)
+        self.addCleanup(entry.close)
+        with self.connect_to_starting(entry):
+            self.assertEqual(entry.logged_events("process.started"), [])
+            entry.wait_for_event("process.started")
+        listening = entry.wait_for_event("start.listening")
+        self.assertLessEqual(listening["processor_seconds"], MAX_LISTENING_PROCESSOR_SECONDS)
+
+    def test_burst_of_callers_that_connect_during_the_start_is_served(self):
+        self.fleet.add_server("desk1", "desk", fake_server.Behaviour())
+        entry = test_programs.EntryProcess(self.fleet, 1)
+        self.addCleanup(entry.close)
+        self.connect_to_starting(entry).close()
+        answers: list[fleets.Answer] = []
+
+        def _read(number: int) -> None:
+            headers = {
+                "x-attempt-id": f"id{number}",
+                "authorization": "Token k1",
+                "x-deadline-ms": "8000",
+            }
+            answers.append(
+                fleets.send_request(entry.caller_address, "GET", "/read/x", headers=headers)
+            )
+
+        threads = [
+            threading.Thread(target=_read, args=(number,)) for number in range(WAITING_CALLER_COUNT)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(fleets.TIMEOUT_SECONDS)
+        self.assertEqual([answer.status for answer in answers], [200] * WAITING_CALLER_COUNT)
+
+
+class TestSettings(unittest.TestCase):
+    """Addresses read from settings files before these are checked."""
+
+    def setUp(self):
+        self.folder = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, self.folder)
+
+    def test_addresses_are_those_of_the_checked_settings(self):
+        fleet = fleets.Fleet(controls=1, entries=1)
+        self.addCleanup(fleet.close)
+        for role, index in (("control", 0), ("entry", 1)):
+            settings = fleet.settings(index)
+            document = cattrs.unstructure(settings)
+            document["inner_ports"] = list(document["inner_ports"])
+            expected = {
+                getattr(settings.listen, key)
+                for key in listeners.SERVED_KEYS_BY_ROLE[role]
+                if getattr(settings.listen, key)
+            }
+            expected.add(getattr(settings, f"{role}_internal_address"))
+            self.assertEqual(set(listeners.list_addresses(document, role)), expected)
+
+    def test_bad_settings_end_the_process_with_the_same_error_and_code(self):
+        for text, message in (
+            ("{", "not JSON"),
+            ("[]", "takes an object"),
+            ('{"listen": [1], "inner_ports": ["x"]}', "takes an object @ $.listen"),
+            ('{"name": "a", "listen": {"callers": 5}}', "key 'availability_zone' is missing"),
+            ('{"name": "a", "availability_zone": "a", "inner_ports": [1, 2]}', "seeds: found no"),
+        ):
+            with self.subTest(text):
+                path = os.path.join(self.folder, "settings.json")
+                with open(path, "w") as file:
+                    file.write(text)
+                started = subprocess.run(
+                    [sys.executable, "-m", "flamingoramp.platform.main", "entry"],
+                    env={**os.environ, main.SETTINGS_PATH_VARIABLE: path},
+                    capture_output=True,
+                    timeout=fleets.TIMEOUT_SECONDS,
+                )
+                self.assertEqual(started.returncode, 2)
+                self.assertIn(message, started.stderr.decode())
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -13,8 +13,8 @@
 from flamingoramp import errors
 from flamingoramp.protocol import codec, messages
 from flamingoramp.runtime import clock as clocks
+from flamingoramp.runtime import listeners, stream
 from flamingoramp.runtime import loop as loops
-from flamingoramp.runtime import stream
 
 PING_INTERVAL_SECONDS = 0.8
 RECEIVE_TIMEOUT_SECONDS = 2.0
@@ -142,6 +142,8 @@
         Sender name in the messages of this process.
     listen : str
         ``ip:port`` that accepts connections of other processes; port 0 selects a free port.
+    listener : socket.socket or None
+        Socket that listens on this address already; None to open one.
     clock : clocks.HybridClock
     deliver : callable
         Called with the sender's name, the message and the connection that received it.
@@ -158,6 +160,7 @@
         clock: clocks.HybridClock,
         deliver: Callable[[str, Any, Connection], None],
         on_protocol_error: Callable[[errors.ProtocolError], None],
+        listener: socket.socket | None = None,
     ):
         self.loop = loop
         self.name = name
@@ -168,8 +171,7 @@
         self._outgoing: dict[str, Connection] = {}
         self._accepted: set[Connection] = set()
         self._retry_at: dict[str, float] = {}
-        self._listener = socket.create_server(parse_address(listen), backlog=512)
-        self._listener.setblocking(False)
+        self._listener = listener or listeners.open_listener(listen)
         loop.register(self._listener, selectors.EVENT_READ, self._accept)
         loop.call_every(PING_INTERVAL_SECONDS, self._check_connections)
 
