A restarted replica gives way to another candidate

Before any leader made contact, a replica that grants a pre-vote now delays its own election once; of two in a pre-vote the lower identity gives way. The first timeout is at most 0.2 s (0.3 s before). Votes, terms and the refusal beside a living leader are unchanged.

--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -36,7 +36,7 @@
     announces_commits: bool = False
     # Election timeout after a restart, if leases aren't used, until a leader contacts the replica.
     restart_election_min_seconds: float = 0.08
-    restart_election_max_seconds: float = 0.3
+    restart_election_max_seconds: float = 0.2
     # A voter without contact to a leader for this long may have been removed; it asks to rejoin.
     rejoin_timeout_seconds: float = 3.0
 
@@ -105,6 +105,7 @@
         self._peers: dict[str, _Peer] = {}
         self._votes: set[str] = set()
         self._pre_vote = False
+        self._has_yielded = False
         self._next_heartbeat_at = 0.0
         self._term_start_index = 0
         self._elected_at = now
@@ -386,14 +387,20 @@
     def _reset_election_timeout(self, now: float) -> None:
         timing = self._timing
         lower, upper = timing.election_min_seconds, timing.election_max_seconds
-        if not timing.uses_leases and self._leader_seen_at == float("-inf"):
-            # No leader made contact since the start. Early, frequent elections are harmless:
-            # voters in contact with a leader refuse, and those not yet started get a later request.
+        if self._is_restarting:
+            # Early, frequent elections are harmless: voters in contact with a leader refuse, and
+            # those not yet started get a later request.
             lower, upper = timing.restart_election_min_seconds, timing.restart_election_max_seconds
         self._election_timeout_at = now + self._rng.uniform(lower, upper)
 
+    @property
+    def _is_restarting(self) -> bool:
+        """Whether no leader made contact since the start, and leases don't forbid elections."""
+        return not self._timing.uses_leases and self._leader_seen_at == float("-inf")
+
     def _start_election(self, now: float, *, pre_vote: bool) -> None:
         self._reset_election_timeout(now)
+        self._has_yielded = False
         self._pre_vote = pre_vote
         self._votes = {self._identity}
         if not pre_vote:
@@ -431,6 +438,8 @@
             granted = request.term > self._hard_state.term and up_to_date
             reply_term = request.term if granted else self._hard_state.term
             self._send(sender, messages.VoteReply(reply_term, granted, True))
+            if granted:
+                self._yield_to_candidate(sender, now)
             return
         has_vote = self._hard_state.vote in ("", request.candidate)
         granted = request.term == self._hard_state.term and has_vote and up_to_date
@@ -439,6 +448,20 @@
             self._reset_election_timeout(now)
         self._send(sender, messages.VoteReply(self._hard_state.term, granted, False))
 
+    def _yield_to_candidate(self, candidate: str, now: float) -> None:
+        """Delay the own election after a restart, once, for a candidate that got a pre-vote.
+
+        After a loss of all replicas just a quorum may be up, which elects nobody if two of them
+        stand for the same term. Of two candidates, the one with the lower identity gives way.
+        """
+        if not self._is_restarting or self._has_yielded:
+            return
+        if self._votes and (not self._pre_vote or candidate < self._identity):
+            return
+        self._has_yielded = True
+        self._votes = set()
+        self._reset_election_timeout(now)
+
     def _handle_vote_reply(self, sender: str, reply: messages.VoteReply, now: float) -> None:
         if not reply.granted:
             if reply.term > self._hard_state.term:
--- /dev/null
+++ b/flamingoramp/consensus/tests/test_elections.py
@@ -0,0 +1,45 @@
+"""Tests of elections after the loss of all replicas at once, in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+
+from flamingoramp.tests import control_scenarios
+
+MAX_ELECTION_SECONDS = 0.4
+SEED_COUNT = 300
+
+
+class TestAllReplicasLost(unittest.TestCase):
+    """All control hosts lose power at once and come back one after the other."""
+
+    def check_elections(self, host_count: int, running_count: int, spread_seconds: float) -> None:
+        for seed in range(SEED_COUNT):
+            with self.subTest(seed=seed):
+                scenario = control_scenarios.ControlScenario(seed, host_count=host_count)
+                seconds = scenario.measure_election(running_count, spread_seconds=spread_seconds)
+                self.assertLessEqual(seconds, MAX_ELECTION_SECONDS)
+
+    def test_leader_soon_after_all_of_five_start_at_once(self):
+        self.check_elections(5, 5, 0.05)
+
+    def test_leader_soon_after_the_third_of_five_that_start_over_a_second(self):
+        self.check_elections(5, 5, 1.0)
+
+    def test_leader_soon_after_just_a_quorum_of_five_has_started(self):
+        self.check_elections(5, 3, 1.0)
+
+    def test_leader_soon_after_just_a_quorum_of_nine_has_started_at_once(self):
+        self.check_elections(9, 5, 0.05)
+
+
+class TestOneReplicaRestarted(unittest.TestCase):
+    """Single control hosts restart beside a living leader."""
+
+    def test_restarted_replicas_do_not_unseat_the_leader(self):
+        for seed in range(SEED_COUNT):
+            with self.subTest(seed=seed):
+                scenario = control_scenarios.ControlScenario(seed)
+                leader, term = scenario.find_leader()
+                scenario.restart_followers()
+                self.assertEqual(scenario.find_leader(), (leader, term))
--- a/flamingoramp/tests/control_scenarios.py
+++ b/flamingoramp/tests/control_scenarios.py
@@ -184,6 +184,57 @@
         self._wait_until_recovered()
         self._check_final_state()
 
+    def measure_election(self, running_count: int, *, spread_seconds: float) -> float:
+        """Kill all hosts and start some of them again, at random times.
+
+        Parameters
+        ----------
+        running_count : int
+            Number of hosts that are started again.
+        spread_seconds : float
+            Time within which they start.
+
+        Returns
+        -------
+        float
+            Seconds until a leader holds its lease, from the start of the last host that a quorum
+            needs.
+        """
+        hosts = list(self._hosts.values())
+        for host in hosts:
+            host.kill()
+        self.sim.advance(0.6)
+        killed_at = self.sim.now
+        delays = sorted(self._rng.uniform(0, spread_seconds) for _ in range(running_count))
+        started = self._rng.sample(hosts, running_count)
+        for host, delay in zip(started, delays, strict=True):
+            self.sim.schedule(delay, None, lambda host=host: self._restart(host))
+        quorum_at = killed_at + delays[len(hosts) // 2]
+        while self.sim.now < quorum_at or not any(
+            host.is_running and host.node.is_leader and host.node.has_leader_contact
+            for host in started
+        ):
+            self.sim.advance(0.005)
+        return self.sim.now - quorum_at
+
+    def find_leader(self) -> tuple[str, int]:
+        """Return the name and the term of the leader in contact with a quorum."""
+        return next(
+            (host.name, host.node.replica.term)
+            for host in self._hosts.values()
+            if host.is_running and host.node.is_leader and host.node.has_leader_contact
+        )
+
+    def restart_followers(self) -> None:
+        """Kill and start each host but the leader, one after the other."""
+        leader, _ = self.find_leader()
+        for host in self._hosts.values():
+            if host.name != leader:
+                host.kill()
+                self.sim.advance(0.3)
+                self._restart(host)
+                self.sim.advance(1.0)
+
     # Operators.
 
     def _propose_declaration(self) -> None:
