--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -100,6 +100,8 @@
         )
         self._commit_index = recovered.snapshot.last_index
         self._applied_index = self._commit_index
+        # Commit index that the leader last named.
+        self._leader_commit_index = 0
         self._leader = ""
         self._is_leader = False
         self._peers: dict[str, _Peer] = {}
@@ -179,10 +181,17 @@
         return self._quorum_acknowledged_at(requested_at) >= requested_at
 
     def has_leader_contact(self, now: float) -> bool:
-        """Return whether this replica holds a lease or was recently contacted by a leader."""
+        """Return whether this replica's state was current a moment ago.
+
+        It holds a lease, or was recently contacted by a leader and has applied what that had
+        committed; a new leader knows what is committed after an entry of its own term.
+        """
         if self._is_leader:
             return self.holds_lease(now)
-        return bool(self.cluster) and now < self._leader_seen_at + self._timing.election_max_seconds
+        if not self.cluster or now >= self._leader_seen_at + self._timing.election_max_seconds:
+            return False
+        committed_term = self._log.term_at(self._commit_index)
+        return committed_term == self.term and self._commit_index >= self._leader_commit_index
 
     def propose(self, kind: str, payload: bytes, now: float) -> tuple[int, list[Any]]:
         """Append an entry to the log and return its index.
@@ -611,6 +620,7 @@
             reply = messages.AppendReply(self._hard_state.term, False, 0, request.sent_at)
             self._send(sender, reply)
             return
+        self._leader_commit_index = request.commit
         if not self._log.contains(request.prev_index, request.prev_term):
             index = min(self._log.last_index, self._commit_index)
             reply = messages.AppendReply(self._hard_state.term, False, index, request.sent_at)
--- a/flamingoramp/consensus/tests/test_elections.py
+++ b/flamingoramp/consensus/tests/test_elections.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
+import attrs
+
+from flamingoramp.consensus import effects, entry_log, replica
+from flamingoramp.daemons import coordinator
+from flamingoramp.protocol import messages
 from flamingoramp.tests import control_scenarios
 
 MAX_ELECTION_SECONDS = 0.4
@@ -43,3 +49,31 @@
                 leader, term = scenario.find_leader()
                 scenario.restart_followers()
                 self.assertEqual(scenario.find_leader(), (leader, term))
+
+
+class TestLeaderContact(unittest.TestCase):
+    """A restarted replica is told of a leader before it has what was committed meanwhile."""
+
+    def test_contact_with_leader_counts_only_with_the_committed_entries(self):
+        snapshot = effects.Snapshot(1, 1, effects.Membership(("a#1", "b#1", "c#1")), b"")
+        follower = replica.Replica(
+            identity="a#1",
+            seed_hosts=("a", "b", "c"),
+            recovered=entry_log.RecoveredState(effects.HardState(2, "", "cluster"), snapshot, ()),
+            rng=random.Random(1),
+            now=0.0,
+            timing=coordinator.REPLICA_TIMING,
+        )
+        request = messages.AppendRequest(
+            term=2, leader="b#1", prev_index=3, prev_term=2, commit=3, cluster="cluster"
+        )
+        follower.handle("b#1", request, 0.1)
+        self.assertFalse(follower.has_leader_contact(0.1))
+        entries = tuple(
+            messages.LogEntry(index, 2, replica.KIND_NOOP, b"") for index in range(2, 4)
+        )
+        request = attrs.evolve(request, prev_index=1, prev_term=1, entries=entries, commit=1)
+        follower.handle("b#1", request, 0.2)
+        self.assertFalse(follower.has_leader_contact(0.2))
+        follower.handle("b#1", attrs.evolve(request, commit=3), 0.3)
+        self.assertTrue(follower.has_leader_contact(0.3))
