Starting entries keep unconfirmed declarations, subscribe once, queue by deadline

Subscribers get their first update at once, not within 0.25 s. Queued requests start in the order of the callers' deadlines, and slower with many entries on few servers; they are decoded once while they wait.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -20,6 +20,7 @@
 from flamingoramp.intent import traffic, versioned_declaration
 from flamingoramp.membership import (
     control_contacts,
+    declaration_offers,
     entry_directory,
     registry,
     subscriptions,
@@ -34,8 +35,9 @@
 # Number of subscription renewals after which one control host gets a renewed entry record.
 SUBSCRIPTIONS_PER_RECORD_RENEWAL = 16
 RECORD_SEQUENCE_STEP = 2**40
-# Used until the first declaration; shorter, as control hosts may start together with the entry.
-INITIAL_SUBSCRIBE_INTERVAL_SECONDS = 0.1
+# Until the first declaration, hosts without an open connection are tried at this interval; control
+# hosts may start together with the entry.
+INITIAL_SUBSCRIBE_INTERVAL_SECONDS = 0.05
 EVICTION_INTERVAL_SECONDS = 1.0
 SETTINGS_CHECK_INTERVAL_SECONDS = 2.0
 # The other entries go on sending a content that crashes servers until they are told.
@@ -104,6 +106,11 @@
         self._is_crash_report_scheduled = False
         self._sent_record: protocol_messages.EntryRecord | None = None
         self._hosts_with_record: set[str] = set()
+        # Whether the last subscription that a host was sent is one as standby.
+        self._sent_standby: dict[str, bool] = {}
+        self._offers = declaration_offers.DeclarationOffers(
+            applies_unconfirmed_at=self._started_at + UNCONFIRMED_DECLARATION_DELAY_SECONDS
+        )
         self._recorded_state: tuple[bool, ...] = ()
         self._state_change_count = 0
         self._stop_began_at = 0.0
@@ -133,8 +140,12 @@
             find_peers=self._find_peers,
             tries_suspects=self._tries_suspects,
             on_cut_changed=self._subscribe,
+            on_request_started=self._record_request_start,
         )
 
+    def _record_request_start(self) -> None:
+        self._process.start_steps.record(start_steps.Step.REQUEST_STARTED)
+
     def _make_datagram_socket(self) -> datagrams.DatagramSocket:
         return datagrams.DatagramSocket(
             self.loop,
@@ -168,6 +179,7 @@
         loop.call_later(0.0, self._subscribe)
         loop.call_every(SUBSCRIBE_INTERVAL_SECONDS, self._subscribe)
         loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
+        loop.call_later(UNCONFIRMED_DECLARATION_DELAY_SECONDS, self._apply_unconfirmed)
         loop.call_every(EVICTION_INTERVAL_SECONDS, self._evict_expired)
         loop.call_every(SETTINGS_CHECK_INTERVAL_SECONDS, self._check_settings)
         loop.after_each_iteration(self._schedule_load_report)
@@ -200,14 +212,21 @@
 
     # Updates from control hosts.
 
-    def _subscribe(self) -> None:
+    def _apply_unconfirmed(self) -> None:
+        """Apply a declaration that no control host could confirm in time."""
+        offer = self._offers.newest(self.loop.now())
+        if self.declaration is None and offer is not None:
+            self._apply_declaration(offer.version, offer.document, "unconfirmed")
+
+    def _subscribe(self, *, renews: bool = True) -> None:
         """Subscribe to all control hosts, or renew the subscriptions.
 
         The primary sends its records and new versions; to the others, this entry subscribes as
         standby. A host gets the entry's record and the evidence against refused contents if it has
         none yet or has reconnected. Every
         `SUBSCRIPTIONS_PER_RECORD_RENEWAL` renewals, one host gets a record with a higher sequence
-        number.
+        number. Without ``renews``, hosts that have the same subscription on an open connection get
+        nothing: those that are starting would have to read all repetitions first.
         """
         record = self._make_entry_record()
         if record != self._sent_record:
@@ -222,6 +241,9 @@
             (self._subscribe_count // SUBSCRIPTIONS_PER_RECORD_RENEWAL) % len(hosts)
         ]
         for host in hosts:
+            is_standby = host != primary
+            if not renews and not new_crashes and self._is_subscribed(host, is_standby):
+                continue
             entries: tuple[protocol_messages.EntryRecord, ...] = ()
             crashes = new_crashes
             if host not in self._hosts_with_record or not self._process.transport.is_connected(
@@ -239,12 +261,22 @@
                 version=self.declaration.version if self.declaration else 0,
                 entries=entries,
                 crashes=crashes,
-                standby=host != primary,
+                standby=is_standby,
             )
             if self._process.transport.send(host, message):
                 self._hosts_with_record.add(host)
+                self._sent_standby[host] = is_standby
             else:
                 self._hosts_with_record.discard(host)
+                self._sent_standby.pop(host, None)
+
+    def _is_subscribed(self, host: str, is_standby: bool) -> bool:
+        """Return whether a host has been sent this subscription and this entry's record."""
+        return (
+            self._process.transport.is_connected(host)
+            and host in self._hosts_with_record
+            and self._sent_standby.get(host) == is_standby
+        )
 
     def _choose_primary(self, hosts: list[str]) -> str:
         previous = self._contacts.primary
@@ -256,7 +288,7 @@
 
     def _subscribe_until_declared(self) -> None:
         if self.declaration is None:
-            self._subscribe()
+            self._subscribe(renews=False)
             self.loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
 
     def _make_entry_record(self) -> protocol_messages.EntryRecord:
@@ -302,11 +334,15 @@
         if update.controls and update.confirmed and update.controls != self._control_hosts:
             self._control_hosts = update.controls
             self._log.write("control.hosts", hosts=update.controls)
-        delay_is_over = now - self._started_at > UNCONFIRMED_DECLARATION_DELAY_SECONDS
-        if update.document and (update.confirmed or self.declaration or delay_is_over):
-            self._apply_declaration(update.version, update.document, sender)
+        offer = declaration_offers.Offer(update.version, update.document)
+        if self.declaration is None:
+            offer = self._offers.handle_update(host, offer, confirmed=update.confirmed, now=now)
+        if offer is not None and offer.document:
+            self._apply_declaration(offer.version, offer.document, sender)
         if update.servers:
             self._request_handler.handle_announcements()
+        if self.declaration is None and update.confirmed and host != self._contacts.primary:
+            self._subscribe(renews=False)
 
     def _handle_server_record(self, record: protocol_messages.ServerRecord, now: float) -> None:
         previous = self._registry.find_server(record.server)
@@ -347,6 +383,7 @@
             return
         was_ready = self.is_ready
         self._request_handler.apply_declaration(declaration)
+        self._offers.clear()
         self._process.start_steps.record(start_steps.Step.DECLARED)
         self._metrics.set_gauge("declaration_version", version)
         self._log.write("declaration.in_force", version=version, source=source)
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -18,6 +18,7 @@
     forwarding,
     reachability,
     server_ends,
+    startup_queue,
 )
 from flamingoramp.http import client
 from flamingoramp.http import server as http_server
@@ -42,6 +43,8 @@
 # Mean interval at which queued requests are started. All entries start theirs at about the same
 # moment, on the few servers that are known by then; load reports have to arrive in between.
 QUEUE_RELEASE_SECONDS = 0.02
+# Mean interval at which all entries together start queued requests on one known server.
+QUEUE_RELEASE_SECONDS_PER_SERVER = 0.005
 # Engines accept priorities from 0, the most urgent, to this one.
 LEAST_URGENT_PRIORITY = 9
 # Fewer intervals between events than this say too little about an engine's speed.
@@ -80,6 +83,8 @@
         with it after it has been refused for a time.
     on_cut_changed : callable
         Called without arguments when `is_cut_off` has changed.
+    on_request_started : callable
+        Called without arguments for each request that is admitted.
     """
 
     def __init__(
@@ -98,6 +103,7 @@
         find_peers: Callable[[], list[messages.EntryRecord]] = list,
         tries_suspects: Callable[[str], bool] = lambda _fingerprint: False,
         on_cut_changed: Callable[[], None] = lambda: None,
+        on_request_started: Callable[[], None] = lambda: None,
     ):
         self.loop = loop
         self.pool = pool
@@ -111,6 +117,7 @@
         self._bounds = bounds
         self._receives_control_updates = receives_control_updates
         self._tries_suspects = tries_suspects
+        self._on_request_started = on_request_started
         self._started_at = loop.now()
         self._declaration: traffic.TrafficDeclaration | None = None
         self._observations = observations.Observations()
@@ -140,7 +147,7 @@
         )
         self._peer_selector = selection.PeerSelector(find_peers, self._observations)
         self._forwarders: set[forwarding.RequestForwarder] = set()
-        self._queued: set[http_server.Exchange] = set()
+        self._queue = startup_queue.StartupQueue()
         self._is_releasing = False
 
     @property
@@ -156,7 +163,7 @@
     @property
     def active_count(self) -> int:
         """Number of requests queued or in progress."""
-        return len(self._forwarders) + len(self._queued)
+        return len(self._forwarders) + len(self._queue)
 
     def apply_declaration(self, declaration: traffic.TrafficDeclaration) -> None:
         """Use a declaration for new requests, and start the queued ones."""
@@ -170,15 +177,22 @@
             self._release_next()
 
     def _release_next(self) -> None:
-        startable = [item for item in self._queued if not self._is_starting_up(item)]
-        if not startable:
+        request = self._queue.pop_first(lambda caller: not self._is_starting_up(caller))
+        if request is None:
             self._is_releasing = False
             return
-        exchange = min(startable, key=lambda item: item.arrived_at)
-        self._queued.remove(exchange)
-        interval = 2 * random.random() * QUEUE_RELEASE_SECONDS
+        interval = 2 * random.random() * self._mean_release_seconds(request.caller)
         self.loop.call_later(interval, self._release_next)
-        self._start_request(exchange)
+        self._start_request(request.exchange)
+
+    def _mean_release_seconds(self, caller: dialects.CallerRequest) -> float:
+        """Return the mean time between the start of a queued request and the next one."""
+        route = self._declaration.find_route(caller.host, caller.path)
+        if route is None:
+            return QUEUE_RELEASE_SECONDS
+        server_count = self._count_servers(route.choose_service(caller.request_id))
+        seconds = QUEUE_RELEASE_SECONDS_PER_SERVER * self.entry_count / max(1, server_count)
+        return max(QUEUE_RELEASE_SECONDS, seconds)
 
     @property
     def crash_evidence(self) -> crash_evidence.CrashEvidence:
@@ -205,50 +219,58 @@
 
     def handle_request(self, exchange: http_server.Exchange) -> None:
         """Start a request, refuse it, or queue it while this entry is starting up."""
-        queue_seconds = self._queue_seconds(exchange) if self._is_starting_up(exchange) else 0.0
-        if queue_seconds > 0 and len(self._queued) < MAX_QUEUED_REQUESTS:
-            self._enqueue(exchange, queue_seconds)
-        else:
+        if not self._queue_while_starting(exchange):
             self._start_request(exchange)
 
-    def _is_starting_up(self, exchange: http_server.Exchange) -> bool:
-        """Return whether this entry can't serve a request yet for lack of what it was not sent."""
-        if self._declaration is None:
-            return True
-        if self.loop.now() > self._started_at + EXPECTED_STARTUP_SECONDS:
+    def _queue_while_starting(self, exchange: http_server.Exchange) -> bool:
+        """Queue a request that this entry can't serve yet; return whether it is queued."""
+        now = self.loop.now()
+        remaining_startup_seconds = self._started_at + EXPECTED_STARTUP_SECONDS - now
+        if remaining_startup_seconds <= 0 or len(self._queue) >= MAX_QUEUED_REQUESTS:
             return False
         try:
             caller = self.dialect.decode_request(exchange.request)
         except errors.FlamingorampError:
             return False  # malformed; starting it gives the specific error
-        route = self._declaration.find_route(caller.host, caller.path)
-        if route is None:
+        if not self._is_starting_up(caller):
             return False
-        service = route.choose_service(caller.request_id)
-        return all(record.service != service for record in self._registry.servers())
-
-    def _queue_seconds(self, exchange: http_server.Exchange) -> float:
-        """Return how long to queue a request; 0 or less if it can't be queued."""
-        remaining_startup_seconds = self._started_at + EXPECTED_STARTUP_SECONDS - self.loop.now()
-        try:
-            remaining_seconds = self.dialect.decode_request(exchange.request).remaining_seconds
-        except errors.FlamingorampError:
-            return 0.0  # malformed; starting it gives the specific error
+        remaining_seconds = caller.remaining_seconds
         if remaining_seconds is None:
-            return min(MAX_QUEUE_SECONDS, remaining_startup_seconds)
-        return min(
+            remaining_seconds = math.inf
+        queue_seconds = min(
             MAX_QUEUE_SECONDS, remaining_startup_seconds, MAX_QUEUE_TIME_RATIO * remaining_seconds
         )
+        if queue_seconds <= 0:
+            return False
+        self._enqueue(
+            startup_queue.QueuedRequest(exchange, caller, exchange.arrived_at + remaining_seconds),
+            queue_seconds,
+        )
+        return True
+
+    def _is_starting_up(self, caller: dialects.CallerRequest) -> bool:
+        """Return whether this entry can't serve a request yet for lack of what it was not sent."""
+        if self._declaration is None:
+            return True
+        if self.loop.now() > self._started_at + EXPECTED_STARTUP_SECONDS:
+            return False
+        route = self._declaration.find_route(caller.host, caller.path)
+        if route is None:
+            return False
+        return not self._count_servers(route.choose_service(caller.request_id))
+
+    def _count_servers(self, service: str) -> int:
+        return sum(record.service == service for record in self._registry.servers())
 
-    def _enqueue(self, exchange: http_server.Exchange, timeout_seconds: float) -> None:
+    def _enqueue(self, request: startup_queue.QueuedRequest, timeout_seconds: float) -> None:
         """Queue a request until this entry can serve it, or until the timeout."""
-        self._queued.add(exchange)
+        exchange = request.exchange
+        self._queue.add(request)
         self._metrics.count("requests_kept")
-        exchange.on_disconnect = lambda: self._queued.discard(exchange)
+        exchange.on_disconnect = lambda: self._queue.remove(exchange)
 
         def _handle_timeout() -> None:
-            if exchange in self._queued:
-                self._queued.remove(exchange)
+            if self._queue.remove(exchange):
                 self._start_request(exchange)
 
         self.loop.call_later(timeout_seconds, _handle_timeout)
@@ -282,6 +304,7 @@
             return
         forwarder = forwarding.RequestForwarder(self, admitted, self._forwarders.discard)
         self._forwarders.add(forwarder)
+        self._on_request_started()
         forwarder.start()
 
     def _admit(
--- a/flamingoramp/dispatch/tests/test_request_handler.py
+++ b/flamingoramp/dispatch/tests/test_request_handler.py
@@ -202,3 +202,36 @@
         queued_exchanges = [self.send_request() for _ in range(request_handler.MAX_QUEUED_REQUESTS)]
         self.assertEqual(self.send_request().status, 503)
         self.assertEqual({exchange.status for exchange in queued_exchanges}, {0})
+
+    def test_queued_requests_are_started_in_the_order_of_their_deadlines(self):
+        """Load pattern: all entries restart while callers with much and with little time wait."""
+        self.dialect.decode_request = lambda request: dialect.CallerRequest(
+            "r1", "h", "/", remaining_seconds=float(request.body)
+        )
+        for remaining_seconds in (9.0, 5.0, 30.0, 4.0, 7.0):
+            exchange = test_forwarding.FakeExchange()
+            exchange.request = attrs.evolve(exchange.request, body=b"%f" % remaining_seconds)
+            exchange.arrived_at = self.loop.now()
+            self.handler.handle_request(exchange)
+        self.handler.apply_declaration(DECLARATION)
+        self.loop.advance(20 * request_handler.QUEUE_RELEASE_SECONDS)
+        started = [float(call.request.body) for call in self.pool.calls]
+        self.assertEqual(started, [4.0, 5.0, 7.0, 9.0, 30.0])
+
+    def test_many_entries_start_queued_requests_slowly_on_the_few_servers_known(self):
+        """Load pattern: 112 entries restart, 4 requests each, while one server is known."""
+        random_patch = mock.patch.object(request_handler.random, "random", return_value=0.5)
+        random_patch.start()
+        self.addCleanup(random_patch.stop)
+        self.handler.entry_count = 112
+        for _ in range(4):
+            self.send_request()
+        self.handler.apply_declaration(DECLARATION)
+        mean_seconds = 112 * request_handler.QUEUE_RELEASE_SECONDS_PER_SERVER
+        self.loop.advance(mean_seconds / 10)
+        self.assertEqual(len(self.pool.calls), 1)
+        for number in range(2, 60):
+            record = messages.ServerRecord(f"s{number}", "s", address=f"s{number}:1", sequence=1)
+            self.servers.update_server(record, self.loop.now())
+        self.loop.advance(3 * mean_seconds)
+        self.assertEqual(len(self.pool.calls), 4)
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -163,9 +163,12 @@
         return subscriber.entry
 
     def lacks_records(self, connection: Any) -> bool:
-        """Return whether a subscriber has not been sent the records that it asked for."""
+        """Return whether a subscriber was sent nothing yet, or not the records it asked for."""
         subscriber = self._subscribers.get(connection)
-        return subscriber is not None and not subscriber.sent_number and not subscriber.standby
+        if subscriber is None:
+            return False
+        was_sent_nothing = subscriber.sent_at == float("-inf")
+        return was_sent_nothing or (not subscriber.sent_number and not subscriber.standby)
 
     def add_crashes(self, records: tuple[messages.CrashRecord, ...], now: float) -> None:
         """Store crash records that are not stored yet."""
--- a/flamingoramp/platform/tests/test_start.py
+++ b/flamingoramp/platform/tests/test_start.py
@@ -9,13 +9,16 @@
 import sys
 import tempfile
 import threading
+import time
 import unittest
 
 import cattrs
 
+from flamingoramp.daemons import gateway
 from flamingoramp.platform import main
 from flamingoramp.platform.tests import fake_server, test_programs
 from flamingoramp.platform.tests import fleet as fleets
+from flamingoramp.protocol import codec, messages
 from flamingoramp.runtime import listeners
 
 MAX_LISTENING_PROCESSOR_SECONDS = 0.1
@@ -121,3 +124,64 @@
                 )
                 self.assertEqual(started.returncode, 2)
                 self.assertIn(message, started.stderr.decode())
+
+
+class TestDeclarationOfStartingEntry(fleets.FleetTestCase):
+    """An entry starts while control hosts are down or start themselves."""
+
+    def start_entry(self, fleet: fleets.Fleet) -> fleets.DaemonThread:
+        fleet.entries.append(fleet.start_entry(len(fleet.controls)))
+        return fleet.entries[-1]
+
+    def test_entry_serves_by_an_unconfirmed_declaration_without_a_quorum(self):
+        fleet = self.start_serving(controls=3, entries=1)
+        fleet.entries.pop().stop()
+        for control in fleet.controls[1:]:
+            control.stop()
+        fleets.wait_for(
+            lambda: not fleet.controls[0].daemon.node.has_leader_contact, "the loss of the quorum"
+        )
+        started_at = time.monotonic()
+        entry = self.start_entry(fleet)
+        fleets.wait_for(lambda: entry.daemon.declaration, "a declaration")
+        seconds = time.monotonic() - started_at
+        self.assertGreater(seconds, gateway.UNCONFIRMED_DECLARATION_DELAY_SECONDS)
+        self.assertLess(seconds, gateway.UNCONFIRMED_DECLARATION_DELAY_SECONDS + 1.0)
+
+    def test_entry_applies_the_declaration_once_a_control_host_can_confirm_it(self):
+        fleet = self.start_serving(controls=3, entries=1)
+        fleet.entries.pop().stop()
+        for control in fleet.controls[1:]:
+            control.stop()
+        fleets.wait_for(
+            lambda: not fleet.controls[0].daemon.node.has_leader_contact, "the loss of the quorum"
+        )
+        entry = self.start_entry(fleet)
+        time.sleep(0.3)
+        self.assertIsNone(entry.daemon.declaration)
+        fleet.controls[1] = fleet.start_control(1)
+        fleets.wait_for(
+            lambda: any(control.daemon.node.is_leader for control in fleet.controls[:2]), "a leader"
+        )
+        confirmed_at = time.monotonic()
+        fleets.wait_for(lambda: entry.daemon.declaration, "a declaration")
+        self.assertLess(time.monotonic() - confirmed_at, 0.3)
+
+    def test_starting_control_host_gets_no_repeated_subscriptions(self):
+        """Load pattern: all entries and control hosts start together, the entries are faster."""
+        fleet = self.make_fleet(controls=1, entries=1)
+        fleet.entries.pop().stop()
+        control = fleet.controls.pop()
+        control.stop()
+        with listeners.open_listener(control.daemon.process.settings.control_internal_address) as (
+            listener
+        ):
+            fleet.entries.append(fleet.start_entry(1))
+            seconds = 2.2 * gateway.SUBSCRIBE_INTERVAL_SECONDS
+            time.sleep(seconds)
+            connection, _ = listener.accept()
+            with connection:
+                data = connection.recv(1024 * 1024)
+        received = [codec.decode(frame).message for frame in codec.FrameBuffer().feed(data)]
+        subscriptions = [item for item in received if isinstance(item, messages.Subscribe)]
+        self.assertLessEqual(len(subscriptions), 3)
