--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -14,13 +14,14 @@
 
 from flamingoramp import dialect as dialects
 from flamingoramp import errors
-from flamingoramp.daemons import declaration_updates, node_process
+from flamingoramp.daemons import declaration_updates, node_process, start_steps
 from flamingoramp.dispatch import request_handler
 from flamingoramp.http import client, messages
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import traffic
 from flamingoramp.membership import (
     control_contacts,
+    declaration_offers,
     entry_directory,
     evacuated_zones,
     registry,
@@ -29,15 +30,16 @@
 from flamingoramp.protocol import load_reports
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_exchange, load_table, report_targets
-from flamingoramp.runtime import datagrams, node_settings
+from flamingoramp.runtime import datagrams, listeners, node_settings
 from flamingoramp.runtime import transport as transports
 
 SUBSCRIBE_INTERVAL_SECONDS = 0.5
 # Number of subscription renewals after which one control host gets a renewed entry record.
 SUBSCRIPTIONS_PER_RECORD_RENEWAL = 16
 RECORD_SEQUENCE_STEP = 2**40
-# Used until the first declaration; shorter, as control hosts may start together with the entry.
-INITIAL_SUBSCRIBE_INTERVAL_SECONDS = 0.1
+# Until the first declaration, hosts without an open connection are tried at this interval; control
+# hosts may start together with the entry.
+INITIAL_SUBSCRIBE_INTERVAL_SECONDS = 0.05
 EVICTION_INTERVAL_SECONDS = 1.0
 SETTINGS_CHECK_INTERVAL_SECONDS = 2.0
 # The other entries go on sending a content that crashes servers until they are told.
@@ -61,6 +63,8 @@
         Settings file, which is reloaded when it changes; empty to never reload.
     log_descriptor : int
         File descriptor that log lines are written to.
+    opened : listeners.Listeners or None
+        Listening sockets that the program has opened already.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         *,
         settings_path: str = "",
         log_descriptor: int = 1,
+        opened: listeners.Listeners | None = None,
     ):
         self._settings = settings
         self._settings_path = settings_path
@@ -81,6 +86,7 @@
             internal_address=settings.entry_internal_address,
             deliver=self._handle_message,
             log_descriptor=log_descriptor,
+            opened=opened,
             survives_errors=True,
         )
         self.loop = self._process.loop
@@ -116,6 +122,11 @@
         self._is_crash_report_scheduled = False
         self._sent_record: protocol_messages.EntryRecord | None = None
         self._hosts_with_record: set[str] = set()
+        # Whether the last subscription that a host was sent is one as standby.
+        self._sent_standby: dict[str, bool] = {}
+        self._offers = declaration_offers.DeclarationOffers(
+            applies_unconfirmed_at=self._started_at + UNCONFIRMED_DECLARATION_DELAY_SECONDS
+        )
         self._recorded_state: tuple[bool, ...] = ()
         self._state_change_count = 0
         self._stop_began_at = 0.0
@@ -147,8 +158,12 @@
             on_cut_changed=self._subscribe,
             evacuations=self._evacuations,
             awaits_zone_update=self._awaits_zone_update,
+            on_request_started=self._record_request_start,
         )
 
+    def _record_request_start(self) -> None:
+        self._process.start_steps.record(start_steps.Step.REQUEST_STARTED)
+
     def _make_datagram_socket(self) -> datagrams.DatagramSocket:
         return datagrams.DatagramSocket(
             self.loop,
@@ -183,6 +198,7 @@
         loop.call_later(0.0, self._subscribe)
         loop.call_every(SUBSCRIBE_INTERVAL_SECONDS, self._subscribe)
         loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
+        loop.call_later(UNCONFIRMED_DECLARATION_DELAY_SECONDS, self._apply_unconfirmed)
         loop.call_every(EVICTION_INTERVAL_SECONDS, self._evict_expired)
         loop.call_every(SETTINGS_CHECK_INTERVAL_SECONDS, self._check_settings)
         loop.after_each_iteration(self._observe_suspension)
@@ -221,14 +237,21 @@
 
     # Updates from control hosts.
 
-    def _subscribe(self) -> None:
+    def _apply_unconfirmed(self) -> None:
+        """Apply a declaration that no control host could confirm in time."""
+        offer = self._offers.newest(self.loop.now())
+        if self.declaration is None and offer is not None:
+            self._receive_offer(offer, "unconfirmed")
+
+    def _subscribe(self, *, renews: bool = True) -> None:
         """Subscribe to all control hosts, or renew the subscriptions.
 
         The primary sends its records and new versions; to the others, this entry subscribes as
         standby. A host gets the entry's record and the evidence against refused contents if it has
         none yet or has reconnected. Every
         `SUBSCRIPTIONS_PER_RECORD_RENEWAL` renewals, one host gets a record with a higher sequence
-        number.
+        number. Without ``renews``, hosts that have the same subscription on an open connection get
+        nothing: those that are starting would have to read all repetitions first.
         """
         record = self._make_entry_record()
         if record != self._sent_record:
@@ -243,6 +266,9 @@
             (self._subscribe_count // SUBSCRIPTIONS_PER_RECORD_RENEWAL) % len(hosts)
         ]
         for host in hosts:
+            is_standby = host != primary
+            if not renews and not new_crashes and self._is_subscribed(host, is_standby):
+                continue
             entries: tuple[protocol_messages.EntryRecord, ...] = ()
             crashes = new_crashes
             if host not in self._hosts_with_record or not self._process.transport.is_connected(
@@ -261,14 +287,24 @@
                 base_version=self._declaration_updates.base_version(host),
                 entries=entries,
                 crashes=crashes,
-                standby=host != primary,
+                standby=is_standby,
                 evacuation_number=self._evacuations.number,
                 probe=self._evacuations.probe,
             )
             if self._process.transport.send(host, message):
                 self._hosts_with_record.add(host)
+                self._sent_standby[host] = is_standby
             else:
                 self._hosts_with_record.discard(host)
+                self._sent_standby.pop(host, None)
+
+    def _is_subscribed(self, host: str, is_standby: bool) -> bool:
+        """Return whether a host has been sent this subscription and this entry's record."""
+        return (
+            self._process.transport.is_connected(host)
+            and host in self._hosts_with_record
+            and self._sent_standby.get(host) == is_standby
+        )
 
     def _choose_primary(self, hosts: list[str]) -> str:
         previous = self._contacts.primary
@@ -280,7 +316,7 @@
 
     def _subscribe_until_declared(self) -> None:
         if self.declaration is None:
-            self._subscribe()
+            self._subscribe(renews=False)
             self.loop.call_later(INITIAL_SUBSCRIBE_INTERVAL_SECONDS, self._subscribe_until_declared)
 
     def _observe_suspension(self) -> None:
@@ -344,17 +380,36 @@
             self._control_hosts = update.controls
             self._log.write("control.hosts", hosts=update.controls)
         self._apply_evacuations(update, sender)
-        delay_is_over = now - self._started_at > UNCONFIRMED_DECLARATION_DELAY_SECONDS
-        has_version = update.document or update.deltas
-        if has_version and (update.confirmed or self.declaration or delay_is_over):
-            self._declaration_updates.receive(update, sender)
+        self._receive_version(update, host, sender)
         if update.servers:
             self._request_handler.handle_announcements()
+        if self.declaration is None and update.confirmed and host != self._contacts.primary:
+            self._subscribe(renews=False)
+
+    def _receive_version(
+        self, update: protocol_messages.ClusterUpdate, host: str, source: str
+    ) -> None:
+        """Receive the version in an update; the first one only once it may be applied."""
+        if self.declaration is not None:
+            self._declaration_updates.receive(update, source)
+            return
+        offer = declaration_offers.Offer(update.version, update.document)
+        offer = self._offers.handle_update(
+            host, offer, confirmed=update.confirmed, now=self.loop.now()
+        )
+        if offer is not None:
+            self._receive_offer(offer, source)
+
+    def _receive_offer(self, offer: declaration_offers.Offer, source: str) -> None:
+        update = protocol_messages.ClusterUpdate(version=offer.version, document=offer.document)
+        self._declaration_updates.receive(update, source)
 
     def _handle_server_record(self, record: protocol_messages.ServerRecord, now: float) -> None:
         previous = self._registry.find_server(record.server)
         if not self._registry.update_server(record, now):
             return
+        if not record.gone:
+            self._process.start_steps.record(start_steps.Step.SERVER_KNOWN)
         current = self._registry.find_server(record.server)
         if previous is None or (previous.leaving, previous.gone, previous.born) != (
             current.leaving,
@@ -396,6 +451,8 @@
     def _apply_declaration(self, declaration: traffic.TrafficDeclaration) -> None:
         was_ready = self.is_ready
         self._request_handler.apply_declaration(declaration)
+        self._offers.clear()
+        self._process.start_steps.record(start_steps.Step.DECLARED)
         if not was_ready:
             self._subscribe()
 
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -7,6 +7,8 @@
 import sys
 from typing import Any
 
+from flamingoramp.runtime import listeners
+
 SETTINGS_PATH_VARIABLE = "FLAMINGORAMP_CONFIG"
 
 
@@ -15,16 +17,19 @@
 
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
+    settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
+    # Connections are accepted by the kernel while the modules below are imported.
+    opened = listeners.open_configured(settings_path, role)
     # The modules and the daemon live as long as the process: searching them for garbage while they
     # are made takes a tenth of a start.
     gc.disable()
-    daemon = _make_daemon(role, os.environ.get(SETTINGS_PATH_VARIABLE, ""))
+    daemon = _make_daemon(role, settings_path, opened)
     gc.freeze()
     gc.enable()
     daemon.run()
 
 
-def _make_daemon(role: str, settings_path: str) -> Any:
+def _make_daemon(role: str, settings_path: str, opened: listeners.Listeners) -> Any:
     """Import a role's modules only, which shortens a restart, and return its daemon."""
     from flamingoramp import errors
     from flamingoramp.platform import platform_dialect
@@ -38,11 +43,11 @@
     if role == "control":
         from flamingoramp.daemons import coordinator
 
-        return coordinator.Coordinator(settings, platform_dialect.PlatformDialect())
+        return coordinator.Coordinator(settings, platform_dialect.PlatformDialect(), opened=opened)
     from flamingoramp.daemons import gateway
 
     return gateway.Gateway(
-        settings, platform_dialect.PlatformDialect(), settings_path=settings_path
+        settings, platform_dialect.PlatformDialect(), settings_path=settings_path, opened=opened
     )
 
 
