--- a/flamingoramp/platform/tests/test_large_declarations.py
+++ b/flamingoramp/platform/tests/test_large_declarations.py
@@ -64,6 +64,21 @@
         delta_count = self.count_sent(fleet, "declaration_deltas_sent")
         self.assertGreaterEqual(delta_count, 6 * len(fleet.entries))
 
+    def test_requests_beside_a_storm_of_versions_are_answered(self):
+        fleet = self.start_large(controls=1, entries=1)
+        fleet.add_server("d1", "desk")
+        answers: list[fleets.Answer] = []
+        seen_versions: list[int] = []
+        for version in range(2, 30):
+            fleet.declare(version, routes=make_routes(1000 + version))
+            answers.append(self.send(fleet, "read"))
+            seen_versions.append(fleet.entries[0].daemon.declaration.version)
+        acknowledged_at = time.monotonic()
+        fleet.wait_in_force(version)
+        self.assertLess(time.monotonic() - acknowledged_at, MAX_SPREAD_SECONDS)
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual(seen_versions, sorted(seen_versions))
+
     def test_versions_are_in_force_after_restarts_of_control_hosts_and_entries(self):
         fleet = self.start_large(entries=2)
         self.assert_spread(fleet, 2)
