--- a/flamingoramp/platform/tests/test_evacuation.py
+++ b/flamingoramp/platform/tests/test_evacuation.py
@@ -358,6 +358,7 @@
         load.exception()  # the ends of the entries cut off connections
         late = self.count_arrivals(fleet, "a", acknowledged_at + EFFECT_SECONDS)
         self.assertEqual(late, 0)
+        self.assertGreater(self.count_arrivals(fleet, "b", acknowledged_at + EFFECT_SECONDS), 0)
 
     def test_declarations_and_orders_that_race_are_both_in_force(self):
         fleet = self.start_serving(entries=1)
