Rolling stops: serve accepted connections, send answers whole, end in time

Two signals in a row could lock up the event loop's queue. Closing the listener reset connections that the kernel had accepted; an answer was dropped that a slow caller had not taken 1 s after its end. Now requests get an error 0.8 s before the kill, the process ends without the interpreter's shutdown, a partial request without bytes for 2 s gets 408, pending connections are accepted and served for 0.5 s, and answers count as work until they are passed to the kernel. A signal during the start ends it.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -43,8 +43,11 @@
 # The other entries go on sending a content that crashes servers until they are told.
 CRASH_REPORT_DELAY_SECONDS = 0.01
 STOP_CHECK_INTERVAL_SECONDS = 0.05
-# A stopping entry exits this long before `stop_seconds` have passed, when the platform kills it.
-STOP_RESERVE_SECONDS = 0.3
+# A stopping entry fails its last requests this long before `stop_seconds` have passed, when the
+# platform kills it. On a share of a core, a late timer and the end of the process take some tenths.
+STOP_RESERVE_SECONDS = 0.8
+# Time for sending the errors of these requests.
+STOP_FLUSH_SECONDS = 0.2
 # An entry without a declaration applies one from a control host that has no contact with the leader
 # only after this time since its start.
 UNCONFIRMED_DECLARATION_DELAY_SECONDS = 1.5
@@ -114,6 +117,7 @@
         self._recorded_state: tuple[bool, ...] = ()
         self._state_change_count = 0
         self._stop_began_at = 0.0
+        self._has_given_up = False
         self._datagrams = self._make_datagram_socket()
         self._load_exchange = self._make_load_exchange()
         self._process.add_cleanup(self._datagrams.close)
@@ -428,10 +432,15 @@
         stopping_seconds = self.loop.now() - self._stop_began_at
         accept_period_over = stopping_seconds > bounds.accept_seconds
         idle = not self._request_handler.active_count and not self._caller_server.busy_count
-        if (
-            accept_period_over and idle
-        ) or stopping_seconds > bounds.stop_seconds - STOP_RESERVE_SECONDS:
+        reserve_seconds = min(STOP_RESERVE_SECONDS, bounds.stop_seconds / 2)
+        if accept_period_over and idle:
             self.loop.stop()
+        elif stopping_seconds > bounds.stop_seconds - reserve_seconds and not self._has_given_up:
+            self._has_given_up = True
+            self._log.write("process.gave_up", requests=self._request_handler.active_count)
+            self._metrics.count("requests_given_up", self._request_handler.active_count)
+            self._request_handler.end_all()
+            self.loop.call_later(STOP_FLUSH_SECONDS, self.loop.stop)
 
     # Load reports.
 
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import collections
+import os
 import pathlib
 import secrets
 import signal
@@ -164,6 +165,8 @@
             signal.signal(number, lambda _number, _frame: self.loop.post(on_stop))
         signal.signal(signal.SIGHUP, lambda _number, _frame: self.loop.post(on_reload))
         self.serve_until_stopped()
+        # The interpreter's shutdown would take a tenth of a second of processor time.
+        os._exit(0)
 
     def serve_until_stopped(self) -> None:
         """Serve until the loop stops, then close servers, transport, cleanups and loop."""
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -83,12 +83,12 @@
         self._may_have_run = False
         self._first_event_at = 0.0
         self._is_done = False
-        self._exchange.on_disconnect = self._handle_disconnect
+        self._exchange.on_disconnect = lambda: self._finish("caller_gone")
 
     def start(self) -> None:
         """Start the first attempt; the answer goes to the request's exchange."""
         loop = self._context.loop
-        loop.call_later(max(0.0, self._deadline - loop.now()), self._handle_deadline)
+        loop.call_later(max(0.0, self._deadline - loop.now()), self.end_by_deadline)
         self._start_attempt()
 
     # Attempts.
@@ -557,10 +557,8 @@
 
     # Outcomes.
 
-    def _handle_disconnect(self) -> None:
-        self._finish("caller_gone")
-
-    def _handle_deadline(self) -> None:
+    def end_by_deadline(self) -> None:
+        """Fail the request, unless it has ended, as its caller or this process waits no longer."""
         if not self._is_done:
             self._end_failed(errors.RouteTimeoutError("the time limit passed"))
 
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -215,6 +215,11 @@
         self._crash_evidence.evict_expired(self.loop.now())
         self._metrics.set_gauge("crash_suspects", self._crash_evidence.suspect_count)
 
+    def end_all(self) -> None:
+        """Fail the requests in progress, whose outcome is unknown; the process waits no longer."""
+        for forwarder in list(self._forwarders):
+            forwarder.end_by_deadline()
+
     # Admission.
 
     def handle_request(self, exchange: http_server.Exchange) -> None:
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -21,6 +21,10 @@
 # Data of later requests that a caller may send before the response to the current one is complete.
 MAX_PIPELINED_BYTES = 256 * 1024
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
+# A stopping server waits this long for the first request of a new connection.
+FIRST_REQUEST_SECONDS = 0.5
+# A stopping server refuses a request of which no bytes arrived for this long.
+CLOSING_SILENCE_SECONDS = 2.0
 
 
 @attrs.frozen
@@ -117,7 +121,7 @@
 
     def __init__(self, server: Server, sock: socket.socket):
         self._server = server
-        self._phase_started_at = server.loop.now()
+        self._phase_started_at = self._received_at = server.loop.now()
         self._parser = self._new_parser()
         self._request_head: h11.Request | None = None
         self._request_body_parts: list[bytes] = []
@@ -143,13 +147,26 @@
         """Whether part of a request, but not all of it, was received."""
         return self._request_head is not None or self._bytes_since_dispatch > 0
 
+    @property
+    def is_flushing(self) -> bool:
+        """Whether the response is complete, but not yet passed to the kernel."""
+        return self._stream.is_open and self._stream.buffered_bytes > 0
+
+    def awaits_first_request(self, now: float) -> bool:
+        """Return whether the connection is new and its first request may be on the way."""
+        is_new = now - self._phase_started_at < FIRST_REQUEST_SECONDS
+        return self._is_first_request and self._exchange is None and is_new
+
     def close_if_timed_out(self, now: float) -> None:
         """Refuse with 408 a request that takes too long to arrive; close an idle connection."""
         limits = self._server.limits
         if self._exchange is not None:
             return
         elapsed_seconds = now - self._phase_started_at
-        if self._request_head is not None:
+        is_silent = now - self._received_at > CLOSING_SILENCE_SECONDS
+        if self._server.is_closing and self.is_reading and is_silent:
+            self._refuse_request(408)
+        elif self._request_head is not None:
             if elapsed_seconds > limits.body_seconds:
                 self._refuse_request(408)
         elif self._bytes_since_dispatch:
@@ -161,8 +178,9 @@
             self.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being received or responded to."""
-        if self._exchange is None and not self.is_reading:
+        """Close the connection unless a request is expected, being received or responded to."""
+        is_expected = self.awaits_first_request(self._server.loop.now())
+        if self._exchange is None and not self.is_reading and not is_expected:
             self.close()
 
     def close(self) -> None:
@@ -218,6 +236,8 @@
     def _finish_connection(self) -> None:
         self._stream.shut_down_gracefully()
         self._server.remove_connection(self)
+        if self.is_flushing:
+            self._server.add_flushing(self)
 
     def _handle_closed(self) -> None:
         self._server.remove_connection(self)
@@ -226,8 +246,9 @@
             exchange.mark_disconnected()
 
     def _handle_data(self, data: bytes) -> None:
+        self._received_at = self._server.loop.now()
         if self._exchange is None and not self.is_reading:
-            self._phase_started_at = self._server.loop.now()
+            self._phase_started_at = self._received_at
         self._bytes_since_dispatch += len(data)
         try:
             self._parser.receive_data(data)
@@ -355,6 +376,7 @@
         self._on_refused = on_refused
         self._max_connections = max_connections
         self._connections: set[Connection] = set()
+        self._flushing: set[Connection] = set()
         self._closing = False
         self._listener: socket.socket | None = listener or listeners.open_listener(listen)
         loop.register(self._listener, selectors.EVENT_READ, self._accept)
@@ -378,9 +400,12 @@
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request that is being received or responded to."""
-        return sum(
-            connection.has_exchange or connection.is_reading for connection in self._connections
+        """Number of connections with a request that is expected, being received or responded to."""
+        now = self.loop.now()
+        self._flushing = {connection for connection in self._flushing if connection.is_flushing}
+        return len(self._flushing) + sum(
+            connection.has_exchange or connection.is_reading or connection.awaits_first_request(now)
+            for connection in self._connections
         )
 
     def handle(self, exchange: Exchange) -> None:
@@ -395,13 +420,22 @@
         """Remove a closed connection from the set of open connections."""
         self._connections.discard(connection)
 
+    def add_flushing(self, connection: Connection) -> None:
+        """Count a finished connection as busy until its response is passed to the kernel."""
+        self._flushing.add(connection)
+
     def begin_closing(self) -> None:
         """Close each connection after the response to its current request."""
         self._closing = True
 
     def stop_accepting(self) -> None:
-        """Stop listening, and close the connections without a request in progress."""
+        """Stop listening, and close the connections without a request in progress.
+
+        Connections that the kernel has accepted are served: closing the listener would reset them.
+        """
         if self._listener is not None:
+            for _ in range(listeners.BACKLOG_COUNT // MAX_ACCEPTS_PER_ITERATION):
+                self._accept(selectors.EVENT_READ)
             self.loop.unregister(self._listener)
             self._listener.close()
             self._listener = None
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
 
 from flamingoramp.http import messages, server
@@ -138,6 +139,78 @@
         self.assertEqual(read_response(sock)[2], b"whole")
 
 
+class TestStop(ServerTestCase):
+    """What callers of a stopping server still get."""
+
+    def stop_accepting(self, echo_server: EchoServer) -> None:
+        echo_server.run_in_loop(echo_server.server.begin_closing)
+        echo_server.run_in_loop(echo_server.server.stop_accepting)
+
+    def busy_count(self, echo_server: EchoServer) -> int:
+        counts: list[int] = []
+        echo_server.run_in_loop(lambda: counts.append(echo_server.server.busy_count))
+        return counts[0]
+
+    def wait_for_busy_count(self, echo_server: EchoServer, count: int, seconds: float) -> None:
+        deadline = time.monotonic() + seconds
+        while self.busy_count(echo_server) != count:
+            self.assertLess(time.monotonic(), deadline, f"busy count isn't {count}")
+            time.sleep(0.01)
+
+    def test_burst_of_connections_that_the_kernel_has_accepted_is_served(self):
+        echo_server = self.start_server()
+        sockets: list[socket.socket] = []
+        busy_counts: list[int] = []
+
+        def _connect_and_stop() -> None:
+            sockets.extend(self.connect(echo_server) for _ in range(200))
+            echo_server.server.begin_closing()
+            echo_server.server.stop_accepting()
+            busy_counts.append(echo_server.server.busy_count)
+
+        echo_server.run_in_loop(_connect_and_stop)
+        self.assertEqual(busy_counts, [200])
+        for sock in sockets:
+            sock.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        self.assertEqual({read_response(sock)[0] for sock in sockets}, {200})
+        self.wait_for_busy_count(echo_server, 0, TIMEOUT_SECONDS)
+
+    def test_silent_callers_do_not_keep_the_server_busy(self):
+        echo_server = self.start_server()
+        with_partial_request = self.connect(echo_server)
+        with_partial_request.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nabc")
+        self.wait_for_busy_count(echo_server, 1, TIMEOUT_SECONDS)
+        self.connect(echo_server)
+        self.stop_accepting(echo_server)
+        seconds = server.CLOSING_SILENCE_SECONDS + server.TIMEOUT_CHECK_INTERVAL_SECONDS
+        self.wait_for_busy_count(echo_server, 0, seconds + 0.5)
+        self.assertEqual(read_response(with_partial_request)[0], 408)
+
+    def test_long_answer_to_a_slow_caller_is_sent_whole_before_the_server_is_idle(self):
+        echo_server = self.start_server()
+        echo_server.keep_exchanges = True
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+        sock.connect(echo_server.address)
+        sock.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        while not echo_server.kept_exchanges:
+            echo_server.run_in_loop(lambda: None)
+        self.stop_accepting(echo_server)
+        body = b"x" * (7 * 1024 * 1024)
+        echo_server.run_in_loop(
+            lambda: echo_server.kept_exchanges[0].respond(messages.Response(200, (), body))
+        )
+        self.assertEqual(self.busy_count(echo_server), 1)
+        received = 0
+        while data := sock.recv(64 * 1024):
+            received += len(data)
+            # Reads for about 2 s, longer than `stream.DRAIN_TIMEOUT_SECONDS`.
+            time.sleep(2.0 * len(data) / len(body))
+        self.assertGreaterEqual(received, len(body))
+        self.wait_for_busy_count(echo_server, 0, 1.0)
+
+
 class TestListener(unittest.TestCase):
     """The listening socket of a server that stops."""
 
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -5,7 +5,7 @@
 import os
 import sys
 
-from flamingoramp.runtime import listeners
+from flamingoramp.runtime import early_stop, listeners
 
 SETTINGS_PATH_VARIABLE = "FLAMINGORAMP_CONFIG"
 
@@ -16,6 +16,7 @@
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
+    early_stop.exit_on_stop_signals()
     # Connections are accepted by the kernel while the modules below are imported.
     opened = listeners.open_configured(settings_path, role)
     from flamingoramp import errors
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -167,6 +169,59 @@
         self.assertGreater(costs["inner_sent_bytes"], 0)
         self.assertGreater(costs["inner_received_bytes"], 0)
 
+    def test_process_ends_in_time_beside_a_silent_caller_and_a_silent_server(self):
+        document = fleets.make_document(2)
+        for route in document["routes"]:
+            route["timeout_ms"] = 60_000
+        self.fleet.declare(2, routes=document["routes"])
+        self.entry.wait_for_event("declaration.in_force", 2)
+        desk = self.fleet.add_server("d1", "desk", fake_server.Behaviour(never_answers=True))
+        self.entry.wait_for_event("server.changed", 2)
+        host, _, port = self.entry.caller_address.rpartition(":")
+        silent_caller = socket.create_connection((host, int(port)))
+        self.addCleanup(silent_caller.close)
+        silent_caller.sendall(b"POST /hold/x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nabc")
+        answers: list[fleets.Answer] = []
+        headers = {
+            "x-attempt-id": "id1",
+            "authorization": "Token k1",
+            "x-deadline-ms": "60000",
+        }
+
+        def _send() -> None:
+            caller_address = self.entry.caller_address
+            answers.append(
+                fleets.send_request(caller_address, "POST", "/hold/x", headers=headers, body=b"b")
+            )
+
+        thread = threading.Thread(target=_send)
+        thread.start()
+        fleets.wait_for(lambda: desk.requests, "the request at the server")
+        stop_seconds = self.entry.settings["bounds"]["stop_seconds"]
+        self.entry.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.entry.process.wait(stop_seconds - 0.4), 0)
+        thread.join(fleets.TIMEOUT_SECONDS)
+        # It may have run, so the answer says neither that it has nor that it hasn't.
+        self.assertEqual(answers[0].status, 504)
+        self.assertEqual(self.entry.wait_for_event("process.gave_up")["requests"], 1)
+
+    def test_stop_during_the_start_ends_the_process_at_once(self):
+        self.entry.close()
+        entry = EntryProcess(self.fleet, 1)
+        self.addCleanup(entry.close)
+        host, _, port = entry.caller_address.rpartition(":")
+
+        def _is_listening() -> bool:
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port))).close()
+                return True
+            return False
+
+        fleets.wait_for(_is_listening, "a connection to the starting entry")
+        entry.process.send_signal(signal.SIGTERM)
+        self.assertEqual(entry.process.wait(1.0), 0)
+        self.assertEqual(entry.logged_events("process.started"), [])
+
     def test_requests_that_arrive_after_stop_signal_are_served(self):
         self.entry.process.send_signal(signal.SIGTERM)
         self.entry.wait_for_event("process.stopping")
--- /dev/null
+++ b/flamingoramp/platform/tests/test_rolling_stops.py
@@ -0,0 +1,72 @@
+"""Tests of entries that stop and start again one after the other under load."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+
+from flamingoramp.platform.tests import fleet as fleets
+
+CALLER_COUNT = 6
+MAX_SECONDS = 1.0
+# Pause between the end of a stop and the next start, and between one entry and the next one.
+PAUSE_SECONDS = 0.3
+
+
+class TestRollingStops(fleets.FleetTestCase):
+    """Each entry is stopped as planned and started again, while the others serve."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = self.start_serving(controls=1, entries=4)
+        for number in range(2):
+            self.fleet.add_server(f"desk{number}", "desk")
+            self.fleet.add_server(f"engine{number}", "llm")
+        self.results: list[tuple[str, int, float]] = []
+        self.ends = threading.Event()
+
+    def call(self, rng: random.Random, route: str) -> int:
+        """Send a request; after a refused connection, try another address once, as callers do."""
+        addresses = [self.fleet.settings(index).listen.callers for index in range(1, 5)]
+        rng.shuffle(addresses)
+        for address in addresses[:2]:
+            try:
+                return self.send(self.fleet, route, address=address).status
+            except ConnectionRefusedError:
+                continue
+            except ConnectionError:
+                return 0
+        return -1
+
+    def run_caller(self, seed: int) -> None:
+        rng = random.Random(seed)
+        while not self.ends.is_set():
+            route = rng.choice(("read", "hold", "stream"))
+            started_at = time.monotonic()
+            status = self.call(rng, route)
+            self.results.append((route, status, time.monotonic() - started_at))
+            time.sleep(0.05)
+
+    def test_no_request_is_cut_refused_or_late_while_all_entries_restart_in_turn(self):
+        callers = [
+            threading.Thread(target=self.run_caller, args=(seed,)) for seed in range(CALLER_COUNT)
+        ]
+        for caller in callers:
+            caller.start()
+        try:
+            for number, entry in enumerate(self.fleet.entries):
+                entry.call(entry.daemon.begin_stop)
+                entry.thread.join(entry.daemon.process.settings.bounds.stop_seconds)
+                self.assertFalse(entry.is_running)
+                time.sleep(PAUSE_SECONDS)
+                self.fleet.entries[number] = self.fleet.start_entry(1 + number)
+                time.sleep(PAUSE_SECONDS)
+        finally:
+            self.ends.set()
+            for caller in callers:
+                caller.join(fleets.TIMEOUT_SECONDS)
+        self.assertGreater(len(self.results), 100)
+        failed = [result for result in self.results if result[1] != 200]
+        self.assertEqual(failed, [])
+        self.assertLess(max(seconds for _, _, seconds in self.results), MAX_SECONDS)
--- /dev/null
+++ b/flamingoramp/runtime/early_stop.py
@@ -0,0 +1,19 @@
+"""Stop signals that arrive before a process serves.
+
+This module imports the standard library only.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+
+
+def exit_on_stop_signals() -> None:
+    """End the process at once on SIGTERM and SIGINT, until other handlers are installed.
+
+    The default action does so too, except for the first process of a container, which would ignore
+    a stop signal that arrives during its start.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda _number, _frame: os._exit(0))
--- a/flamingoramp/runtime/loop.py
+++ b/flamingoramp/runtime/loop.py
@@ -62,7 +62,8 @@
         self._timers: list[tuple[float, int, Timer]] = []
         self._sequence = itertools.count()
         self._posted_callbacks: collections.deque[Callable[[], None]] = collections.deque()
-        self._lock = threading.Lock()
+        # Signal handlers post too, and one may interrupt another one in the same thread.
+        self._lock = threading.RLock()
         self._stop_requested = False
         self._iteration_hooks: list[Callable[[], None]] = []
         self._wake_reader, self._wake_writer = socket.socketpair()
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -10,7 +10,8 @@
 
 MAX_READ_BYTES = 256 * 1024
 TCP_USER_TIMEOUT_MS = 10_000
-# Time for the peer to read the last response before the connection is closed.
+# Time for the peer to read the last response before the connection is closed; it starts again
+# while the peer takes bytes of the output buffer.
 DRAIN_TIMEOUT_SECONDS = 1.0
 
 
@@ -105,10 +106,21 @@
             return
         self._close_requested = True
         self._discard_input = True
-        self._loop.call_later(DRAIN_TIMEOUT_SECONDS, self.close)
+        self._schedule_drain_check()
         if not self._output_buffer:
             self._shut_down_write_side()
 
+    def _schedule_drain_check(self) -> None:
+        sent_bytes = self._sent_bytes
+
+        def _check() -> None:
+            if self._output_buffer and self._sent_bytes > sent_bytes:
+                self._schedule_drain_check()
+            else:
+                self.close()
+
+        self._loop.call_later(DRAIN_TIMEOUT_SECONDS, _check)
+
     def _shut_down_write_side(self) -> None:
         try:
             self._sock.shutdown(socket.SHUT_WR)
