--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -7,7 +7,7 @@
 import sys
 from typing import Any
 
-from flamingoramp.runtime import listeners
+from flamingoramp.runtime import early_stop, listeners
 
 SETTINGS_PATH_VARIABLE = "FLAMINGORAMP_CONFIG"
 
@@ -18,6 +18,7 @@
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
+    early_stop.exit_on_stop_signals()
     # Connections are accepted by the kernel while the modules below are imported.
     opened = listeners.open_configured(settings_path, role)
     # The modules and the daemon live as long as the process: searching them for garbage while they
