Warm-up: rates of cold servers are declared, and kept beside the limits that servers name

Callers saw engines crash that got their full share right after a start. cold_s and cold_per_s of a service are decoded; a cold server has the declared rate as a limit in the bucket of statements, offered to a share of all requests and split between parts of the entries that are out of contact.

--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -140,11 +140,24 @@
 
 @attrs.frozen
 class Service:
-    """A service and, if its backend servers are model engines, their cost model."""
+    """A service and, if its backend servers are model engines, their cost model.
+
+    Parameters
+    ----------
+    name : str
+    max_connections : int
+    engine : EngineCostModel or None
+    warm_up_seconds : float
+        Time for which a server is cold after a start during traffic; 0 if not declared.
+    warm_up_rate : float
+        Requests per second that a cold server tolerates from all entries together; 0 for no limit.
+    """
 
     name: str
     max_connections: int = 100
     engine: EngineCostModel | None = None
+    warm_up_seconds: float = 0.0
+    warm_up_rate: float = 0.0
 
 
 @attrs.frozen
@@ -219,6 +232,11 @@
             raise errors.InvalidDeclarationError("services: a name stands twice")
         if len(self._route_by_prefix) != len(self.routes):
             raise errors.InvalidDeclarationError("routes: a host and prefix stand twice")
+        for service in self.services:
+            if service.warm_up_seconds < 0 or service.warm_up_rate < 0:
+                raise errors.InvalidDeclarationError(
+                    f"service {service.name}: the time and rate of the warm-up take 0 or more"
+                )
         for route in self.routes:
             self._check_route(route)
         workspace_by_key: dict[str, str] = {}
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -139,6 +139,8 @@
         name=name,
         max_connections=_field(data, "max_conns", int, where, 100),
         engine=None if engine is None else _decode_engine(engine, where),
+        warm_up_seconds=_field(data, "cold_s", (int, float), where, None) or 0.0,
+        warm_up_rate=_field(data, "cold_per_s", (int, float), where, None) or 0.0,
     )
 
 
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 from collections.abc import Callable
 
@@ -26,6 +27,8 @@
 # placements use engines of another zone.
 SUMMARY_SECONDS = 0.2
 TARGET_REFRESH_SECONDS = 0.4
+# Time after its start within which an entry learns of the others.
+DISCOVERY_SECONDS = 2.0
 
 
 class LoadExchange:
@@ -66,7 +69,7 @@
         self._sequence_numbers = itertools.count(1)
         self._is_report_scheduled = False
         self._heartbeat_count = 0
-        self._reported_at = loop.now()
+        self._reported_at = self._started_at = loop.now()
         self._targets = report_targets.ReportTargets([])
         self._entry_count = 1
         loop.call_later(HEARTBEAT_SECONDS, self._send_heartbeat)
@@ -141,6 +144,11 @@
         now = self._loop.now()
         others = [record for record in self._registry.entries() if record.entry != self._name]
         self._entry_count = 1 + len(others)
+        # A starting entry is told of the others one after the other.
+        if now - self._started_at >= DISCOVERY_SECONDS:
+            counts = collections.Counter(record.zone for record in others)
+            counts[self._zone] += 1
+            self._loads.set_entry_counts(dict(counts))
         self._targets = report_targets.choose_targets(
             self._name,
             self._zone,
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -19,6 +19,11 @@
 # An entry that hasn't reported for longer is assumed to have stopped, and its work with it, unless
 # its reports state another time.
 REPORT_EXPIRY_SECONDS = 1.5
+# Share of the time for which a report is valid after which its sender counts as out of contact: two
+# of its heartbeats.
+CONTACT_RATIO = 0.4
+# Number of entries that is assumed while the others aren't known.
+ASSUMED_ENTRY_COUNT = 200
 # Servers of one report part; a packed record takes about 25 bytes, and a datagram carries 1,400.
 MAX_SERVERS_PER_PART = 45
 
@@ -159,6 +164,7 @@
     ``sequences`` holds the sequence number of the last full report, by part, ``arrivals`` the
     credit per second of the requests that arrive there, by service, ``request_rates`` the number
     of requests per second, and ``sent_counts`` the requests sent, by server with a statement.
+    ``rates_at`` is the time of the last report with ``request_rates``.
     """
 
     incarnation: str
@@ -171,6 +177,15 @@
     arrivals: dict[str, float] = attrs.field(factory=dict)
     request_rates: dict[str, float] = attrs.field(factory=dict)
     sent_counts: dict[str, int] = attrs.field(factory=dict)
+    rates_at: float = float("-inf")
+
+    def is_in_contact(self, now: float) -> bool:
+        """Return whether the reporter was heard from within two of its heartbeats."""
+        return now - self.received_at < CONTACT_RATIO * self.valid_seconds
+
+    def has_rates(self, now: float) -> bool:
+        """Return whether the reporter has reported rates of requests that still hold."""
+        return now - self.rates_at < self.valid_seconds
 
     def has_expired(self, now: float) -> bool:
         """Return whether the reporter has been silent for longer than its reports are valid."""
@@ -212,6 +227,7 @@
         self._arrivals: dict[str, rates.RateMeter] = {}
         self._requests: dict[str, rates.RateMeter] = {}
         self._statements = statements.ServerStatements()
+        self._entry_counts: dict[str, int] = {}
         # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
         self._changed_before: set[str] = set()
@@ -261,6 +277,47 @@
             if self._is_counted(reporter, now)
         )
 
+    def set_entry_counts(self, counts: dict[str, int]) -> None:
+        """Set the number of entries by availability zone, this entry included.
+
+        Without any, `ASSUMED_ENTRY_COUNT` entries are assumed.
+        """
+        self._entry_counts = counts
+
+    def contact_share(self, now: float) -> float:
+        """Return the share of all entries whose requests are reported to this one."""
+        in_contact = [
+            reporter for reporter in self._reporters.values() if reporter.is_in_contact(now)
+        ]
+        return min(1.0, self._count_entries(in_contact, now) / self._entry_count)
+
+    def total_request_rate(self, service: str, now: float) -> float:
+        """Return the attempts per second for a service at all entries.
+
+        Those that don't report theirs are assumed to have the mean of the others.
+        """
+        own = self._requests.get(service)
+        rate = own.rate(now) if own is not None else 0.0
+        reporting = [
+            reporter
+            for reporter in self._reporters.values()
+            if reporter.has_rates(now) and self._is_counted(reporter, now)
+        ]
+        rate += sum(reporter.request_rates.get(service, 0.0) for reporter in reporting)
+        return rate * max(1.0, self._entry_count / self._count_entries(reporting, now))
+
+    @property
+    def _entry_count(self) -> int:
+        return sum(self._entry_counts.values()) or ASSUMED_ENTRY_COUNT
+
+    def _count_entries(self, reporters: list[_Reporter], now: float) -> int:
+        """Return the number of entries that some reporters stand for, this entry included."""
+        return 1 + sum(
+            self._entry_counts.get(reporter.zone, 0) if reporter.is_summary else 1
+            for reporter in reporters
+            if self._is_counted(reporter, now)
+        )
+
     def has_summaries(self, now: float) -> bool:
         """Return whether the load of other zones arrives in summaries."""
         return any(
@@ -321,6 +378,8 @@
         reporter.arrivals = dict(zip(report.services, report.arrivals, strict=True))
         if report.request_rates:
             reporter.request_rates = dict(zip(report.services, report.request_rates, strict=True))
+        if report.request_rates or report.stated_servers:
+            reporter.rates_at = now
         if report.stated_servers and self._is_counted(reporter, now):
             self._statements.handle_report(
                 report,
@@ -443,7 +502,7 @@
     ) -> load_reports.LoadReport:
         """Return a report with this zone, the rates and the statements, still without loads."""
         stated_servers, statement_values = stated
-        if not stated_servers:
+        if not stated_servers and not self._statements.cold_count:
             return attrs.evolve(
                 report,
                 zone=self._zone,
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Callable
 
@@ -58,6 +57,12 @@
         self._statements = loads.statements
         self._observations = observed
         self._zone = zone
+        self._held_back_count = 0
+
+    @property
+    def held_back_count(self) -> int:
+        """Number of choices in which a cold server was left out for its limit."""
+        return self._held_back_count
 
     def choose(
         self,
@@ -127,12 +132,17 @@
                 continue
             if self._statements.is_leaving(record):
                 continue
-            if self._statements.limit(record) == math.inf:
-                usable.append(record)
-            else:
+            if self._statements.is_restricted(record, now):
                 limited.append(record)
+            else:
+                usable.append(record)
         if not limited:
             return usable, []
+        cold = {record.server for record in limited if self._statements.is_cold(record, now)}
+        total_request_rate = 0.0
+        if cold:
+            self._statements.set_contact_share(self._loads.contact_share(now), now)
+            total_request_rate = self._loads.total_request_rate(service, now)
         with_room = [
             record for record in limited if not self._statements.seconds_until_room(record, now)
         ]
@@ -140,12 +150,17 @@
         request_rate = self._loads.request_rate(service, now)
         shares = [
             self._statements.offered_share(
-                record, request_rate=request_rate, report_delay_seconds=delay
+                record,
+                request_rate=request_rate,
+                report_delay_seconds=delay,
+                total_request_rate=total_request_rate,
             )
             for record in with_room
         ]
         offered = [with_room[position] for position in statements.sample(shares, random.random())]
         withheld = [record for record in limited if record not in offered]
+        if any(record.server in cold for record in withheld):
+            self._held_back_count += 1
         return usable + offered, withheld
 
     def _make_candidates(
--- a/flamingoramp/routing/statements.py
+++ b/flamingoramp/routing/statements.py
@@ -2,7 +2,8 @@
 
 A server may name a limit: the requests per second that it takes from all entries together. Each
 entry counts its own requests to such a server and those that other entries report, in one leaky
-bucket that drains at the limit, and sends while the bucket has room.
+bucket that drains at the limit, and sends while the bucket has room. The rate that a cold server
+tolerates is a limit of the same kind; the strictest of both holds.
 
 A report takes a while to arrive. Requests of other entries in the meantime aren't counted yet, so
 of all requests for a service only a share is offered a server with a limit.
@@ -16,6 +17,7 @@
 import attrs
 
 from flamingoramp.protocol import load_reports, messages
+from flamingoramp.routing import warmup
 
 # Requests that a limit allows at once: those of this time, and within these bounds.
 BURST_SECONDS = 0.5
@@ -39,6 +41,8 @@
 REPORTS_PER_CHANGE = 2
 # In reports, for a server that names no limit.
 NO_LIMIT = -1.0
+# In reports, the age of the answer of a server that hasn't answered; any other answer is later.
+NO_ANSWER_AGE_SECONDS = 1e9
 
 
 @attrs.frozen
@@ -114,7 +118,8 @@
     entries of its availability zone. ``level`` is that of the leaky bucket at ``level_at``, in
     requests. The server takes no requests until ``closed_until``, and only a few from then on while
     ``is_on_trial``. ``reports_left`` is the number of reports of changes that are to contain the
-    server.
+    server. ``warm_up`` is the limit of a cold server, which holds until ``cold_until``, and
+    ``contact_share`` the part of it that the entries in contact with this one may use.
     """
 
     born: int
@@ -128,32 +133,59 @@
     sent_count: int = 0
     zone_sent_count: int = 0
     reports_left: int = REPORTS_PER_CHANGE
+    warm_up: warmup.WarmUpLimit | None = None
+    cold_until: float = -math.inf
+    contact_share: float = 1.0
+
+    @property
+    def stated_limit(self) -> float:
+        """Requests per second by the server's answers, once it is open."""
+        return min(self.limit, TRIAL_LIMIT) if self.is_on_trial else self.limit
 
     @property
     def effective_limit(self) -> float:
         """Requests per second from all entries together, once the server is open."""
-        return min(self.limit, TRIAL_LIMIT) if self.is_on_trial else self.limit
+        if self.warm_up is None:
+            return self.stated_limit
+        return min(self.stated_limit, self.contact_share * self.warm_up.drain_rate)
 
     @property
     def says_nothing(self) -> bool:
         """Whether the server has not restricted its use."""
-        return self.limit == math.inf and not self.leaving and not self.is_on_trial
+        return (
+            self.limit == math.inf
+            and not self.leaving
+            and not self.is_on_trial
+            and self.warm_up is None
+        )
 
     @property
     def burst(self) -> float:
         """Level up to which the bucket is filled."""
-        limit = self.effective_limit
+        limit = self.stated_limit
         of_low_limit = min(MAX_BURST_REQUESTS_OF_LOW_LIMIT, BURST_SECONDS_OF_LOW_LIMIT * limit)
-        return max(MIN_BURST_REQUESTS, of_low_limit, BURST_SECONDS * limit)
+        of_limit = max(MIN_BURST_REQUESTS, of_low_limit, BURST_SECONDS * limit)
+        if self.warm_up is None:
+            return of_limit
+        return min(of_limit, max(MIN_BURST_REQUESTS, self.contact_share * self.warm_up.burst))
+
+    @property
+    def drain_rate(self) -> float:
+        """Requests per second by which the level of the bucket falls."""
+        if self.warm_up is None:
+            return max(MIN_LIMIT, self.effective_limit)
+        cold_rate = self.contact_share * self.warm_up.drain_rate
+        return min(max(MIN_LIMIT, self.stated_limit), cold_rate)
 
     def drain(self, now: float) -> None:
-        """Update the level of the bucket."""
+        """Update the level of the bucket, and end a warm-up that is over."""
         if self.effective_limit == math.inf:
             self.level = 0.0
         else:
-            drained = max(MIN_LIMIT, self.effective_limit) * (now - self.level_at)
-            self.level = max(0.0, self.level - drained)
+            self.level = max(0.0, self.level - self.drain_rate * (now - self.level_at))
         self.level_at = now
+        if now >= self.cold_until:
+            self.warm_up = None
 
 
 class ServerStatements:
@@ -164,6 +196,7 @@
 
     def __init__(self):
         self._known: dict[str, _Known] = {}
+        self._contact_share = 1.0
         self._changes: list[StatementChange] = []
         self._has_unreported_changes = False
 
@@ -187,6 +220,11 @@
         """Number of servers that say that they are leaving."""
         return sum(known.leaving for known in self._known.values())
 
+    @property
+    def cold_count(self) -> int:
+        """Number of cold servers with a limit."""
+        return sum(known.warm_up is not None for known in self._known.values())
+
     def __bool__(self) -> bool:
         return bool(self._known)
 
@@ -195,6 +233,19 @@
         known = self._find(server)
         return known.effective_limit if known is not None else math.inf
 
+    def is_restricted(self, server: messages.ServerRecord, now: float) -> bool:
+        """Return whether a server takes only a limited rate of requests."""
+        known = self._find(server)
+        if known is None:
+            return False
+        known.drain(now)
+        return known.effective_limit != math.inf
+
+    def is_cold(self, server: messages.ServerRecord, now: float) -> bool:
+        """Return whether a server has the limit of a cold one."""
+        known = self._find(server)
+        return known is not None and known.warm_up is not None and now < known.cold_until
+
     def is_leaving(self, server: messages.ServerRecord) -> bool:
         """Return whether a server says that it is leaving."""
         known = self._find(server)
@@ -212,10 +263,15 @@
             return 0.0
         known.drain(now)
         excess = max(0.0, known.level + 1 - known.burst)
-        return max(known.closed_until - now, excess / max(MIN_LIMIT, known.effective_limit))
+        return max(known.closed_until - now, excess / known.drain_rate)
 
     def offered_share(
-        self, server: messages.ServerRecord, *, request_rate: float, report_delay_seconds: float
+        self,
+        server: messages.ServerRecord,
+        *,
+        request_rate: float,
+        report_delay_seconds: float,
+        total_request_rate: float = 0.0,
     ) -> float:
         """Return the share of the requests for a service to which a server should be offered.
 
@@ -226,12 +282,69 @@
             Requests per second for the service at all entries.
         report_delay_seconds : float
             Time until an entry knows of the requests that another one has sent.
+        total_request_rate : float
+            Requests per second for the service, with an estimate for the entries out of contact;
+            for cold servers.
         """
-        limit = self.limit(server)
-        unreported_requests = request_rate * report_delay_seconds
-        if limit == math.inf or not unreported_requests:
+        known = self._find(server)
+        if known is None:
             return 1.0
-        return min(1.0, (UNREPORTED_REQUESTS + UNREPORTED_SECONDS * limit) / unreported_requests)
+        share = 1.0
+        limit = known.stated_limit
+        unreported_requests = request_rate * report_delay_seconds
+        if limit != math.inf and unreported_requests:
+            allowed_requests = UNREPORTED_REQUESTS + UNREPORTED_SECONDS * limit
+            share = min(share, allowed_requests / unreported_requests)
+        if known.warm_up is not None and total_request_rate:
+            share = min(share, known.warm_up.offered_rate / total_request_rate)
+        return share
+
+    def set_contact_share(self, share: float, now: float) -> None:
+        """Set the share of all entries that this one is in contact with, itself included.
+
+        Entries out of contact don't count each other's requests to cold servers. Each part of them
+        uses its share of the rate.
+        """
+        if share == self._contact_share:
+            return
+        self._contact_share = share
+        for known in self._known.values():
+            if known.warm_up is not None:
+                known.drain(now)
+                known.contact_share = share
+
+    def record_warm_up(
+        self,
+        server: messages.ServerRecord,
+        limit: warmup.WarmUpLimit,
+        cold_until: float,
+        now: float,
+    ) -> None:
+        """Keep the limit of a cold server until it is warm, at ``cold_until``."""
+        if cold_until <= now:
+            return
+        known = self._known.get(server.server)
+        if known is not None and server.born < known.born:
+            return
+        if known is None or server.born > known.born:
+            known = _Known(server.born, math.inf, False, stated_at=-math.inf, level_at=now)
+            self._known[server.server] = known
+        known.drain(now)
+        if known.warm_up is None:
+            # The requests of the last moments are not known; other entries may begin now, too.
+            known.level = max(known.level, limit.burst)
+            known.contact_share = self._contact_share
+            known.reports_left = REPORTS_PER_CHANGE
+            self._has_unreported_changes = True
+        known.warm_up = limit
+        known.cold_until = cold_until
+
+    def end_warm_up(self, server: messages.ServerRecord, now: float) -> None:
+        """End the limit of a server that is warm earlier than was known."""
+        known = self._find(server)
+        if known is not None and known.warm_up is not None:
+            known.cold_until = now
+            known.drain(now)
 
     def record_statement(
         self,
@@ -325,7 +438,7 @@
             servers.append(server)
             sent_count = known.zone_sent_count if of_zone else known.sent_count
             limit = NO_LIMIT if known.limit == math.inf else known.limit
-            age = now - known.stated_at
+            age = min(NO_ANSWER_AGE_SECONDS, now - known.stated_at)
             values += (known.born, limit, age, sent_count)
             closed_seconds = max(0.0, known.closed_until - now)
             values += (float(known.leaving), float(known.is_on_trial), closed_seconds)
@@ -343,6 +456,7 @@
         """Remove the statements of all other servers, and of those whose limit ended long ago."""
         born_by_server = {record.server: record.born for record in servers}
         for server, known in list(self._known.items()):
+            known.drain(now)
             ended = now - known.stated_at > ENDED_LIMIT_REPORT_SECONDS and known.says_nothing
             if ended or born_by_server.get(server) != known.born:
                 del self._known[server]
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen
 class BoundSettings:
-    """Intervals, shutdown times and the retry budget, given under the key ``bounds``.
+    """Intervals, shutdown times, retry budget and warm-up, given under the key ``bounds``.
 
     Parameters
     ----------
@@ -50,6 +50,9 @@
     retry_ratio, retry_slack, retry_window_seconds : float
         Retry budget of a service, over all entries: in any window of ``retry_window_seconds``, at
         most ``retry_ratio`` times the number of its requests plus ``retry_slack`` retries.
+    warm_up_excess_ratio, warm_up_excess_requests : float
+        In any second a cold server gets at most ``warm_up_excess_ratio`` times the rate that its
+        service declares, plus ``warm_up_excess_requests`` requests, from all entries.
     """
 
     announce_milliseconds: float = attrs.field(
@@ -63,6 +66,12 @@
     retry_window_seconds: float = attrs.field(
         default=10.0, validator=utils.between(0.1, 600, "seconds")
     )
+    warm_up_excess_ratio: float = attrs.field(
+        default=1.5, validator=utils.between(0.1, 100, "as a ratio")
+    )
+    warm_up_excess_requests: float = attrs.field(
+        default=5.0, validator=utils.between(0, 10**6, "requests")
+    )
 
     @property
     def announce_interval_seconds(self) -> float:
