--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -309,6 +309,10 @@
         if not self._registry.update_server(record, now):
             return
         current = self._registry.find_server(record.server)
+        if (record.born, record.sequence) == (current.born, current.sequence):
+            self._request_handler.warm_ups.record_announcement(
+                attrs.evolve(current, age=record.age)
+            )
         if previous is None or (previous.leaving, previous.gone, previous.born) != (
             current.leaving,
             current.gone,
@@ -417,7 +421,7 @@
 
     def _schedule_load_report(self) -> None:
         self._request_handler.entry_count = self._load_exchange.entry_count
-        self._request_handler.log_statement_changes()
+        self._request_handler.log_server_changes()
         self._load_exchange.schedule_report()
 
     def _evict_expired(self) -> None:
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -18,6 +18,7 @@
     forwarding,
     reachability,
     server_ends,
+    warm_ups,
 )
 from flamingoramp.http import client
 from flamingoramp.http import server as http_server
@@ -120,6 +121,14 @@
             self._observations,
             zone=zone,
         )
+        self._warm_ups = warm_ups.ServerWarmUps(
+            loop,
+            server_registry=server_registry,
+            server_loads=server_loads,
+            bounds=bounds,
+            log=log,
+            metrics=metrics,
+        )
         self._retry_allowances: dict[str, allowance.RetryAllowance] = {}
         self._crash_evidence = crash_evidence.CrashEvidence()
         self._server_ends = server_ends.ServerEndChecks(
@@ -161,6 +170,7 @@
     def apply_declaration(self, declaration: traffic.TrafficDeclaration) -> None:
         """Use a declaration for new requests, and start the queued ones."""
         self._declaration = declaration
+        self._warm_ups.apply_declaration(declaration)
         self.start_queued()
 
     def start_queued(self) -> None:
@@ -180,6 +190,11 @@
         self.loop.call_later(interval, self._release_next)
         self._start_request(exchange)
 
+    @property
+    def warm_ups(self) -> warm_ups.ServerWarmUps:
+        """Warm-up of the servers that this entry knows."""
+        return self._warm_ups
+
     @property
     def crash_evidence(self) -> crash_evidence.CrashEvidence:
         """Evidence of contents that crash servers, which entries exchange."""
@@ -188,6 +203,7 @@
     def handle_announcements(self) -> None:
         """Use the announcements of servers that have arrived."""
         self._server_ends.handle_announcements()
+        self._warm_ups.apply()
         self.start_queued()
 
     def evict_stale(self) -> None:
@@ -195,6 +211,7 @@
         servers = self._registry.servers()
         self._observations.retain_only({observations.instance_key(record) for record in servers})
         self.server_loads.statements.retain_only(servers, self.loop.now())
+        self._warm_ups.evict_stale(held_back_count=self._server_selector.held_back_count)
         self._metrics.set_gauge("limited_servers", self.server_loads.statements.limited_count)
         self._metrics.set_gauge("closed_servers", self.server_loads.statements.closed_count)
         self._metrics.set_gauge("leaving_servers", self.server_loads.statements.leaving_count)
@@ -478,8 +495,9 @@
             return load.request_count > server.slots > 0
         return load.request_count > engine.slots or load.memory_tokens > engine.memory_tokens
 
-    def log_statement_changes(self) -> None:
+    def log_server_changes(self) -> None:
         """Log and count what became known of servers since the last call."""
+        self._warm_ups.log_changes()
         for change in self.server_loads.statements.drain_changes():
             self._metrics.count("server_statements")
             self._log.write(
--- a/flamingoramp/membership/registry.py
+++ b/flamingoramp/membership/registry.py
@@ -8,6 +8,9 @@
 to each other, and only changes to entries, so that an entry's share grows with what changes and not
 with the number of servers and entries. A control host marks what is no longer renewed, which is a
 change: servers as ``silent``, entries as ``gone``.
+
+The remaining time of a cold server falls with each of its reports. That is no change while the end
+of the time stays the same.
 """
 
 from __future__ import annotations
@@ -21,6 +24,8 @@
 # Retention of the record of a server or entry that is gone; longer than any report may be in
 # transit.
 TOMBSTONE_SECONDS = 120.0
+# Reports whose ends of a cold time differ by no more are renewals. Reports are delayed differently.
+COLD_END_TOLERANCE_SECONDS = 0.25
 # An entry without a report for longer is considered stopped.
 ENTRY_EXPIRY_SECONDS = 30.0
 
@@ -29,11 +34,15 @@
 
 @attrs.define
 class _StoredRecord:
-    """A record, the time when it was reported, and the number of its last change."""
+    """A record, the time when it was reported, and the number of its last change.
+
+    ``cold_until`` is the end of the cold time of a server as of the last change.
+    """
 
     record: Record
     reported_at: float
     change_number: int = 0
+    cold_until: float = float("-inf")
 
 
 class _UpdateLog:
@@ -147,7 +156,8 @@
             record = _merge(before, record)
             if record is before:
                 return False
-            if _is_renewal(before, record):
+            is_cold_end_known = _is_cold_end_known(stored, record, reported_at, now)
+            if is_cold_end_known and _is_renewal(before, record):
                 stored.record, stored.reported_at = attrs.evolve(record, age=0.0), reported_at
                 if not relayed:
                     self._servers.renew(record.server, self._next_number())
@@ -261,7 +271,8 @@
         return self._change_number
 
     def _change_server(self, record: messages.ServerRecord, reported_at: float) -> None:
-        stored = _StoredRecord(record, reported_at, self._next_change_number())
+        cold_until = reported_at + record.cold_seconds
+        stored = _StoredRecord(record, reported_at, self._next_change_number(), cold_until)
         self._servers.change(record.server, stored)
 
     def _change_entry(self, record: messages.EntryRecord, reported_at: float) -> None:
@@ -300,7 +311,23 @@
 
 
 def _is_renewal(before: Record, after: Record) -> bool:
-    return attrs.evolve(after, sequence=0, age=0.0) == attrs.evolve(before, sequence=0, age=0.0)
+    return _without_times(before) == _without_times(after)
+
+
+def _without_times(record: Record) -> Record:
+    """Return a record without what differs between a report and its renewal."""
+    if isinstance(record, messages.ServerRecord):
+        return attrs.evolve(record, sequence=0, age=0.0, cold_seconds=0.0)
+    return attrs.evolve(record, sequence=0, age=0.0)
+
+
+def _is_cold_end_known(
+    stored: _StoredRecord, record: messages.ServerRecord, reported_at: float, now: float
+) -> bool:
+    """Tell whether a report gives the same end of the cold time as the last change, or none."""
+    cold_until = reported_at + record.cold_seconds
+    is_same = abs(cold_until - stored.cold_until) <= COLD_END_TOLERANCE_SECONDS
+    return is_same or max(cold_until, stored.cold_until) <= now
 
 
 def _with_age(stored: _StoredRecord, now: float) -> Record:
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -9,6 +9,8 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from flamingoramp import errors
 from flamingoramp.dispatch import attempts
 from flamingoramp.intent import traffic
@@ -32,6 +34,19 @@
 RETRY_AFTER_JITTER_RATIO = 0.3
 
 
+@attrs.frozen
+class _Servers:
+    """Servers that a request may be sent to, and those withheld for their limits.
+
+    ``offered_shares`` is the sum of the shares of the requests that are offered one of the servers
+    with a limit and room.
+    """
+
+    usable: list[messages.ServerRecord]
+    withheld: list[messages.ServerRecord] = attrs.field(factory=list)
+    offered_shares: float = 0.0
+
+
 class ServerSelector:
     """Selects servers from the registry by their load and by their recent behavior.
 
@@ -96,10 +111,12 @@
         """
         service = declaration.find_service(admitted.service)
         self._loads.record_attempt(admitted.service, now)
-        usable, limited = self._find_servers(admitted.service, excluded, now)
-        if service is not None and limited and not usable:
-            wait = min(self._statements.seconds_until_room(record, now) for record in limited)
-            raise _overload_error("the servers take no more requests now", wait)
+        servers = self._find_servers(admitted.service, excluded, now)
+        usable = servers.usable
+        if service is not None and servers.withheld and not usable:
+            raise _overload_error(
+                "the servers take no more requests now", self._seconds_until_offer(servers, now)
+            )
         candidates = self._make_candidates(usable, now, control_reachable)
         records = {record.server: record for record in usable}
         if service is None or not candidates:
@@ -121,10 +138,7 @@
             )
         return _to_target(chosen, request, records, now)
 
-    def _find_servers(
-        self, service: str, excluded: set[str], now: float
-    ) -> tuple[list[messages.ServerRecord], list[messages.ServerRecord]]:
-        """Return the servers that a request may be sent to, and those withheld for their limits."""
+    def _find_servers(self, service: str, excluded: set[str], now: float) -> _Servers:
         usable = []
         limited = []
         for record in self._registry.servers():
@@ -137,8 +151,8 @@
             else:
                 usable.append(record)
         if not limited:
-            return usable, []
-        cold = {record.server for record in limited if self._statements.is_cold(record, now)}
+            return _Servers(usable)
+        cold = {record.server for record in limited if self._statements.cold_seconds(record, now)}
         total_request_rate = 0.0
         if cold:
             self._statements.set_contact_share(self._loads.contact_share(now), now)
@@ -161,7 +175,23 @@
         withheld = [record for record in limited if record not in offered]
         if any(record.server in cold for record in withheld):
             self._held_back_count += 1
-        return usable + offered, withheld
+        return _Servers(usable + offered, withheld, sum(shares))
+
+    def _seconds_until_offer(self, servers: _Servers, now: float) -> float:
+        """Return the time after which a request can expect a server, if none is offered now.
+
+        A cold server with room is offered to a share of the requests; the request would have to
+        come again as often as it takes, or when a server is warm.
+        """
+        wait = min(self._statements.seconds_until_room(record, now) for record in servers.withheld)
+        cold_seconds = [
+            seconds
+            for record in servers.withheld
+            if (seconds := self._statements.cold_seconds(record, now))
+        ]
+        if wait or not cold_seconds or servers.offered_shares >= 1:
+            return wait
+        return min(attempts.RETRY_AFTER_SECONDS / servers.offered_shares, *cold_seconds)
 
     def _make_candidates(
         self, usable: list[messages.ServerRecord], now: float, control_reachable: bool
--- a/flamingoramp/routing/statements.py
+++ b/flamingoramp/routing/statements.py
@@ -241,11 +241,6 @@
         known.drain(now)
         return known.effective_limit != math.inf
 
-    def is_cold(self, server: messages.ServerRecord, now: float) -> bool:
-        """Return whether a server has the limit of a cold one."""
-        known = self._find(server)
-        return known is not None and known.warm_up is not None and now < known.cold_until
-
     def is_leaving(self, server: messages.ServerRecord) -> bool:
         """Return whether a server says that it is leaving."""
         known = self._find(server)
@@ -263,7 +258,18 @@
             return 0.0
         known.drain(now)
         excess = max(0.0, known.level + 1 - known.burst)
-        return max(known.closed_until - now, excess / known.drain_rate)
+        seconds = excess / known.drain_rate
+        if known.warm_up is not None:
+            after_warm_up = excess / max(MIN_LIMIT, known.stated_limit)
+            seconds = min(seconds, known.cold_until - now + after_warm_up)
+        return max(known.closed_until - now, seconds)
+
+    def cold_seconds(self, server: messages.ServerRecord, now: float) -> float:
+        """Return the time for which a server still has the limit of a cold one; 0 if it has not."""
+        known = self._find(server)
+        if known is None or known.warm_up is None:
+            return 0.0
+        return max(0.0, known.cold_until - now)
 
     def offered_share(
         self,
@@ -311,7 +317,9 @@
         for known in self._known.values():
             if known.warm_up is not None:
                 known.drain(now)
+                burst_before = known.burst
                 known.contact_share = share
+                known.level *= known.burst / burst_before
 
     def record_warm_up(
         self,
@@ -332,8 +340,9 @@
         known.drain(now)
         if known.warm_up is None:
             # The requests of the last moments are not known; other entries may begin now, too.
-            known.level = max(known.level, limit.burst)
             known.contact_share = self._contact_share
+            known.warm_up = limit
+            known.level = max(known.level, known.burst)
             known.reports_left = REPORTS_PER_CHANGE
             self._has_unreported_changes = True
         known.warm_up = limit
--- a/flamingoramp/routing/tests/test_load_exchange.py
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -38,6 +38,8 @@
         Time until a message is handled.
     loss_ratio : float
         Share of the messages that are lost.
+    late_starts : dict of str to float
+        Times at which some entries start, which the others know of from the beginning.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         *,
         delay_seconds: float = NETWORK_DELAY_SECONDS,
         loss_ratio: float = 0.0,
+        late_starts: dict[str, float] | None = None,
     ):
         self._delay_seconds = delay_seconds
         self._loss_ratio = loss_ratio
@@ -64,7 +67,7 @@
         rng = random.Random(1)
         for record in records:
             self.loop.call_later(
-                rng.uniform(0.0, START_SECONDS),
+                (late_starts or {}).get(record.entry, rng.uniform(0.0, START_SECONDS)),
                 lambda starting=record: self._start(starting, records),
             )
 
--- a/flamingoramp/routing/tests/test_statements.py
+++ b/flamingoramp/routing/tests/test_statements.py
@@ -59,6 +59,8 @@
     seed : int
     loss_ratio : float
         Share of the load reports that are lost.
+    late_starts : dict of str to float
+        Times at which some entries start.
     """
 
     def __init__(
@@ -69,16 +71,21 @@
         request_rate: float,
         seed: int,
         loss_ratio: float = 0.0,
+        late_starts: dict[str, float] | None = None,
     ):
         self.network = test_load_exchange.Network(
-            zone_sizes, delay_seconds=MESSAGE_DELAY_SECONDS, loss_ratio=loss_ratio
+            zone_sizes,
+            delay_seconds=MESSAGE_DELAY_SECONDS,
+            loss_ratio=loss_ratio,
+            late_starts=late_starts,
         )
         self.loop = self.network.loop
         self.limits: dict[str, float] = {}
         self.arrivals: dict[str, list[float]] = {}
         self.refused_at: list[float] = []
         self._rng = random.Random(seed)
-        self._request_rate = request_rate
+        self.request_rate = request_rate
+        self._registries: dict[str, registry.Registry] = {}
         self._selectors: dict[str, selection.ServerSelector] = {}
         self._records = [
             messages.ServerRecord(
@@ -95,7 +102,7 @@
         self._schedule_request()
 
     def _schedule_request(self) -> None:
-        self.loop.call_later(self._rng.expovariate(self._request_rate), self._send_request)
+        self.loop.call_later(self._rng.expovariate(self.request_rate), self._send_request)
 
     def _send_request(self) -> None:
         self._schedule_request()
@@ -131,14 +138,20 @@
             entry.loads.remove(work_item)
         entry.exchange.schedule_report()
 
+    def servers(self, entry: test_load_exchange.Entry) -> registry.Registry:
+        """Return the servers that an entry knows: at first all that the deployment began with."""
+        servers = self._registries.get(entry.name)
+        if servers is None:
+            servers = self._registries[entry.name] = registry.Registry()
+            for record in self._records:
+                servers.update_server(record, self.loop.now())
+        return servers
+
     def _selector(self, entry: test_load_exchange.Entry) -> selection.ServerSelector:
         selector = self._selectors.get(entry.name)
         if selector is None:
-            servers = registry.Registry()
-            for record in self._records:
-                servers.update_server(record, self.loop.now())
             selector = self._selectors[entry.name] = selection.ServerSelector(
-                servers, entry.loads, observations.Observations(), zone=entry.zone
+                self.servers(entry), entry.loads, observations.Observations(), zone=entry.zone
             )
         return selector
 
--- a/flamingoramp/routing/warmup.py
+++ b/flamingoramp/routing/warmup.py
@@ -25,6 +25,9 @@
 # of which reports are on their way.
 BURST_RATIO = 0.5
 MIN_BURST_REQUESTS = 1.0
+# Servers count as cold for this long after the time that they told. Control hosts don't pass on
+# smaller changes of the end (`registry.COLD_END_TOLERANCE_SECONDS`).
+COLD_MARGIN_SECONDS = 0.25
 # A shorter cold time than this left is not worth a change of what is known.
 MIN_COLD_SECONDS = 0.001
 
@@ -190,7 +193,8 @@
             return
         was_cold = run.until > now + MIN_COLD_SECONDS
         run.told_at[source] = told_at
-        run.cold_until[source] = told_at + seconds if seconds > 0 else -math.inf
+        cold_until = told_at + seconds + COLD_MARGIN_SECONDS
+        run.cold_until[source] = cold_until if seconds > 0 else -math.inf
         if source is not Source.ASSUMPTION and told_at > run.told_at.get(
             Source.ASSUMPTION, math.inf
         ):
