Warm-up: tests from end to end, of renewals, declarations and settings; first request of each entry

With the level of its own requests full, an entry of 66 sent nothing to a server with 2 requests a second within its whole cold time. It starts with room for one.

--- a/flamingoramp/membership/tests/test_registry.py
+++ b/flamingoramp/membership/tests/test_registry.py
@@ -82,6 +82,26 @@
         self.update(server="old", born=100, sequence=9)
         self.assertEqual([record.server for record in self.registry.servers()], ["new"])
 
+    def test_falling_cold_time_is_a_renewal_and_a_new_end_is_a_change(self):
+        self.update(0.0, sequence=1, cold_seconds=8.0)
+        number = self.registry.change_number
+        for second in range(1, 11):  # cold until the eighth
+            self.update(float(second), sequence=1 + second, cold_seconds=max(0.0, 8.0 - second))
+        self.assertEqual(self.registry.change_number, number)
+        self.update(11.0, sequence=20, cold_seconds=8.0)
+        self.assertGreater(self.registry.change_number, number)
+        number = self.registry.change_number
+        self.update(12.0, sequence=21, cold_seconds=0.0)
+        servers, _ = self.registry.changed_since(number, 12.0)
+        self.assertEqual([record.cold_seconds for record in servers], [0.0])
+
+    def test_slowly_moving_cold_time_becomes_a_change(self):
+        self.update(0.0, sequence=1, cold_seconds=8.0)
+        number = self.registry.change_number
+        for second in range(1, 6):
+            self.update(float(second), sequence=1 + second, cold_seconds=8.0 - 0.8 * second)
+        self.assertGreater(self.registry.change_number, number)
+
     def mark_unreported(self, now: float, observed_since: float = 0.0) -> list[registry.Record]:
         return self.registry.mark_unreported(
             now, observed_since=observed_since, server_seconds=SILENCE_SECONDS
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -61,6 +61,8 @@
         Further headers of each answer, also of refusals.
     endless : EndlessAnswer or None
         Bytes that it sends in place of an answer until the caller closes.
+    cold_seconds : float
+        Time for which it announces to be cold after each start.
     """
 
     event_count: int = 5
@@ -75,6 +77,7 @@
     crash_part: bytes = b""
     headers: messages.Headers = ()
     endless: EndlessAnswer | None = None
+    cold_seconds: float = 0.0
 
 
 class FakeServer:
@@ -117,11 +120,17 @@
         self._pool = client.Pool(self._loop)
         self._server = server.Server(self._loop, "127.0.0.1:0", self._handle)
         self.address = self._server.address
+        self.born_at = self._loop.now()
         self._loop.call_later(0.0, self._announce)
         self._loop.call_every(ANNOUNCE_INTERVAL_SECONDS, self._announce)
         self._thread = threading.Thread(target=self._loop.run)
         self._thread.start()
 
+    @property
+    def cold_until(self) -> float:
+        """Time until which the server is cold."""
+        return self.born_at + self.behaviour.cold_seconds
+
     def drain(self) -> None:
         """Announce state ``draining`` from now on."""
         self._state = "draining"
@@ -129,6 +138,7 @@
     def restart(self) -> None:
         """Announce a new start under the same name."""
         self._incarnation += 1
+        self.born_at = self._loop.now()
         self._announce()
 
     def _crash(self) -> None:
@@ -162,7 +172,7 @@
             "version": "v1",
             "slots": 8,
             "state": self._state,
-            "cold_left_ms": 0,
+            "cold_left_ms": int(1000 * max(0.0, self.cold_until - self._loop.now())),
             "seq": self._sequence,
             "born": self._incarnation,
         }
--- a/flamingoramp/platform/tests/test_declarations.py
+++ b/flamingoramp/platform/tests/test_declarations.py
@@ -110,6 +110,16 @@
         self.assertEqual(declaration.limits.idle_seconds, 9.0)
         self.assertEqual(declaration.limits.header_seconds, 3.0)
 
+    def test_warm_up_is_decoded_and_may_be_missing(self):
+        document = make_document()
+        document["services"][0].update(cold_s=8, cold_per_s=14.5)
+        document["services"][1].update(cold_s=None, cold_per_s=0)
+        declared, none = decode(document).services
+        self.assertEqual((declared.warm_up_seconds, declared.warm_up_rate), (8, 14.5))
+        self.assertEqual((none.warm_up_seconds, none.warm_up_rate), (0, 0))
+        service = decode(make_document()).services[0]
+        self.assertEqual((service.warm_up_seconds, service.warm_up_rate), (0, 0))
+
     def test_unknown_fields_are_ignored(self):
         decode(make_document(later={"x": 1}))
 
@@ -163,6 +173,13 @@
                 document["routes"][1][field] = number
                 self.assert_refused(document, field)
 
+    def test_wrong_warm_up_is_refused(self):
+        for value in (-1, "8", True, float("nan")):
+            for field in ("cold_s", "cold_per_s"):
+                document = make_document()
+                document["services"][0][field] = value
+                self.assert_refused(document, "warm-up|cold_")
+
     def test_key_of_two_workspaces_is_refused(self):
         document = make_document()
         document["tenants"].append({"name": "v", "api_keys": ["k1"]})
--- a/flamingoramp/routing/statements.py
+++ b/flamingoramp/routing/statements.py
@@ -373,7 +373,7 @@
             known.contact_share, known.entry_share = self._contact_share, self._entry_share
             known.warm_up = limit
             known.level = max(known.level, known.burst)
-            known.own_level = known.own_burst
+            known.own_level = known.own_burst - MIN_BURST_REQUESTS
             known.reports_left = REPORTS_PER_CHANGE
             self._has_unreported_changes = True
         known.warm_up = limit
