--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -102,8 +101,6 @@
         self._evacuations = evacuated_zones.EvacuatedZones(
             waits_after_suspension=settings.bounds.evacuate_milliseconds > 0
         )
-        # Called with each `evacuated_zones.ZoneChange` that this entry learns of.
-        self.zone_change_hooks: list[Callable[[evacuated_zones.ZoneChange], None]] = []
         self._control_hosts: tuple[str, ...] = ()
         self._contacts = control_contacts.ControlContacts(
             name=settings.name, zone=settings.availability_zone
@@ -415,6 +412,10 @@
         if not record.gone:
             self._process.start_steps.record(start_steps.Step.SERVER_KNOWN)
         current = self._registry.find_server(record.server)
+        if (record.born, record.sequence) == (current.born, current.sequence):
+            self._request_handler.warm_ups.record_announcement(
+                attrs.evolve(current, age=record.age)
+            )
         if previous is None or (previous.leaving, previous.gone, previous.born) != (
             current.leaving,
             current.gone,
@@ -446,9 +447,10 @@
                 number=number,
                 source=source,
             )
+            for zone in change.restored:
+                # Its servers may have become cold shortly before.
+                self._request_handler.warm_ups.assume_zone_cold(zone)
             self._request_handler.handle_zone_change()
-            for hook in self.zone_change_hooks:
-                hook(change)
         if self._evacuations.handle_probe(update.probe):
             self._log.write("entry.current", number=self._evacuations.number, source=source)
 
@@ -536,7 +538,7 @@
 
     def _schedule_load_report(self) -> None:
         self._request_handler.entry_count = self._load_exchange.entry_count
-        self._request_handler.log_statement_changes()
+        self._request_handler.log_server_changes()
         self._load_exchange.schedule_report()
 
     def _evict_expired(self) -> None:
--- a/flamingoramp/platform/tests/test_evacuation.py
+++ b/flamingoramp/platform/tests/test_evacuation.py
@@ -209,17 +209,17 @@
         for method in ("POST", "DELETE"):
             self.assertIn(fleet.send_order(method, "a", address), (0, 503))
 
-    def test_metrics_and_zone_change_hooks_tell_of_changes(self):
+    def test_metrics_and_warm_ups_follow_the_changes(self):
         fleet = self.start_serving(entries=1)
         entry = fleet.entries[0].daemon
-        changes = []
-        entry.zone_change_hooks.append(changes.append)
-        for method, zones in (("POST", ("a",)), ("DELETE", ())):
-            fleet.order_zone(method, "a")
-            self.wait_evacuated(fleet, *zones)
-        fleets.wait_for(lambda: len(changes) == 2, "two changes")
-        self.assertEqual([change.evacuated for change in changes], [("a",), ()])
-        self.assertEqual([change.restored for change in changes], [(), ("a",)])
+        warm_ups = entry._request_handler.warm_ups
+        with mock.patch.object(warm_ups, "assume_zone_cold") as assume_zone_cold:
+            fleet.order_zone("POST", "a")
+            self.wait_evacuated(fleet, "a")
+            assume_zone_cold.assert_not_called()
+            fleet.order_zone("DELETE", "a")
+            self.wait_evacuated(fleet)
+            assume_zone_cold.assert_called_once_with("a")
         self.assertIn(b"evacuated_zones 0.0", entry.process.metrics.render())
 
 
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -221,7 +221,7 @@
 
     def test_stop_during_the_start_ends_the_process_at_once(self):
         self.entry.close()
-        entry = EntryProcess(self.fleet, 1)
+        entry = DaemonProcess(self.fleet, 1)
         self.addCleanup(entry.close)
         host, _, port = entry.caller_address.rpartition(":")
 
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Callable, Container
 
+import attrs
+
 from flamingoramp import errors
 from flamingoramp.dispatch import attempts
 from flamingoramp.intent import traffic
@@ -33,6 +34,19 @@
 RETRY_AFTER_JITTER_RATIO = 0.3
 
 
+@attrs.frozen
+class _Servers:
+    """Servers that a request may be sent to, and those withheld for their limits.
+
+    ``offered_shares`` is the sum of the shares of the requests that are offered one of the servers
+    with a limit and room.
+    """
+
+    usable: list[messages.ServerRecord]
+    withheld: list[messages.ServerRecord] = attrs.field(factory=list)
+    offered_shares: float = 0.0
+
+
 class ServerSelector:
     """Selects servers from the registry by their load and by their recent behavior.
 
@@ -62,6 +76,12 @@
         self._observations = observed
         self._zone = zone
         self._evacuations = evacuations
+        self._held_back_count = 0
+
+    @property
+    def held_back_count(self) -> int:
+        """Number of choices in which a cold server was left out for its limit."""
+        return self._held_back_count
 
     def choose(
         self,
@@ -95,10 +115,12 @@
         """
         service = declaration.find_service(admitted.service)
         self._loads.record_attempt(admitted.service, now)
-        usable, limited = self._find_servers(admitted.service, excluded, now)
-        if service is not None and limited and not usable:
-            wait = min(self._statements.seconds_until_room(record, now) for record in limited)
-            raise _overload_error("the servers take no more requests now", wait)
+        servers = self._find_servers(admitted.service, excluded, now)
+        usable = servers.usable
+        if service is not None and servers.withheld and not usable:
+            raise _overload_error(
+                "the servers take no more requests now", self._seconds_until_offer(servers, now)
+            )
         candidates = self._make_candidates(usable, now, control_reachable)
         records = {record.server: record for record in usable}
         if service is None or not candidates:
@@ -126,10 +148,7 @@
             )
         return _to_target(chosen, request, records, now)
 
-    def _find_servers(
-        self, service: str, excluded: set[str], now: float
-    ) -> tuple[list[messages.ServerRecord], list[messages.ServerRecord]]:
-        """Return the servers that a request may be sent to, and those withheld for their limits."""
+    def _find_servers(self, service: str, excluded: set[str], now: float) -> _Servers:
         usable = []
         limited = []
         for record in self._registry.servers():
@@ -139,12 +158,17 @@
                 continue
             if self._statements.is_leaving(record):
                 continue
-            if self._statements.limit(record) == math.inf:
-                usable.append(record)
-            else:
+            if self._statements.is_restricted(record, now):
                 limited.append(record)
+            else:
+                usable.append(record)
         if not limited:
-            return usable, []
+            return _Servers(usable)
+        cold = {record.server for record in limited if self._statements.cold_seconds(record, now)}
+        total_request_rate = 0.0
+        if cold:
+            self._statements.set_contact(*self._loads.contact_counts(now), now)
+            total_request_rate = self._loads.total_request_rate(service, now)
         with_room = [
             record for record in limited if not self._statements.seconds_until_room(record, now)
         ]
@@ -152,13 +176,34 @@
         request_rate = self._loads.request_rate(service, now)
         shares = [
             self._statements.offered_share(
-                record, request_rate=request_rate, report_delay_seconds=delay
+                record,
+                request_rate=request_rate,
+                report_delay_seconds=delay,
+                total_request_rate=total_request_rate,
             )
             for record in with_room
         ]
         offered = [with_room[position] for position in statements.sample(shares, random.random())]
         withheld = [record for record in limited if record not in offered]
-        return usable + offered, withheld
+        if any(record.server in cold for record in withheld):
+            self._held_back_count += 1
+        return _Servers(usable + offered, withheld, sum(shares))
+
+    def _seconds_until_offer(self, servers: _Servers, now: float) -> float:
+        """Return the time after which a request can expect a server, if none is offered now.
+
+        A cold server with room is offered to a share of the requests; the request would have to
+        come again as often as it takes, or when a server is warm.
+        """
+        wait = min(self._statements.seconds_until_room(record, now) for record in servers.withheld)
+        cold_seconds = [
+            seconds
+            for record in servers.withheld
+            if (seconds := self._statements.cold_seconds(record, now))
+        ]
+        if wait or not cold_seconds or servers.offered_shares >= 1:
+            return wait
+        return min(attempts.RETRY_AFTER_SECONDS / servers.offered_shares, *cold_seconds)
 
     def _explain_no_server(self, service: str) -> str:
         zones = {record.zone for record in self._registry.servers() if record.service == service}
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen(eq=False, repr=False)
 class BoundSettings(value_classes.Value):
-    """Intervals, shutdown times and the retry budget, given under the key ``bounds``.
+    """Intervals, shutdown times, retry budget and warm-up, given under the key ``bounds``.
 
     Parameters
     ----------
@@ -54,6 +54,9 @@
         Time after which an evacuated zone gets nothing more from any entry; 0 if the deployment
         has no evacuations. With one, an entry that was suspended sends nothing to servers until a
         control host has told it which zones are evacuated.
+    warm_up_excess_ratio, warm_up_excess_requests : float
+        In any second a cold server gets at most ``warm_up_excess_ratio`` times the rate that its
+        service declares, plus ``warm_up_excess_requests`` requests, from all entries.
     """
 
     announce_milliseconds: float = attrs.field(
@@ -70,6 +73,12 @@
     evacuate_milliseconds: float = attrs.field(
         default=0.0, validator=utils.between(0, 600_000, "milliseconds")
     )
+    warm_up_excess_ratio: float = attrs.field(
+        default=1.5, validator=utils.between(0.1, 100, "as a ratio")
+    )
+    warm_up_excess_requests: float = attrs.field(
+        default=5.0, validator=utils.between(0, 10**6, "requests")
+    )
 
     @property
     def announce_interval_seconds(self) -> float:
