--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -184,7 +184,6 @@
             incarnation=self._incarnation,
             zone=self._settings.availability_zone,
             send=self._datagrams.send,
-            find_evacuated_zones=lambda: frozenset(self._evacuations.zones),
         )
 
     def _serve_other_endpoints(self, listen: node_settings.ListenSettings) -> None:
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -44,8 +44,6 @@
         Name of this entry, the id of its current run, and its availability zone.
     send : callable
         Takes a list of addresses and the report to send to each of them.
-    find_evacuated_zones : callable
-        Returns the evacuated availability zones.
     """
 
     def __init__(
@@ -59,7 +57,6 @@
         incarnation: str,
         zone: str,
         send: Callable[[list[str], load_reports.LoadReport], None],
-        find_evacuated_zones: Callable[[], frozenset[str]] = frozenset,
     ):
         self._loop = loop
         self._loads = loads
@@ -69,7 +66,6 @@
         self._incarnation = incarnation
         self._zone = zone
         self._send = send
-        self._find_evacuated_zones = find_evacuated_zones
         self._sequence_numbers = itertools.count(1)
         self._is_report_scheduled = False
         self._heartbeat_count = 0
@@ -148,10 +144,6 @@
         now = self._loop.now()
         others = [record for record in self._registry.entries() if record.entry != self._name]
         self._entry_count = 1 + len(others)
-        evacuated = self._find_evacuated_zones()
-        self._loads.direct_zones = report_targets.find_direct_zones(
-            self._zone, {record.zone for record in others}, evacuated
-        )
         # A starting entry is told of the others one after the other.
         if now - self._started_at >= DISCOVERY_SECONDS:
             counts = collections.Counter(record.zone for record in others)
@@ -166,5 +158,4 @@
                 for record in others
                 if self._directory.reported_recently(record.entry, now)
             },
-            evacuated,
         )
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -20,9 +20,6 @@
 # An entry that hasn't reported for longer is assumed to have stopped, and its work with it, unless
 # its reports state another time.
 REPORT_EXPIRY_SECONDS = 1.5
-# A zone's entries report directly once its summaries are missing for this long, three times the
-# interval of summaries.
-SUMMARY_END_SECONDS = 0.6
 # Share of the time for which a report is valid after which its sender counts as out of contact: two
 # of its heartbeats.
 CONTACT_RATIO = 0.4
@@ -222,8 +219,6 @@
 
     def __init__(self, zone: str = ""):
         self._zone = zone
-        # Zones whose entries report to this one directly, though there are many.
-        self.direct_zones: frozenset[str] = frozenset()
         self._part_count = 0
         self._own: dict[str, dict[int, WorkItem]] = {}
         self._reporters: dict[str, _Reporter] = {}
@@ -285,7 +280,7 @@
         )
 
     def reported_placement_rate(self, now: float) -> float:
-        """Return the requests per second that entries which report directly place."""
+        """Return the requests per second that other entries of this zone place, as reported."""
         return self._reported_placements.rate(now)
 
     def set_entry_counts(self, counts: dict[str, int]) -> None:
@@ -366,15 +361,9 @@
         if reporter.has_expired(now):
             return False
         if reporter.is_summary:
-            return reporter.zone != self._zone and not self._has_ended(reporter, now)
+            return reporter.zone != self._zone
         summary = self._reporters.get(f"zone/{reporter.zone}")
-        return reporter.zone == self._zone or summary is None or self._has_ended(summary, now)
-
-    def _has_ended(self, summary: _Reporter, now: float) -> bool:
-        """Return whether a zone's summaries no longer arrive."""
-        if summary.zone in self.direct_zones:
-            return now - summary.received_at >= SUMMARY_END_SECONDS
-        return summary.has_expired(now)
+        return reporter.zone == self._zone or summary is None or summary.has_expired(now)
 
     def handle_report(self, report: load_reports.LoadReport, now: float) -> None:
         """Apply another entry's report, except for servers with a newer one."""
@@ -413,8 +402,7 @@
                 previous = self._reported[server][key]
                 if previous.part == report.part and previous.sequence < report.sequence:
                     self._remove_reported(server, key)
-        is_direct = reporter.zone == self._zone or reporter.zone in self.direct_zones
-        counts_placements = is_direct and not reporter.is_summary
+        counts_placements = reporter.zone == self._zone and not reporter.is_summary
         for server, load in loads.items():
             reports = self._reported.setdefault(server, {})
             previous = reports.get(key)
--- a/flamingoramp/routing/report_targets.py
+++ b/flamingoramp/routing/report_targets.py
@@ -5,10 +5,6 @@
 where an entry forwards it to the others. Traffic between zones thus grows with the number of zones
 rather than with that of entries. Each summary is forwarded by another entry of the zone, since
 forwarding all of them would fill the link of one.
-
-While a zone is evacuated, its entries place all requests on the servers of the other zones. They
-and the entries of the other zones then report to each other directly, since summaries are too old
-for that.
 """
 
 from __future__ import annotations
@@ -57,7 +53,6 @@
     zone: str,
     others: list[messages.EntryRecord],
     alive: set[str],
-    evacuated: frozenset[str] = frozenset(),
 ) -> ReportTargets:
     """Return the targets of an entry's reports.
 
@@ -70,25 +65,21 @@
     alive : set of str
         Names of those that a message was received from recently. The first of a zone by name is
         the relay.
-    evacuated : frozenset of str
-        Evacuated availability zones.
     """
     if len(others) < DIRECT_ENTRY_COUNT:
         return ReportTargets([record.inner for record in others])
     peers = [record for record in others if record.zone == zone]
     addresses = [record.inner for record in peers]
-    direct_zones = find_direct_zones(zone, {record.zone for record in others}, evacuated)
-    direct = [record.inner for record in others if record.zone in {zone, *direct_zones}]
     alive_names = [own_name, *(record.entry for record in peers if record.entry in alive)]
     by_zone: dict[str, list[messages.EntryRecord]] = {}
     for record in others:
-        if record.zone != zone and record.zone not in direct_zones:
+        if record.zone != zone:
             by_zone.setdefault(record.zone, []).append(record)
     forwarded_zones = frozenset(
         other for other in by_zone if own_name == min(alive_names, key=rank_by(other))
     )
     if min(alive_names) != own_name:
-        return ReportTargets(direct, [], addresses, forwarded_zones)
+        return ReportTargets(addresses, [], addresses, forwarded_zones)
     rank = rank_by(zone)
     remote_forwarders = [
         record.inner
@@ -97,13 +88,7 @@
             :FORWARDER_CANDIDATE_COUNT
         ]
     ]
-    return ReportTargets(direct, remote_forwarders, addresses, forwarded_zones)
-
-
-def find_direct_zones(zone: str, zones: set[str], evacuated: frozenset[str]) -> frozenset[str]:
-    """Return the other zones whose entries exchange reports with those of a zone directly."""
-    others = zones - {zone}
-    return frozenset(others if zone in evacuated else others & evacuated)
+    return ReportTargets(addresses, remote_forwarders, addresses, forwarded_zones)
 
 
 def rank_by(subject: str) -> Callable[[str], bytes]:
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -217,32 +217,6 @@
         self.assertFalse(any(receiver.load(server, 0.0).strict for server in servers))
 
 
-class TestEvacuatedZone(unittest.TestCase):
-    """Change from summaries of a zone to direct reports of its entries, and back."""
-
-    def setUp(self):
-        self.table = load_table.LoadTable("a")
-        self.other = load_table.LoadTable("b")
-        self.other.add(load_table.WorkItem("e1"))
-        self.sequence = 0
-
-    def report(self, now: float, *, summary: bool) -> int:
-        self.sequence += 1
-        make = self.other.make_summary if summary else self.other.make_reports
-        for report in make(entry="b1", incarnation="i", sequence=self.sequence, now=now):
-            self.table.handle_report(report, now)
-        return self.table.load("e1", now).request_count
-
-    def test_work_is_counted_once_at_every_moment(self):
-        self.assertEqual(self.report(10.0, summary=True), 1)
-        self.table.direct_zones = frozenset("b")
-        for step in range(20):
-            self.assertEqual(self.report(10.0 + step / 10, summary=False), 1)
-        self.table.direct_zones = frozenset()
-        self.assertEqual(self.report(12.1, summary=True), 1)
-        self.assertEqual(self.table.load("e1", 12.2).request_count, 1)
-
-
 class TestArrivals(unittest.TestCase):
     """Load pattern: many entries receive one short prompt every two seconds, one a long prompt."""
 
@@ -322,22 +296,6 @@
         alive = {record.entry for record in others} - silent
         return report_targets.choose_targets(own_name, own_name[0], others, alive)
 
-    # Guards against requests of an evacuated zone that are placed by loads as old as summaries.
-    def test_entries_of_an_evacuated_zone_and_the_others_report_directly(self):
-        entries = self.entries(20)
-        receivers = {}
-        for own_name in ("a00", "a05", "b05", "c05"):
-            others = [record for record in entries if record.entry != own_name]
-            alive = {record.entry for record in others}
-            receivers[own_name] = report_targets.choose_targets(
-                own_name, own_name[0], others, alive, frozenset("b")
-            )
-        self.assertEqual({address[0] for address in receivers["a05"].direct}, {"a", "b"})
-        self.assertEqual({address[0] for address in receivers["b05"].direct}, {"a", "b", "c"})
-        self.assertEqual({address[0] for address in receivers["c05"].direct}, {"b", "c"})
-        self.assertEqual({item[0] for item in receivers["a00"].remote_forwarders}, {"c"})
-        self.assertEqual({item[0] for item in receivers["a05"].zone_peers}, {"a"})
-
     def forwarders(self, source_zone: str, entries, silent=frozenset()) -> list[str]:
         """Return the entries that forward the summary of a zone."""
         return [
