--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -455,9 +455,10 @@
 
     def _apply_declaration(self, declaration: traffic.TrafficDeclaration) -> None:
         was_ready = self.is_ready
-        self._request_handler.apply_declaration(declaration)
-        self._offers.clear()
+        # Before the queued requests are started.
         self._process.start_steps.record(start_steps.Step.DECLARED)
+        self._offers.clear()
+        self._request_handler.apply_declaration(declaration)
         if not was_ready:
             self._subscribe()
 
--- a/flamingoramp/platform/tests/test_start.py
+++ b/flamingoramp/platform/tests/test_start.py
@@ -80,6 +80,11 @@
         for thread in threads:
             thread.join(fleets.TIMEOUT_SECONDS)
         self.assertEqual([answer.status for answer in answers], [200] * WAITING_CALLER_COUNT)
+        steps = ("listening", "declared", "server_known", "request_started")
+        times = [entry.wait_for_event(f"start.{step}")["seconds"] for step in steps]
+        self.assertLess(times[0], min(times[1:]))
+        self.assertEqual(max(times), times[-1])
+        self.assertEqual([len(entry.logged_events(f"start.{step}")) for step in steps], [1] * 4)
 
 
 class TestSettings(unittest.TestCase):
