--- a/flamingoramp/routing/tests/test_statements.py
+++ b/flamingoramp/routing/tests/test_statements.py
@@ -111,9 +111,7 @@
         try:
             target = self._selector(entry).choose(
                 self._declaration,
-                types.SimpleNamespace(
-                    service="desk", caller=types.SimpleNamespace(prompt_tokens=0)
-                ),
+                self.make_request(),
                 set(),
                 now=now,
                 control_reachable=True,
@@ -129,6 +127,10 @@
         entry.exchange.schedule_report()
         self.loop.call_later(0.1, lambda: self._handle_answer(entry, target))
 
+    def make_request(self) -> types.SimpleNamespace:
+        """Return an admitted request, as far as the choice of a server reads it."""
+        return types.SimpleNamespace(service="desk", caller=types.SimpleNamespace(prompt_tokens=0))
+
     def _handle_answer(self, entry: test_load_exchange.Entry, target) -> None:
         limit = self.limits.get(target.server.server, math.inf)
         entry.loads.statements.record_statement(
--- a/flamingoramp/routing/tests/test_warm_up_load.py
+++ b/flamingoramp/routing/tests/test_warm_up_load.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+import types
 import unittest
 
 from hypothesis import Phase, example, given, settings, strategies
 
+from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages
 from flamingoramp.routing import warmup
 from flamingoramp.routing.tests import test_statements
@@ -42,6 +44,8 @@
     warm_count : int
         Servers that are warm all the time. Without any, the cold ones serve from the beginning and
         become cold, and requests count from when all entries were told.
+    has_engines : bool
+        Whether the servers are model engines, which `placement` chooses.
     options
         Those of `test_statements.Deployment`.
     """
@@ -53,17 +57,32 @@
         rate: float,
         cold_count: int = 3,
         warm_count: int = 6,
+        has_engines: bool = False,
         **options,
     ):
         random.seed(options["seed"])  # for the choices of the entries
         super().__init__(zone_sizes, warm_count or cold_count, **options)
         self.limit = warmup.WarmUpLimit(rate)
+        self._has_engines = has_engines
+        if has_engines:
+            engine = traffic.EngineCostModel()
+            self._declaration.find_service = lambda name: traffic.Service(name, engine=engine)
         prefix = "cold" if warm_count else "s"
         self.cold_servers = [f"{prefix}{n}" for n in range(cold_count)]
         self.zone = min(zone_sizes)
         self._counted_from = RETURN_AT_SECONDS + (not warm_count) * ANNOUNCEMENT_SPREAD_SECONDS
         self._delays = random.Random(options["seed"])
 
+    def make_request(self) -> types.SimpleNamespace:
+        """Return a request for the service: a short prompt if its servers are engines."""
+        if not self._has_engines:
+            return super().make_request()
+        route = traffic.Route("r", "h", "/", latency_objective_seconds=0.5)
+        caller = types.SimpleNamespace(prompt_tokens=2000, output_tokens=50)
+        return types.SimpleNamespace(
+            service="desk", caller=caller, route=route, time_limit_seconds=10.0
+        )
+
     def return_servers(self) -> None:
         """Let the cold servers come back now; entries learn of it within a moment."""
         cold_until = self.loop.now() + COLD_SECONDS
@@ -166,6 +185,11 @@
     def test_66_entries_keep_rates_and_use_them(self):
         self.check_rates(ZONES_OF_66, (1, 5, 14, 40), request_rate=300.0, warm_count=2, seed=1)
 
+    def test_engines_of_few_entries_keep_rates_and_use_them(self):
+        self.check_rates(
+            ZONES_OF_9, (5, 14), request_rate=150.0, warm_count=1, seed=1, has_engines=True
+        )
+
     def test_112_entries_keep_a_rate_while_a_fifth_of_the_reports_is_lost(self):
         self.check_rates(
             ZONES_OF_112, (14,), request_rate=300.0, warm_count=2, seed=1, loss_ratio=0.2
