Control hosts know their servers at once after all of them ended

Cause: announcements come every 1.2 s and records were kept in memory only, so that the queued requests of all entries went to the first two or three servers. Now each control host keeps them in a file, written in a thread, and publishes them at its start.

--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -17,7 +17,7 @@
 from flamingoramp import dialect as dialects
 from flamingoramp import errors, value_classes
 from flamingoramp.consensus import effects, node, replica, storage
-from flamingoramp.daemons import node_process, operator_calls, start_steps
+from flamingoramp.daemons import node_process, operator_calls, server_records, start_steps
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import operator_state, versioned_declaration
 from flamingoramp.membership import entry_directory, registry, subscriptions
@@ -109,6 +109,15 @@
         self._publishes_state = False
         self._stopping = False
         self._node = self._make_node()
+        if settings.data_folder:
+            self._server_records = server_records.ServerRecords(
+                self._loop,
+                self._registry,
+                settings.data_folder,
+                log=self._log,
+                metrics=self._metrics,
+                wall_time=self._process.wall_time,
+            )
         self._evacuation_calls = self._make_evacuation_calls()
         self._process.add_cleanup(self._node.close)
         self._process.transport.name = self._node.identity or settings.control_internal_address
