--- a/flamingoramp/membership/tests/test_registry.py
+++ b/flamingoramp/membership/tests/test_registry.py
@@ -6,7 +6,7 @@
 import unittest
 
 import attrs
-from hypothesis import given, strategies
+from hypothesis import given, settings, strategies
 
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
@@ -265,6 +265,7 @@
         number = self.registry.update_number
         self.assertEqual(self.registry.changed_since(number, 1.0), ((), ()))
 
+    @settings(deadline=None)
     @given(strategies.lists(strategies.tuples(strategies.integers(0, 5), strategies.booleans())))
     def test_subscribers_of_changes_know_the_same_records_as_the_registry(self, steps):
         source, subscriber, peer = registry.Registry(), registry.Registry(), registry.Registry()
