Requests of different ranks wait for room in order

Callers saw: whoever came first got the room of a full service; a more urgent request was refused like any other. Cause: entries ordered nothing, the priority reached only the engine. Where the requests of a service have different ranks, an entry now orders them by rank, use of the workspace against its share and deadline, among those that other entries report.

--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -56,7 +56,8 @@
 
     ``workspace`` is empty if the request has none. ``priority`` is the rank at the engines, 0 being
     the most urgent. ``fingerprints`` are those of the content and of the shared parts of its prompt
-    (`crash_evidence`). ``time_limit_seconds`` is the time from arrival to the deadline.
+    (`crash_evidence`). ``time_limit_seconds`` is the time from arrival to the deadline. ``rank`` is
+    the declared priority of the workspace or else of the route.
     """
 
     exchange: http_server.Exchange
@@ -67,6 +68,7 @@
     priority: int | None
     fingerprints: tuple[str, ...]
     time_limit_seconds: float
+    rank: int = 0
 
 
 class AnswerHandler(Protocol):
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -17,6 +17,7 @@
     crash_evidence,
     forwarding,
     reachability,
+    room_queue,
     server_ends,
 )
 from flamingoramp.http import client
@@ -120,6 +121,15 @@
             self._observations,
             zone=zone,
         )
+        self._room_queue = room_queue.RoomQueue(
+            loop,
+            self._server_selector,
+            server_loads,
+            metrics=metrics,
+            record_step=self.record_step,
+            find_declaration=lambda: self._declaration,
+            control_reachable=receives_control_updates,
+        )
         self._retry_allowances: dict[str, allowance.RetryAllowance] = {}
         self._crash_evidence = crash_evidence.CrashEvidence()
         self._server_ends = server_ends.ServerEndChecks(
@@ -282,7 +292,10 @@
             return
         forwarder = forwarding.RequestForwarder(self, admitted, self._forwarders.discard)
         self._forwarders.add(forwarder)
-        forwarder.start()
+        if self.is_cut_off:
+            forwarder.start()
+        else:
+            self._room_queue.start(admitted, forwarder.start)
 
     def _admit(
         self, exchange: http_server.Exchange, caller: dialects.CallerRequest
@@ -328,6 +341,7 @@
             priority=min(LEAST_URGENT_PRIORITY, 2 * declared_priority + _urgency_offset(route)),
             fingerprints=fingerprints,
             time_limit_seconds=time_limit_seconds,
+            rank=declared_priority,
         )
 
     def _check_quarantine(self, request_id: str, fingerprints: tuple[str, ...]) -> None:
@@ -358,6 +372,9 @@
                 raise _quarantine_error(admitted.fingerprints, fingerprint)
         if self.is_cut_off:
             return self._peer_selector.choose(admitted, excluded, now=self.loop.now())
+        decided = self._room_queue.take_decision(admitted)
+        if decided is not None:
+            return decided
         return self._server_selector.choose(
             self._declaration,
             admitted,
@@ -515,6 +532,7 @@
 
     def record_end(self, admitted: attempts.AdmittedRequest, outcome: str, **fields: Any) -> None:
         """Log a request's outcome and update the metrics."""
+        self._room_queue.handle_end(admitted, outcome, fields["seconds"])
         self._metrics.count("requests", outcome=outcome, route=admitted.route.name)
         self._metrics.observe("request_seconds", fields["seconds"], route=admitted.route.name)
         if "first_piece" in fields:
--- a/flamingoramp/protocol/load_reports.py
+++ b/flamingoramp/protocol/load_reports.py
@@ -10,6 +10,8 @@
 LOAD_VALUE_COUNT = 8
 # Values of one server among the statements of a `LoadReport`.
 STATEMENT_VALUE_COUNT = 7
+# Values of one row of the contention in a `LoadReport`.
+CONTENTION_VALUE_COUNT = 13
 
 
 @attrs.frozen
@@ -31,6 +33,10 @@
     1 if the server is leaving, 1 if it refused a request and has accepted none since, and what is
     left of the time to come back that it named, in seconds. While there are any, ``request_rates``
     is the number of requests per second for each of ``services``.
+
+    ``contention`` has the values of `routing.contention.Row` for each of ``contending_services``
+    and the workspace at the same position, with times in seconds from now. They are sent while
+    requests wait for room or were refused lately; a report without them says nothing of it.
     """
 
     entry: str = ""
@@ -49,6 +55,9 @@
     stated_servers: tuple[str, ...] = ()
     statements: tuple[float, ...] = attrs.field(default=())
     request_rates: tuple[float, ...] = attrs.field(default=())
+    contending_services: tuple[str, ...] = ()
+    contending_workspaces: tuple[str, ...] = ()
+    contention: tuple[float, ...] = attrs.field(default=())
 
     @arrivals.validator
     def _check_arrivals(self, _attribute: attrs.Attribute, arrivals: tuple[float, ...]) -> None:
@@ -66,6 +75,12 @@
     def _check_request_rates(self, _attribute: attrs.Attribute, rates: tuple[float, ...]) -> None:
         _check_numbers("request_rates", rates, len(self.services) if rates else 0)
 
+    @contention.validator
+    def _check_contention(self, _attribute: attrs.Attribute, values: tuple[float, ...]) -> None:
+        if len(self.contending_services) != len(self.contending_workspaces):
+            raise ValueError("contention: each row takes a service and a workspace")
+        _check_numbers("contention", values, CONTENTION_VALUE_COUNT * len(self.contending_services))
+
 
 def _check_numbers(field: str, numbers: tuple[float, ...], count: int) -> None:
     if len(numbers) != count or not all(map(math.isfinite, numbers)):
--- a/flamingoramp/protocol/schema.capnp
+++ b/flamingoramp/protocol/schema.capnp
@@ -48,7 +48,7 @@
 struct ReadReply { requestId @0 :Text; confirmed @1 :Bool; version @2 :UInt64; document @3 :Data; }
 # Not sent any more; LoadReport has `servers` and `loads` instead.
 struct EngineLoad { server @0 :Text; strict @1 :UInt32; relaxed @2 :UInt32; patient @3 :UInt32; readingSeconds @4 :Float32; partSeconds @5 :Float32; memoryTokens @6 :UInt32; helping @7 :UInt32; readingCredit @8 :Float32; }
-struct LoadReport { entry @0 :Text; incarnation @1 :Text; sequence @2 :UInt64; engines @3 :List(EngineLoad); zone @4 :Text; isSummary @5 :Bool; part @6 :UInt32; onlyChanges @7 :Bool; servers @8 :List(Text); loads @9 :List(Float32); forwarded @10 :Bool; validSeconds @11 :Float32; services @12 :List(Text); arrivals @13 :List(Float32); statedServers @14 :List(Text); statements @15 :List(Float64); requestRates @16 :List(Float32); }
+struct LoadReport { entry @0 :Text; incarnation @1 :Text; sequence @2 :UInt64; engines @3 :List(EngineLoad); zone @4 :Text; isSummary @5 :Bool; part @6 :UInt32; onlyChanges @7 :Bool; servers @8 :List(Text); loads @9 :List(Float32); forwarded @10 :Bool; validSeconds @11 :Float32; services @12 :List(Text); arrivals @13 :List(Float32); statedServers @14 :List(Text); statements @15 :List(Float64); requestRates @16 :List(Float32); contendingServices @17 :List(Text); contendingWorkspaces @18 :List(Text); contention @19 :List(Float32); }
 
 struct Frame {
   sender @0 :Text;
--- a/flamingoramp/protocol/tests/test_codec.py
+++ b/flamingoramp/protocol/tests/test_codec.py
@@ -30,6 +30,7 @@
         # As many values for each server.
         values["loads"] *= load_reports.LOAD_VALUE_COUNT
         values["statements"] *= load_reports.STATEMENT_VALUE_COUNT
+        values["contention"] *= load_reports.CONTENTION_VALUE_COUNT
     return message_class(**values)
 
 
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -11,7 +11,7 @@
 import attrs
 
 from flamingoramp.protocol import load_reports
-from flamingoramp.routing import rates, statements
+from flamingoramp.routing import contention, rates, statements
 
 # Upper bounds of the pause objective of strict and relaxed requests; all others are patient.
 STRICT_PAUSE_SECONDS = 0.4
@@ -212,20 +212,37 @@
         self._arrivals: dict[str, rates.RateMeter] = {}
         self._requests: dict[str, rates.RateMeter] = {}
         self._statements = statements.ServerStatements()
+        self._contention = contention.ContentionBook()
         # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
         self._changed_before: set[str] = set()
 
     @property
     def has_unreported_changes(self) -> bool:
-        """Whether this entry's work, or what servers state, changed since the last report."""
-        return bool(self._changed) or self._statements.has_unreported_changes
+        """Whether work, contention or what servers state changed since the last report."""
+        return (
+            bool(self._changed)
+            or self._statements.has_unreported_changes
+            or self._contention.has_unreported_changes
+        )
 
     @property
     def statements(self) -> statements.ServerStatements:
         """What servers state of themselves in answers to this entry and to others."""
         return self._statements
 
+    @property
+    def contention(self) -> contention.ContentionBook:
+        """Requests that wait for room at this entry and at others, and what workspaces use."""
+        return self._contention
+
+    def view_contention(self, service: str, now: float) -> contention.View:
+        """Return the contention for a service at all entries."""
+        return self._contention.view(service, self._counted_keys(now), now)
+
+    def _counted_keys(self, now: float) -> list[str]:
+        return [key for key, item in self._reporters.items() if self._is_counted(item, now)]
+
     def add(self, work: WorkItem) -> None:
         """Add a work item of this entry."""
         self._own.setdefault(work.server, {})[id(work)] = work
@@ -328,6 +345,7 @@
                 now,
                 of_own_zone=reporter.zone == self._zone and not reporter.is_summary,
             )
+        self._contention.handle_report(key, report, now)
         loads = _read_loads(report)
         if not report.only_changes:
             if report.sequence <= reporter.sequences.get(report.part, -1):
@@ -346,6 +364,7 @@
 
     def _remove_reporter(self, key: str) -> None:
         reporter = self._reporters.pop(key, None)
+        self._contention.remove_reporter(key)
         if reporter is not None:
             for server in list(reporter.servers):
                 self._remove_reported(server, key)
@@ -400,9 +419,10 @@
             {service: meter.rate(now) for service, meter in self._requests.items()},
             self._statements.describe(now, only_changes=only_changes),
         )
+        rows = self._contention.describe(now, self._counted_keys(now))
         if only_changes:
-            return [_with_loads(base, list(totals.items()), only_changes=True)]
-        return self._split(base, totals)
+            return [_with_loads(_with_rows(base, rows), list(totals.items()), only_changes=True)]
+        return self._split(base, totals) + _make_row_reports(base, rows)
 
     def make_summary(
         self, *, entry: str, incarnation: str, sequence: int, now: float
@@ -432,7 +452,9 @@
             request_rates,
             self._statements.describe(now, of_zone=True),
         )
-        return self._split(base, totals)
+        in_zone = [key for key, item in self._reporters.items() if self._is_in_summary(item, now)]
+        rows = self._contention.describe(now, self._counted_keys(now), in_zone)
+        return self._split(base, totals) + _make_row_reports(base, rows)
 
     def _make_base(
         self,
@@ -486,6 +508,27 @@
         ]
 
 
+def _with_rows(
+    base: load_reports.LoadReport, rows: list[contention.Row]
+) -> load_reports.LoadReport:
+    """Return a copy of a report with rows of the contention."""
+    if not rows:
+        return base
+    return attrs.evolve(
+        base,
+        contending_services=tuple(row.service for row in rows),
+        contending_workspaces=tuple(row.workspace for row in rows),
+        contention=tuple(value for row in rows for value in row.to_values()),
+    )
+
+
+def _make_row_reports(
+    base: load_reports.LoadReport, rows: list[contention.Row]
+) -> list[load_reports.LoadReport]:
+    """Return a report of the contention alone, beside the parts that are full of loads."""
+    return [_with_loads(_with_rows(base, rows), [], only_changes=True)] if rows else []
+
+
 def _with_loads(
     base: load_reports.LoadReport, items: list[tuple[str, ServerLoad]], **changes: object
 ) -> load_reports.LoadReport:
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -15,7 +15,7 @@
 from flamingoramp.intent import traffic
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
-from flamingoramp.routing import load_table, observations, placement, statements
+from flamingoramp.routing import contention, load_table, observations, placement, statements
 
 # A server of another zone is treated like one of this zone with this many more requests.
 OTHER_ZONE_COST_REQUESTS = 0.5
@@ -28,11 +28,30 @@
 # with summaries of availability zones.
 REPORT_DELAY_SECONDS = 0.05
 SUMMARY_DELAY_SECONDS = 0.4
+# Smallest share of the objective of the first token that is left to a request that has waited; the
+# objective may not become 0.
+MIN_OBJECTIVE_RATIO = 0.1
 # Largest random addition to the time after which callers retry, as a share of that time, so that
 # they don't all retry at once.
 RETRY_AFTER_JITTER_RATIO = 0.3
 
 
+class NoRoomError(errors.OverloadedError):
+    """No engine can serve the request in time; it may once others have ended.
+
+    Parameters
+    ----------
+    message : str
+    seconds_until_free : float
+        Shortest wait until an engine starts another prefill.
+    """
+
+    def __init__(self, message: str, *, seconds_until_free: float):
+        wait = max(attempts.RETRY_AFTER_SECONDS, seconds_until_free)
+        super().__init__(message, retry_after=_add_jitter(wait))
+        self.seconds_until_free = seconds_until_free
+
+
 class ServerSelector:
     """Selects servers from the registry by their load and by their recent behavior.
 
@@ -67,6 +86,8 @@
         *,
         now: float,
         control_reachable: bool,
+        waited_seconds: float = 0.0,
+        is_arrival: bool = True,
     ) -> attempts.AttemptTarget:
         """Return where to send the next attempt of a request.
 
@@ -81,20 +102,26 @@
         control_reachable : bool
             Whether a server's announcements would have reached this entry. If not, the silence of
             servers is ignored.
+        waited_seconds : float
+            How long the request has waited for room at this entry.
+        is_arrival : bool
+            Whether the request counts as one that arrives; False while it waits and is tried again.
 
         Raises
         ------
         flamingoramp.errors.NoBackendError
             If no server of the service is known.
         flamingoramp.errors.OverloadedError
-            If no engine can serve the request in time.
+            If no engine can serve the request in time, as `NoRoomError`, or the servers restrict
+            their use.
         """
         service = declaration.find_service(admitted.service)
-        self._loads.record_attempt(admitted.service, now)
+        if is_arrival:
+            self._loads.record_attempt(admitted.service, now)
         usable, limited = self._find_servers(admitted.service, excluded, now)
         if service is not None and limited and not usable:
             wait = min(self._statements.seconds_until_room(record, now) for record in limited)
-            raise _overload_error("the servers take no more requests now", wait)
+            raise overload_error("the servers take no more requests now", wait)
         candidates = self._make_candidates(usable, now, control_reachable)
         records = {record.server: record for record in usable}
         if service is None or not candidates:
@@ -104,18 +131,65 @@
             )
         if service.engine is None or not admitted.caller.prompt_tokens:
             return self._choose_least_loaded(candidates, records)
-        request = _to_placement_request(admitted, self._zone)
+        request = _to_placement_request(admitted, self._zone, waited_seconds)
         planner = placement.Planner(service.engine)
         arriving_credit = self._loads.arriving_credit(service.name, now)
         chosen = planner.place(request, candidates, arriving_credit=arriving_credit)
-        if not excluded:
+        if is_arrival and not excluded:
             self._loads.record_arrival(service.name, request.credit, now)
         if chosen is None:
-            raise _overload_error(
-                "no engine has room in time", planner.seconds_until_free(candidates)
+            raise NoRoomError(
+                "no engine has room in time",
+                seconds_until_free=planner.seconds_until_free(candidates),
             )
         return _to_target(chosen, request, records, now)
 
+    def record_arrival(self, admitted: attempts.AdmittedRequest, now: float) -> None:
+        """Record a request that is placed, waits or is refused without `choose` counting it."""
+        self._loads.record_attempt(admitted.service, now)
+        credit = _to_placement_request(admitted, self._zone).credit
+        self._loads.record_arrival(admitted.service, credit, now)
+
+    def measure_room(
+        self,
+        service: traffic.Service,
+        *,
+        horizon_seconds: float,
+        now: float,
+        control_reachable: bool,
+    ) -> contention.Room:
+        """Return the known room at the engines of a service.
+
+        Parameters
+        ----------
+        service : traffic.Service
+            A service with an engine model.
+        horizon_seconds : float
+            Time within which the engines have to start a prefill for it to count as room.
+        now : float
+        control_reachable : bool
+            As for `choose`.
+        """
+        usable, _ = self._find_servers(service.name, set(), now)
+        loads = [item.load for item in self._make_candidates(usable, now, control_reachable)]
+        model = service.engine
+        memory_tokens = placement.USABLE_MEMORY_RATIO * model.memory_tokens
+        free = contention.Need(
+            sum(max(0, model.slots - load.request_count) for load in loads),
+            sum(
+                max(0.0, horizon_seconds - load.reading_seconds)
+                for load in loads
+                if load.request_count < model.slots
+            ),
+            sum(max(0.0, memory_tokens - load.memory_tokens) for load in loads),
+        )
+        running = contention.Need(
+            sum(load.request_count for load in loads),
+            len(loads),
+            sum(load.memory_tokens for load in loads),
+        )
+        return contention.Room(free, running)
+
     def _find_servers(
         self, service: str, excluded: set[str], now: float
     ) -> tuple[list[messages.ServerRecord], list[messages.ServerRecord]]:
@@ -253,20 +327,27 @@
 
 
 def _to_placement_request(
-    admitted: attempts.AdmittedRequest, zone: str
+    admitted: attempts.AdmittedRequest, zone: str, waited_seconds: float = 0.0
 ) -> placement.PlacementRequest:
+    route = admitted.route
+    objective_seconds = route.latency_objective_seconds
+    if waited_seconds:
+        # Once the objective has passed, the first token is late, and the earlier the better.
+        objective_seconds = max(
+            MIN_OBJECTIVE_RATIO * objective_seconds, objective_seconds - waited_seconds
+        )
     return placement.PlacementRequest(
         prompt_tokens=admitted.caller.prompt_tokens,
         output_tokens=admitted.caller.output_tokens,
-        first_token_objective_seconds=admitted.route.latency_objective_seconds,
-        gap_objective_seconds=admitted.route.gap_objective_seconds,
+        first_token_objective_seconds=objective_seconds,
+        gap_objective_seconds=route.gap_objective_seconds,
         zone=zone,
-        time_limit_seconds=admitted.time_limit_seconds,
-        first_token_timeout_seconds=first_token_timeout(admitted.route),
+        time_limit_seconds=admitted.time_limit_seconds - waited_seconds,
+        first_token_timeout_seconds=first_token_timeout(route) - waited_seconds,
     )
 
 
-def _overload_error(text: str, seconds_until_free: float) -> errors.OverloadedError:
+def overload_error(text: str, seconds_until_free: float) -> errors.OverloadedError:
     """Return an error whose ``retry_after`` is when a server is free, with random jitter."""
     wait = max(attempts.RETRY_AFTER_SECONDS, seconds_until_free)
     return errors.OverloadedError(text, retry_after=_add_jitter(wait))
