Requests that may still be on time go before others of their kind

Long prompts waited until half of their patience behind newcomers with nearer deadlines, and were late. A request is due after half of the time in which it can be on time; due ones are ordered and reported apart.

--- a/flamingoramp/protocol/load_reports.py
+++ b/flamingoramp/protocol/load_reports.py
@@ -11,7 +11,7 @@
 # Values of one server among the statements of a `LoadReport`.
 STATEMENT_VALUE_COUNT = 7
 # Values of one row of the contention in a `LoadReport`.
-CONTENTION_VALUE_COUNT = 13
+CONTENTION_VALUE_COUNT = 14
 
 
 @attrs.frozen
--- a/flamingoramp/routing/contention.py
+++ b/flamingoramp/routing/contention.py
@@ -26,8 +26,9 @@
 RETURN_SECONDS = 0.5
 # A workspace that uses up to this multiple of its share is within it.
 SHARE_TOLERANCE_RATIO = 1.25
-# A request that has waited for this share of the time that it can wait is ordered by the end of
-# that time instead of its deadline, so that newcomers with nearer deadlines don't pass it for long.
+# A request that has waited for this share of the time in which it can be on time is ordered by the
+# end of that time instead of its deadline, so that newcomers with nearer deadlines don't pass it
+# until it is late.
 DUE_RATIO = 0.5
 # Rows of a report; a row takes about 70 bytes.
 MAX_REPORTED_ROWS = 40
@@ -101,10 +102,13 @@
     place_by: float
     need: Need
 
+    def is_due(self, now: float) -> bool:
+        """Return whether it goes before requests of its kind that are not due."""
+        return now >= self.arrived_at + DUE_RATIO * (self.on_time_by - self.arrived_at)
+
     def order_time(self, now: float) -> float:
         """Return the time by which it is ordered among equals, the earliest first."""
-        due_at = self.arrived_at + DUE_RATIO * (self.place_by - self.arrived_at)
-        return min(self.deadline, self.place_by) if now >= due_at else self.deadline
+        return self.on_time_by if self.is_due(now) else self.deadline
 
 
 @attrs.frozen
@@ -115,12 +119,14 @@
     ----------
     service, workspace : str
     rank : int
+    is_due : bool
+        Whether the waiting requests are due; False for rows without any.
     waiting : Need
         Sum over the waiting requests.
     first_order_time, last_order_time : float
         Range of their `ContendingRequest.order_time`.
     horizon_seconds : float
-        Shortest time for which one of them can wait for an engine.
+        Mean time for which they can still wait.
     use, refused : Need
         What was placed and what was refused, decayed with `USE_SECONDS`.
     """
@@ -128,6 +134,7 @@
     service: str
     workspace: str
     rank: int
+    is_due: bool = False
     waiting: Need = Need()
     first_order_time: float = 0.0
     last_order_time: float = 0.0
@@ -136,14 +143,15 @@
     refused: Need = Need()
 
     @property
-    def key(self) -> tuple[str, str, int]:
-        """Service, workspace and rank."""
-        return (self.service, self.workspace, self.rank)
+    def key(self) -> tuple[str, str, int, bool]:
+        """Service, workspace, rank and whether it is due."""
+        return (self.service, self.workspace, self.rank, self.is_due)
 
     def to_values(self) -> tuple[float, ...]:
         """Return the values of the row, without its names, for a report."""
         return (
             float(self.rank),
+            float(self.is_due),
             *attrs.astuple(self.waiting),
             self.first_order_time,
             self.last_order_time,
@@ -159,21 +167,24 @@
             service,
             workspace,
             int(values[0]),
-            Need(*values[1:4]),
-            *values[4:7],
-            Need(*values[7:10]),
-            Need(*values[10:13]),
+            bool(values[1]),
+            Need(*values[2:5]),
+            *values[5:8],
+            Need(*values[8:11]),
+            Need(*values[11:14]),
         )
 
     def plus(self, other: Row) -> Row:
         """Return the sum of two rows of the same key."""
         ranges = [row for row in (self, other) if row.waiting.request_count]
+        waiting = self.waiting.plus(other.waiting)
+        horizon_seconds = sum(row.horizon_seconds * row.waiting.request_count for row in ranges)
         return attrs.evolve(
             self,
-            waiting=self.waiting.plus(other.waiting),
+            waiting=waiting,
             first_order_time=min((row.first_order_time for row in ranges), default=0.0),
             last_order_time=max((row.last_order_time for row in ranges), default=0.0),
-            horizon_seconds=min((row.horizon_seconds for row in ranges), default=0.0),
+            horizon_seconds=horizon_seconds / max(1.0, waiting.request_count),
             use=self.use.plus(other.use),
             refused=self.refused.plus(other.refused),
         )
@@ -217,7 +228,7 @@
     need : Need
         Room that has to be left.
     horizon_seconds : float
-        Shortest time for which one of those ahead can wait for an engine; infinite for none.
+        Mean time for which those ahead can still wait for an engine; infinite for none.
     """
 
     need: Need = Need()
@@ -289,9 +300,14 @@
         self._now = now
         self._levels: dict[str, int] | None = None
 
-    def order_key(self, request: ContendingRequest) -> tuple[int, int, float]:
+    def order_key(self, request: ContendingRequest) -> tuple[int, int, bool, float]:
         """Return the key by which requests are placed, the smallest first."""
-        return (request.rank, self.level(request.workspace), request.order_time(self._now))
+        return (
+            request.rank,
+            self.level(request.workspace),
+            not request.is_due(self._now),
+            request.order_time(self._now),
+        )
 
     def level(self, workspace: str) -> int:
         """Return 0 for a workspace within its share, more for each doubling beyond it."""
@@ -307,24 +323,23 @@
         """
         key = self.order_key(request)
         need = Need()
-        horizon_seconds = math.inf
+        total_seconds = waiting_count = 0.0
         for other in self._own:
             if other is not request and self.order_key(other) < key:
                 need = need.plus(other.need)
-                horizon_seconds = min(horizon_seconds, other.place_by - self._now)
+                total_seconds += max(0.0, other.place_by - self._now)
+                waiting_count += 1
         for row in self._rows:
             kind = (row.rank, self.level(row.workspace))
-            if kind > key[:2]:
-                continue
             if row.waiting.request_count:
-                share = 1.0 if kind < key[:2] else _earlier_share(row, key[2])
+                share = _share_ahead(row, (*kind, not row.is_due), key)
                 need = need.plus(row.waiting.scaled(share))
-                if share:
-                    horizon_seconds = min(horizon_seconds, row.horizon_seconds)
+                total_seconds += share * row.waiting.request_count * row.horizon_seconds
+                waiting_count += share * row.waiting.request_count
             if kind < key[:2]:
                 returning = row.refused.capped(row.use).scaled(RETURN_SECONDS / USE_SECONDS)
                 need = need.plus(returning)
-        return Ahead(need, max(0.0, horizon_seconds))
+        return Ahead(need, total_seconds / waiting_count if waiting_count else math.inf)
 
     def _measure_levels(self) -> dict[str, int]:
         """Return the level of each workspace; what was refused counts as used."""
@@ -340,12 +355,14 @@
         }
 
 
-def _earlier_share(row: Row, order_time: float) -> float:
-    """Return the estimated share of a row's waiting requests that are ordered before a time."""
+def _share_ahead(row: Row, kind: tuple[int, int, bool], key: tuple[int, int, bool, float]) -> float:
+    """Return the estimated share of a row's waiting requests that are ahead of a key."""
+    if kind != key[:3]:
+        return 1.0 if kind < key[:3] else 0.0
     span = row.last_order_time - row.first_order_time
     if span <= 0:
-        return 1.0 if row.first_order_time < order_time else 0.0
-    return min(1.0, max(0.0, (order_time - row.first_order_time) / span))
+        return 1.0 if row.first_order_time < key[3] else 0.0
+    return min(1.0, max(0.0, (key[3] - row.first_order_time) / span))
 
 
 @attrs.frozen
@@ -504,6 +521,7 @@
                 request.service,
                 request.workspace,
                 request.rank,
+                is_due=request.is_due(now),
                 waiting=request.need,
                 first_order_time=request.order_time(now),
                 last_order_time=request.order_time(now),
--- a/flamingoramp/routing/tests/test_load_exchange.py
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -34,8 +34,8 @@
     ----------
     zone_sizes : dict of str to int
         Number of entries of each availability zone.
-    delay_seconds : float
-        Time until a message is handled.
+    delay_seconds, between_zones_seconds : float
+        Time until a message is handled, and until one of another zone is, if that differs.
     loss_ratio : float
         Share of the messages that are lost.
     """
@@ -45,9 +45,11 @@
         zone_sizes: dict[str, int],
         *,
         delay_seconds: float = NETWORK_DELAY_SECONDS,
+        between_zones_seconds: float | None = None,
         loss_ratio: float = 0.0,
     ):
         self._delay_seconds = delay_seconds
+        self._between_zones_seconds = between_zones_seconds
         self._loss_ratio = loss_ratio
         self._loss_rng = random.Random(1)
         self.loop = virtual_time.VirtualLoop()
@@ -99,9 +101,12 @@
             self.between_zones_count += target.zone != source.zone
             if self._loss_ratio and self._loss_rng.random() < self._loss_ratio:
                 continue
+            delay_seconds = self._delay_seconds
+            if target.zone != source.zone and self._between_zones_seconds is not None:
+                delay_seconds = self._between_zones_seconds
             if target.name not in self._silent:
                 self.loop.call_later(
-                    self._delay_seconds,
+                    delay_seconds,
                     lambda receiver=target: receiver.exchange.handle_report(report),
                 )
 
