Tests of requests that compete for room; ties and emptied queues

Found by them: requests of equal deadline at one entry counted none of each other as ahead, so all expected room at once; an entry whose last waiting request left, without any use, did not say so, and others left room for it for a second.

--- a/flamingoramp/dispatch/tests/contended_entries.py
+++ b/flamingoramp/dispatch/tests/contended_entries.py
@@ -15,6 +15,7 @@
 from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages
 from flamingoramp.routing.tests import test_load_exchange
+from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import metrics, node_settings, virtual_time
 
 SERVICE = "engines"
@@ -51,7 +52,10 @@
     sent_count: int = 1
     deadline: float = 0.0
     answered_at: float = 0.0
+    finished_at: float = 0.0
+    exchange: _Exchange | None = None
     refused_after: list[float] = attrs.field(factory=list)
+    retry_after: list[float] = attrs.field(factory=list)
     statuses: list[int] = attrs.field(factory=list)
 
     @property
@@ -68,7 +72,9 @@
 
     def encode_error(self, error: errors.FlamingorampError) -> http_messages.Response:
         headers = ((b"retry-after", b"%f" % error.retry_after),)
-        return http_messages.Response(error.status, headers, error.outcome.value.encode())
+        return http_messages.Response(
+            error.status, (*headers, (b"outcome", error.outcome.encode()))
+        )
 
     def encode_forwarded_request(
         self, forwarded: dialect.ForwardedRequest
@@ -205,6 +211,42 @@
         self.events.append((event, {"request": request, **fields}))
 
 
+class EntryLoop:
+    """Loop of one entry, which does nothing while the entry is suspended."""
+
+    def __init__(self, loop: virtual_time.VirtualLoop):
+        self._loop = loop
+        self._is_suspended = False
+        self._delayed: list[Callable[[], None]] = []
+        self.now = loop.now
+
+    def call_later(self, delay: float, callback: Callable[[], None]):
+        """Run a callback after a delay, or when the entry is resumed."""
+
+        def _run() -> None:
+            if self._is_suspended:
+                self._delayed.append(callback)
+            else:
+                callback()
+
+        return self._loop.call_later(delay, _run)
+
+    def call_every(self, interval: float, callback: Callable[[], None]) -> None:
+        """Run a callback in each interval, but for those in which the entry is suspended."""
+        loops.repeat(self.call_later, interval, callback)
+
+    def suspend(self) -> None:
+        """Run no callbacks until `resume`."""
+        self._is_suspended = True
+
+    def resume(self) -> None:
+        """Run what became due meanwhile."""
+        self._is_suspended = False
+        delayed, self._delayed = self._delayed, []
+        for callback in delayed:
+            callback()
+
+
 class Deployment:
     """Entries with production decisions, engines and callers.
 
@@ -245,6 +287,7 @@
         self.log = Log()
         self.outcomes: list[Outcome] = []
         self.dead: set[str] = set()
+        self.entry_loops: dict[str, EntryLoop] = {}
         self.handlers = {
             name: self._make_handler(entry) for name, entry in self.network.entries.items()
         }
@@ -252,8 +295,9 @@
 
     def _make_handler(self, entry: test_load_exchange.Entry) -> request_handler.RequestHandler:
         servers = entry.exchange._registry
+        loop = self.entry_loops[entry.name] = EntryLoop(self.loop)
         handler = request_handler.RequestHandler(
-            self.loop,
+            loop,
             self.engines,
             _Dialect(),
             server_registry=servers,
@@ -299,6 +343,26 @@
             workspaces=tuple(traffic.Workspace(name, (f"key-{name}",)) for name in names),
         )
 
+    def stop(self, name: str) -> None:
+        """Have an entry do nothing more."""
+        self.dead.add(name)
+        self.network.silence(name)
+        self.entry_loops[name].suspend()
+
+    def resume(self, name: str) -> None:
+        """Have a stopped entry go on."""
+        self.dead.discard(name)
+        self.network.unsilence(name)
+        self.entry_loops[name].resume()
+
+    def waiting_count(self) -> int:
+        """Return the number of requests that wait at running entries."""
+        return sum(
+            entry.loads.contention.waiting_count
+            for entry in self.network.entries.values()
+            if entry.name not in self.dead
+        )
+
     def run(self, seconds: float) -> None:
         """Have requests arrive for a time at random entries."""
         start = self.loop.now()
@@ -332,11 +396,13 @@
 
         def _handle_start(exchange: _Exchange) -> None:
             outcome.statuses.append(exchange.status)
+            outcome.finished_at = self.loop.now()
             if exchange.status == 200:
                 outcome.answered_at = self.loop.now()
                 return
             outcome.refused_after.append(self.loop.now() - sent_at)
             retry_after = float(dict(exchange.headers)[b"retry-after"])
+            outcome.retry_after.append(retry_after)
             wait = 0.01 if kind.returns_at_once else retry_after
             is_in_time = self.loop.now() + wait < outcome.deadline
             if outcome.sent_count <= kind.max_returns and is_in_time:
@@ -345,14 +411,17 @@
 
         names = [name for name in self.handlers if name not in self.dead]
         handler = self.handlers[entry or self._rng.choice(names)]
-        handler.handle_request(_Exchange(request, now, _handle_start))
+        outcome.exchange = _Exchange(request, now, _handle_start)
+        handler.handle_request(outcome.exchange)
 
-    def served_ratio(self, *names: str, since: float = 0.0) -> float:
-        """Return the share of the requests of some kinds whose answer began."""
+    def served_ratio(self, name: str, *, since: float = 0.0, until: float = 1e9) -> float:
+        """Return the share of the requests of a kind that arrived in a time whose answer began."""
         chosen = [
-            item for item in self.outcomes if item.kind.name in names and item.arrived_at >= since
+            item.is_served
+            for item in self.outcomes
+            if item.kind.name == name and since <= item.arrived_at < until
         ]
-        return sum(item.is_served for item in chosen) / len(chosen)
+        return sum(chosen) / len(chosen)
 
     def served_count(self, *names: str) -> int:
         """Return the number of requests of some kinds whose answer began."""
--- a/flamingoramp/routing/contention.py
+++ b/flamingoramp/routing/contention.py
@@ -288,7 +288,7 @@
     Parameters
     ----------
     own : iterable of ContendingRequest
-        Requests that wait at this entry.
+        Requests that wait at this entry, in the order in which they began to.
     rows : iterable of Row
         Use and refusals of this entry, and the rows of others; their times are monotonic.
     now : float
@@ -324,8 +324,13 @@
         key = self.order_key(request)
         need = Need()
         total_seconds = waiting_count = 0.0
+        is_before = True  # among equals of this entry, those that waited before are ahead
         for other in self._own:
-            if other is not request and self.order_key(other) < key:
+            if other is request:
+                is_before = False
+                continue
+            other_key = self.order_key(other)
+            if other_key < key or (is_before and other_key == key):
                 need = need.plus(other.need)
                 total_seconds += max(0.0, other.place_by - self._now)
                 waiting_count += 1
@@ -346,7 +351,8 @@
         used: dict[str, float] = {request.workspace: 0.0 for request in self._own}
         for row in self._rows:
             amount = row.use.engine_seconds + row.refused.engine_seconds
-            used[row.workspace] = used.get(row.workspace, 0.0) + amount
+            if amount or row.waiting.request_count:
+                used[row.workspace] = used.get(row.workspace, 0.0) + amount
         share = sum(used.values()) / max(1, len(used))
         return {
             workspace: math.ceil(math.log2(amount / share))
@@ -489,7 +495,9 @@
             if key in self._reported
             for row in self._reported[key].at(now)
         ]
-        for row in [*self._own_waiting_rows(now), *self._own_rows(now), *reported]:
+        # A row without values tells that nothing waits any more.
+        empty = [Row(service, "", 0) for service in contended]
+        for row in [*self._own_waiting_rows(now), *self._own_rows(now), *reported, *empty]:
             if row.service in contended:
                 rows[row.key] = rows[row.key].plus(row) if row.key in rows else row
         # Rows of waiting requests come first, then those of the largest use.
--- a/flamingoramp/routing/tests/test_load_exchange.py
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -120,6 +120,10 @@
         """Stop all messages to and from an entry."""
         self._silent.add(name)
 
+    def unsilence(self, name: str) -> None:
+        """Let messages to and from an entry pass again."""
+        self._silent.discard(name)
+
     def count_sent(self, seconds: float) -> int:
         """Return the number of messages that are sent within the next seconds."""
         before = self.sent_count
