Reports of contention in datagrams of at most 1,400 bytes

Rows of many workspaces made one report of several kilobytes, which is lost with any of its fragments. They are sent in parts of one sequence number; entries where nothing has contended build none.

--- a/flamingoramp/routing/contention.py
+++ b/flamingoramp/routing/contention.py
@@ -30,8 +30,9 @@
 # end of that time instead of its deadline, so that newcomers with nearer deadlines don't pass it
 # until it is late.
 DUE_RATIO = 0.5
-# Rows of a report; a row takes about 70 bytes.
-MAX_REPORTED_ROWS = 40
+# Rows that are reported, and those of one datagram of 1,400 bytes; a row takes about 90 bytes.
+MAX_REPORTED_ROWS = 56
+MAX_ROWS_PER_REPORT = 14
 # Workspaces and ranks whose use an entry records.
 MAX_TRACKED_KINDS = 4096
 
@@ -375,15 +376,15 @@
 class _ReportedRows:
     """Rows of one reporter with monotonic times, and when its report was received."""
 
-    rows: tuple[Row, ...]
+    rows: dict[tuple[str, str, int, bool], Row]
     sequence: int
     received_at: float
 
-    def at(self, now: float) -> tuple[Row, ...]:
+    def at(self, now: float) -> list[Row]:
         """Return the rows, without waiting requests if these are too old."""
         if now - self.received_at < WAITING_EXPIRY_SECONDS:
-            return self.rows
-        return tuple(row.without_waiting() for row in self.rows)
+            return list(self.rows.values())
+        return [row.without_waiting() for row in self.rows.values()]
 
 
 class ContentionBook:
@@ -408,6 +409,11 @@
         """Whether other entries should hear of a change."""
         return self._has_news
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing has contended so far, here or elsewhere."""
+        return not (self._waiting or self._contended_at or self._reported)
+
     # Requests of this entry.
 
     def add_waiting(self, request: ContendingRequest, now: float) -> None:
@@ -457,11 +463,16 @@
     # Reports.
 
     def handle_report(self, key: str, report: load_reports.LoadReport, now: float) -> None:
-        """Replace the rows of a reporter; a report without rows says nothing of them."""
+        """Replace the rows of a reporter; a report without rows says nothing of them.
+
+        Reports of the same sequence number are parts of one.
+        """
         previous = self._reported.get(key)
         if not report.contending_services or (previous and previous.sequence > report.sequence):
             return
-        rows = tuple(row.shifted(now) for row in read_rows(report))
+        rows = {row.key: row.shifted(now) for row in read_rows(report)}
+        if previous and previous.sequence == report.sequence:
+            rows = {**previous.rows, **rows}
         self._reported[key] = _ReportedRows(rows, report.sequence, now)
 
     def remove_reporter(self, key: str) -> None:
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -240,6 +240,13 @@
         """Return the contention for a service at all entries."""
         return self._contention.view(service, self._counted_keys(now), now)
 
+    def _describe_contention(
+        self, now: float, summed: list[str] | None = None
+    ) -> list[contention.Row]:
+        if self._contention.is_empty:
+            return []
+        return self._contention.describe(now, self._counted_keys(now), summed)
+
     def _counted_keys(self, now: float) -> list[str]:
         return [key for key, item in self._reporters.items() if self._is_counted(item, now)]
 
@@ -419,10 +426,11 @@
             {service: meter.rate(now) for service, meter in self._requests.items()},
             self._statements.describe(now, only_changes=only_changes),
         )
-        rows = self._contention.describe(now, self._counted_keys(now))
+        contending = _split_rows(base, self._describe_contention(now))
         if only_changes:
-            return [_with_loads(_with_rows(base, rows), list(totals.items()), only_changes=True)]
-        return self._split(base, totals) + _make_row_reports(base, rows)
+            first = contending[0] if contending else base
+            return [_with_loads(first, list(totals.items()), only_changes=True), *contending[1:]]
+        return self._split(base, totals) + contending
 
     def make_summary(
         self, *, entry: str, incarnation: str, sequence: int, now: float
@@ -453,8 +461,8 @@
             self._statements.describe(now, of_zone=True),
         )
         in_zone = [key for key, item in self._reporters.items() if self._is_in_summary(item, now)]
-        rows = self._contention.describe(now, self._counted_keys(now), in_zone)
-        return self._split(base, totals) + _make_row_reports(base, rows)
+        rows = self._describe_contention(now, in_zone)
+        return self._split(base, totals) + _split_rows(base, rows)
 
     def _make_base(
         self,
@@ -508,25 +516,22 @@
         ]
 
 
-def _with_rows(
-    base: load_reports.LoadReport, rows: list[contention.Row]
-) -> load_reports.LoadReport:
-    """Return a copy of a report with rows of the contention."""
-    if not rows:
-        return base
-    return attrs.evolve(
-        base,
-        contending_services=tuple(row.service for row in rows),
-        contending_workspaces=tuple(row.workspace for row in rows),
-        contention=tuple(value for row in rows for value in row.to_values()),
-    )
-
-
-def _make_row_reports(
+def _split_rows(
     base: load_reports.LoadReport, rows: list[contention.Row]
 ) -> list[load_reports.LoadReport]:
-    """Return a report of the contention alone, beside the parts that are full of loads."""
-    return [_with_loads(_with_rows(base, rows), [], only_changes=True)] if rows else []
+    """Return reports of rows of the contention, without loads; none for no rows."""
+    reports = []
+    for first in range(0, len(rows), contention.MAX_ROWS_PER_REPORT):
+        part = rows[first : first + contention.MAX_ROWS_PER_REPORT]
+        report = attrs.evolve(
+            base,
+            only_changes=True,
+            contending_services=tuple(row.service for row in part),
+            contending_workspaces=tuple(row.workspace for row in part),
+            contention=tuple(value for row in part for value in row.to_values()),
+        )
+        reports.append(report)
+    return reports
 
 
 def _with_loads(
--- a/flamingoramp/routing/tests/test_contention.py
+++ b/flamingoramp/routing/tests/test_contention.py
@@ -7,7 +7,7 @@
 import attrs
 
 from flamingoramp.intent import traffic
-from flamingoramp.protocol import load_reports
+from flamingoramp.protocol import codec, load_reports
 from flamingoramp.routing import contention, load_table
 
 SERVICE = "engines"
@@ -156,8 +156,22 @@
     def test_a_report_is_bounded(self):
         for number in range(200):
             self.tables["e1"].contention.add_waiting(make_request(f"w{number}"), 0.0)
-        (report,) = self.report("e1", 0.0, only_changes=True)
-        self.assertLessEqual(len(report.contending_services), contention.MAX_REPORTED_ROWS)
+        reports = self.report("e1", 0.0, self.tables["e2"], only_changes=True)
+        counts = [len(report.contending_services) for report in reports]
+        self.assertLessEqual(max(counts), contention.MAX_ROWS_PER_REPORT)
+        self.assertEqual(sum(counts), contention.MAX_REPORTED_ROWS)
+        self.assertEqual(self.ahead(self.tables["e2"], 0.0), contention.MAX_REPORTED_ROWS)
+        self.report("e1", 0.1, self.tables["e2"], only_changes=True)
+        self.assertEqual(self.ahead(self.tables["e2"], 0.1), contention.MAX_REPORTED_ROWS)
+
+    def test_a_full_report_fits_a_datagram(self):
+        book = self.tables["e1"].contention
+        for number in range(contention.MAX_ROWS_PER_REPORT):
+            request = make_request(f"workspace-{number:03}", deadline=10.1 + number)
+            book.add_waiting(request, 0.0)
+            book.record_use(request, 0.0)
+        for report in self.report("e1", 0.3, only_changes=True):
+            self.assertLessEqual(len(codec.encode("entry-a-01", report, clock=1)), 1400)
 
     def test_rows_without_their_values_are_invalid(self):
         with self.assertRaises(ValueError):
