--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -12,7 +12,7 @@
 
 from flamingoramp import value_classes
 from flamingoramp.protocol import load_reports
-from flamingoramp.routing import rates, statements
+from flamingoramp.routing import contention, rates, statements
 
 # Upper bounds of the pause objective of strict and relaxed requests; all others are patient.
 STRICT_PAUSE_SECONDS = 0.4
@@ -235,20 +235,44 @@
         self._reported_placements = rates.RateMeter()
         self._statements = statements.ServerStatements()
         self._entry_counts: dict[str, int] = {}
+        self._contention = contention.ContentionBook()
         # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
         self._changed_before: set[str] = set()
 
     @property
     def has_unreported_changes(self) -> bool:
-        """Whether this entry's work, or what servers state, changed since the last report."""
-        return bool(self._changed) or self._statements.has_unreported_changes
+        """Whether work, contention or what servers state changed since the last report."""
+        return (
+            bool(self._changed)
+            or self._statements.has_unreported_changes
+            or self._contention.has_unreported_changes
+        )
 
     @property
     def statements(self) -> statements.ServerStatements:
         """What servers state of themselves in answers to this entry and to others."""
         return self._statements
 
+    @property
+    def contention(self) -> contention.ContentionBook:
+        """Requests that wait for room at this entry and at others, and what workspaces use."""
+        return self._contention
+
+    def view_contention(self, service: str, now: float) -> contention.View:
+        """Return the contention for a service at all entries."""
+        return self._contention.view(service, self._counted_keys(now), now)
+
+    def _describe_contention(
+        self, now: float, summed: list[str] | None = None
+    ) -> list[contention.Row]:
+        if self._contention.is_empty:
+            return []
+        return self._contention.describe(now, self._counted_keys(now), summed)
+
+    def _counted_keys(self, now: float) -> list[str]:
+        return [key for key, item in self._reporters.items() if self._is_counted(item, now)]
+
     def add(self, work: WorkItem) -> None:
         """Add a work item of this entry."""
         self._own.setdefault(work.server, {})[id(work)] = work
@@ -404,6 +428,7 @@
                 now,
                 of_own_zone=reporter.zone == self._zone and not reporter.is_summary,
             )
+        self._contention.handle_report(key, report, now)
         loads = _read_loads(report)
         if not report.only_changes:
             if report.sequence <= reporter.sequences.get(report.part, -1):
@@ -427,6 +452,7 @@
 
     def _remove_reporter(self, key: str) -> None:
         reporter = self._reporters.pop(key, None)
+        self._contention.remove_reporter(key)
         if reporter is not None:
             for server in list(reporter.servers):
                 self._remove_reported(server, key)
@@ -481,9 +507,11 @@
             {service: meter.rate(now) for service, meter in self._requests.items()},
             self._statements.describe(now, only_changes=only_changes),
         )
+        contending = _split_rows(base, self._describe_contention(now))
         if only_changes:
-            return [_with_loads(base, list(totals.items()), only_changes=True)]
-        return self._split(base, totals)
+            first = contending[0] if contending else base
+            return [_with_loads(first, list(totals.items()), only_changes=True), *contending[1:]]
+        return self._split(base, totals) + contending
 
     def make_summary(
         self, *, entry: str, incarnation: str, sequence: int, now: float
@@ -513,7 +541,9 @@
             request_rates,
             self._statements.describe(now, of_zone=True),
         )
-        return self._split(base, totals)
+        in_zone = [key for key, item in self._reporters.items() if self._is_in_summary(item, now)]
+        rows = self._describe_contention(now, in_zone)
+        return self._split(base, totals) + _split_rows(base, rows)
 
     def _make_base(
         self,
@@ -567,6 +597,24 @@
         ]
 
 
+def _split_rows(
+    base: load_reports.LoadReport, rows: list[contention.Row]
+) -> list[load_reports.LoadReport]:
+    """Return reports of rows of the contention, without loads; none for no rows."""
+    reports = []
+    for first in range(0, len(rows), contention.MAX_ROWS_PER_REPORT):
+        part = rows[first : first + contention.MAX_ROWS_PER_REPORT]
+        report = attrs.evolve(
+            base,
+            only_changes=True,
+            contending_services=tuple(row.service for row in part),
+            contending_workspaces=tuple(row.workspace for row in part),
+            contention=tuple(value for row in part for value in row.to_values()),
+        )
+        reports.append(report)
+    return reports
+
+
 def _with_loads(
     base: load_reports.LoadReport, items: list[tuple[str, ServerLoad]], **changes: object
 ) -> load_reports.LoadReport:
