Refusals of the owners' path keep their class; time to come back after a wait

Found by the whole test run: eight tests of the dispatcher failed once the selection was imported. Cause: a subclass of OverloadedError replaced it for the code that other processes send. The time until an engine is free is an attribute now. Waiting requests that are refused at the end of their time or displaced name the time at which room is expected, like all others.

--- a/flamingoramp/dispatch/room_queue.py
+++ b/flamingoramp/dispatch/room_queue.py
@@ -216,7 +216,10 @@
                 waited_seconds=now - request.arrived_at,
                 is_arrival=False,
             )
-        except selection.NoRoomError as error:
+        except errors.OverloadedError as error:
+            if error.seconds_until_free is None:
+                self._decide(item, error, "no_server")
+                return None
             room = self._measure_room(request.service, horizon_seconds, now)
             no_room = self._expect_room("no_room", room, needed)
             return attrs.evolve(
@@ -229,6 +232,13 @@
         self._decide(item, target, "placed")
         return None
 
+    def _expected_seconds(self, item: _WaitingItem, now: float) -> float:
+        """Return the time until there is room for a request by the known load."""
+        request = item.request
+        ahead = self._loads.view_contention(request.service, now).ahead_of(request)
+        room = self._measure_room(request.service, request.place_by - request.arrived_at, now)
+        return self._expect_room("", room, ahead.need.plus(request.need)).expected_seconds
+
     def _measure_room(
         self, service_name: str, horizon_seconds: float, now: float
     ) -> contention.Room | None:
@@ -284,7 +294,7 @@
             last = max(others, key=lambda other: view.order_key(other.request), default=None)
             if last is None or view.order_key(last.request) <= view.order_key(item.request):
                 return False
-            self._refuse(last, "displaced", 0.0)
+            self._refuse(last, "displaced", self._expected_seconds(last, now))
         return True
 
     def _is_full(self, item: _WaitingItem) -> bool:
@@ -348,7 +358,7 @@
         self._book.refresh(now)
         for item in list(self._items.values()):
             if item.is_queued and now >= item.request.place_by:
-                self._refuse(item, "time_over", 0.0)
+                self._refuse(item, "time_over", self._expected_seconds(item, now))
         if not was_suspended:
             for service in {item.request.service for item in self._items.values()}:
                 self._place_waiting(service, now)
--- a/flamingoramp/dispatch/tests/test_room_queue.py
+++ b/flamingoramp/dispatch/tests/test_room_queue.py
@@ -187,10 +187,13 @@
         self.assertEqual(waiting.statuses, [429])
         self.assertIn((b"outcome", b"not_run"), waiting.exchange.headers)
         self.assertLess(waiting.finished_at - waiting.arrived_at, 2.0)  # the caller's patience
+        self.assertGreater(waiting.retry_after[0], 0.0)
 
     @staticmethod
     def no_room(*_arguments, **_options):
-        raise selection.NoRoomError("none", seconds_until_free=0.0)
+        error = selection.overload_error("none", 0.0)
+        error.seconds_until_free = 0.0
+        raise error
 
     def test_a_caller_who_has_gone_does_not_wait(self):
         self.fill()
--- a/flamingoramp/errors.py
+++ b/flamingoramp/errors.py
@@ -125,11 +125,16 @@
 
 
 class OverloadedError(FlamingorampError):
-    """The request can't meet its time limit at the current load."""
+    """The request can't meet its time limit at the current load.
+
+    ``seconds_until_free`` is the shortest wait until an engine starts another prefill, None if it
+    isn't for lack of room at the engines that the request is refused.
+    """
 
     code = "overloaded"
     status = 429
     outcome = Outcome.NOT_RUN
+    seconds_until_free: float | None = None
 
 
 class QuotaExceededError(OverloadedError):
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -36,22 +36,6 @@
 RETRY_AFTER_JITTER_RATIO = 0.3
 
 
-class NoRoomError(errors.OverloadedError):
-    """No engine can serve the request in time; it may once others have ended.
-
-    Parameters
-    ----------
-    message : str
-    seconds_until_free : float
-        Shortest wait until an engine starts another prefill.
-    """
-
-    def __init__(self, message: str, *, seconds_until_free: float):
-        wait = max(attempts.RETRY_AFTER_SECONDS, seconds_until_free)
-        super().__init__(message, retry_after=_add_jitter(wait))
-        self.seconds_until_free = seconds_until_free
-
-
 class ServerSelector:
     """Selects servers from the registry by their load and by their recent behavior.
 
@@ -112,8 +96,8 @@
         flamingoramp.errors.NoBackendError
             If no server of the service is known.
         flamingoramp.errors.OverloadedError
-            If no engine can serve the request in time, as `NoRoomError`, or the servers restrict
-            their use.
+            If no engine can serve the request in time, with ``seconds_until_free``, or the servers
+            restrict their use.
         """
         service = declaration.find_service(admitted.service)
         if is_arrival:
@@ -138,10 +122,10 @@
         if is_arrival and not excluded:
             self._loads.record_arrival(service.name, request.credit, now)
         if chosen is None:
-            raise NoRoomError(
-                "no engine has room in time",
-                seconds_until_free=planner.seconds_until_free(candidates),
-            )
+            free_in = planner.seconds_until_free(candidates)
+            error = overload_error("no engine has room in time", free_in)
+            error.seconds_until_free = free_in
+            raise error
         return _to_target(chosen, request, records, now)
 
     def record_arrival(self, admitted: attempts.AdmittedRequest, now: float) -> None:
