--- a/flamingoramp/dispatch/tests/test_room_queue.py
+++ b/flamingoramp/dispatch/tests/test_room_queue.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from flamingoramp import errors
 from flamingoramp.dispatch import room_queue
 from flamingoramp.dispatch.tests import contended_entries
 from flamingoramp.routing import contention, selection
@@ -300,3 +301,11 @@
             expected = self.run_overload()
         self.assertEqual(events, expected)
         self.assertIn("refused", [fields.get("outcome") for _, fields in events])
+
+
+class TestCodesOfOtherProcesses(unittest.TestCase):
+    """What an entry imports for its queue doesn't change the errors that codes stand for."""
+
+    def test_overloaded_stands_for_the_error_of_that_code(self):
+        error = errors.error_from_code("overloaded", "full", retry_after=2.0)
+        self.assertIs(type(error), errors.OverloadedError)
