--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -20,12 +20,11 @@
 # An entry that hasn't reported for longer is assumed to have stopped, and its work with it, unless
 # its reports state another time.
 REPORT_EXPIRY_SECONDS = 1.5
-# A zone's entries report directly once its summaries are missing for this long, three times the
-# interval of summaries.
-SUMMARY_END_SECONDS = 0.6
 # Share of the time for which a report is valid after which its sender counts as out of contact: two
 # of its heartbeats.
 CONTACT_RATIO = 0.4
+# Time constant of the rate by which an entry notices a burst before others report theirs.
+BURST_TIME_CONSTANT_SECONDS = 0.5
 # Number of entries that is assumed while the others aren't known.
 ASSUMED_ENTRY_COUNT = 200
 # Servers of one report part; a packed record takes about 25 bytes, and a datagram carries 1,400.
@@ -222,8 +221,6 @@
 
     def __init__(self, zone: str = ""):
         self._zone = zone
-        # Zones whose entries report to this one directly, though there are many.
-        self.direct_zones: frozenset[str] = frozenset()
         self._part_count = 0
         self._own: dict[str, dict[int, WorkItem]] = {}
         self._reporters: dict[str, _Reporter] = {}
@@ -233,6 +230,7 @@
         self._arrivals: dict[str, rates.RateMeter] = {}
         self._requests: dict[str, rates.RateMeter] = {}
         self._reported_placements = rates.RateMeter()
+        self._recent_requests: dict[str, rates.RateMeter] = {}
         self._statements = statements.ServerStatements()
         self._entry_counts: dict[str, int] = {}
         self._contention = contention.ContentionBook()
@@ -298,6 +296,11 @@
     def record_attempt(self, service: str, now: float) -> None:
         """Record that a server of a service is chosen for a request at this entry."""
         self._requests.setdefault(service, rates.RateMeter()).add(1.0, now)
+        recent = self._recent_requests.get(service)
+        if recent is None:
+            recent = rates.RateMeter(BURST_TIME_CONSTANT_SECONDS)
+            self._recent_requests[service] = recent
+        recent.add(1.0, now)
 
     def request_rate(self, service: str, now: float) -> float:
         """Return the attempts per second for a service at all entries that report them."""
@@ -309,7 +312,7 @@
         )
 
     def reported_placement_rate(self, now: float) -> float:
-        """Return the requests per second that entries which report directly place."""
+        """Return the requests per second that other entries of this zone place, as reported."""
         return self._reported_placements.rate(now)
 
     def set_entry_counts(self, counts: dict[str, int]) -> None:
@@ -329,7 +332,8 @@
     def total_request_rate(self, service: str, now: float) -> float:
         """Return the attempts per second for a service at all entries.
 
-        Those that don't report theirs are assumed to have the mean of the others.
+        Those that don't report theirs are assumed to have the mean of the others. A burst at this
+        entry is taken for one at all entries.
         """
         own = self._requests.get(service)
         rate = own.rate(now) if own is not None else 0.0
@@ -339,7 +343,10 @@
             if reporter.has_rates(now) and self._is_counted(reporter, now)
         ]
         rate += sum(reporter.request_rates.get(service, 0.0) for reporter in reporting)
-        return rate * max(1.0, self._entry_count / self._count_entries(reporting, now))
+        rate *= max(1.0, self._entry_count / self._count_entries(reporting, now))
+        recent = self._recent_requests.get(service)
+        recent_rate = recent.certain_rate(now) if recent is not None else 0.0
+        return max(rate, recent_rate * self._entry_count)
 
     @property
     def _entry_count(self) -> int:
@@ -390,15 +397,9 @@
         if reporter.has_expired(now):
             return False
         if reporter.is_summary:
-            return reporter.zone != self._zone and not self._has_ended(reporter, now)
+            return reporter.zone != self._zone
         summary = self._reporters.get(f"zone/{reporter.zone}")
-        return reporter.zone == self._zone or summary is None or self._has_ended(summary, now)
-
-    def _has_ended(self, summary: _Reporter, now: float) -> bool:
-        """Return whether a zone's summaries no longer arrive."""
-        if summary.zone in self.direct_zones:
-            return now - summary.received_at >= SUMMARY_END_SECONDS
-        return summary.has_expired(now)
+        return reporter.zone == self._zone or summary is None or summary.has_expired(now)
 
     def handle_report(self, report: load_reports.LoadReport, now: float) -> None:
         """Apply another entry's report, except for servers with a newer one."""
@@ -438,8 +439,7 @@
                 previous = self._reported[server][key]
                 if previous.part == report.part and previous.sequence < report.sequence:
                     self._remove_reported(server, key)
-        is_direct = reporter.zone == self._zone or reporter.zone in self.direct_zones
-        counts_placements = is_direct and not reporter.is_summary
+        counts_placements = reporter.zone == self._zone and not reporter.is_summary
         for server, load in loads.items():
             reports = self._reported.setdefault(server, {})
             previous = reports.get(key)
--- a/flamingoramp/routing/tests/test_statements.py
+++ b/flamingoramp/routing/tests/test_statements.py
@@ -61,6 +61,8 @@
         Share of the load reports that are lost.
     late_starts : dict of str to float
         Times at which some entries start.
+    message_delay_seconds : float
+        Until an entry handles a message of another one.
     """
 
     def __init__(
@@ -72,10 +74,11 @@
         seed: int,
         loss_ratio: float = 0.0,
         late_starts: dict[str, float] | None = None,
+        message_delay_seconds: float = MESSAGE_DELAY_SECONDS,
     ):
         self.network = test_load_exchange.Network(
             zone_sizes,
-            delay_seconds=MESSAGE_DELAY_SECONDS,
+            delay_seconds=message_delay_seconds,
             loss_ratio=loss_ratio,
             late_starts=late_starts,
         )
@@ -111,9 +114,7 @@
         try:
             target = self._selector(entry).choose(
                 self._declaration,
-                types.SimpleNamespace(
-                    service="desk", caller=types.SimpleNamespace(prompt_tokens=0)
-                ),
+                self.make_request(),
                 set(),
                 now=now,
                 control_reachable=True,
@@ -129,6 +130,10 @@
         entry.exchange.schedule_report()
         self.loop.call_later(0.1, lambda: self._handle_answer(entry, target))
 
+    def make_request(self) -> types.SimpleNamespace:
+        """Return an admitted request, as far as the choice of a server reads it."""
+        return types.SimpleNamespace(service="desk", caller=types.SimpleNamespace(prompt_tokens=0))
+
     def _handle_answer(self, entry: test_load_exchange.Entry, target) -> None:
         limit = self.limits.get(target.server.server, math.inf)
         entry.loads.statements.record_statement(
