Entries that start together place their first requests at different engines

Cause: all rank the engines alike, and the rate of others' placements, from which the spread follows, is not known after a start. Now an entry draws from all engines of about equal cost in its first 2 s.

--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -143,6 +143,7 @@
             self._observations,
             zone=zone,
             evacuations=self._evacuations,
+            started_at=self._started_at,
         )
         self._warm_ups = warm_ups.ServerWarmUps(
             loop,
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -32,6 +32,10 @@
 # Smallest share of the objective of the first token that is left to a request that has waited; the
 # objective may not become 0.
 MIN_OBJECTIVE_RATIO = 0.1
+# An entry that started less than this ago doesn't know what others place, which may have started at
+# the same moment, with requests that waited. It then expects so many placements by others.
+LOAD_DISCOVERY_SECONDS = 2.0
+UNKNOWN_PLACEMENT_COUNT = 100.0
 # Largest random addition to the time after which callers retry, as a share of that time, so that
 # they don't all retry at once.
 RETRY_AFTER_JITTER_RATIO = 0.3
@@ -62,6 +66,8 @@
         Availability zone of this entry.
     evacuations : container of str
         Evacuated availability zones, whose servers are not selected.
+    started_at : float
+        Start of this entry, in monotonic seconds.
     """
 
     def __init__(
@@ -72,7 +78,9 @@
         *,
         zone: str,
         evacuations: Container[str] = (),
+        started_at: float = float("-inf"),
     ):
+        self._started_at = started_at
         self._registry = member_registry
         self._loads = loads
         self._statements = loads.statements
@@ -148,7 +156,7 @@
             request,
             candidates,
             arriving_credit=arriving_credit,
-            unreported_count=REPORT_DELAY_SECONDS * self._loads.reported_placement_rate(now),
+            unreported_count=self._count_unreported_placements(now),
             draw=random.random(),
         )
         if is_arrival and not excluded:
@@ -206,6 +214,12 @@
         )
         return contention.Room(free, running)
 
+    def _count_unreported_placements(self, now: float) -> float:
+        """Return the expected number of placements by others that aren't known here yet."""
+        if now < self._started_at + LOAD_DISCOVERY_SECONDS:
+            return UNKNOWN_PLACEMENT_COUNT
+        return REPORT_DELAY_SECONDS * self._loads.reported_placement_rate(now)
+
     def _find_servers(self, service: str, excluded: set[str], now: float) -> _Servers:
         usable = []
         limited = []
