Requests compete in order only where routes of one service declare different priorities

Cause: workspaces of different priority counted as a request for the order, and all deployments have these. Now routes of one service must differ.

--- a/flamingoramp/dispatch/room_queue.py
+++ b/flamingoramp/dispatch/room_queue.py
@@ -1,6 +1,6 @@
 """Queue of the requests of one entry that wait until engines have room for them.
 
-Only services with an engine model whose requests have different ranks use it; all others are
+Only services with an engine model whose routes have different priorities use it; all others are
 forwarded as they arrive. `routing.contention` decides about the order.
 """
 
--- a/flamingoramp/routing/contention.py
+++ b/flamingoramp/routing/contention.py
@@ -573,11 +573,20 @@
 
 
 def ranks_of(declaration: traffic.TrafficDeclaration, service: str) -> frozenset[int]:
-    """Return the ranks that requests for a service can have."""
+    """Return the ranks that requests for a service can have; none if its routes don't differ.
+
+    A declaration asks for an order by routes of one service with different priorities. Priorities
+    of workspaces alone are only passed on to the engines.
+    """
+    routes = [
+        route
+        for route in declaration.routes
+        if any(share.service == service and share.weight for share in route.shares)
+    ]
+    if len({route.priority for route in routes}) < 2:
+        return frozenset()
     ranks = set()
-    for route in declaration.routes:
-        if not any(share.service == service and share.weight for share in route.shares):
-            continue
+    for route in routes:
         if route.is_public or not declaration.workspaces:
             ranks.add(route.priority)
         for workspace in declaration.workspaces:
