--- a/bench/experiment/main.py
+++ b/bench/experiment/main.py
@@ -5,7 +5,6 @@
 import importlib
 import json
 import pathlib
-import random
 import sys
 import time
 from concurrent import futures
@@ -78,8 +77,6 @@
 def run_task(task: Task) -> dict[str, Any]:
     """Simulate one run and return its summary; the policy's constants stay set in this process."""
     task.policy.apply()
-    # Entries add jitter to Retry-After times from the global random generator.
-    random.seed(task.seed)
     deployment = workloads.scale_load(workloads.DEPLOYMENTS[task.deployment], task.load)
     pattern = workloads.PATTERNS[task.pattern]
     result = simulation.Simulation(
--- a/bench/experiment/simulation.py
+++ b/bench/experiment/simulation.py
@@ -130,6 +130,7 @@
         self._deployment = deployment
         self._pattern = pattern
         self._arrival_seconds = arrival_seconds
+        self._seed = seed
         self._choice_rng = random.Random(f"{seed}/choices")
         self._request_id_rng = random.Random(f"{seed}/retries")
         self.loop = virtual_time.VirtualLoop()
@@ -151,6 +152,8 @@
 
     def run(self) -> RunResult:
         """Run the simulation until `COMPLETION_SECONDS` after the last arrival."""
+        # Entries draw from the global random generator.
+        random.seed(self._seed)
         loop = self.loop
         self._announce_entries()
         self._announce_engines()
