--- a/flamingoramp/runtime/tests/test_transport.py
+++ b/flamingoramp/runtime/tests/test_transport.py
@@ -63,6 +63,35 @@
         self.run_until(lambda: len(received) == 200)
         self.assertEqual([message.id for _, message in received], [f"{n}" for n in range(200)])
 
+    # A host without power answers no connect, and the kernel repeats one only after a second.
+    def test_host_that_starts_is_reached_within_half_a_second(self):
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            address = listener.getsockname()
+            waiting = socket.create_connection(address)
+            self.addCleanup(waiting.close)
+            sender = self.make_transport("sender", [])
+            name = f"127.0.0.1:{address[1]}"
+            sender.send(name, shard_messages.Settled("lost"))
+            begun_at = self.loop.now()
+            self.run_until(lambda: self.loop.now() > begun_at + 0.15)
+            listener.listen(8)
+            listener.accept()[0].close()
+            listener.setblocking(False)
+            started_at = self.loop.now()
+
+            def is_reached() -> bool:
+                sender.send(name, shard_messages.Settled("second"))
+                try:
+                    self.addCleanup(listener.accept()[0].close)
+                except BlockingIOError:
+                    return False
+                return True
+
+            self.run_until(is_reached)
+            self.assertLess(self.loop.now() - started_at, 0.5)
+
     def test_unresponsive_connection_is_closed_and_reopened(self):
         received: list = []
         sender, receiver = (
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -19,6 +19,9 @@
 PING_INTERVAL_SECONDS = 0.8
 RECEIVE_TIMEOUT_SECONDS = 2.0
 RECONNECT_DELAY_SECONDS = 0.1
+# The kernel repeats an unanswered connect only after a second; a host that is starting can answer
+# much sooner.
+CONNECT_TIMEOUT_SECONDS = 0.2
 SEND_BUFFER_LIMIT_BYTES = 32 * 1024 * 1024
 
 
@@ -88,6 +91,12 @@
         """Close the connection immediately, without removing it from its transport."""
         self._stream.close()
 
+    def abandon_connect(self) -> None:
+        """Close the connection if the peer hasn't accepted it yet; the messages are lost."""
+        if self._stream.is_open and not self._stream.sent_bytes:
+            self.close()
+            self._handle_closed()
+
     def check_liveness(self, now: float) -> None:
         """Close the connection after a receive timeout; else ping the peer if opened here.
 
@@ -235,6 +244,7 @@
             return None
         connection = Connection(self, sock, address)
         self._outgoing[address] = connection
+        self.loop.call_later(CONNECT_TIMEOUT_SECONDS, connection.abandon_connect)
         return connection
 
     def _accept(self, _events: int) -> None:
