Entries that learn of each other report their work to each other at once

Cause: an entry chose the receivers of its load reports every 0.4 s, and a report of changes sent to nobody counted as sent. Change: the choice follows a change of the known entries by 20 ms; a report of all work goes to new receivers at once.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -375,6 +375,8 @@
             self._handle_server_record(record, now)
         for record in update.entries:
             self._registry.update_entry(record, now)
+        if update.entries:
+            self._load_exchange.handle_member_change()
         self._request_handler.crash_evidence.apply_records(update.crashes, now)
         if update.controls and update.confirmed and update.controls != self._control_hosts:
             self._control_hosts = update.controls
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -27,6 +27,8 @@
 # placements use engines of another zone.
 SUMMARY_SECONDS = 0.2
 TARGET_REFRESH_SECONDS = 0.4
+# Delay from a change of the known entries to the choice of targets, which several changes share.
+MEMBER_CHANGE_DELAY_SECONDS = 0.02
 # Time after its start within which an entry learns of the others.
 DISCOVERY_SECONDS = 2.0
 
@@ -68,6 +70,7 @@
         self._send = send
         self._sequence_numbers = itertools.count(1)
         self._is_report_scheduled = False
+        self._is_choice_scheduled = False
         self._heartbeat_count = 0
         self._reported_at = self._started_at = loop.now()
         self._targets = report_targets.ReportTargets([])
@@ -87,6 +90,12 @@
             self._is_report_scheduled = True
             self._loop.call_later(REPORT_DELAY_SECONDS, self._report_changes)
 
+    def handle_member_change(self) -> None:
+        """Choose the targets again soon, since other entries became known or have ended."""
+        if not self._is_choice_scheduled:
+            self._is_choice_scheduled = True
+            self._loop.call_later(MEMBER_CHANGE_DELAY_SECONDS, self._choose_targets)
+
     def handle_report(self, report: load_reports.LoadReport) -> None:
         """Apply another entry's report; as forwarder, pass a summary of another zone on."""
         now = self._loop.now()
@@ -141,6 +150,7 @@
             self._send(self._targets.remote_forwarders, summary)
 
     def _choose_targets(self) -> None:
+        self._is_choice_scheduled = False
         now = self._loop.now()
         others = [record for record in self._registry.entries() if record.entry != self._name]
         self._entry_count = 1 + len(others)
@@ -149,6 +159,7 @@
             counts = collections.Counter(record.zone for record in others)
             counts[self._zone] += 1
             self._loads.set_entry_counts(dict(counts))
+        previous = self._targets
         self._targets = report_targets.choose_targets(
             self._name,
             self._zone,
@@ -159,3 +170,6 @@
                 if self._directory.reported_recently(record.entry, now)
             },
         )
+        # New targets missed the earlier reports of changes.
+        if not set(self._targets.direct) <= set(previous.direct):
+            self._send_report(only_changes=False)
--- a/flamingoramp/routing/tests/test_load_exchange.py
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -25,6 +25,7 @@
     zone: str
     loads: load_table.LoadTable
     exchange: load_exchange.LoadExchange
+    registry: registry.Registry
 
 
 class Network:
@@ -40,6 +41,8 @@
         Share of the messages that are lost.
     late_starts : dict of str to float
         Times at which some entries start, which the others know of from the beginning.
+    knows_others : bool
+        Whether each entry knows of the others when it starts.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         between_zones_seconds: float | None = None,
         loss_ratio: float = 0.0,
         late_starts: dict[str, float] | None = None,
+        knows_others: bool = True,
     ):
         self._delay_seconds = delay_seconds
         self._between_zones_seconds = between_zones_seconds
@@ -66,11 +70,12 @@
             for zone, size in zone_sizes.items()
             for n in range(size)
         ]
+        self.records = records
         rng = random.Random(1)
         for record in records:
             self.loop.call_later(
                 (late_starts or {}).get(record.entry, rng.uniform(0.0, START_SECONDS)),
-                lambda starting=record: self._start(starting, records),
+                lambda starting=record: self._start(starting, records if knows_others else []),
             )
 
     def _start(self, record: messages.EntryRecord, records: list[messages.EntryRecord]) -> None:
@@ -88,7 +93,9 @@
             zone=record.zone,
             send=lambda addresses, report: self._send(record, addresses, report),
         )
-        self.entries[record.entry] = Entry(record.entry, record.zone, loads, exchange)
+        self.entries[record.entry] = Entry(
+            record.entry, record.zone, loads, exchange, member_registry
+        )
 
     def _send(
         self, source: messages.EntryRecord, addresses: list[str], report: load_reports.LoadReport
@@ -173,6 +180,34 @@
         self.assertLessEqual(counts[3], 1.1 * counts[2])
 
 
+class TestWorkBeforeOthersAreKnown(unittest.TestCase):
+    """Load pattern: queued requests that start as soon as servers are known, after an outage.
+
+    The entries learn of each other a moment later. Each places its requests by what the others
+    report, so reports that nobody received are made up for at once.
+    """
+
+    def check(self, size: int) -> None:
+        network = Network({"a": size}, knows_others=False)
+        network.loop.advance(START_SECONDS + 0.1)
+        sender = network.entries["a00"]
+        sender.loads.add(load_table.WorkItem("engine", 0.25))
+        sender.exchange.schedule_report()
+        network.loop.advance(0.05)
+        for entry in network.entries.values():
+            for record in network.records:
+                entry.registry.update_entry(record, network.loop.now())
+            entry.exchange.handle_member_change()
+        network.loop.advance(0.05)
+        self.assertEqual(network.strict_counts("engine"), {1})
+
+    def test_few_entries_know_the_work_at_once(self):
+        self.check(7)
+
+    def test_all_entries_of_a_zone_know_the_work_at_once(self):
+        self.check(22)
+
+
 class TestWorkOfOtherZones(unittest.TestCase):
     """Summaries tell all entries of the work in other zones, also after a relay stopped."""
 
