--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -604,6 +604,8 @@
         now = self._context.loop.now()
         if self._first_event_at:
             fields["first_piece"] = round(self._first_event_at - self._arrived_at, 4)
+        if self._attempt is not None and self._attempt.event_gaps:
+            fields["longest_pause"] = round(max(self._attempt.event_gaps), 4)
         self._cancel_attempt()
         self._context.record_end(
             self._admitted,
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -630,6 +630,10 @@
             self._metrics.observe(
                 "time_to_first_token_seconds", fields["first_piece"], route=admitted.route.name
             )
+        if "longest_pause" in fields:
+            self._metrics.observe(
+                "longest_pause_seconds", fields["longest_pause"], route=admitted.route.name
+            )
         self._log.write("request.ended", admitted.caller.request_id, outcome=outcome, **fields)
 
     def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -398,6 +398,16 @@
         self.assert_ended(200)
         self.assertEqual(self.relayed_event_ids(), [1, 2, 3])
 
+    def test_end_tells_the_longest_pause_between_events(self):
+        self.start_request(STREAM)
+        self.receive_head("stream")
+        for event_id, pause_seconds in enumerate((0.0, 0.1, 0.4, 0.2), start=1):
+            self.context.loop.advance(pause_seconds)
+            self.receive_events(event_id)
+        self.complete_answer()
+        _, fields = self.context.outcomes[-1]
+        self.assertAlmostEqual(fields["longest_pause"], 0.4)
+
     def test_resumes_a_broken_stream_after_the_last_complete_event(self):
         self.start_request(STREAM)
         self.receive_head("stream")
