--- a/flamingoramp/tests/run.py
+++ b/flamingoramp/tests/run.py
@@ -8,7 +8,6 @@
 
 import importlib
 import io
-import multiprocessing
 import os
 import pathlib
 import sys
@@ -128,10 +127,7 @@
 
 def _run_units(units: list[str], worker_count: int) -> Iterator[Outcome]:
     """Run units in several processes and yield their outcomes as they end."""
-    executor = futures.ProcessPoolExecutor(
-        worker_count, mp_context=multiprocessing.get_context("spawn")
-    )
-    with executor:
+    with futures.ProcessPoolExecutor(worker_count) as executor:
         name_by_future = {executor.submit(run_unit, unit): unit for unit in units}
         for future in futures.as_completed(name_by_future):
             unit = name_by_future[future]
