--- a/flamingoramp/protocol/tests/test_codec.py
+++ b/flamingoramp/protocol/tests/test_codec.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import pathlib
 import typing
 import unittest
 
@@ -34,6 +36,8 @@
 FORMER_LOAD_REPORT = bytes.fromhex(
     "10165002020120000011050a5104030b00020c2040112912000111211200060161017a"
 )
+# A frame of each message as build 45d631f sends it, without its length, and its values by position.
+EARLIER_FRAMES = json.loads(pathlib.Path(__file__).with_name("earlier_frames.json").read_text())
 PROPERTY_SETTINGS = hypothesis.settings(derandomize=True, max_examples=25, deadline=None)
 
 
@@ -272,6 +276,48 @@
             codec.decode(bytes(frame))
 
 
+def list_values(value: typing.Any) -> typing.Any:
+    """Return a message as nested lists of its values, bytes in hexadecimal."""
+    if attrs.has(type(value)):
+        return [list_values(getattr(value, field.name)) for field in attrs.fields(type(value))]
+    if isinstance(value, tuple):
+        return [list_values(item) for item in value]
+    return value.hex() if isinstance(value, bytes) else value
+
+
+def has_values(value: typing.Any, earlier: typing.Any) -> bool:
+    """Return whether nested lists hold the earlier values; records may have further fields."""
+    if isinstance(earlier, list):
+        return (
+            isinstance(value, list)
+            and len(value) >= len(earlier)
+            and all(has_values(*pair) for pair in zip(value, earlier, strict=False))
+        )
+    return value == earlier
+
+
+class TestFramesOfAnEarlierBuild(unittest.TestCase):
+    """Hosts of two builds run side by side while they are replaced one after the other."""
+
+    def test_each_frame_is_decoded_with_its_values(self):
+        for name, item in EARLIER_FRAMES.items():
+            with self.subTest(message=name):
+                envelope = codec.decode(bytes.fromhex(item["frame"]))
+                self.assertEqual(type(envelope.message).__name__, name)
+                self.assertEqual((envelope.sender, envelope.clock), ("entry-a", 7))
+                self.assertTrue(has_values(list_values(envelope.message), item["values"]))
+
+    def test_earlier_build_finds_its_fields_in_what_is_sent_now(self):
+        for name, item in EARLIER_FRAMES.items():
+            with self.subTest(message=name):
+                message = codec.decode(bytes.fromhex(item["frame"])).message
+                frame = codec.encode("entry-a", message, clock=7)[codec.LENGTH_PREFIX.size :]
+                earlier = bytes.fromhex(item["frame"])
+                self.assertEqual(frame[:2], earlier[:2])
+                sent, recorded = (msgspec.msgpack.decode(data[2:]) for data in (frame, earlier))
+                self.assertTrue(has_values(sent, recorded))
+
+
 class TestFrameBuffer(unittest.TestCase):
     """The buffer returns the frames that were sent, however the byte stream is split."""
 
