A log of another build ends bench/losses.py with one line and code 2

Cause: a line without a field that the table needs raised KeyError. Result: a test; the traces of requests have a public name, since public functions take them.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -66,7 +66,7 @@
 
 
 @attrs.define
-class _Trace:
+class Trace:
     """Log lines of one request."""
 
     sent: list[dict[str, Any]] = attrs.field(factory=list)
@@ -101,7 +101,7 @@
     return Window(begin, item["n"], lost, tuple(sorted(active)))
 
 
-def read_log(path: pathlib.Path) -> dict[str, _Trace]:
+def read_log(path: pathlib.Path) -> dict[str, Trace]:
     """Return the requests in the logs of a day's processes, by request id.
 
     A line is the time of the day in seconds, the name of a process, and its log line.
@@ -111,7 +111,7 @@
     InputError
         The file can't be read, or holds no such line.
     """
-    traces: dict[str, _Trace] = collections.defaultdict(_Trace)
+    traces: dict[str, Trace] = collections.defaultdict(Trace)
     try:
         lines = path.read_text().splitlines()
     except (OSError, ValueError) as error:
@@ -134,7 +134,7 @@
     return dict(traces)
 
 
-def _add_event(trace: _Trace, name: str, event: dict[str, Any]) -> None:
+def _add_event(trace: Trace, name: str, event: dict[str, Any]) -> None:
     match name:
         case "request.sent":
             trace.sent.append(event)
@@ -164,14 +164,24 @@
     return sorted(objectives, key=lambda objective: objective.max_tokens)
 
 
-def find_losses(traces: dict[str, _Trace], objectives: list[Objective]) -> list[Loss]:
-    """Return the requests that the logs show as lost, in the order in which they began."""
+def find_losses(traces: dict[str, Trace], objectives: list[Objective]) -> list[Loss]:
+    """Return the requests that the logs show as lost, in the order in which they began.
+
+    Raises
+    ------
+    InputError
+        A log line lacks a field, as those of another build may.
+    """
     losses = []
     for request, trace in traces.items():
-        tokens = trace.sent[0]["prompt_tokens"] if trace.sent else 0
-        cause = _find_cause(trace, _choose_objective(tokens, objectives))
+        try:
+            tokens = trace.sent[0]["prompt_tokens"] if trace.sent else 0
+            cause = _find_cause(trace, _choose_objective(tokens, objectives))
+            began_at = _began_at(trace)
+        except (KeyError, TypeError) as error:
+            raise InputError(f"request {request}: log line of another build? {error!r}") from error
         if cause:
-            losses.append(Loss(request, _began_at(trace), tokens, cause))
+            losses.append(Loss(request, began_at, tokens, cause))
     return sorted(losses, key=lambda loss: loss.began_at)
 
 
@@ -179,13 +189,14 @@
     return next((item for item in objectives if 0 < tokens <= item.max_tokens), NO_OBJECTIVE)
 
 
-def _began_at(trace: _Trace) -> float:
+def _began_at(trace: Trace) -> float:
     if trace.end is not None:
         return trace.end["at"] - trace.end["seconds"]
-    return trace.sent[0]["at"] if trace.sent else trace.refused["at"] if trace.refused else 0.0
+    first_event = trace.sent[0] if trace.sent else trace.refused
+    return first_event["at"] if first_event else 0.0
 
 
-def _find_cause(trace: _Trace, objective: Objective) -> str:
+def _find_cause(trace: Trace, objective: Objective) -> str:
     """Return why a request was lost, empty if it was served in time as far as the logs tell."""
     if trace.refused is not None:
         code = trace.refused.get("code")
@@ -258,7 +269,7 @@
     totals = collections.Counter(loss.cause for loss in losses)
     for cause, count in totals.most_common():
         example = max(
-            (item for item in losses if item.cause == cause), key=lambda i: i.prompt_tokens
+            (item for item in losses if item.cause == cause), key=lambda item: item.prompt_tokens
         )
         print(f"{count:5} {cause}; largest: {example.request} at {example.began_at:.2f} s")
 
--- a/bench/tests/test_losses.py
+++ b/bench/tests/test_losses.py
@@ -154,6 +154,11 @@
         log = self.write("log", "\x00nothing\n{}\n")
         self.check(str(report), f"--log={log}")
 
+    def test_log_of_another_build(self):
+        report = self.write("report", '{"windows": [], "events": []}')
+        log = self.write("log", make_line(1.0, "request.sent", "a", tokens=1000))
+        self.check(str(report), f"--log={log}")
+
     def test_objectives_that_are_no_pairs(self):
         report = self.write("report", '{"windows": [], "events": []}')
         log = self.write("log", make_sent(1.0, "a"))
