An answer stays open while its caller still sends: a slow caller of a large body gets its 413

Cause: Stream.shut_down_gracefully closed a connection a second after the answer unless the caller took bytes of it; a caller who first sends the whole body takes none. It was reset, and the 413 was lost. Evidence: a caller that needs 2.5 s for its body got BrokenPipeError (new test, failed before).

--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -7,9 +7,10 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from flamingoramp.http import messages, server
-from flamingoramp.runtime import loop
+from flamingoramp.runtime import loop, stream
 
 TIMEOUT_SECONDS = 20.0
 LIMITS = server.Limits(header_bytes=8192, body_bytes=100_000)
@@ -211,6 +212,31 @@
         self.wait_for_busy_count(echo_server, 0, 1.0)
 
 
+class TestCallersThatSendOn(ServerTestCase):
+    """A refused caller who sends the rest of its body before it reads the answer."""
+
+    # Guards against a reset, and the loss of the 413, of a caller that needs longer for its body
+    # than the time after which an answer was closed.
+    def test_refusal_reaches_a_caller_that_sends_its_whole_body_first(self):
+        sock = self.connect(self.start_server())
+        part = b"x" * 20_000
+        sock.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 500000\r\n\r\n")
+        for _ in range(25):
+            sock.sendall(part)
+            time.sleep(2.5 * stream.DRAIN_TIMEOUT_SECONDS / 25)
+        self.assertEqual(read_response(sock)[0], 413)
+
+    def test_caller_that_never_ends_is_disconnected(self):
+        sock = self.connect(self.start_server())
+        sock.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 500000000\r\n\r\n")
+        with mock.patch.object(stream, "MAX_DRAIN_SECONDS", 1.5 * stream.DRAIN_TIMEOUT_SECONDS):
+            began_at = time.monotonic()
+            with self.assertRaises(ConnectionError):
+                while time.monotonic() < began_at + TIMEOUT_SECONDS:
+                    sock.sendall(b"x" * 20_000)
+                    time.sleep(0.02)
+
+
 class TestListener(unittest.TestCase):
     """The listening socket of a server that stops."""
 
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -11,8 +11,10 @@
 MAX_READ_BYTES = 256 * 1024
 TCP_USER_TIMEOUT_MS = 10_000
 # Time for the peer to read the last response before the connection is closed; it starts again
-# while the peer takes bytes of the output buffer.
+# while the peer takes bytes of the output buffer, or sends bytes that are discarded.
 DRAIN_TIMEOUT_SECONDS = 1.0
+# Longest time for which the bytes of a peer that goes on sending are discarded.
+MAX_DRAIN_SECONDS = 20.0
 
 
 class Stream:
@@ -51,6 +53,8 @@
         self._open = True
         self._write_interest = True
         self._discard_input = False
+        self._discarded_bytes = 0
+        self._drain_began_at = 0.0
         self._sent_bytes = 0
         self._was_reset = False
         sock.setblocking(False)
@@ -100,21 +104,27 @@
         """Send the output buffer, shut down the write side, and discard further input.
 
         Closing a socket with unread input resets the connection, which can discard the last
-        response before the peer has read it.
+        response before the peer has read it. Many callers read a response only after they have
+        sent their whole request.
         """
         if not self._open or self._close_requested:
             return
         self._close_requested = True
         self._discard_input = True
+        self._drain_began_at = self._loop.now()
         self._schedule_drain_check()
         if not self._output_buffer:
             self._shut_down_write_side()
 
     def _schedule_drain_check(self) -> None:
         sent_bytes = self._sent_bytes
+        discarded_bytes = self._discarded_bytes
 
         def _check() -> None:
-            if self._output_buffer and self._sent_bytes > sent_bytes:
+            takes_output = self._output_buffer and self._sent_bytes > sent_bytes
+            may_send_on = self._loop.now() - self._drain_began_at < MAX_DRAIN_SECONDS
+            sends_on = may_send_on and self._discarded_bytes > discarded_bytes
+            if takes_output or sends_on:
                 self._schedule_drain_check()
             else:
                 self.close()
@@ -158,6 +168,7 @@
             self._fail()
             return
         if data and self._discard_input:
+            self._discarded_bytes += len(data)
             return
         if data:
             self._on_data(data)
