Each placement of a long prompt is told to all entries at once, and placements that cross are made again

Ways, all from: as now; notices to all entries; notices and a wait of 15 ms in which the placement with the lower id stays and the other is made again (kept).

--- a/bench/experiment/figures.py
+++ b/bench/experiment/figures.py
@@ -9,7 +9,7 @@
 
 import matplotlib
 
-from bench import report
+from bench import meetings, report
 from bench.experiment import callers, simulation, workloads
 
 matplotlib.use("Agg")
@@ -26,8 +26,10 @@
     Returns
     -------
     dict
-        ``worth`` is the credit ratio, ``kinds`` has a summary for each kind of request, and
-        ``engine_time`` has the fraction of engine time spent on each type of pass.
+        ``worth`` is the credit ratio, ``kinds`` has a summary for each kind of request,
+        ``engine_time`` has the fraction of engine time spent on each type of pass, and
+        ``meetings`` those of long prompts that met another one and were slow, by gap, and that of
+        mispredicted short prompts.
     """
     by_kind = collections.defaultdict(list)
     for record in result.records:
@@ -41,9 +43,22 @@
         "worth": credit_ratio(result.records),
         "kinds": {name: _summarize_kind(records) for name, records in by_kind.items()},
         "engine_time": {name: seconds / total for name, seconds in seconds_by_pass.items()},
+        "meetings": _summarize_meetings(meetings.summarize(result.placed)),
     }
 
 
+def _summarize_meetings(summary: meetings.Summary) -> dict[str, float]:
+    long_count = max(1, summary.long_count)
+    ratios = {
+        "slow_after_meeting": summary.slow_after_meeting_count / long_count,
+        "mispredicted_short": summary.mispredicted_count / max(1, summary.short_count),
+    }
+    for position, gap in enumerate((*meetings.GAP_SECONDS, float("inf"))):
+        ratios[f"met_{gap:g}"] = summary.counts[position] / long_count
+        ratios[f"slow_{gap:g}"] = summary.slow_counts[position] / long_count
+    return ratios
+
+
 def credit_ratio(records: list[callers.RequestRecord]) -> float:
     """Return the earned credit relative to that of answers all on time; 1 without requests."""
     max_credit = sum(record.arrival.kind.on_time_credit for record in records)
--- a/bench/experiment/main.py
+++ b/bench/experiment/main.py
@@ -173,7 +173,10 @@
 
 
 def _print_table(means: dict[str, dict[str, dict[str, Any]]]) -> None:
-    print(f"{'pattern':12} {'policy':12} worth bound  on time by kind      short p95  refused")
+    print(
+        f"{'pattern':12} {'policy':12} worth bound  on time by kind      short p95  refused"
+        "  slow met  mispred."
+    )
     for pattern, by_policy in means.items():
         for policy, mean in by_policy.items():
             kinds = mean["kinds"]
@@ -186,6 +189,8 @@
             print(
                 f"{pattern:12} {policy:12} {mean['worth']:.3f} {bound}  {on_time}"
                 f"  {short['first_token_p95']:9.3f}  {short['shares']['refused']:.3f}"
+                f"  {mean['meetings']['slow_after_meeting']:8.3f}"
+                f"  {mean['meetings']['mispredicted_short']:8.4f}"
             )
 
 
--- a/bench/experiment/simulation.py
+++ b/bench/experiment/simulation.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bench import meetings
 from bench.experiment import callers, engines, typed_dialect, workloads
 from flamingoramp.dispatch import request_handler
 from flamingoramp.intent import traffic
@@ -40,31 +41,57 @@
         All requests, in order of arrival.
     usage : list of engines.Usage
         Time that each engine spent on each type of pass.
+    placed : list of meetings.PlacedPrompt
+        Prompts that were sent once and had a first token.
     """
 
     records: list[callers.RequestRecord]
     usage: list[engines.Usage]
+    placed: list[meetings.PlacedPrompt]
 
 
 class _PredictionLog:
     """Event log of the entries; it copies predicted and actual waits to the requests' records."""
 
-    def __init__(self, records: dict[str, callers.RequestRecord]):
+    def __init__(self, loop: virtual_time.VirtualLoop, records: dict[str, callers.RequestRecord]):
+        self._loop = loop
         self._records = records
-        self._last_sends: dict[str, tuple[float, float]] = {}
+        self._last_sends: dict[str, meetings.PlacedPrompt] = {}
+        self.placed: list[meetings.PlacedPrompt] = []
 
-    def write(self, event: str, request: str = "", **fields: Any) -> None:
+    def write(self, entry: str, event: str, request: str, fields: dict[str, Any]) -> None:
         """Copy the waits in a log line to the record of its request."""
         record = self._records.get(request)
         if record is None:
             return
         match event:
             case "request.sent":
-                self._last_sends[request] = (fields["waited"], fields["predicted"])
+                self._last_sends[request] = meetings.PlacedPrompt(
+                    self._loop.now(),
+                    entry,
+                    frozenset((fields["server"], *fields["helpers"])),
+                    fields["prompt_tokens"],
+                    fields["predicted"],
+                    fields["waited"],
+                )
             case "request.ended" if "first_piece" in fields and fields["attempts"] == 1:
-                waited, predicted = self._last_sends[request]
-                record.predicted_wait_seconds = predicted
-                record.actual_wait_seconds = fields["first_piece"] - waited
+                sent = self._last_sends[request]
+                actual = fields["first_piece"] - sent.first_seconds
+                record.predicted_wait_seconds = sent.predicted_seconds
+                record.actual_wait_seconds = actual
+                self.placed.append(attrs.evolve(sent, first_seconds=actual))
+
+
+@attrs.frozen
+class _EntryLog:
+    """Event log of one entry."""
+
+    prediction_log: _PredictionLog
+    entry: str
+
+    def write(self, event: str, request: str = "", **fields: Any) -> None:
+        """Write a log line."""
+        self.prediction_log.write(self.entry, event, request, fields)
 
 
 class _Entry:
@@ -76,29 +103,30 @@
         self.zone = zone
         self.server_registry = registry.Registry()
         self.load_table = load_table.LoadTable(zone)
+        self.load_exchange = load_exchange.LoadExchange(
+            loop,
+            self.load_table,
+            member_registry=self.server_registry,
+            directory=entry_directory.EntryDirectory(self.server_registry),
+            name=name,
+            incarnation="1",
+            zone=zone,
+            send=lambda addresses, report: simulation.send_report(self, addresses, report),
+        )
         self.request_handler = request_handler.RequestHandler(
             loop,
             engines.Pool(loop, simulation.fleet, zone),
             typed_dialect.Dialect(),
             server_registry=self.server_registry,
             server_loads=self.load_table,
-            log=simulation.prediction_log,
+            log=_EntryLog(simulation.prediction_log, name),
             metrics=metrics.Metrics(),
             bounds=BOUND_SETTINGS,
             zone=zone,
             receives_control_updates=lambda: True,
+            placement_announcer=self.load_exchange,
         )
         self.request_handler.apply_declaration(simulation.declaration)
-        self.load_exchange = load_exchange.LoadExchange(
-            loop,
-            self.load_table,
-            member_registry=self.server_registry,
-            directory=entry_directory.EntryDirectory(self.server_registry),
-            name=name,
-            incarnation="1",
-            zone=zone,
-            send=lambda addresses, report: simulation.send_report(self, addresses, report),
-        )
         loop.after_each_iteration(self._publish_load)
 
     def _publish_load(self) -> None:
@@ -132,12 +160,13 @@
         self._arrival_seconds = arrival_seconds
         self._seed = seed
         self._choice_rng = random.Random(f"{seed}/choices")
+        self._wake_rng = random.Random(f"{seed}/wakes")
         self._request_id_rng = random.Random(f"{seed}/retries")
         self.loop = virtual_time.VirtualLoop()
         self.fleet = engines.EngineFleet(self.loop, deployment)
         self.declaration = to_declaration(deployment)
         self._records_by_request_id: dict[str, callers.RequestRecord] = {}
-        self.prediction_log = _PredictionLog(self._records_by_request_id)
+        self.prediction_log = _PredictionLog(self.loop, self._records_by_request_id)
         self._records: list[callers.RequestRecord] = []
         self._entries = [
             _Entry(self, f"entry-{zone}-{number}", zone)
@@ -170,7 +199,8 @@
                 lambda due_disturbance=disturbance: self._apply_disturbance(due_disturbance),
             )
         loop.advance(WARM_UP_SECONDS + self._arrival_seconds + COMPLETION_SECONDS)
-        return RunResult(self._records, [engine.usage for engine in self.fleet.engines])
+        usage = [engine.usage for engine in self.fleet.engines]
+        return RunResult(self._records, usage, self.prediction_log.placed)
 
     def send_report(
         self, source: _Entry, addresses: list[str], report: load_reports.LoadReport
@@ -187,6 +217,8 @@
         for address in addresses:
             target = self._entries_by_name[address]
             delay = self.fleet.delay_seconds(source.zone, target.zone)
+            if self._deployment.mean_wake_seconds:
+                delay += self._wake_rng.expovariate(1 / self._deployment.mean_wake_seconds)
             self.loop.call_later(
                 delay, lambda receiver=target: receiver.load_exchange.handle_report(report)
             )
--- a/bench/experiment/workloads.py
+++ b/bench/experiment/workloads.py
@@ -86,6 +86,8 @@
         One-way network delay between callers and entries.
     max_retries : int
         Number of times that a caller retries after a refusal or a failure.
+    mean_wake_seconds : float
+        Mean time until an entry on its share of a core reads a message; exponentially distributed.
     """
 
     name: str
@@ -97,6 +99,7 @@
     zone_delay_seconds: float
     caller_delay_seconds: float
     max_retries: int = 1
+    mean_wake_seconds: float = 0.0
 
     @property
     def engine_count(self) -> int:
@@ -287,6 +290,58 @@
         zone_delay_seconds=0.0005,
         caller_delay_seconds=0.003,
     ),
+    # The first deployment once its work has shifted to longer prompts.
+    "shifted": Deployment(
+        "shifted",
+        engines_by_zone={"a": 15, "b": 15, "c": 15},
+        entries_by_zone={"a": 22, "b": 18, "c": 22},
+        request_kinds=(
+            Kind(
+                SHORT_KIND_NAME,
+                26.8,
+                LengthDistribution(4960, 0.9, 23_800),
+                LengthDistribution(35.7, 0.7, 89.2),
+                latency_objective_seconds=0.3,
+                gap_objective_seconds=0.25,
+                timeout_seconds=10.0,
+                on_time_credit=1.3,
+                late_credit=0.34,
+            ),
+            Kind(
+                MEDIUM_KIND_NAME,
+                3.26,
+                LengthDistribution(45_000, 0.5, 110_000),
+                LengthDistribution(21.4, 0.6, 53.5),
+                latency_objective_seconds=1.5,
+                gap_objective_seconds=0.6,
+                timeout_seconds=10.0,
+                on_time_credit=3.3,
+                late_credit=0.82,
+            ),
+            Kind(
+                LONG_KIND_NAME,
+                0.61,
+                LengthDistribution(260_000, 0.55, 900_000),
+                LengthDistribution(17.8, 0.5, 44.6),
+                latency_objective_seconds=4.0,
+                gap_objective_seconds=1.0,
+                timeout_seconds=15.0,
+                on_time_credit=34.0,
+                late_credit=8.6,
+            ),
+        ),
+        cost_model=attrs.evolve(
+            _ENGINE_COST_MODEL,
+            slots=6,
+            memory_tokens=344_250,
+            sequence_seconds=0.917e-6,
+            steps_per_pass=38,
+        ),
+        max_queued_requests=12,
+        zone_delay_seconds=0.0005,
+        caller_delay_seconds=0.001,
+        mean_wake_seconds=0.006,
+    ),
 }
 
 
--- a/bench/losses.py
+++ b/bench/losses.py
@@ -118,12 +118,13 @@
         raise InputError(f"{path}: {error}") from error
     for line in lines:
         time_text, _, rest = line.strip().partition(" ")
-        _, brace, text = rest.partition("{")
+        process, brace, text = rest.partition("{")
         if not brace:
             continue
         try:
             event = json.loads(brace + text)
             event["at"] = float(time_text)
+            event["process"] = process.strip()
             name, request = event["event"], event.get("request")
         except (ValueError, KeyError, TypeError):
             continue
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -108,6 +108,8 @@
         self._directory = entry_directory.EntryDirectory(self._registry)
         self._server_loads = load_table.LoadTable(settings.availability_zone)
         self._pool = client.Pool(self.loop)
+        self._datagrams = self._make_datagram_socket()
+        self._load_exchange = self._make_load_exchange()
         self._request_handler = self._make_request_handler()
         self._declaration_updates = declaration_updates.DeclarationUpdates(
             self.loop,
@@ -131,8 +133,6 @@
         self._state_change_count = 0
         self._stop_began_at = 0.0
         self._has_given_up = False
-        self._datagrams = self._make_datagram_socket()
-        self._load_exchange = self._make_load_exchange()
         self._process.add_cleanup(self._datagrams.close)
         self._process.add_cleanup(self._pool.close)
         self._process.add_cleanup(self._request_handler.peer_pool.close)
@@ -160,6 +160,7 @@
             evacuations=self._evacuations,
             awaits_zone_update=self._awaits_zone_update,
             on_request_started=self._record_request_start,
+            placement_announcer=self._load_exchange,
         )
 
     def _record_request_start(self) -> None:
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -50,6 +50,8 @@
 MIN_RETRY_TIME_SECONDS = 0.05
 # Placements that a request tries if engines refuse to reserve memory for it.
 MAX_RESERVATION_ATTEMPTS = 3
+# Times that a request is placed again since its placement crossed another entry's.
+MAX_MOVE_COUNT = 2
 
 
 class RequestForwarder:
@@ -80,6 +82,7 @@
         self._peer_send_count = 0
         self._run_count = self._attempt_count
         self._reservation_count = 0
+        self._move_count = 0
         self._excluded: set[str] = set()
         self._unreached = unreached_servers.UnreachedServers(context.list_servers_of_zone)
         self._attempt: attempts.Attempt | None = None
@@ -100,7 +103,7 @@
     # Attempts.
 
     def _start_attempt(self) -> None:
-        """Choose servers, reserve memory at helpers if needed, and send the request."""
+        """Choose servers; the request is sent once the placement is settled."""
         if self._is_done:
             return
         if self._context.postpone(self._start_attempt):
@@ -112,6 +115,27 @@
             return
         self._target = target
         self._context.record_target(target)
+        self._context.settle(target, lambda must_move: self._handle_settled(target, must_move))
+
+    def _handle_settled(self, target: attempts.AttemptTarget, must_move: bool) -> None:
+        """Reserve memory if needed and send the request, or place it again."""
+        if self._is_done or self._target is not target:
+            return
+        if self._context.postpone(lambda: self._handle_settled(target, must_move)):
+            return
+        if (must_move and self._move_count < MAX_MOVE_COUNT) or self._context.find_evacuated(
+            target
+        ):
+            self._move_count += 1
+            self._context.record_step(
+                self._admitted,
+                "request.moved",
+                server=target.server.server,
+                helpers=tuple(helper.server for helper in target.helpers),
+            )
+            self._cancel_attempt()
+            self._start_attempt()
+            return
         if not any(target.held_tokens):
             self._send()
             return
--- a/flamingoramp/dispatch/forwarding_context.py
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -49,6 +49,12 @@
     def record_target(self, target: attempts.AttemptTarget) -> None:
         """Add the load of an attempt to its servers, and count it towards their limits."""
 
+    def settle(self, target: attempts.AttemptTarget, on_settled: Callable[[bool], None]) -> None:
+        """Tell other entries of a target, and call back once its placement is settled.
+
+        ``on_settled`` takes whether the request has to be placed again.
+        """
+
     def record_first_send(self, service: str) -> None:
         """Count the first send of a request."""
 
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -17,6 +17,7 @@
     crash_evidence,
     evacuated_services,
     forwarding,
+    placement_settling,
     reachability,
     room_queue,
     server_ends,
@@ -94,6 +95,8 @@
         Returns whether these may be out of date, so that nothing may be sent to a server yet.
     on_request_started : callable
         Called without arguments for each request that is admitted.
+    placement_announcer : placement_settling.Announcer or None
+        Tells other entries of placements of long prompts; None if there are none.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         evacuations: evacuated_zones.EvacuatedZones | None = None,
         awaits_zone_update: Callable[[], bool] = lambda: False,
         on_request_started: Callable[[], None] = lambda: None,
+        placement_announcer: placement_settling.Announcer | None = None,
     ):
         self.loop = loop
         self.pool = pool
@@ -181,6 +185,9 @@
             on_change=on_cut_changed,
             evacuations=self._evacuations,
         )
+        self._settling = placement_settling.PlacementSettling(
+            loop, placement_announcer, metrics=metrics
+        )
         self._peer_selector = selection.PeerSelector(find_peers, self._observations)
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._queue = startup_queue.StartupQueue()
@@ -512,6 +519,10 @@
             self.server_loads.add(work_item)
             self.server_loads.statements.record_send(work_item.server, now)
 
+    def settle(self, target: attempts.AttemptTarget, on_settled: Callable[[bool], None]) -> None:
+        """Tell other entries of a target, and call back once its placement is settled."""
+        self._settling.begin(target, on_settled)
+
     def record_failure(
         self,
         admitted: attempts.AdmittedRequest,
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -145,6 +145,9 @@
         self.servers = ["s1", "s2", "s3"]
         self.zones: dict[str, str] = {}
         self.retries_left = 100
+        # Time until a placement is settled, and whether each one in turn crosses another.
+        self.settle_seconds = 0.0
+        self.crossings: list[bool] = []
         self.backlogged: set[str] = set()
         self.predicted_seconds = 0.1
         self.outcomes: list[tuple[str, dict[str, Any]]] = []
@@ -180,6 +183,13 @@
         for work_item in target.work_items:
             self.server_loads.add(work_item)
 
+    def settle(self, target, on_settled) -> None:
+        must_move = bool(self.crossings) and self.crossings.pop(0)
+        if self.settle_seconds:
+            self.loop.call_later(self.settle_seconds, lambda: on_settled(must_move))
+        else:
+            on_settled(must_move)
+
     def record_first_send(self, service) -> None:
         """Do nothing."""
 
@@ -321,6 +331,54 @@
         self.assertEqual(times_left_ms, [1000, 800])
 
 
+class TestSettling(ForwardingCase):
+    """A request is sent once its placement is settled, and placed again if that crosses another."""
+
+    def setUp(self):
+        super().setUp()
+        self.context.settle_seconds = 0.01
+
+    def test_request_is_sent_after_the_wait(self):
+        self.start_request(STREAM)
+        self.assertEqual(self.calls, [])
+        self.assertEqual(self.context.server_loads.load("s1", 0.0).strict, 1)
+        self.context.loop.advance(0.02)
+        self.assertEqual(len(self.calls), 1)
+
+    def test_crossing_request_is_placed_again_without_an_attempt(self):
+        self.context.crossings = [True]
+        self.start_request(STREAM)
+        self.context.loop.advance(0.015)
+        self.assertEqual(self.calls, [])
+        self.context.loop.advance(0.01)
+        self.receive_head("stream")
+        self.receive_events(1)
+        self.complete_answer()
+        self.assertEqual(self.context.outcomes[0][1]["attempts"], 1)
+        self.assert_ended(200)
+
+    def test_request_that_keeps_crossing_is_sent(self):
+        self.context.crossings = [True] * 10
+        self.start_request(STREAM)
+        self.context.loop.advance(0.01 * (forwarding.MAX_MOVE_COUNT + 2))
+        self.assertEqual(len(self.calls), 1)
+
+    def test_caller_that_leaves_meanwhile_frees_the_load(self):
+        self.start_request(STREAM)
+        self.exchange.on_disconnect()
+        self.context.loop.advance(0.1)
+        self.assertEqual(self.calls, [])
+        self.assertEqual(self.context.server_loads.load("s1", 0.0), load_table.ServerLoad())
+
+    def test_zone_evacuated_meanwhile_gets_nothing(self):
+        self.start_request(STREAM)
+        self.context.evacuated_servers = {"s1"}
+        self.context.servers.remove("s1")
+        self.context.loop.advance(0.05)
+        self.assertEqual(self.context.server_loads.load("s2", 0.0).strict, 1)
+        self.assertEqual(len(self.calls), 1)
+
+
 class TestNonIdempotentRequests(ForwardingCase):
     """Requests that must not run twice: what is retried, and which outcome is reported."""
 
--- a/flamingoramp/protocol/load_reports.py
+++ b/flamingoramp/protocol/load_reports.py
@@ -40,6 +40,12 @@
     ``contention`` has the values of `routing.contention.Row` for each of ``contending_services``
     and the workspace at the same position, with times in seconds from now. They are sent while
     requests wait for room or were refused lately; a report without them says nothing of it.
+
+    A report with a ``placement`` is a notice of one long prompt, sent to all entries at the moment
+    at which its servers were chosen: ``loads`` are what it adds to their load. ``placement`` is the
+    id of the choice, and ``known_placements`` are those that the sender had lately heard of. A
+    build without these fields takes the notice for the sender's load on these servers, which the
+    sender's next report corrects.
     """
 
     entry: str = ""
@@ -67,6 +73,8 @@
     contention: tuple[float, ...] = attrs.field(
         default=(), metadata={messages.SINGLE_PRECISION: True}
     )
+    placement: str = ""
+    known_placements: tuple[str, ...] = ()
 
     @arrivals.validator
     def _check_arrivals(self, _attribute: attrs.Attribute, arrivals: tuple[float, ...]) -> None:
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -4,13 +4,14 @@
 
 import collections
 import itertools
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from flamingoramp.membership import entry_directory, registry
 from flamingoramp.protocol import load_reports
-from flamingoramp.routing import load_table, report_targets
+from flamingoramp.routing import load_table, placement_notices, report_targets
 from flamingoramp.runtime import loop as loops
 
 # Delay from a change to its report, so that several changes share one report.
@@ -75,6 +76,7 @@
         self._reported_at = self._started_at = loop.now()
         self._targets = report_targets.ReportTargets([])
         self._entry_count = 1
+        self._notices = placement_notices.PlacementNotices()
         loop.call_later(HEARTBEAT_SECONDS, self._send_heartbeat)
         loop.call_every(SUMMARY_SECONDS, self._send_summary)
         loop.call_every(TARGET_REFRESH_SECONDS, self._choose_targets)
@@ -96,9 +98,52 @@
             self._is_choice_scheduled = True
             self._loop.call_later(MEMBER_CHANGE_DELAY_SECONDS, self._choose_targets)
 
+    def announce(self, work_items: Sequence[load_table.WorkItem]) -> str:
+        """Tell the entries of all zones at once of a long prompt that was just placed.
+
+        Returns
+        -------
+        str
+            Id of the placement, for `end_placement`.
+        """
+        placement = f"{random.getrandbits(64):016x}"
+        servers = [work.server for work in work_items]
+        known = self._notices.begin(placement, servers, self._loop.now())
+        self._send_notice(placement, work_items, known)
+        return placement
+
+    def end_placement(self, placement: str) -> bool:
+        """Return whether a placement crossed another one that stays, and withdraw it then."""
+        must_move = self._notices.end(placement)
+        if must_move:
+            self._send_notice(placement, (), ())
+        return must_move
+
+    def _send_notice(
+        self,
+        placement: str,
+        work_items: Sequence[load_table.WorkItem],
+        known_placements: tuple[str, ...],
+    ) -> None:
+        notice = self._loads.make_notice(
+            work_items,
+            entry=self._name,
+            incarnation=self._incarnation,
+            sequence=next(self._sequence_numbers),
+            now=self._loop.now(),
+            placement=placement,
+            known_placements=known_placements,
+        )
+        others = [record.inner for record in self._registry.entries() if record.entry != self._name]
+        self._send(others, notice)
+
     def handle_report(self, report: load_reports.LoadReport) -> None:
         """Apply another entry's report; as forwarder, pass a summary of another zone on."""
         now = self._loop.now()
+        if report.placement:
+            self._notices.handle(report.placement, report.servers, report.known_placements, now)
+            self._loads.handle_notice(report, now)
+            return
         self._directory.record_report(report.entry, now, valid_seconds=report.valid_seconds)
         self._loads.handle_report(report, now)
         # Several entries may take themselves for the forwarder, above all while they start. If they
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -27,6 +28,8 @@
 BURST_TIME_CONSTANT_SECONDS = 0.5
 # Number of entries that is assumed while the others aren't known.
 ASSUMED_ENTRY_COUNT = 200
+# A summary of a zone that arrives this long after a notice from there includes what it told of.
+NOTICE_OVERLAP_SECONDS = 0.03
 # Servers of one report part; a packed record takes about 25 bytes, and a datagram carries 1,400.
 MAX_SERVERS_PER_PART = 45
 
@@ -206,12 +209,24 @@
     part: int
 
 
+@attrs.define(eq=False, repr=False)
+class _NoticedLoad(value_classes.MutableValue):
+    """What a placement adds to a server, by a notice, until a report includes it."""
+
+    entry: str
+    zone: str
+    sequence: int
+    load: ServerLoad
+    received_at: float
+
+
 class LoadTable:
     """Load of all servers; times are monotonic seconds.
 
     Entries of one availability zone report to each other. The load of another zone comes either
     from reports of each of its entries, or from summaries of the zone. While summaries arrive, they
-    replace the reports of single entries.
+    replace the reports of single entries. Entries of all zones send notices of long prompts, which
+    count until a report or a summary includes them.
 
     Parameters
     ----------
@@ -227,6 +242,10 @@
         # By server, then by reporter, so that the load of a server is found among those with work
         # there and not among all entries.
         self._reported: dict[str, dict[str, _ReportedLoad]] = {}
+        # By server, then by placement.
+        self._noticed: dict[str, dict[str, _NoticedLoad]] = {}
+        # Placements that were withdrawn, whose notices may still arrive.
+        self._withdrawn_at: dict[str, float] = {}
         self._arrivals: dict[str, rates.RateMeter] = {}
         self._requests: dict[str, rates.RateMeter] = {}
         self._reported_placements = rates.RateMeter()
@@ -391,6 +410,10 @@
         for reported in self._reported.get(server, {}).values():
             if self._is_counted(reported.reporter, now):
                 total.add_reported(reported.load, now - reported.received_at)
+        for noticed in self._noticed.get(server, {}).values():
+            age = now - noticed.received_at
+            if age < REPORT_EXPIRY_SECONDS:
+                total.add_reported(noticed.load, age)
         return total
 
     def _is_counted(self, reporter: _Reporter, now: float) -> bool:
@@ -411,6 +434,35 @@
             self._reporters[key] = reporter
         self._apply(key, reporter, report, now)
 
+    def handle_notice(self, report: load_reports.LoadReport, now: float) -> None:
+        """Add what another entry's placement adds to its servers; without any, remove it again."""
+        if not report.servers:
+            self._withdrawn_at[report.placement] = now
+            for server in list(self._noticed):
+                if report.placement in self._noticed[server]:
+                    self._remove_noticed(server, report.placement)
+            return
+        if report.placement in self._withdrawn_at:
+            return
+        for server, load in _read_loads(report).items():
+            reported = self._reported.get(server, {}).get(report.entry)
+            if reported is None or reported.sequence < report.sequence:
+                self._noticed.setdefault(server, {})[report.placement] = _NoticedLoad(
+                    report.entry, report.zone, report.sequence, load, now
+                )
+
+    def _remove_noticed(self, server: str, placement: str) -> None:
+        items = self._noticed[server]
+        del items[placement]
+        if not items:
+            del self._noticed[server]
+
+    def _drop_noticed(self, server: str, is_included: Callable[[_NoticedLoad], bool]) -> None:
+        """Drop what notices added to a server and a later report includes."""
+        for placement, noticed in list(self._noticed.get(server, {}).items()):
+            if is_included(noticed):
+                self._remove_noticed(server, placement)
+
     def _apply(
         self, key: str, reporter: _Reporter, report: load_reports.LoadReport, now: float
     ) -> None:
@@ -430,6 +482,7 @@
                 of_own_zone=reporter.zone == self._zone and not reporter.is_summary,
             )
         self._contention.handle_report(key, report, now)
+        self._drop_reported_notices(reporter, report, now)
         loads = _read_loads(report)
         if not report.only_changes:
             if report.sequence <= reporter.sequences.get(report.part, -1):
@@ -450,6 +503,29 @@
                 reports[key] = _ReportedLoad(reporter, load, report.sequence, now, report.part)
                 reporter.servers.add(server)
 
+    def _drop_reported_notices(
+        self, reporter: _Reporter, report: load_reports.LoadReport, now: float
+    ) -> None:
+        if not self._noticed:
+            return
+        if reporter.is_summary:
+            for server in list(self._noticed):
+                self._drop_noticed(
+                    server,
+                    lambda noticed: (
+                        noticed.zone == reporter.zone
+                        and now - noticed.received_at >= NOTICE_OVERLAP_SECONDS
+                    ),
+                )
+            return
+        for server in report.servers:
+            self._drop_noticed(
+                server,
+                lambda noticed: (
+                    noticed.entry == report.entry and noticed.sequence < report.sequence
+                ),
+            )
+
     def _remove_reporter(self, key: str) -> None:
         reporter = self._reporters.pop(key, None)
         self._contention.remove_reporter(key)
@@ -468,6 +544,40 @@
         for key, reporter in list(self._reporters.items()):
             if reporter.has_expired(now):
                 self._remove_reporter(key)
+        for server in list(self._noticed):
+            self._drop_noticed(
+                server, lambda noticed: now - noticed.received_at >= REPORT_EXPIRY_SECONDS
+            )
+        self._withdrawn_at = {
+            placement: withdrawn_at
+            for placement, withdrawn_at in self._withdrawn_at.items()
+            if now - withdrawn_at < REPORT_EXPIRY_SECONDS
+        }
+
+    def make_notice(
+        self,
+        work_items: Iterable[WorkItem],
+        *,
+        entry: str,
+        incarnation: str,
+        sequence: int,
+        now: float,
+        placement: str,
+        known_placements: tuple[str, ...],
+    ) -> load_reports.LoadReport:
+        """Return the notice of a placement of this entry, with what it adds to each server."""
+        totals: dict[str, ServerLoad] = {}
+        for work in work_items:
+            totals.setdefault(work.server, ServerLoad()).add(work, now)
+        report = load_reports.LoadReport(
+            entry,
+            incarnation,
+            sequence,
+            zone=self._zone,
+            placement=placement,
+            known_placements=known_placements,
+        )
+        return _with_loads(report, list(totals.items()), only_changes=True)
 
     def make_reports(
         self,
