Other zones learn what changed in a zone after 20 ms, in summaries of changes

Cause: summaries of a zone are 0.2 to 0.4 s old. Change: besides the complete summary each 0.2 s, the relay sends one of the servers whose load changed, 20 ms after the first change. Weighed: summaries of all each 0.03 s, whose bytes grow with the servers.

--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -24,9 +24,10 @@
 MAX_MISSED_HEARTBEATS = 5
 # Heartbeats with only changes between two full reports, which make up for lost reports.
 CHANGE_REPORTS_PER_FULL_REPORT = 3
-# Interval of zone summaries. It may be longer than the delay of reports within a zone, since few
-# placements use engines of another zone.
+# Interval of complete zone summaries, and delay from a change in the zone to a summary of what has
+# changed, so that several changes share one.
 SUMMARY_SECONDS = 0.2
+SUMMARY_CHANGE_DELAY_SECONDS = 0.02
 TARGET_REFRESH_SECONDS = 0.4
 # Delay from a change of the known entries to the choice of targets, which several changes share.
 MEMBER_CHANGE_DELAY_SECONDS = 0.02
@@ -71,6 +72,7 @@
         self._send = send
         self._sequence_numbers = itertools.count(1)
         self._is_report_scheduled = False
+        self._is_summary_scheduled = False
         self._is_choice_scheduled = False
         self._heartbeat_count = 0
         self._reported_at = self._started_at = loop.now()
@@ -91,6 +93,13 @@
         if self._loads.has_unreported_changes and not self._is_report_scheduled:
             self._is_report_scheduled = True
             self._loop.call_later(REPORT_DELAY_SECONDS, self._report_changes)
+        if (
+            self._targets.remote_forwarders
+            and self._loads.has_unsummarized_changes
+            and not self._is_summary_scheduled
+        ):
+            self._is_summary_scheduled = True
+            self._loop.call_later(SUMMARY_CHANGE_DELAY_SECONDS, self._send_summary_of_changes)
 
     def handle_member_change(self) -> None:
         """Choose the targets again soon, since other entries became known or have ended."""
@@ -181,7 +190,12 @@
         for report in reports:
             self._send(self._targets.direct, report)
 
-    def _send_summary(self) -> None:
+    def _send_summary_of_changes(self) -> None:
+        self._is_summary_scheduled = False
+        if self._loads.has_unsummarized_changes:
+            self._send_summary(only_changes=True)
+
+    def _send_summary(self, *, only_changes: bool = False) -> None:
         """Send the work of all entries of this zone to the forwarders in other zones."""
         if not self._targets.remote_forwarders:
             return
@@ -190,6 +204,7 @@
             incarnation=self._incarnation,
             sequence=next(self._sequence_numbers),
             now=self._loop.now(),
+            only_changes=only_changes,
         )
         for summary in summaries:
             self._send(self._targets.remote_forwarders, summary)
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -256,6 +256,8 @@
         # Servers whose work changed since the last report, and between the last two.
         self._changed: set[str] = set()
         self._changed_before: set[str] = set()
+        # Servers on which work of this zone changed since the last summary.
+        self._changed_in_zone: set[str] = set()
 
     @property
     def has_unreported_changes(self) -> bool:
@@ -266,6 +268,11 @@
             or self._contention.has_unreported_changes
         )
 
+    @property
+    def has_unsummarized_changes(self) -> bool:
+        """Whether work of entries of this zone changed since the last summary."""
+        return bool(self._changed_in_zone)
+
     @property
     def statements(self) -> statements.ServerStatements:
         """What servers state of themselves in answers to this entry and to others."""
@@ -293,21 +300,25 @@
     def add(self, work: WorkItem) -> None:
         """Add a work item of this entry."""
         self._own.setdefault(work.server, {})[id(work)] = work
-        self._changed.add(work.server)
+        self._record_change(work.server)
 
     def finish_prefill(self, work: WorkItem) -> None:
         """Record that the prefill of a work item has ended."""
         work.prefill_end = 0.0
-        self._changed.add(work.server)
+        self._record_change(work.server)
 
     def remove(self, work: WorkItem) -> None:
         """Remove a work item of this entry; does nothing if it was removed before."""
         items = self._own.get(work.server, {})
         if items.pop(id(work), None) is not None:
-            self._changed.add(work.server)
+            self._record_change(work.server)
         if not items:
             self._own.pop(work.server, None)
 
+    def _record_change(self, server: str) -> None:
+        self._changed.add(server)
+        self._changed_in_zone.add(server)
+
     def record_arrival(self, service: str, credit: float, now: float) -> None:
         """Record a request for a service that arrived at this entry."""
         self._arrivals.setdefault(service, rates.RateMeter()).add(credit, now)
@@ -429,6 +440,8 @@
         key = f"zone/{report.zone}" if report.is_summary else report.entry
         reporter = self._reporters.get(key)
         if reporter is None or reporter.incarnation != report.incarnation:
+            if report.is_summary and report.only_changes:
+                return  # of a new relay, whose first complete summary replaces that of the last one
             self._remove_reporter(key)
             reporter = _Reporter(report.incarnation, report.zone, report.is_summary)
             self._reporters[key] = reporter
@@ -502,6 +515,8 @@
                     self._reported_placements.add(load.request_count - previous_count, now)
                 reports[key] = _ReportedLoad(reporter, load, report.sequence, now, report.part)
                 reporter.servers.add(server)
+                if counts_placements:
+                    self._changed_in_zone.add(server)
 
     def _drop_reported_notices(
         self, reporter: _Reporter, report: load_reports.LoadReport, now: float
@@ -509,7 +524,7 @@
         if not self._noticed:
             return
         if reporter.is_summary:
-            for server in list(self._noticed):
+            for server in report.servers if report.only_changes else list(self._noticed):
                 self._drop_noticed(
                     server,
                     lambda noticed: (
@@ -624,19 +639,15 @@
         return self._split(base, totals) + contending
 
     def make_summary(
-        self, *, entry: str, incarnation: str, sequence: int, now: float
+        self, *, entry: str, incarnation: str, sequence: int, now: float, only_changes: bool = False
     ) -> list[load_reports.LoadReport]:
-        """Return the report of the work of all entries of this availability zone, in parts."""
-        totals: dict[str, ServerLoad] = {}
-        for server, items in self._own.items():
-            total = totals.setdefault(server, ServerLoad())
-            for work in items.values():
-                total.add(work, now)
-        for server, reports in self._reported.items():
-            for reported in reports.values():
-                if self._is_in_summary(reported.reporter, now):
-                    total = totals.setdefault(server, ServerLoad())
-                    total.add_reported(reported.load, now - reported.received_at)
+        """Return the report of the work of all entries of this availability zone, in parts.
+
+        With ``only_changes`` it lists only servers whose work changed since the last one.
+        """
+        servers = self._changed_in_zone if only_changes else self._servers_of_zone(now)
+        totals = {server: self._zone_load(server, now) for server in servers}
+        self._changed_in_zone = set()
         arrivals = collections.Counter(self._own_arrivals(now))
         request_rates = collections.Counter(
             {service: meter.rate(now) for service, meter in self._requests.items()}
@@ -649,12 +660,32 @@
             load_reports.LoadReport(entry, incarnation, sequence, is_summary=True),
             arrivals,
             request_rates,
-            self._statements.describe(now, of_zone=True),
+            self._statements.describe(now, of_zone=True) if not only_changes else ((), ()),
         )
+        if only_changes:
+            return [_with_loads(base, list(totals.items()), only_changes=True)]
         in_zone = [key for key, item in self._reporters.items() if self._is_in_summary(item, now)]
         rows = self._describe_contention(now, in_zone)
         return self._split(base, totals) + _split_rows(base, rows)
 
+    def _servers_of_zone(self, now: float) -> set[str]:
+        """Return the servers on which entries of this zone have reported work."""
+        return self._own.keys() | {
+            server
+            for server, reports in self._reported.items()
+            if any(self._is_in_summary(reported.reporter, now) for reported in reports.values())
+        }
+
+    def _zone_load(self, server: str, now: float) -> ServerLoad:
+        """Return the load that the entries of this zone put on a server."""
+        total = ServerLoad()
+        for work in self._own.get(server, {}).values():
+            total.add(work, now)
+        for reported in self._reported.get(server, {}).values():
+            if self._is_in_summary(reported.reporter, now):
+                total.add_reported(reported.load, now - reported.received_at)
+        return total
+
     def _make_base(
         self,
         report: load_reports.LoadReport,
--- a/flamingoramp/routing/tests/test_load_book.py
+++ b/flamingoramp/routing/tests/test_load_book.py
@@ -183,6 +183,40 @@
         self.send(self.summary(relay), remote)
         self.assertEqual(remote.load("e1", 0.0).strict, 2)
 
+    def test_summary_of_changes_lists_what_changed_and_keeps_the_rest(self):
+        table = self.make("b", "e1", "e2")
+        remote = self.make("a")
+        self.send(self.summary(table), remote)
+        self.assertFalse(table.has_unsummarized_changes)
+        table.add(load_table.WorkItem("e2", 0.25))
+        self.assertTrue(table.has_unsummarized_changes)
+        [changes] = table.make_summary(
+            entry="relay-b", incarnation="i", sequence=2, now=0.0, only_changes=True
+        )
+        self.assertEqual(changes.servers, ("e2",))
+        self.send([changes], remote)
+        counts = [remote.load(name, 0.0).strict for name in ("e1", "e2")]
+        self.assertEqual(counts, [1, 2])
+
+    def test_changes_by_a_new_relay_wait_for_its_complete_summary(self):
+        table = self.make("b", "e1", "e2")
+        remote = self.make("a")
+        self.send(self.summary(table), remote)
+        self.send(
+            table.make_summary(
+                entry="relay-2", incarnation="j", sequence=9, now=0.0, only_changes=True
+            ),
+            remote,
+        )
+        self.assertEqual(remote.load("e1", 0.0).strict, 1)
+
+    def test_work_reported_by_a_peer_is_a_change_of_the_zone(self):
+        peer = self.make("b", "e1")
+        relay = self.make("b")
+        self.assertFalse(relay.has_unsummarized_changes)
+        self.send(self.reports(peer, "peer"), relay)
+        self.assertTrue(relay.has_unsummarized_changes)
+
     def test_work_counted_once_when_in_summary_and_single_report(self):
         relay, peer, remote = self.make("a", "e1"), self.make("a", "e1"), self.make("b")
         self.send(self.reports(peer, "peer"), relay, remote)
