A placement moves if the one that should move isn't withdrawn in time

Cause: an entry that wakes up late hears of a crossing placement after it has sent its prompt; the other one took itself for the one that stays. Change: a placement that crosses one with a higher id waits once more for its withdrawal, and moves without it.

--- a/flamingoramp/dispatch/placement_settling.py
+++ b/flamingoramp/dispatch/placement_settling.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from flamingoramp.dispatch import attempts
-from flamingoramp.routing import load_table
+from flamingoramp.routing import load_table, placement_notices
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import metrics as metrics_module
 
@@ -30,8 +30,11 @@
     def announce(self, work_items: Sequence[load_table.WorkItem]) -> str:
         """Tell the other entries of a placement and return its id."""
 
-    def end_placement(self, placement: str) -> bool:
-        """Return whether a placement crossed another one that stays."""
+    def settle_placement(self, placement: str) -> placement_notices.Settlement:
+        """Return what becomes of a placement; one that moves is withdrawn."""
+
+    def withdraw_placement(self, placement: str) -> None:
+        """Tell the other entries that a placement is given up."""
 
 
 class PlacementSettling:
@@ -62,15 +65,33 @@
             return
         placement_id = self._announcer.announce(target.work_items)
         self._metrics.count("placements_announced")
-        began_at = self._loop.now()
+        self._wait(placement_id, on_settled, is_last=False)
 
-        def _end() -> None:
-            is_crossed = self._announcer.end_placement(placement_id)
-            if is_crossed:
-                self._metrics.count("placements_crossed")
-            on_settled(is_crossed or self._loop.now() - began_at > MAX_SETTLE_SECONDS)
+    def _wait(
+        self, placement_id: str, on_settled: Callable[[bool], None], *, is_last: bool
+    ) -> None:
+        """Settle a placement after a while; wait once more for others that have to move."""
+        began_at = self._loop.now()
 
-        self._loop.call_later(SETTLE_SECONDS, _end)
+        def _settle() -> None:
+            settlement = self._announcer.settle_placement(placement_id)
+            was_suspended = self._loop.now() - began_at > MAX_SETTLE_SECONDS
+            match settlement:
+                case placement_notices.Settlement.OPEN if not (is_last or was_suspended):
+                    self._wait(placement_id, on_settled, is_last=True)
+                    return
+                case placement_notices.Settlement.OPEN:
+                    self._announcer.withdraw_placement(placement_id)
+                    must_move = True
+                case placement_notices.Settlement.MOVES:
+                    must_move = True
+                case placement_notices.Settlement.STAYS:
+                    must_move = was_suspended
+            if must_move:
+                self._metrics.count("placements_moved")
+            on_settled(must_move)
+
+        self._loop.call_later(SETTLE_SECONDS, _settle)
 
 
 def is_long(target: attempts.AttemptTarget) -> bool:
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -113,7 +113,7 @@
         Returns
         -------
         str
-            Id of the placement, for `end_placement`.
+            Id of the placement, for `settle_placement`.
         """
         placement = f"{random.getrandbits(64):016x}"
         servers = [work.server for work in work_items]
@@ -121,12 +121,17 @@
         self._send_notice(placement, work_items, known)
         return placement
 
-    def end_placement(self, placement: str) -> bool:
-        """Return whether a placement crossed another one that stays, and withdraw it then."""
-        must_move = self._notices.end(placement)
-        if must_move:
-            self._send_notice(placement, (), ())
-        return must_move
+    def settle_placement(self, placement: str) -> placement_notices.Settlement:
+        """Return what becomes of an announced placement; one that moves is withdrawn."""
+        settlement = self._notices.settle(placement)
+        if settlement is placement_notices.Settlement.MOVES:
+            self.withdraw_placement(placement)
+        return settlement
+
+    def withdraw_placement(self, placement: str) -> None:
+        """Tell the other entries that a placement is given up."""
+        self._notices.withdraw(placement)
+        self._send_notice(placement, (), ())
 
     def _send_notice(
         self,
--- a/flamingoramp/routing/tests/test_load_exchange.py
+++ b/flamingoramp/routing/tests/test_load_exchange.py
@@ -65,6 +65,8 @@
         self.sent_by_entry: collections.Counter[str] = collections.Counter()
         self.between_zones_count = 0
         self._silent: set[str] = set()
+        # Additional time until entries handle messages.
+        self.late_by_entry: dict[str, float] = {}
         records = [
             messages.EntryRecord(entry=f"{zone}{n:02}", inner=f"{zone}{n:02}", zone=zone)
             for zone, size in zone_sizes.items()
@@ -114,6 +116,7 @@
             delay_seconds = self._delay_seconds
             if target.zone != source.zone and self._between_zones_seconds is not None:
                 delay_seconds = self._between_zones_seconds
+            delay_seconds += self.late_by_entry.get(target.name, 0.0)
             if target.name not in self._silent:
                 self.loop.call_later(
                     delay_seconds,
