Servers that accept no connection are told to all entries at once

Change: an entry tells the others of the run of a server that it could not connect to or that fell silent; two entries of each zone try it, and refute it for their zone if they reach it, so that an entry's own link isn't taken for a dark server. The one that told tries again each 0.75 s. As with silent servers, others are preferred and all are used if none is left. Weighed: evidence from heartbeats that stop (1.2 s apart, five missed), a second try beside the first.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -160,7 +160,9 @@
             evacuations=self._evacuations,
             awaits_zone_update=self._awaits_zone_update,
             on_request_started=self._record_request_start,
+            name=self._settings.name,
             placement_announcer=self._load_exchange,
+            send_to_entries=self._load_exchange.send_to_all,
         )
 
     def _record_request_start(self) -> None:
@@ -519,6 +521,8 @@
         match message:
             case load_reports.LoadReport():
                 self._load_exchange.handle_report(message)
+            case protocol_messages.ServerReachability():
+                self._request_handler.handle_reachability(message)
 
     def _report_crashes(self) -> None:
         """Report new evidence of crashes at once, for all that is found within a short time."""
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -483,7 +483,8 @@
         crashed = may_have_run and failure in (client.Failure.RESET, client.Failure.CLOSED)
         self._may_have_run = self._may_have_run or may_have_run
         self._run_count -= not may_have_run
-        self._record_failure(attempt, crashed=crashed)
+        not_connected = failure in (client.Failure.NOT_CONNECTED, client.Failure.TIMED_OUT)
+        self._record_failure(attempt, crashed=crashed, not_connected=not_connected)
         was_reached = may_have_run or attempt.target.is_peer
         if not was_reached:
             self._unreached.record(attempt.target.server)
@@ -494,12 +495,15 @@
         if attempt.head.has_framed_body and not attempt.target.is_peer:
             self._context.record_sound(self._admitted)
 
-    def _record_failure(self, attempt: attempts.Attempt, *, crashed: bool) -> None:
+    def _record_failure(
+        self, attempt: attempts.Attempt, *, crashed: bool, not_connected: bool = False
+    ) -> None:
         target = attempt.target
         self._context.record_failure(
             self._admitted,
             target.server,
             crashed=crashed and not target.is_peer,
+            not_connected=not_connected and not target.is_peer,
             sent_at=attempt.sent_at,
         )
 
--- a/flamingoramp/dispatch/forwarding_context.py
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -67,11 +67,13 @@
         server: protocol_messages.ServerRecord,
         *,
         crashed: bool,
+        not_connected: bool,
         sent_at: float,
     ) -> None:
-        """Record a failed connection.
+        """Record a failed attempt.
 
-        ``crashed`` if the request, sent at ``sent_at``, may have crashed the server.
+        ``crashed`` if the request, sent at ``sent_at``, may have crashed the server, and
+        ``not_connected`` if no connection was established in time.
         """
 
     def has_backlog(
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -22,6 +22,7 @@
     room_queue,
     server_ends,
     startup_queue,
+    unresponsive_servers,
     warm_ups,
 )
 from flamingoramp.http import client
@@ -95,8 +96,12 @@
         Returns whether these may be out of date, so that nothing may be sent to a server yet.
     on_request_started : callable
         Called without arguments for each request that is admitted.
+    name : str
+        Name of this entry.
     placement_announcer : placement_settling.Announcer or None
         Tells other entries of placements of long prompts; None if there are none.
+    send_to_entries : callable
+        Sends a message to all other entries.
     """
 
     def __init__(
@@ -118,7 +123,9 @@
         evacuations: evacuated_zones.EvacuatedZones | None = None,
         awaits_zone_update: Callable[[], bool] = lambda: False,
         on_request_started: Callable[[], None] = lambda: None,
+        name: str = "",
         placement_announcer: placement_settling.Announcer | None = None,
+        send_to_entries: Callable[[messages.ServerReachability], None] = lambda _message: None,
     ):
         self.loop = loop
         self.pool = pool
@@ -141,11 +148,22 @@
         self._started_at = loop.now()
         self._declaration: traffic.TrafficDeclaration | None = None
         self._observations = observations.Observations()
+        self._unresponsive = unresponsive_servers.UnresponsiveServers(
+            loop,
+            pool,
+            server_registry=server_registry,
+            entry=name,
+            zone=zone,
+            send=send_to_entries,
+            log=log,
+            metrics=metrics,
+        )
         self._server_selector = selection.ServerSelector(
             server_registry,
             server_loads,
             self._observations,
             zone=zone,
+            is_unresponsive=self._unresponsive.is_unresponsive,
             evacuations=self._evacuations,
             started_at=self._started_at,
         )
@@ -281,6 +299,7 @@
         self._metrics.set_gauge("leaving_servers", self.server_loads.statements.leaving_count)
         self._evacuated_services.update()
         self._crash_evidence.evict_expired(self.loop.now())
+        self._unresponsive.evict_stale()
         self._metrics.set_gauge("crash_suspects", self._crash_evidence.suspect_count)
 
     def end_all(self) -> None:
@@ -529,14 +548,17 @@
         server: messages.ServerRecord,
         *,
         crashed: bool,
+        not_connected: bool,
         sent_at: float,
     ) -> None:
-        """Record a failed connection; ``crashed`` if the request may have crashed the server."""
+        """Record a failed attempt; ``crashed`` if the request may have crashed the server."""
         self._observations.record_attempt_failure(
             observations.instance_key(server), self.loop.now()
         )
         self._metrics.count("servers_broken")
         self._reachability.handle_failure()
+        if not_connected:
+            self._unresponsive.handle_failure(server)
         if crashed:
             self._server_ends.handle_break(server, admitted.fingerprints, sent_at)
             self.record_step(
@@ -555,6 +577,11 @@
             observations.instance_key(server), self.loop.now()
         )
         self._reachability.handle_failure()
+        self._unresponsive.handle_failure(server)
+
+    def handle_reachability(self, message: messages.ServerReachability) -> None:
+        """Process what another entry tells of servers that don't respond."""
+        self._unresponsive.handle_message(message)
 
     def record_answer(self, server: messages.ServerRecord, failed: bool) -> None:
         """Record a complete answer; ``failed`` for a 5xx status."""
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -150,6 +150,7 @@
         self.crossings: list[bool] = []
         self.backlogged: set[str] = set()
         self.predicted_seconds = 0.1
+        self.helpers: tuple[str, ...] = ()
         self.outcomes: list[tuple[str, dict[str, Any]]] = []
         self.failures: list[tuple[str, bool]] = []
         self.sound_count = 0
@@ -163,7 +164,10 @@
                 if self.is_cut_off:
                     return attempts.AttemptTarget(record, is_peer=True)
                 return attempts.AttemptTarget(
-                    record, work_items=(work_item,), predicted_seconds=self.predicted_seconds
+                    record,
+                    helpers=tuple(protocol_messages.ServerRecord(name) for name in self.helpers),
+                    work_items=(work_item,),
+                    predicted_seconds=self.predicted_seconds,
                 )
         raise errors.NoBackendError("none left", retry_after=0.4)
 
@@ -197,7 +201,7 @@
         self.retries_left -= 1
         return self.retries_left >= 0
 
-    def record_failure(self, admitted, server, *, crashed, sent_at) -> None:
+    def record_failure(self, admitted, server, *, crashed, not_connected, sent_at) -> None:
         self.failures.append((server.server, crashed))
 
     def has_backlog(self, admitted, server) -> bool:
--- /dev/null
+++ b/flamingoramp/dispatch/unresponsive_servers.py
@@ -0,0 +1,198 @@
+"""Servers that an entry could not reach, which it tells all other entries at once.
+
+Without this each entry would find out by itself, and each time a request would wait for a
+connection that nobody accepts.
+
+What one entry can't reach, others may. In each availability zone the first entries by rank try to
+connect to a server that they are told of, and refute what was told for the entries of their zone.
+The entry that told of a server tries it again until it responds or has started anew. The others
+forget what is not repeated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from flamingoramp.http import client
+from flamingoramp.membership import registry
+from flamingoramp.protocol import messages
+from flamingoramp.routing import observations, report_targets
+from flamingoramp.runtime import event_log
+from flamingoramp.runtime import loop as loops
+from flamingoramp.runtime import metrics as metrics_module
+
+# Interval at which an unresponsive server is tried and told of again.
+RECHECK_SECONDS = 0.75
+# Time for which others believe it: one message may be lost, and the connect timeout passes first.
+VALID_SECONDS = 2.5
+# Entries of each availability zone that check what another one has told.
+CHECKING_ENTRY_COUNT = 2
+# After others have reached a server, what the same entry tells of it is taken for a fault of that
+# entry's own link.
+REFUTED_SECONDS = 3.0
+
+
+class UnresponsiveServers:
+    """Servers that don't accept connections, as this entry and others have found.
+
+    Times are monotonic seconds.
+
+    Parameters
+    ----------
+    loop : loops.Loop
+    pool : client.Pool
+    server_registry : registry.Registry
+    entry, zone : str
+        Name and availability zone of this entry.
+    send : callable
+        Sends a `messages.ServerReachability` to all other entries.
+    log : event_log.EventLog
+    metrics : metrics_module.Metrics
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        pool: client.Pool,
+        *,
+        server_registry: registry.Registry,
+        entry: str,
+        zone: str,
+        send: Callable[[messages.ServerReachability], None],
+        log: event_log.EventLog,
+        metrics: metrics_module.Metrics,
+    ):
+        self._loop = loop
+        self._pool = pool
+        self._registry = server_registry
+        self._entry = entry
+        self._zone = zone
+        self._send = send
+        self._log = log
+        self._metrics = metrics
+        # By instance of a server.
+        self._valid_until: dict[str, float] = {}
+        self._tellers: dict[str, set[str]] = {}
+        # By entry and instance.
+        self._refuted_until: dict[tuple[str, str], float] = {}
+        # Servers that this entry tells of and tries again.
+        self._own: set[str] = set()
+
+    def is_unresponsive(self, key: str) -> bool:
+        """Return whether an instance of a server is known not to accept connections."""
+        return self._loop.now() < self._valid_until.get(key, float("-inf"))
+
+    def handle_failure(self, server: messages.ServerRecord) -> None:
+        """Tell of a server that did not accept a connection or fell silent."""
+        key = observations.instance_key(server)
+        if key in self._own or self.is_unresponsive(key) or self._is_refuted(self._entry, key):
+            return
+        self._own.add(key)
+        self._metrics.count("unresponsive_servers")
+        self._log.write("server.unresponsive", server=server.server, address=server.address)
+        self._tell(server)
+
+    def handle_message(self, message: messages.ServerReachability) -> None:
+        """Process what another entry tells of servers."""
+        for key in message.unresponsive:
+            server = self._find(key)
+            if server is None or self._is_refuted(message.entry, key):
+                continue
+            self._believe(key, message.entry)
+            if self._is_checking(key, message.entry):
+                self._check(server, message.entry)
+        for key in message.recovered:
+            self._forget(key)
+        if message.zone == self._zone:
+            for key in message.refuted:
+                self._handle_refutation(key, message.entry)
+
+    def evict_stale(self) -> None:
+        """Forget what is no longer valid."""
+        now = self._loop.now()
+        for key in [key for key, until in self._valid_until.items() if now >= until]:
+            self._forget(key)
+        for pair in [pair for pair, until in self._refuted_until.items() if now >= until]:
+            del self._refuted_until[pair]
+        self._metrics.set_gauge("unresponsive_servers_known", len(self._valid_until))
+
+    def _is_refuted(self, teller: str, key: str) -> bool:
+        return self._loop.now() < self._refuted_until.get((teller, key), float("-inf"))
+
+    def _believe(self, key: str, teller: str) -> None:
+        self._valid_until[key] = self._loop.now() + VALID_SECONDS
+        self._tellers.setdefault(key, set()).add(teller)
+
+    def _forget(self, key: str) -> None:
+        self._valid_until.pop(key, None)
+        self._tellers.pop(key, None)
+
+    def _find(self, key: str) -> messages.ServerRecord | None:
+        """Return the record of a server if the given instance of it is still known."""
+        server = self._registry.find_server(key.rpartition("/")[0])
+        if server is None or server.gone or observations.instance_key(server) != key:
+            return None
+        return server
+
+    def _is_checking(self, key: str, teller: str) -> bool:
+        """Return whether this entry is among those of its zone that check what another told."""
+        names = {
+            record.entry
+            for record in self._registry.entries()
+            if record.zone == self._zone and not (record.leaving or record.gone)
+        }
+        candidates = (names | {self._entry}) - {teller}
+        ranked = sorted(candidates, key=report_targets.rank_by(key))
+        return self._entry in ranked[:CHECKING_ENTRY_COUNT]
+
+    def _check(self, server: messages.ServerRecord, teller: str) -> None:
+        key = observations.instance_key(server)
+
+        def _handle_result(is_listening: bool | None) -> None:
+            if not is_listening:
+                return
+            self._log.write("server.reached", server=server.server, teller=teller)
+            self._handle_refutation(key, self._entry)
+            self._send(messages.ServerReachability(self._entry, self._zone, refuted=(key,)))
+
+        self._pool.check_listening(server.address, _handle_result)
+
+    def _handle_refutation(self, key: str, source: str) -> None:
+        """Use a server again that another entry of the zone has reached."""
+        for teller in self._tellers.get(key, ()):
+            self._refuted_until[teller, key] = self._loop.now() + REFUTED_SECONDS
+        if key in self._valid_until:
+            self._forget(key)
+            self._metrics.count("unresponsive_servers_refuted")
+        if key in self._own:
+            self._own.discard(key)
+            self._log.write("server.refuted", key=key, source=source)
+
+    def _tell(self, server: messages.ServerRecord) -> None:
+        """Tell all entries of an unresponsive server, and try it again later."""
+        key = observations.instance_key(server)
+        self._believe(key, self._entry)
+        self._send(messages.ServerReachability(self._entry, self._zone, unresponsive=(key,)))
+        self._loop.call_later(RECHECK_SECONDS, lambda: self._recheck(key))
+
+    def _recheck(self, key: str) -> None:
+        if key not in self._own:
+            return
+        server = self._find(key)
+        if server is None:
+            self._own.discard(key)
+            self._forget(key)
+            return
+
+        def _handle_result(is_listening: bool | None) -> None:
+            if key not in self._own:
+                return
+            if not is_listening:
+                self._tell(server)
+                return
+            self._own.discard(key)
+            self._forget(key)
+            self._log.write("server.recovered", server=server.server)
+            self._send(messages.ServerReachability(self._entry, self._zone, recovered=(key,)))
+
+        self._pool.check_listening(server.address, _handle_result)
--- a/flamingoramp/platform/tests/server_links.py
+++ b/flamingoramp/platform/tests/server_links.py
@@ -43,6 +43,8 @@
     def __init__(self, pool: client.Pool):
         self._relays: dict[str, relays.Relay] = {}
         self._cut: Cut | None = None
+        # Addresses of the servers whose links are cut; all if it is empty.
+        self._cut_addresses: frozenset[str] = frozenset()
         self._silent_listener = socket.create_server(("127.0.0.1", 0), backlog=0)
         self._fillers = [self._connect_filler() for _ in range(QUEUE_FILLER_COUNT)]
         with socket.create_server(("127.0.0.1", 0)) as closed_listener:
@@ -51,10 +53,13 @@
         pool.send = self._send_through
         pool.check_listening = self._check_through
 
-    def cut(self, how: Cut) -> None:
-        """Cut all links."""
+    def cut(self, how: Cut, *, addresses: frozenset[str] = frozenset()) -> None:
+        """Cut the links to some servers; without any, to all."""
         self._cut = how
-        for relay in self._relays.values():
+        self._cut_addresses = addresses
+        for server, relay in self._relays.items():
+            if not self._is_cut(server):
+                continue
             match how:
                 case Cut.HANG:
                     relay.blackhole_open_connections()
@@ -78,8 +83,11 @@
         sock.connect_ex(self._silent_listener.getsockname())
         return sock
 
+    def _is_cut(self, server: str) -> bool:
+        return self._cut is not None and (not self._cut_addresses or server in self._cut_addresses)
+
     def _address(self, server: str) -> str:
-        match self._cut:
+        match self._cut if self._is_cut(server) else None:
             case Cut.HANG | Cut.RESET:
                 return _format_address(self._silent_listener)
             case Cut.REFUSE:
@@ -90,7 +98,7 @@
         return self._relays[server].address
 
     def _send_through(self, address: str, *arguments: Any, **options: Any) -> client.RequestHandle:
-        if self._cut is Cut.REFUSE and not options.get("new_connection"):
+        if self._cut is Cut.REFUSE and self._is_cut(address) and not options.get("new_connection"):
             idle = self._relays.get(address)
             # A pool takes an idle connection first, and those live on.
             if idle is not None and self._has_idle(idle.address):
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -69,6 +69,7 @@
     35: "ServerLeaving",
     36: "EvacuationRequest",
     37: "EvacuationReply",
+    38: "ServerReachability",
 }
 _TAG_BY_NAME = {name: tag for tag, name in _NAME_BY_TAG.items()}
 
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -331,6 +331,22 @@
     last_index: int = 0
 
 
+@attrs.frozen(eq=False, repr=False)
+class ServerReachability(value_classes.Value):
+    """Tells other entries which runs of servers an entry found not to accept connections.
+
+    Runs are named as `observations.instance_key` does. Those that the entry has reached though
+    another one told otherwise are ``refuted``, for entries of its availability zone. Those that it
+    told of itself and has reached since have ``recovered``.
+    """
+
+    entry: str = ""
+    zone: str = ""
+    unresponsive: tuple[str, ...] = ()
+    refuted: tuple[str, ...] = ()
+    recovered: tuple[str, ...] = ()
+
+
 @attrs.frozen(eq=False, repr=False)
 class Ping(value_classes.Value):
     """Liveness check of a connection."""
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -10,7 +10,7 @@
 import attrs
 
 from flamingoramp.membership import entry_directory, registry
-from flamingoramp.protocol import load_reports
+from flamingoramp.protocol import load_reports, messages
 from flamingoramp.routing import load_table, placement_notices, report_targets
 from flamingoramp.runtime import loop as loops
 
@@ -47,7 +47,7 @@
     name, incarnation, zone : str
         Name of this entry, the id of its current run, and its availability zone.
     send : callable
-        Takes a list of addresses and the report to send to each of them.
+        Takes a list of addresses and the message to send to each of them.
     """
 
     def __init__(
@@ -60,7 +60,7 @@
         name: str,
         incarnation: str,
         zone: str,
-        send: Callable[[list[str], load_reports.LoadReport], None],
+        send: Callable[[list[str], load_reports.LoadReport | messages.ServerReachability], None],
     ):
         self._loop = loop
         self._loads = loads
@@ -148,8 +148,12 @@
             placement=placement,
             known_placements=known_placements,
         )
+        self.send_to_all(notice)
+
+    def send_to_all(self, message: load_reports.LoadReport | messages.ServerReachability) -> None:
+        """Send a message to all other entries."""
         others = [record.inner for record in self._registry.entries() if record.entry != self._name]
-        self._send(others, notice)
+        self._send(others, message)
 
     def handle_report(self, report: load_reports.LoadReport) -> None:
         """Apply another entry's report; as forwarder, pass a summary of another zone on."""
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -64,6 +64,9 @@
     observed : observations.Observations
     zone : str
         Availability zone of this entry.
+    is_unresponsive : callable
+        Takes a key of `observations.instance_key`, returns whether entries found that this run of a
+        server doesn't accept connections.
     evacuations : container of str
         Evacuated availability zones, whose servers are not selected.
     started_at : float
@@ -77,6 +80,7 @@
         observed: observations.Observations,
         *,
         zone: str,
+        is_unresponsive: Callable[[str], bool] = lambda _key: False,
         evacuations: Container[str] = (),
         started_at: float = float("-inf"),
     ):
@@ -86,6 +90,7 @@
         self._statements = loads.statements
         self._observations = observed
         self._zone = zone
+        self._is_unresponsive = is_unresponsive
         self._evacuations = evacuations
         self._held_back_count = 0
 
@@ -301,6 +306,7 @@
                     slowdown=self._observations.slowdown(key, now),
                     is_last_resort=is_silent
                     or is_suspended
+                    or self._is_unresponsive(key)
                     or self._observations.is_degraded(key, now),
                 )
             )
