A group without a first event is replaced in time for a second one, also on busy engines

Change: a group of several engines is left after half of the time for which its caller waits for a first event. Result: a test that failed before; its memory and load come back.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -21,6 +21,7 @@
 )
 from flamingoramp.http import client
 from flamingoramp.http import messages as http_messages
+from flamingoramp.routing import selection
 
 # A stream is retried on another server if its first event takes this many times the predicted time,
 # and at least this long. An earlier retry costs the engines more than the caller gains.
@@ -33,6 +34,9 @@
 # A stalled attempt is replaced only if the other server's predicted wait for the first event is at
 # most this share of the time since the attempt last received data.
 MAX_REPLACEMENT_WAIT_RATIO = 0.5
+# A group of engines without a first event after this share of the time for which its caller waits
+# is replaced even if the engines have other work, so that a second group can still be in time.
+GROUP_START_RATIO = 0.5
 # A request without a stream is retried after this many times the route's latency objective.
 NON_STREAM_TIMEOUT_RATIO = 1.5
 # Entries that one request is passed on to, one after the other.
@@ -310,7 +314,10 @@
         that would add to their load.
         """
         server = attempt.target.server
-        if not self._can_retry() or self._context.has_backlog(self._admitted, server):
+        if not self._can_retry():
+            return False
+        is_busy = self._context.has_backlog(self._admitted, server)
+        if is_busy and not self._has_group_failed_to_start(attempt, idle_seconds):
             return False
         try:
             replacement = self._choose_target()
@@ -325,6 +332,15 @@
         self._may_have_run = True
         return self._retry("silent")
 
+    def _has_group_failed_to_start(self, attempt: attempts.Attempt, idle_seconds: float) -> bool:
+        if not attempt.target.helpers or attempt.event_count:
+            return False
+        patience_seconds = min(
+            self._admitted.time_limit_seconds,
+            selection.first_token_timeout(self._admitted.route),
+        )
+        return idle_seconds >= GROUP_START_RATIO * patience_seconds
+
     def _can_retry(self) -> bool:
         """Tell whether the route, the deadline and earlier attempts permit another send."""
         route = self._admitted.route
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -13,7 +13,7 @@
 from flamingoramp.http import messages as http_messages
 from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages as protocol_messages
-from flamingoramp.routing import load_table
+from flamingoramp.routing import load_table, selection
 from flamingoramp.runtime import virtual_time
 
 STREAM = traffic.Route(
@@ -521,6 +521,26 @@
         self.context.loop.advance(8.0)
         self.assertEqual(len(self.calls), 1)
 
+    # Guards against a group that never starts on engines that serve others meanwhile: its caller
+    # was answered with an error at the deadline.
+    def test_replaces_a_group_that_does_not_start_in_time_for_a_second_one(self):
+        route = attrs.evolve(STREAM, timeout_seconds=15.0, latency_objective_seconds=4.0)
+        patience_seconds = min(15.0, selection.first_token_timeout(route))
+        self.context.backlogged = {"s1", "s2", "s3"}
+        self.context.helpers = ("h1", "h2")
+        self.context.predicted_seconds = 2.0
+        self.start_request(route, time_limit_seconds=15.0)
+        self.context.loop.advance(0.9 * forwarding.GROUP_START_RATIO * patience_seconds)
+        self.assertEqual(len(self.calls), 1)
+        self.context.loop.advance(0.35 * forwarding.GROUP_START_RATIO * patience_seconds)
+        self.assertEqual(len(self.calls), 2)
+        self.assertTrue(self.calls[0].cancelled)
+        self.assertEqual(self.context.server_loads.load("s1", 0.0), load_table.ServerLoad())
+        self.receive_head("stream")
+        self.receive_events(1)
+        self.complete_answer()
+        self.assert_ended(200)
+
     def test_does_not_replace_a_server_when_others_are_no_faster(self):
         self.start_request(STREAM)
         self.context.predicted_seconds = 5.0
