--- a/flamingoramp/dispatch/placement_settling.py
+++ b/flamingoramp/dispatch/placement_settling.py
@@ -28,7 +28,7 @@
     """Tells other entries of placements."""
 
     def announce(self, work_items: Sequence[load_table.WorkItem]) -> str:
-        """Tell the other entries of a placement and return its id."""
+        """Tell the other entries of a placement and return its id, empty if there are none."""
 
     def settle_placement(self, placement: str) -> placement_notices.Settlement:
         """Return what becomes of a placement; one that moves is withdrawn."""
@@ -64,6 +64,9 @@
             on_settled(False)
             return
         placement_id = self._announcer.announce(target.work_items)
+        if not placement_id:
+            on_settled(False)
+            return
         self._metrics.count("placements_announced")
         self._wait(placement_id, on_settled, is_last=False)
 
--- a/flamingoramp/dispatch/tests/test_placement_settling.py
+++ b/flamingoramp/dispatch/tests/test_placement_settling.py
@@ -44,9 +44,12 @@
         factory=lambda: [placement_notices.Settlement.STAYS]
     )
     withdrawn: list[str] = attrs.field(factory=list)
+    is_alone: bool = False
     announced: list[tuple[str, ...]] = attrs.field(factory=list)
 
     def announce(self, work_items) -> str:
+        if self.is_alone:
+            return ""
         self.announced.append(tuple(work.server for work in work_items))
         return str(len(self.announced))
 
@@ -84,6 +87,11 @@
         self.begin(0.5 * placement_settling.ANNOUNCED_PREFILL_SECONDS, "e1")
         self.assertEqual((self.settled, self.announcer.announced), ([False], []))
 
+    def test_only_entry_sends_at_once(self):
+        self.announcer.is_alone = True
+        self.begin(1.0, "e1")
+        self.assertEqual(self.settled, [False])
+
     def test_prompt_in_short_parts_is_announced_by_their_sum(self):
         self.begin(0.5 * placement_settling.ANNOUNCED_PREFILL_SECONDS, "e1", "e2")
         self.assertEqual(self.announcer.announced, [("e1", "e2")])
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -113,8 +113,10 @@
         Returns
         -------
         str
-            Id of the placement, for `settle_placement`.
+            Id of the placement, for `settle_placement`; empty if no other entry is known.
         """
+        if self._entry_count == 1:
+            return ""
         placement = f"{random.getrandbits(64):016x}"
         servers = [work.server for work in work_items]
         known = self._notices.begin(placement, servers, self._loop.now())
