--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -43,7 +43,8 @@
     """Consecutive ports that are kept free on some addresses until a daemon listens there.
 
     Outgoing connections of the daemons use ephemeral ports of the same addresses and would take
-    these too. A bound socket that does not listen prevents that, and still lets a daemon bind.
+    these too. A bound socket that does not listen prevents that, and still lets a daemon bind. It
+    lets another test run reserve the same port too, which a datagram socket without reuse prevents.
 
     Parameters
     ----------
@@ -59,6 +60,7 @@
             with socket.create_server(("127.0.0.1", 0)) as probe:
                 self.first_port = probe.getsockname()[1]
             try:
+                self._claim()
                 for address in addresses:
                     self.reserve(address)
             except (OSError, OverflowError):
@@ -69,6 +71,13 @@
             f"found no {count} consecutive free ports in {MAX_PORT_ATTEMPTS} attempts"
         )
 
+    def _claim(self) -> None:
+        """Claim the ports among all test runs on this machine."""
+        for port in range(self.first_port, self.first_port + self._count):
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self._sockets.append(sock)
+            sock.bind(("127.0.0.1", port))
+
     def reserve(self, address: str) -> None:
         """Reserve the same ports on a further address."""
         for port in range(self.first_port, self.first_port + self._count):
