--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -127,18 +127,18 @@
             return
         if self._context.postpone(lambda: self._handle_settled(target, must_move)):
             return
-        if (must_move and self._move_count < MAX_MOVE_COUNT) or self._context.find_evacuated(
-            target
-        ):
-            self._move_count += 1
-            self._context.record_step(
-                self._admitted,
-                "request.moved",
-                server=target.server.server,
-                helpers=tuple(helper.server for helper in target.helpers),
+        # A zone may have been evacuated since the servers were chosen.
+        evacuated_servers = self._context.find_evacuated(target)
+        if (must_move or evacuated_servers) and self._move_count < MAX_MOVE_COUNT:
+            self._move(target, evacuated_servers)
+            return
+        if evacuated_servers:
+            self._end_refused(
+                errors.NoBackendError(
+                    "the chosen servers' zone was evacuated",
+                    retry_after=attempts.RETRY_AFTER_SECONDS,
+                )
             )
-            self._cancel_attempt()
-            self._start_attempt()
             return
         if not any(target.held_tokens):
             self._send()
@@ -152,6 +152,20 @@
             self._handle_reserved,
         )
 
+    def _move(self, target: attempts.AttemptTarget, evacuated_servers: tuple[str, ...]) -> None:
+        """Place the request again, which has not been sent."""
+        self._move_count += 1
+        self._context.record_step(
+            self._admitted,
+            "request.moved",
+            server=target.server.server,
+            helpers=tuple(helper.server for helper in target.helpers),
+            evacuated=evacuated_servers,
+        )
+        self._cancel_attempt()
+        self._excluded |= set(evacuated_servers)
+        self._start_attempt()
+
     def _choose_target(self) -> attempts.AttemptTarget:
         """Choose the servers of the next attempt, those of avoided zones only if none are left."""
         if avoided := self._unreached.avoided:
