Servers whose announcements are missing are used as long as they accept connections

Ways: as it was; silence only makes two entries of each zone try to connect (kept). A server that is silent at the control hosts and to a request is avoided by all, which is what a stopped process needs. The check whether an entry hears from control hosts is gone with its only use; no test covered it.

--- a/bench/experiment/simulation.py
+++ b/bench/experiment/simulation.py
@@ -123,7 +123,6 @@
             metrics=metrics.Metrics(),
             bounds=BOUND_SETTINGS,
             zone=zone,
-            receives_control_updates=lambda: True,
             placement_announcer=self.load_exchange,
         )
         self.request_handler.apply_declaration(simulation.declaration)
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -24,7 +24,6 @@
     entry_directory,
     evacuated_zones,
     registry,
-    subscriptions,
 )
 from flamingoramp.protocol import load_reports
 from flamingoramp.protocol import messages as protocol_messages
@@ -153,7 +152,6 @@
             metrics=self._metrics,
             bounds=self._settings.bounds,
             zone=self._settings.availability_zone,
-            receives_control_updates=self._receives_control_updates,
             find_peers=self._find_peers,
             tries_suspects=self._tries_suspects,
             on_cut_changed=self._subscribe,
@@ -436,6 +434,8 @@
             )
             if current.leaving or current.gone:
                 self._pool.close_idle_connections(current.address)
+        if current.silent and not (previous is not None and previous.silent):
+            self._request_handler.handle_silence(current)
 
     def _apply_evacuations(self, update: protocol_messages.ClusterUpdate, source: str) -> None:
         """Put a newer state of the evacuated zones in force."""
@@ -579,17 +579,6 @@
             return http_server.Limits()
         return _to_server_limits(self.declaration.limits)
 
-    def _receives_control_updates(self) -> bool:
-        """Return whether more than half of the control hosts sent an update recently.
-
-        If not, announcements of backend servers may not reach this entry.
-        """
-        now = self.loop.now()
-        recent_count = self._contacts.heard_count(
-            now, within_seconds=2 * subscriptions.HEARTBEAT_SECONDS
-        )
-        return 2 * recent_count > len(self._control_hosts)
-
 
 def _read_mtime(settings_path: str) -> float:
     try:
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -80,9 +80,6 @@
     bounds : node_settings.BoundSettings
     zone : str
         Availability zone of this entry.
-    receives_control_updates : callable
-        Returns whether control hosts currently send updates to this entry; these carry the
-        announcements of servers.
     find_peers : callable
         Returns the other entries that accept requests and reach servers.
     tries_suspects : callable
@@ -116,7 +113,6 @@
         metrics: metrics_module.Metrics,
         bounds: node_settings.BoundSettings,
         zone: str,
-        receives_control_updates: Callable[[], bool],
         find_peers: Callable[[], list[messages.EntryRecord]] = list,
         tries_suspects: Callable[[str], bool] = lambda _fingerprint: False,
         on_cut_changed: Callable[[], None] = lambda: None,
@@ -137,7 +133,6 @@
         self._log = log
         self._metrics = metrics
         self._bounds = bounds
-        self._receives_control_updates = receives_control_updates
         self._tries_suspects = tries_suspects
         self._evacuations = evacuations or evacuated_zones.EvacuatedZones()
         self._awaits_zone_update = awaits_zone_update
@@ -182,7 +177,6 @@
             metrics=metrics,
             record_step=self.record_step,
             find_declaration=lambda: self._declaration,
-            control_reachable=receives_control_updates,
         )
         self._retry_allowances: dict[str, allowance.RetryAllowance] = {}
         self._crash_evidence = crash_evidence.CrashEvidence()
@@ -488,7 +482,6 @@
             admitted,
             excluded,
             now=self.loop.now(),
-            control_reachable=self._receives_control_updates(),
         )
 
     def list_servers_of_zone(self, service: str, zone: str) -> set[str]:
@@ -577,7 +570,11 @@
             observations.instance_key(server), self.loop.now()
         )
         self._reachability.handle_failure()
-        self._unresponsive.handle_failure(server)
+        self._unresponsive.handle_stall(server)
+
+    def handle_silence(self, server: messages.ServerRecord) -> None:
+        """Check a server whose announcements are missing at the control hosts."""
+        self._unresponsive.handle_silence(server)
 
     def handle_reachability(self, message: messages.ServerReachability) -> None:
         """Process what another entry tells of servers that don't respond."""
--- a/flamingoramp/dispatch/room_queue.py
+++ b/flamingoramp/dispatch/room_queue.py
@@ -74,8 +74,6 @@
     record_step : RecordStep
     find_declaration : callable
         Returns the declaration in force.
-    control_reachable : callable
-        Returns whether control hosts send updates to this entry.
     """
 
     def __init__(
@@ -87,7 +85,6 @@
         metrics: metrics_module.Metrics,
         record_step: RecordStep,
         find_declaration: Callable[[], traffic.TrafficDeclaration],
-        control_reachable: Callable[[], bool],
     ):
         self._loop = loop
         self._selector = selector
@@ -96,7 +93,6 @@
         self._metrics = metrics
         self._record_step = record_step
         self._find_declaration = find_declaration
-        self._control_reachable = control_reachable
         self._items: dict[int, _WaitingItem] = {}
         self._decisions: dict[int, attempts.AttemptTarget | errors.FlamingorampError] = {}
         self._ranks: dict[str, frozenset[int]] = {}
@@ -212,7 +208,6 @@
                 item.admitted,
                 set(),
                 now=now,
-                control_reachable=self._control_reachable(),
                 waited_seconds=now - request.arrived_at,
                 is_arrival=False,
             )
@@ -249,7 +244,6 @@
             service,
             horizon_seconds=horizon_seconds,
             now=now,
-            control_reachable=self._control_reachable(),
         )
 
     def _expect_room(
--- a/flamingoramp/dispatch/tests/contended_entries.py
+++ b/flamingoramp/dispatch/tests/contended_entries.py
@@ -306,7 +306,6 @@
             metrics=metrics.Metrics(),
             bounds=node_settings.BoundSettings(),
             zone=entry.zone,
-            receives_control_updates=lambda: False,
         )
         for address, engine in self.engines.engines.items():
             record = messages.ServerRecord(
--- a/flamingoramp/dispatch/tests/test_request_handler.py
+++ b/flamingoramp/dispatch/tests/test_request_handler.py
@@ -75,7 +75,6 @@
             metrics=self.metrics,
             bounds=node_settings.BoundSettings(),
             zone="a",
-            receives_control_updates=lambda: False,
             evacuations=self.zones,
             awaits_zone_update=lambda: self.awaits_zone_update,
         )
--- a/flamingoramp/dispatch/tests/test_unresponsive_servers.py
+++ b/flamingoramp/dispatch/tests/test_unresponsive_servers.py
@@ -9,7 +9,6 @@
 from flamingoramp.dispatch import unresponsive_servers
 from flamingoramp.membership import registry
 from flamingoramp.protocol import messages
-from flamingoramp.routing import observations
 from flamingoramp.runtime import metrics, virtual_time
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -100,8 +99,11 @@
 
     def believers(self, number: int) -> set[str]:
         """Return the entries that take a server for unresponsive."""
-        key = observations.instance_key(self.servers[number])
-        return {name for name, entry in self.entries.items() if entry.is_unresponsive(key)}
+        return {
+            name
+            for name, entry in self.entries.items()
+            if entry.is_unresponsive(self.registries[name].find_server(f"s{number}"))
+        }
 
 
 class TestDarkServers(unittest.TestCase):
@@ -220,6 +222,66 @@
             self.assertEqual(network.believers(0) - {f"e{stopped}"}, set())
 
 
+class TestMissingAnnouncements(unittest.TestCase):
+    """Load pattern: control hosts are cut off from each other, and most servers seem silent.
+
+    The announcements of sound servers reach the wrong side of the cut. If entries avoided them, all
+    requests would go to the few others.
+    """
+
+    def setUp(self):
+        self.network = Network(server_count=30)
+
+    def mark_silent(self, *numbers: int) -> None:
+        for number in numbers:
+            silent = attrs.evolve(self.network.servers[number], silent=True)
+            self.network.servers[number] = silent
+            for name, member_registry in self.network.registries.items():
+                member_registry.update_server(silent, self.network.loop.now())
+                self.network.entries[name].handle_silence(silent)
+
+    def test_sound_servers_are_used(self):
+        self.mark_silent(*range(20))
+        for _ in range(8):
+            self.network.loop.advance(0.25)
+            for number in range(30):
+                self.assertEqual(self.network.believers(number), set())
+        tries = sum(pool.check_count for pool in self.network.pools.values())
+        checking_count = unresponsive_servers.CHECKING_ENTRY_COUNT * len(ZONES)
+        self.assertEqual(tries, 20 * checking_count)
+
+    def test_dark_servers_among_them_are_avoided(self):
+        self.network.dark = {"s3", "s4"}
+        self.mark_silent(*range(20))
+        self.network.loop.advance(CONNECT_TIMEOUT_SECONDS + 2 * NETWORK_SECONDS)
+        for number in range(20):
+            expected = set(self.network.entries) if number in (3, 4) else set()
+            self.assertEqual(self.network.believers(number), expected)
+
+    def test_stopped_process_that_still_accepts_connections_is_avoided(self):
+        self.mark_silent(5)
+        self.network.loop.advance(0.5)
+        self.network.entries["e1"].handle_stall(self.network.servers[5])
+        self.network.loop.advance(0.1)
+        self.assertEqual(self.network.believers(5), set(self.network.entries))
+        self.network.loop.advance(unresponsive_servers.STALLED_SECONDS)
+        self.assertEqual(self.network.believers(5), set())
+
+    def test_server_is_used_again_with_its_next_announcement(self):
+        self.mark_silent(5)
+        self.network.entries["e1"].handle_stall(self.network.servers[5])
+        self.network.loop.advance(0.1)
+        announced = attrs.evolve(self.network.servers[5], sequence=2, silent=False)
+        for member_registry in self.network.registries.values():
+            member_registry.update_server(announced, self.network.loop.now())
+        self.assertEqual(self.network.believers(5), set())
+
+    def test_busy_server_that_announces_itself_is_not_avoided(self):
+        self.network.entries["e1"].handle_stall(self.network.servers[5])
+        self.network.loop.advance(0.5)
+        self.assertEqual(self.network.believers(5), set())
+
+
 class TestOddMessages(unittest.TestCase):
     """Messages about unknown servers change nothing."""
 
@@ -227,8 +289,9 @@
         network = Network()
         for key in ("s99/1", "s0/7", "s0", ""):
             message = messages.ServerReachability(
-                "e5", "a", unresponsive=(key,), refuted=(key,), recovered=(key,)
+                "e5", "a", unresponsive=(key,), refuted=(key,), recovered=(key,), stalled=(key,)
             )
             network.entries["e0"].handle_message(message)
-            self.assertFalse(network.entries["e0"].is_unresponsive(key))
+        for number in range(10):
+            self.assertEqual(network.believers(number), set())
         self.assertEqual(network.pools["e0"].check_count, 0)
--- a/flamingoramp/dispatch/unresponsive_servers.py
+++ b/flamingoramp/dispatch/unresponsive_servers.py
@@ -7,6 +7,10 @@
 connect to a server that they are told of, and refute what was told for the entries of their zone.
 The entry that told of a server tries it again until it responds or has started anew. The others
 forget what is not repeated.
+
+Announcements that are missing at the control hosts are no evidence: while control hosts are cut off
+from each other, those of sound servers are. The first entries by rank then try to connect. Only a
+server that is silent there and to a request is told of though it accepts connections.
 """
 
 from __future__ import annotations
@@ -27,6 +31,8 @@
 VALID_SECONDS = 2.5
 # Entries of each availability zone that check what another one has told.
 CHECKING_ENTRY_COUNT = 2
+# Time for which a server is avoided that is silent to a request and at the control hosts.
+STALLED_SECONDS = 5.0
 # After others have reached a server, what the same entry tells of it is taken for a fault of that
 # entry's own link.
 REFUTED_SECONDS = 3.0
@@ -72,26 +78,53 @@
         self._metrics = metrics
         # By instance of a server.
         self._valid_until: dict[str, float] = {}
+        self._stalled_until: dict[str, float] = {}
         self._tellers: dict[str, set[str]] = {}
         # By entry and instance.
         self._refuted_until: dict[tuple[str, str], float] = {}
         # Servers that this entry tells of and tries again.
         self._own: set[str] = set()
 
-    def is_unresponsive(self, key: str) -> bool:
-        """Return whether an instance of a server is known not to accept connections."""
-        return self._loop.now() < self._valid_until.get(key, float("-inf"))
+    def is_unresponsive(self, server: messages.ServerRecord) -> bool:
+        """Return whether a server is known not to accept connections, or not to respond to any."""
+        now = self._loop.now()
+        key = observations.instance_key(server)
+        if now < self._valid_until.get(key, float("-inf")):
+            return True
+        return server.silent and now < self._stalled_until.get(key, float("-inf"))
 
     def handle_failure(self, server: messages.ServerRecord) -> None:
-        """Tell of a server that did not accept a connection or fell silent."""
+        """Tell of a server that did not accept a connection."""
         key = observations.instance_key(server)
-        if key in self._own or self.is_unresponsive(key) or self._is_refuted(self._entry, key):
+        if (
+            key in self._own
+            or self._loop.now() < self._valid_until.get(key, float("-inf"))
+            or self._is_refuted(self._entry, key)
+        ):
             return
         self._own.add(key)
         self._metrics.count("unresponsive_servers")
         self._log.write("server.unresponsive", server=server.server, address=server.address)
         self._tell(server)
 
+    def handle_stall(self, server: messages.ServerRecord) -> None:
+        """Process that a server has sent nothing for a request for too long."""
+        current = self._find(observations.instance_key(server))
+        if current is None:
+            return
+        if not current.silent:
+            self._check_failure(current)
+            return
+        key = observations.instance_key(current)
+        self._stalled_until[key] = self._loop.now() + STALLED_SECONDS
+        self._log.write("server.stalled", server=current.server)
+        self._send(messages.ServerReachability(self._entry, self._zone, stalled=(key,)))
+
+    def handle_silence(self, server: messages.ServerRecord) -> None:
+        """Try a server whose announcements are missing, if that is this entry's part."""
+        if self._is_checking(observations.instance_key(server), ""):
+            self._check_failure(server)
+
     def handle_message(self, message: messages.ServerReachability) -> None:
         """Process what another entry tells of servers."""
         for key in message.unresponsive:
@@ -101,6 +134,9 @@
             self._believe(key, message.entry)
             if self._is_checking(key, message.entry):
                 self._check(server, message.entry)
+        for key in message.stalled:
+            if self._find(key) is not None:
+                self._stalled_until[key] = self._loop.now() + STALLED_SECONDS
         for key in message.recovered:
             self._forget(key)
         if message.zone == self._zone:
@@ -112,6 +148,8 @@
         now = self._loop.now()
         for key in [key for key, until in self._valid_until.items() if now >= until]:
             self._forget(key)
+        for key in [key for key, until in self._stalled_until.items() if now >= until]:
+            del self._stalled_until[key]
         for pair in [pair for pair, until in self._refuted_until.items() if now >= until]:
             del self._refuted_until[pair]
         self._metrics.set_gauge("unresponsive_servers_known", len(self._valid_until))
@@ -145,6 +183,15 @@
         ranked = sorted(candidates, key=report_targets.rank_by(key))
         return self._entry in ranked[:CHECKING_ENTRY_COUNT]
 
+    def _check_failure(self, server: messages.ServerRecord) -> None:
+        """Try to connect to a server, and tell of it if it doesn't accept that."""
+
+        def _handle_result(is_listening: bool | None) -> None:
+            if not is_listening:
+                self.handle_failure(server)
+
+        self._pool.check_listening(server.address, _handle_result)
+
     def _check(self, server: messages.ServerRecord, teller: str) -> None:
         key = observations.instance_key(server)
 
--- a/flamingoramp/membership/control_contacts.py
+++ b/flamingoramp/membership/control_contacts.py
@@ -59,10 +59,6 @@
         if confirmed:
             contact.confirmed_at = now
 
-    def heard_count(self, now: float, *, within_seconds: float) -> int:
-        """Return the number of control hosts that sent an update within a time."""
-        return sum(now - contact.updated_at < within_seconds for contact in self._contacts.values())
-
     def is_primary_silent(self, now: float) -> bool:
         """Return whether the primary has not sent an update recently."""
         contact = self._contacts.get(self._primary)
--- a/flamingoramp/platform/tests/test_dark_servers.py
+++ b/flamingoramp/platform/tests/test_dark_servers.py
@@ -45,7 +45,10 @@
         """Return which servers an entry takes for unresponsive."""
         entry = fleet.entries[index]
         unresponsive = entry.daemon._request_handler._unresponsive
-        return entry.call(lambda: {key for key in keys if unresponsive.is_unresponsive(key)})
+        known = {
+            observations.instance_key(record): record for record in entry.daemon.registry.servers()
+        }
+        return entry.call(lambda: {key for key in keys if unresponsive.is_unresponsive(known[key])})
 
     def find_all_unresponsive(self, fleet: fleets.Fleet, keys: set[str]) -> set[str]:
         """Return which servers all entries take for unresponsive."""
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -337,7 +337,8 @@
 
     Runs are named as `observations.instance_key` does. Those that the entry has reached though
     another one told otherwise are ``refuted``, for entries of its availability zone. Those that it
-    told of itself and has reached since have ``recovered``.
+    told of itself and has reached since have ``recovered``. Those that sent nothing for a request
+    are ``stalled``, while their announcements are missing too.
     """
 
     entry: str = ""
@@ -345,6 +346,7 @@
     unresponsive: tuple[str, ...] = ()
     refuted: tuple[str, ...] = ()
     recovered: tuple[str, ...] = ()
+    stalled: tuple[str, ...] = ()
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -65,8 +65,7 @@
     zone : str
         Availability zone of this entry.
     is_unresponsive : callable
-        Takes a key of `observations.instance_key`, returns whether entries found that this run of a
-        server doesn't accept connections.
+        Takes the record of a server, returns whether entries found that it doesn't respond.
     evacuations : container of str
         Evacuated availability zones, whose servers are not selected.
     started_at : float
@@ -80,7 +79,7 @@
         observed: observations.Observations,
         *,
         zone: str,
-        is_unresponsive: Callable[[str], bool] = lambda _key: False,
+        is_unresponsive: Callable[[messages.ServerRecord], bool] = lambda _server: False,
         evacuations: Container[str] = (),
         started_at: float = float("-inf"),
     ):
@@ -106,7 +105,6 @@
         excluded: set[str],
         *,
         now: float,
-        control_reachable: bool,
         waited_seconds: float = 0.0,
         is_arrival: bool = True,
     ) -> attempts.AttemptTarget:
@@ -120,9 +118,6 @@
             Servers that earlier attempts were sent to, or that refused the request.
         now : float
             Monotonic seconds.
-        control_reachable : bool
-            Whether a server's announcements would have reached this entry. If not, the silence of
-            servers is ignored.
         waited_seconds : float
             How long the request has waited for room at this entry.
         is_arrival : bool
@@ -145,7 +140,7 @@
             raise overload_error(
                 "the servers take no more requests now", self._seconds_until_offer(servers, now)
             )
-        candidates = self._make_candidates(usable, now, control_reachable)
+        candidates = self._make_candidates(usable, now)
         records = {record.server: record for record in usable}
         if service is None or not candidates:
             raise errors.NoBackendError(
@@ -185,7 +180,6 @@
         *,
         horizon_seconds: float,
         now: float,
-        control_reachable: bool,
     ) -> contention.Room:
         """Return the known room at the engines of a service.
 
@@ -196,11 +190,9 @@
         horizon_seconds : float
             Time within which the engines have to start a prefill for it to count as room.
         now : float
-        control_reachable : bool
-            As for `choose`.
         """
         usable = self._find_servers(service.name, set(), now).usable
-        loads = [item.load for item in self._make_candidates(usable, now, control_reachable)]
+        loads = [item.load for item in self._make_candidates(usable, now)]
         model = service.engine
         memory_tokens = placement.USABLE_MEMORY_RATIO * model.memory_tokens
         free = contention.Need(
@@ -289,13 +281,12 @@
         return f"no server of {service} is known"
 
     def _make_candidates(
-        self, usable: list[messages.ServerRecord], now: float, control_reachable: bool
+        self, usable: list[messages.ServerRecord], now: float
     ) -> list[placement.Candidate]:
         """Return servers as candidates, without those of last resort if others are left."""
         candidates = []
         for record in usable:
             key = observations.instance_key(record)
-            is_silent = control_reachable and record.silent
             is_suspended = self._observations.is_suspended(key, now)
             candidates.append(
                 placement.Candidate(
@@ -304,9 +295,8 @@
                     zone=record.zone,
                     load=self._loads.load(record.server, now),
                     slowdown=self._observations.slowdown(key, now),
-                    is_last_resort=is_silent
-                    or is_suspended
-                    or self._is_unresponsive(key)
+                    is_last_resort=is_suspended
+                    or self._is_unresponsive(record)
                     or self._observations.is_degraded(key, now),
                 )
             )
--- a/flamingoramp/routing/tests/test_selection.py
+++ b/flamingoramp/routing/tests/test_selection.py
@@ -6,6 +6,8 @@
 import types
 import unittest
 
+import attrs
+
 from flamingoramp import dialect
 from flamingoramp.intent import traffic
 from flamingoramp.membership import registry
@@ -47,7 +49,7 @@
                 zone="a",
                 started_at=100.0,
             )
-            target = selector.choose(DECLARATION, REQUEST, set(), now=now, control_reachable=True)
+            target = selector.choose(DECLARATION, REQUEST, set(), now=now)
             counts[target.server.server] += 1
         return counts
 
@@ -60,6 +62,14 @@
     def test_entry_that_knows_the_load_of_others_chooses_the_engine_of_least_cost(self):
         self.assertEqual(len(self.count_by_engine(now=110.0)), 1)
 
+    # Guards against requests that go to a few engines while control hosts are cut off from each
+    # other, and the announcements of all others are missing.
+    def test_engines_whose_announcements_are_missing_are_used(self):
+        for record in self.registry.servers()[3:]:
+            self.registry.update_server(attrs.evolve(record, silent=True), 1.0)
+        counts = self.count_by_engine(now=100.5)
+        self.assertGreaterEqual(len(counts), ENGINE_COUNT / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/flamingoramp/routing/tests/test_statements.py
+++ b/flamingoramp/routing/tests/test_statements.py
@@ -117,7 +117,6 @@
                 self.make_request(),
                 set(),
                 now=now,
-                control_reachable=True,
             )
         except errors.OverloadedError:
             self.refused_at.append(now)
