A request is sent again for silence at once only if its server is known not to respond

Cause: a server that sends nothing for three times the prediction is mostly busy; the prompt was read twice. Change: at the timeout the entry tries to connect. If the server doesn't accept, or others have told of it, the request goes to another one; else it does after twice the timeout, since a process may accept and hang. Result: two tests, of which the first failed before.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -31,6 +31,9 @@
 # objective, and at least this long; callers disconnect after 2 s without an event.
 STALL_TIMEOUT_RATIO = 3.0
 MIN_STALL_TIMEOUT_SECONDS = 1.4
+# An attempt that makes no progress is replaced after its timeout if the server is known not to
+# respond, and else after this many times the timeout: a busy server is slow, too.
+UNCONFIRMED_STALL_RATIO = 2.0
 # A stalled attempt is replaced only if the other server's predicted wait for the first event is at
 # most this share of the time since the attempt last received data.
 MAX_REPLACEMENT_WAIT_RATIO = 0.5
@@ -312,7 +315,7 @@
                 return
             idle_seconds = loop.now() - attempt.last_progress_at
             if idle_seconds < timeout_seconds - 0.001 or not self._replace_stalled(
-                attempt, idle_seconds
+                attempt, idle_seconds, timeout_seconds
             ):
                 self._schedule_stall_check(attempt, timeout_seconds)
 
@@ -321,7 +324,9 @@
         )
         loop.call_later(check_at - loop.now(), _check_for_stall)
 
-    def _replace_stalled(self, attempt: attempts.Attempt, idle_seconds: float) -> bool:
+    def _replace_stalled(
+        self, attempt: attempts.Attempt, idle_seconds: float, timeout_seconds: float
+    ) -> bool:
         """Retry a stalled attempt on another server; False if it should continue.
 
         A request that waits because all servers are busy must not be sent a second time, since
@@ -330,6 +335,10 @@
         server = attempt.target.server
         if not self._can_retry():
             return False
+        is_confirmed = attempt.target.is_peer or self._context.is_unresponsive(server)
+        if not is_confirmed and idle_seconds < UNCONFIRMED_STALL_RATIO * timeout_seconds:
+            self._context.check_server(server)
+            return False
         is_busy = self._context.has_backlog(self._admitted, server)
         if is_busy and not self._has_group_failed_to_start(attempt, idle_seconds):
             return False
--- a/flamingoramp/dispatch/forwarding_context.py
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -81,6 +81,12 @@
     ) -> bool:
         """Tell whether a server's known load explains why it sends no data."""
 
+    def is_unresponsive(self, server: protocol_messages.ServerRecord) -> bool:
+        """Tell whether a server is known not to respond."""
+
+    def check_server(self, server: protocol_messages.ServerRecord) -> None:
+        """Find out whether a server that sends nothing accepts connections."""
+
     def record_stall(self, server: protocol_messages.ServerRecord) -> None:
         """Record that a server sent no data for longer than its timeout."""
 
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -564,6 +564,16 @@
                 ends=[self._crash_evidence.end_count(item) for item in admitted.fingerprints],
             )
 
+    def is_unresponsive(self, server: messages.ServerRecord) -> bool:
+        """Tell whether a server is known not to respond."""
+        # The record may be of the time at which the request was sent.
+        current = self._registry.find_server(server.server) or server
+        return self._unresponsive.is_unresponsive(current)
+
+    def check_server(self, server: messages.ServerRecord) -> None:
+        """Find out whether a server that sends nothing accepts connections."""
+        self._unresponsive.check(server)
+
     def record_stall(self, server: messages.ServerRecord) -> None:
         """Record that a server sent no data for longer than its timeout."""
         self._observations.record_attempt_failure(
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -149,6 +149,9 @@
         self.settle_seconds = 0.0
         self.crossings: list[bool] = []
         self.backlogged: set[str] = set()
+        # Servers that accept connections though they may send nothing, and those that were checked.
+        self.responsive: set[str] = set()
+        self.checked: list[str] = []
         self.predicted_seconds = 0.1
         self.helpers: tuple[str, ...] = ()
         self.outcomes: list[tuple[str, dict[str, Any]]] = []
@@ -207,6 +210,12 @@
     def has_backlog(self, admitted, server) -> bool:
         return server.server in self.backlogged
 
+    def is_unresponsive(self, server) -> bool:
+        return server.server not in self.responsive
+
+    def check_server(self, server) -> None:
+        self.checked.append(server.server)
+
     def record_stall(self, server) -> None:
         """Do nothing."""
 
@@ -515,6 +524,27 @@
         self.complete_answer()
         self.assert_ended(200)
 
+    # Guards against prompts that are read twice since their server is only busy.
+    def test_replaces_a_server_that_accepts_connections_later(self):
+        self.context.responsive = {"s1"}
+        self.start_request(STREAM)
+        timeout_seconds = forwarding.MIN_FIRST_EVENT_TIMEOUT_SECONDS
+        self.context.loop.advance(1.9 * timeout_seconds)
+        self.assertEqual(len(self.calls), 1)
+        self.assertEqual(set(self.context.checked), {"s1"})
+        self.context.loop.advance(0.4 * timeout_seconds)
+        self.assertEqual(len(self.calls), 2)
+
+    def test_replaces_a_server_once_it_is_found_not_to_respond(self):
+        self.context.responsive = {"s1"}
+        self.start_request(STREAM)
+        timeout_seconds = forwarding.MIN_FIRST_EVENT_TIMEOUT_SECONDS
+        self.context.loop.advance(1.1 * timeout_seconds)
+        self.assertEqual(len(self.calls), 1)
+        self.context.responsive = set()
+        self.context.loop.advance(0.25 * timeout_seconds)
+        self.assertEqual(len(self.calls), 2)
+
     def test_does_not_replace_a_server_with_a_backlog(self):
         self.context.backlogged = {"s1"}
         self.start_request(STREAM)
--- a/flamingoramp/dispatch/unresponsive_servers.py
+++ b/flamingoramp/dispatch/unresponsive_servers.py
@@ -107,13 +107,22 @@
         self._log.write("server.unresponsive", server=server.server, address=server.address)
         self._tell(server)
 
+    def check(self, server: messages.ServerRecord) -> None:
+        """Try to connect to a server, and tell of it if it doesn't accept that."""
+
+        def _handle_result(is_listening: bool | None) -> None:
+            if not is_listening:
+                self.handle_failure(server)
+
+        self._pool.check_listening(server.address, _handle_result)
+
     def handle_stall(self, server: messages.ServerRecord) -> None:
         """Process that a server has sent nothing for a request for too long."""
         current = self._find(observations.instance_key(server))
         if current is None:
             return
         if not current.silent:
-            self._check_failure(current)
+            self.check(current)
             return
         key = observations.instance_key(current)
         self._stalled_until[key] = self._loop.now() + STALLED_SECONDS
@@ -123,7 +132,7 @@
     def handle_silence(self, server: messages.ServerRecord) -> None:
         """Try a server whose announcements are missing, if that is this entry's part."""
         if self._is_checking(observations.instance_key(server), ""):
-            self._check_failure(server)
+            self.check(server)
 
     def handle_message(self, message: messages.ServerReachability) -> None:
         """Process what another entry tells of servers."""
@@ -133,7 +142,7 @@
                 continue
             self._believe(key, message.entry)
             if self._is_checking(key, message.entry):
-                self._check(server, message.entry)
+                self._check_told(server, message.entry)
         for key in message.stalled:
             if self._find(key) is not None:
                 self._stalled_until[key] = self._loop.now() + STALLED_SECONDS
@@ -183,16 +192,7 @@
         ranked = sorted(candidates, key=report_targets.rank_by(key))
         return self._entry in ranked[:CHECKING_ENTRY_COUNT]
 
-    def _check_failure(self, server: messages.ServerRecord) -> None:
-        """Try to connect to a server, and tell of it if it doesn't accept that."""
-
-        def _handle_result(is_listening: bool | None) -> None:
-            if not is_listening:
-                self.handle_failure(server)
-
-        self._pool.check_listening(server.address, _handle_result)
-
-    def _check(self, server: messages.ServerRecord, teller: str) -> None:
+    def _check_told(self, server: messages.ServerRecord, teller: str) -> None:
         key = observations.instance_key(server)
 
         def _handle_result(is_listening: bool | None) -> None:
