Notices, changes of a zone and unresponsive servers take no memory or tries without end

Cause, by reading: an entry that places no long prompt kept the id of each notice; one that is no relay kept the names of all servers that ever changed; a server that is lost for good was tried by seven entries each second. Change: old notices are forgotten when others arrive, entries that send no summaries keep no changes, and the tries become less frequent, down to each 6 s.

--- a/flamingoramp/dispatch/tests/test_unresponsive_servers.py
+++ b/flamingoramp/dispatch/tests/test_unresponsive_servers.py
@@ -169,9 +169,23 @@
         network.fail("e0", 0)
         network.loop.advance(0.1)
         network.silent_entries = {"e0"}
-        network.loop.advance(unresponsive_servers.VALID_SECONDS)
+        network.loop.advance(
+            unresponsive_servers.RECHECK_SECONDS + unresponsive_servers.VALID_MARGIN_SECONDS
+        )
         self.assertEqual(network.believers(0) - {"e0"}, set())
 
+    def test_server_that_is_lost_for_good_is_tried_less_and_less_often(self):
+        network = Network()
+        network.dark = {"s0"}
+        network.fail("e0", 0)
+        network.loop.advance(60.0)
+        before = network.pools["e0"].check_count
+        for _ in range(60):
+            network.loop.advance(1.0)
+            self.assertEqual(network.believers(0), set(network.entries))
+        tries = network.pools["e0"].check_count - before
+        self.assertLessEqual(tries, 60.0 / unresponsive_servers.MAX_RECHECK_SECONDS)
+
     def test_tries_do_not_grow_with_the_number_of_entries(self):
         counts = []
         for entry_count in (12, 60):
--- a/flamingoramp/dispatch/unresponsive_servers.py
+++ b/flamingoramp/dispatch/unresponsive_servers.py
@@ -25,10 +25,14 @@
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import metrics as metrics_module
 
-# Interval at which an unresponsive server is tried and told of again.
+# Interval at which an unresponsive server is tried and told of again. After some tries it doubles
+# up to the longest one, since servers that are lost for good remain known.
 RECHECK_SECONDS = 0.75
-# Time for which others believe it: one message may be lost, and the connect timeout passes first.
-VALID_SECONDS = 2.5
+MAX_RECHECK_SECONDS = 6.0
+FREQUENT_RECHECK_COUNT = 5
+# Time beyond the next try for which others believe it: one message may be lost, and the connect
+# timeout passes first.
+VALID_MARGIN_SECONDS = 1.75
 # Entries of each availability zone that check what another one has told.
 CHECKING_ENTRY_COUNT = 2
 # Time for which a server is avoided that is silent to a request and at the control hosts.
@@ -82,8 +86,8 @@
         self._tellers: dict[str, set[str]] = {}
         # By entry and instance.
         self._refuted_until: dict[tuple[str, str], float] = {}
-        # Servers that this entry tells of and tries again.
-        self._own: set[str] = set()
+        # Servers that this entry tells of and tries again, with the number of times that it told.
+        self._own: dict[str, int] = {}
 
     def is_unresponsive(self, server: messages.ServerRecord) -> bool:
         """Return whether a server is known not to accept connections, or not to respond to any."""
@@ -102,7 +106,7 @@
             or self._is_refuted(self._entry, key)
         ):
             return
-        self._own.add(key)
+        self._own[key] = 0
         self._metrics.count("unresponsive_servers")
         self._log.write("server.unresponsive", server=server.server, address=server.address)
         self._tell(server)
@@ -140,7 +144,7 @@
             server = self._find(key)
             if server is None or self._is_refuted(message.entry, key):
                 continue
-            self._believe(key, message.entry)
+            self._believe(key, message.entry, message.valid_seconds)
             if self._is_checking(key, message.entry):
                 self._check_told(server, message.entry)
         for key in message.stalled:
@@ -166,8 +170,9 @@
     def _is_refuted(self, teller: str, key: str) -> bool:
         return self._loop.now() < self._refuted_until.get((teller, key), float("-inf"))
 
-    def _believe(self, key: str, teller: str) -> None:
-        self._valid_until[key] = self._loop.now() + VALID_SECONDS
+    def _believe(self, key: str, teller: str, valid_seconds: float) -> None:
+        valid_seconds = min(valid_seconds, MAX_RECHECK_SECONDS + VALID_MARGIN_SECONDS)
+        self._valid_until[key] = self._loop.now() + valid_seconds
         self._tellers.setdefault(key, set()).add(teller)
 
     def _forget(self, key: str) -> None:
@@ -212,32 +217,42 @@
             self._forget(key)
             self._metrics.count("unresponsive_servers_refuted")
         if key in self._own:
-            self._own.discard(key)
+            del self._own[key]
             self._log.write("server.refuted", key=key, source=source)
 
     def _tell(self, server: messages.ServerRecord) -> None:
         """Tell all entries of an unresponsive server, and try it again later."""
         key = observations.instance_key(server)
-        self._believe(key, self._entry)
-        self._send(messages.ServerReachability(self._entry, self._zone, unresponsive=(key,)))
-        self._loop.call_later(RECHECK_SECONDS, lambda: self._recheck(key))
-
-    def _recheck(self, key: str) -> None:
-        if key not in self._own:
+        self._own[key] += 1
+        doublings = max(0, self._own[key] - FREQUENT_RECHECK_COUNT)
+        interval_seconds = min(MAX_RECHECK_SECONDS, RECHECK_SECONDS * 2 ** min(doublings, 10))
+        valid_seconds = interval_seconds + VALID_MARGIN_SECONDS
+        self._believe(key, self._entry, valid_seconds)
+        self._send(
+            messages.ServerReachability(
+                self._entry, self._zone, unresponsive=(key,), valid_seconds=valid_seconds
+            )
+        )
+        told_count = self._own[key]
+        self._loop.call_later(interval_seconds, lambda: self._recheck(key, told_count))
+
+    def _recheck(self, key: str, told_count: int) -> None:
+        """Try a server again, unless another try has become due since it was told of."""
+        if self._own.get(key) != told_count:
             return
         server = self._find(key)
         if server is None:
-            self._own.discard(key)
+            del self._own[key]
             self._forget(key)
             return
 
         def _handle_result(is_listening: bool | None) -> None:
-            if key not in self._own:
+            if self._own.get(key) != told_count:
                 return
             if not is_listening:
                 self._tell(server)
                 return
-            self._own.discard(key)
+            del self._own[key]
             self._forget(key)
             self._log.write("server.recovered", server=server.server)
             self._send(messages.ServerReachability(self._entry, self._zone, recovered=(key,)))
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -338,7 +338,8 @@
     Runs are named as `observations.instance_key` does. Those that the entry has reached though
     another one told otherwise are ``refuted``, for entries of its availability zone. Those that it
     told of itself and has reached since have ``recovered``. Those that sent nothing for a request
-    are ``stalled``, while their announcements are missing too.
+    are ``stalled``, while their announcements are missing too. What is ``unresponsive`` is to be
+    believed for ``valid_seconds``.
     """
 
     entry: str = ""
@@ -347,6 +348,7 @@
     refuted: tuple[str, ...] = ()
     recovered: tuple[str, ...] = ()
     stalled: tuple[str, ...] = ()
+    valid_seconds: float = 0.0
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/flamingoramp/routing/load_exchange.py
+++ b/flamingoramp/routing/load_exchange.py
@@ -93,11 +93,10 @@
         if self._loads.has_unreported_changes and not self._is_report_scheduled:
             self._is_report_scheduled = True
             self._loop.call_later(REPORT_DELAY_SECONDS, self._report_changes)
-        if (
-            self._targets.remote_forwarders
-            and self._loads.has_unsummarized_changes
-            and not self._is_summary_scheduled
-        ):
+        if not self._targets.remote_forwarders:
+            # A relay that takes over begins with a complete summary.
+            self._loads.discard_unsummarized_changes()
+        elif self._loads.has_unsummarized_changes and not self._is_summary_scheduled:
             self._is_summary_scheduled = True
             self._loop.call_later(SUMMARY_CHANGE_DELAY_SECONDS, self._send_summary_of_changes)
 
--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -273,6 +273,10 @@
         """Whether work of entries of this zone changed since the last summary."""
         return bool(self._changed_in_zone)
 
+    def discard_unsummarized_changes(self) -> None:
+        """Forget what changed in this zone, of which this entry sends no summaries."""
+        self._changed_in_zone.clear()
+
     @property
     def statements(self) -> statements.ServerStatements:
         """What servers state of themselves in answers to this entry and to others."""
--- a/flamingoramp/routing/placement_notices.py
+++ b/flamingoramp/routing/placement_notices.py
@@ -70,11 +70,7 @@
         tuple of str
             Ids of other entries' placements that it was made with knowledge of.
         """
-        self._heard_at = {
-            other: heard_at
-            for other, heard_at in self._heard_at.items()
-            if now - heard_at < KNOWN_SECONDS
-        }
+        self._forget_old(now)
         known = tuple(self._heard_at)
         self._own[placement] = _OwnPlacement(frozenset(servers), frozenset(known))
         return known
@@ -94,6 +90,7 @@
         self, placement: str, servers: Iterable[str], known: Iterable[str], now: float
     ) -> None:
         """Process another entry's notice, which withdraws the placement if it has no servers."""
+        self._forget_old(now)
         self._heard_at[placement] = now
         servers = set(servers)
         known = set(known)
@@ -106,3 +103,10 @@
                 own.must_move = True
             else:
                 own.losers.add(placement)
+
+    def _forget_old(self, now: float) -> None:
+        self._heard_at = {
+            placement: heard_at
+            for placement, heard_at in self._heard_at.items()
+            if now - heard_at < KNOWN_SECONDS
+        }
--- a/flamingoramp/routing/tests/test_placement_notices.py
+++ b/flamingoramp/routing/tests/test_placement_notices.py
@@ -67,6 +67,11 @@
         later = 2 * placement_notices.KNOWN_SECONDS
         self.assertEqual(self.first.begin("1", "abc", later), ())
 
+    def test_entry_that_places_nothing_keeps_few_notices(self):
+        for number in range(10_000):
+            self.first.handle(str(number), "abc", (), 0.1 * number)
+        self.assertLessEqual(len(self.first._heard_at), 10 * placement_notices.KNOWN_SECONDS + 1)
+
 
 class TestNoticedLoad(unittest.TestCase):
     """What a notice adds counts once, until a report includes it or it expires."""
