--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -298,6 +298,8 @@
                 FIRST_EVENT_TIMEOUT_RATIO * target.predicted_seconds,
                 MIN_FIRST_EVENT_TIMEOUT_SECONDS,
             )
+            if target.helpers:
+                timeout = min(timeout, self._group_start_seconds)
         return PEER_TIMEOUT_RATIO * timeout if target.is_peer else timeout
 
     def _schedule_stall_check(self, attempt: attempts.Attempt, timeout_seconds: float) -> None:
@@ -335,13 +337,13 @@
         server = attempt.target.server
         if not self._can_retry():
             return False
-        is_confirmed = attempt.target.is_peer or self._context.is_unresponsive(server)
-        if not is_confirmed and idle_seconds < UNCONFIRMED_STALL_RATIO * timeout_seconds:
-            self._context.check_server(server)
-            return False
-        is_busy = self._context.has_backlog(self._admitted, server)
-        if is_busy and not self._has_group_failed_to_start(attempt, idle_seconds):
-            return False
+        if not self._has_group_failed_to_start(attempt, idle_seconds):
+            is_confirmed = attempt.target.is_peer or self._context.is_unresponsive(server)
+            if not is_confirmed and idle_seconds < UNCONFIRMED_STALL_RATIO * timeout_seconds:
+                self._context.check_server(server)
+                return False
+            if self._context.has_backlog(self._admitted, server):
+                return False
         try:
             replacement = self._choose_target()
         except errors.FlamingorampError:
@@ -358,11 +360,15 @@
     def _has_group_failed_to_start(self, attempt: attempts.Attempt, idle_seconds: float) -> bool:
         if not attempt.target.helpers or attempt.event_count:
             return False
+        return idle_seconds >= self._group_start_seconds - 0.001
+
+    @property
+    def _group_start_seconds(self) -> float:
         patience_seconds = min(
             self._admitted.time_limit_seconds,
             selection.first_token_timeout(self._admitted.route),
         )
-        return idle_seconds >= GROUP_START_RATIO * patience_seconds
+        return GROUP_START_RATIO * patience_seconds
 
     def _can_retry(self) -> bool:
         """Tell whether the route, the deadline and earlier attempts permit another send."""
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -567,7 +567,9 @@
     def is_unresponsive(self, server: messages.ServerRecord) -> bool:
         """Tell whether a server is known not to respond."""
         # The record may be of the time at which the request was sent.
-        current = self._registry.find_server(server.server) or server
+        current = self._registry.find_server(server.server)
+        if current is None or current.gone or current.born != server.born:
+            return True
         return self._unresponsive.is_unresponsive(current)
 
     def check_server(self, server: messages.ServerRecord) -> None:
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -556,13 +556,14 @@
     def test_replaces_a_group_that_does_not_start_in_time_for_a_second_one(self):
         route = attrs.evolve(STREAM, timeout_seconds=15.0, latency_objective_seconds=4.0)
         patience_seconds = min(15.0, selection.first_token_timeout(route))
-        self.context.backlogged = {"s1", "s2", "s3"}
+        self.context.backlogged = self.context.responsive = {"s1", "s2", "s3"}
         self.context.helpers = ("h1", "h2")
-        self.context.predicted_seconds = 2.0
+        self.context.predicted_seconds = 4.0
         self.start_request(route, time_limit_seconds=15.0)
         self.context.loop.advance(0.9 * forwarding.GROUP_START_RATIO * patience_seconds)
         self.assertEqual(len(self.calls), 1)
-        self.context.loop.advance(0.35 * forwarding.GROUP_START_RATIO * patience_seconds)
+        self.context.predicted_seconds = 2.0
+        self.context.loop.advance(0.15 * forwarding.GROUP_START_RATIO * patience_seconds)
         self.assertEqual(len(self.calls), 2)
         self.assertTrue(self.calls[0].cancelled)
         self.assertEqual(self.context.server_loads.load("s1", 0.0), load_table.ServerLoad())
--- a/flamingoramp/dispatch/tests/test_request_handler.py
+++ b/flamingoramp/dispatch/tests/test_request_handler.py
@@ -313,3 +313,20 @@
         self.awaits_zone_update = False
         self.loop.advance(0.1)
         self.assertEqual(self.sent_addresses(), ["s2:1"] * 5)
+
+
+class TestServersThatDoNotRespond(HandlerCase):
+    """What is known of a server decides how long a request waits for it."""
+
+    # Guards against a request that waits for a server that was taken away, and which is forgotten
+    # as unresponsive since its record is gone.
+    def test_server_that_is_gone_does_not_respond(self):
+        server = self.servers.find_server("s1")
+        self.assertFalse(self.handler.is_unresponsive(server))
+        self.remove_server()
+        self.assertTrue(self.handler.is_unresponsive(server))
+
+    def test_earlier_run_of_a_server_does_not_respond(self):
+        server = self.servers.find_server("s1")
+        self.servers.update_server(attrs.evolve(server, born=2, sequence=1), self.loop.now())
+        self.assertTrue(self.handler.is_unresponsive(server))
