--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -568,7 +568,9 @@
         """Tell whether a server is known not to respond."""
         # The record may be of the time at which the request was sent.
         current = self._registry.find_server(server.server)
-        if current is None or current.gone or current.born != server.born:
+        if current is None or current.gone:
+            return True
+        if current.born and server.born and current.born != server.born:
             return True
         return self._unresponsive.is_unresponsive(current)
 
