--- a/flamingoramp/routing/load_table.py
+++ b/flamingoramp/routing/load_table.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import attrs
 
 from flamingoramp import value_classes
 from flamingoramp.protocol import load_reports
-from flamingoramp.routing import contention, rates, statements
+from flamingoramp.routing import contention, noticed_loads, rates, statements
 
 # Upper bounds of the pause objective of strict and relaxed requests; all others are patient.
 STRICT_PAUSE_SECONDS = 0.4
@@ -28,8 +28,6 @@
 BURST_TIME_CONSTANT_SECONDS = 0.5
 # Number of entries that is assumed while the others aren't known.
 ASSUMED_ENTRY_COUNT = 200
-# A summary of a zone that arrives this long after a notice from there includes what it told of.
-NOTICE_OVERLAP_SECONDS = 0.03
 # Servers of one report part; a packed record takes about 25 bytes, and a datagram carries 1,400.
 MAX_SERVERS_PER_PART = 45
 
@@ -209,17 +207,6 @@
     part: int
 
 
-@attrs.define(eq=False, repr=False)
-class _NoticedLoad(value_classes.MutableValue):
-    """What a placement adds to a server, by a notice, until a report includes it."""
-
-    entry: str
-    zone: str
-    sequence: int
-    load: ServerLoad
-    received_at: float
-
-
 class LoadTable:
     """Load of all servers; times are monotonic seconds.
 
@@ -242,10 +229,7 @@
         # By server, then by reporter, so that the load of a server is found among those with work
         # there and not among all entries.
         self._reported: dict[str, dict[str, _ReportedLoad]] = {}
-        # By server, then by placement.
-        self._noticed: dict[str, dict[str, _NoticedLoad]] = {}
-        # Placements that were withdrawn, whose notices may still arrive.
-        self._withdrawn_at: dict[str, float] = {}
+        self._noticed = noticed_loads.NoticedLoads()
         self._arrivals: dict[str, rates.RateMeter] = {}
         self._requests: dict[str, rates.RateMeter] = {}
         self._reported_placements = rates.RateMeter()
@@ -425,10 +409,8 @@
         for reported in self._reported.get(server, {}).values():
             if self._is_counted(reported.reporter, now):
                 total.add_reported(reported.load, now - reported.received_at)
-        for noticed in self._noticed.get(server, {}).values():
-            age = now - noticed.received_at
-            if age < REPORT_EXPIRY_SECONDS:
-                total.add_reported(noticed.load, age)
+        for noticed in self._noticed.on_server(server, now):
+            total.add_reported(noticed.load, now - noticed.received_at)
         return total
 
     def _is_counted(self, reporter: _Reporter, now: float) -> bool:
@@ -454,31 +436,14 @@
     def handle_notice(self, report: load_reports.LoadReport, now: float) -> None:
         """Add what another entry's placement adds to its servers; without any, remove it again."""
         if not report.servers:
-            self._withdrawn_at[report.placement] = now
-            for server in list(self._noticed):
-                if report.placement in self._noticed[server]:
-                    self._remove_noticed(server, report.placement)
-            return
-        if report.placement in self._withdrawn_at:
-            return
+            self._noticed.withdraw(report.placement, now)
         for server, load in _read_loads(report).items():
             reported = self._reported.get(server, {}).get(report.entry)
             if reported is None or reported.sequence < report.sequence:
-                self._noticed.setdefault(server, {})[report.placement] = _NoticedLoad(
+                noticed = noticed_loads.NoticedLoad(
                     report.entry, report.zone, report.sequence, load, now
                 )
-
-    def _remove_noticed(self, server: str, placement: str) -> None:
-        items = self._noticed[server]
-        del items[placement]
-        if not items:
-            del self._noticed[server]
-
-    def _drop_noticed(self, server: str, is_included: Callable[[_NoticedLoad], bool]) -> None:
-        """Drop what notices added to a server and a later report includes."""
-        for placement, noticed in list(self._noticed.get(server, {}).items()):
-            if is_included(noticed):
-                self._remove_noticed(server, placement)
+                self._noticed.add(report.placement, server, noticed)
 
     def _apply(
         self, key: str, reporter: _Reporter, report: load_reports.LoadReport, now: float
@@ -499,7 +464,7 @@
                 of_own_zone=reporter.zone == self._zone and not reporter.is_summary,
             )
         self._contention.handle_report(key, report, now)
-        self._drop_reported_notices(reporter, report, now)
+        self._noticed.drop_reported(report, now)
         loads = _read_loads(report)
         if not report.only_changes:
             if report.sequence <= reporter.sequences.get(report.part, -1):
@@ -522,29 +487,6 @@
                 if counts_placements:
                     self._changed_in_zone.add(server)
 
-    def _drop_reported_notices(
-        self, reporter: _Reporter, report: load_reports.LoadReport, now: float
-    ) -> None:
-        if not self._noticed:
-            return
-        if reporter.is_summary:
-            for server in report.servers if report.only_changes else list(self._noticed):
-                self._drop_noticed(
-                    server,
-                    lambda noticed: (
-                        noticed.zone == reporter.zone
-                        and now - noticed.received_at >= NOTICE_OVERLAP_SECONDS
-                    ),
-                )
-            return
-        for server in report.servers:
-            self._drop_noticed(
-                server,
-                lambda noticed: (
-                    noticed.entry == report.entry and noticed.sequence < report.sequence
-                ),
-            )
-
     def _remove_reporter(self, key: str) -> None:
         reporter = self._reporters.pop(key, None)
         self._contention.remove_reporter(key)
@@ -563,15 +505,7 @@
         for key, reporter in list(self._reporters.items()):
             if reporter.has_expired(now):
                 self._remove_reporter(key)
-        for server in list(self._noticed):
-            self._drop_noticed(
-                server, lambda noticed: now - noticed.received_at >= REPORT_EXPIRY_SECONDS
-            )
-        self._withdrawn_at = {
-            placement: withdrawn_at
-            for placement, withdrawn_at in self._withdrawn_at.items()
-            if now - withdrawn_at < REPORT_EXPIRY_SECONDS
-        }
+        self._noticed.remove_expired(now)
 
     def make_notice(
         self,
--- a/flamingoramp/routing/tests/test_placement_notices.py
+++ b/flamingoramp/routing/tests/test_placement_notices.py
@@ -5,7 +5,7 @@
 import unittest
 
 from flamingoramp.protocol import load_reports
-from flamingoramp.routing import load_table, placement_notices
+from flamingoramp.routing import load_table, noticed_loads, placement_notices
 
 STAYS = placement_notices.Settlement.STAYS
 MOVES = placement_notices.Settlement.MOVES
@@ -152,7 +152,7 @@
     def test_notice_of_an_entry_that_has_stopped_expires(self):
         receiver = load_table.LoadTable("a")
         receiver.handle_notice(self.notice(1), 10.0)
-        late = 10.0 + load_table.REPORT_EXPIRY_SECONDS
+        late = 10.0 + noticed_loads.EXPIRY_SECONDS
         self.assertEqual(receiver.load("e1", late), load_table.ServerLoad())
         receiver.remove_expired_reports(late)
         self.assertEqual(receiver.load("e1", 10.0), load_table.ServerLoad())
