--- a/flamingoramp/platform/tests/test_backends.py
+++ b/flamingoramp/platform/tests/test_backends.py
@@ -103,8 +103,8 @@
     @classmethod
     def setUpClass(cls):
         # On its first use, hypothesis builds its table of characters and then reads the constants
-        # of all loaded modules of the project. Both take seconds and would count as time to generate
-        # the first inputs.
+        # of all loaded modules of the project. Both take seconds and would count as time for the
+        # first inputs.
         strategies.text().validate()
         draw_inputs = given(cls.values)(lambda _value: None)
         unchecked = settings(
