--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A content that crashes engines, sent by three clients at a time, is never refused in time."""
+"""An acknowledged DELETE of an engine is forgotten if all processes are killed within a second."""
 
 from __future__ import annotations
 
@@ -11,49 +11,37 @@
 
 import stand_ins  # noqa: E402
 
-WAVE_COUNT = 4
-COPIES_PER_WAVE = 3
-COPY_INTERVAL_SECONDS = 0.1
-WAVE_INTERVAL_SECONDS = 4.5
-CRASH_DELAY_SECONDS = 0.4
-MAX_RETRIES = 3
-POISON = b'{"hold":"poison"}'
+DRAIN_SECONDS = stand_ins.THRESHOLDS["drain_ms"] / 1000
 CONTACT_SECONDS = stand_ins.THRESHOLDS["contact_ms"] / 1000
+# "a little longer (at times many seconds)"
+LINGER_SECONDS = 16.0
+KILLED_AFTER_SECONDS = 0.1
+DOWN_SECONDS = 0.5
 
-CONFIGURATION = stand_ins.configuration(1, [stand_ins.route("/hold/", "desk", "non_idempotent")])
-
-
-async def _send_copy(
-    fleet: stand_ins.Fleet, entry: stand_ins.Machine, delay_seconds: float
-) -> None:
-    await asyncio.sleep(delay_seconds)
-    await stand_ins.send_request(fleet, entry, "/hold/2", POISON)
+CONFIGURATION = stand_ins.configuration(1, [stand_ins.route("/hold/", "desk", "idempotent")])
 
 
 async def play(record: stand_ins.Record, has_trouble: bool) -> bool | None:
     """Return whether the rule held."""
     fleet = stand_ins.Fleet(record)
     arrivals: list[float] = []
-
-    def _note(engine: stand_ins.Engine, _headers: dict[str, str], body: bytes) -> None:
-        if body == POISON:
-            arrivals.append(record.now())
-            record.write(f"engine {engine.name}: arrival {len(arrivals)} of the poisonous content")
-
     try:
         for machine in fleet.machines:
             machine.start(bootstrap=True)
+
+        def _note(engine: stand_ins.Engine, _headers: dict[str, str], _body: bytes) -> None:
+            if engine is engines[0]:
+                arrivals.append(record.now())
+
         engines = [
             stand_ins.Engine(
                 fleet,
                 service="desk",
                 number=number,
-                zone=stand_ins.ZONES[number % 3],
-                crashes_on=lambda body: has_trouble and body == POISON,
+                zone=stand_ins.ZONES[number],
                 on_arrival=_note,
-                crash_delay_seconds=CRASH_DELAY_SECONDS,
             )
-            for number in range(6)
+            for number in range(3)
         ]
         if not await fleet.configure(CONFIGURATION):
             return None
@@ -61,34 +49,41 @@
             await engine.start()
         if not await fleet.wait_until_ready(fleet.entries):
             return None
-        # All machines are in touch after this time.
         await asyncio.sleep(CONTACT_SECONDS + 2.0)
         for entry in fleet.entries:
-            answer = await stand_ins.send_request(fleet, entry, "/hold/1", b'{"hold":"sound"}')
+            answer = await stand_ins.send_request(fleet, entry, "/hold/1", b"{}")
             if answer.status != 200:
                 return None
-        third_crash_at = None
-        for wave in range(WAVE_COUNT):
-            record.write(f"script: wave {wave + 1}")
-            await asyncio.gather(
-                *[
-                    _send_copy(fleet, entry, number * COPY_INTERVAL_SECONDS)
-                    for number, entry in enumerate(fleet.entries[:COPIES_PER_WAVE])
-                ]
-            )
-            if third_crash_at is None and len(arrivals) >= 3:
-                third_crash_at = record.now()
-            await asyncio.sleep(WAVE_INTERVAL_SECONDS)
-        if third_crash_at is None:
+        acknowledgement = await engines[0].deregister()
+        if acknowledgement is None:
+            return None
+        _, acknowledged_at = acknowledgement
+        await asyncio.sleep(KILLED_AFTER_SECONDS)
+        if has_trouble:
+            for machine in fleet.machines:
+                machine.kill()
+            await asyncio.sleep(DOWN_SECONDS)
+            for machine in fleet.machines:
+                machine.start()
+        if not await fleet.wait_until_ready(fleet.entries):
             return None
-        retries = [at for at in arrivals if at > third_crash_at + CONTACT_SECONDS]
+        # All machines are in touch after this time.
+        await asyncio.sleep(CONTACT_SECONDS + 2.0)
+        judged_from = record.now()
+        served = 0
+        while record.now() < acknowledged_at + LINGER_SECONDS:
+            for entry in fleet.entries:
+                answer = await stand_ins.send_request(fleet, entry, "/hold/1", b"{}")
+                served += answer.status == 200
+            await asyncio.sleep(0.2)
+        engines[0].stop()
+        late = [at for at in arrivals if at > max(judged_from, acknowledged_at + DRAIN_SECONDS)]
         record.write(
-            f"script: {len(arrivals)} arrivals; {len(retries)} of them later than "
-            f"{CONTACT_SECONDS:.0f} s after the third crash, {MAX_RETRIES} are allowed"
+            f"script: {served} requests served; {len(late)} reached the engine that had left, "
+            f"up to {max(late, default=acknowledged_at) - acknowledged_at:.1f} s "
+            "after its DELETE was acknowledged"
         )
-        if not has_trouble:
-            return True
-        return len(retries) <= MAX_RETRIES
+        return not late if served else None
     finally:
         fleet.close()
 
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -276,6 +276,8 @@
         self.status = status
         self.headers = headers or {}
         self.body = body
+        # Of the request, if it has one.
+        self.request = ""
 
 
 async def call(
@@ -339,6 +341,10 @@
     ----------
     crashes_on : callable
         Takes the body of a request that begins to run; returns whether it crashes the engine.
+    answer_status : callable
+        Returns the status of the answer to a request that has run.
+    on_arrival : callable
+        Takes this engine, the headers and the body of a request that begins to run.
     """
 
     def __init__(
@@ -352,6 +358,7 @@
         work_seconds: float = 0.02,
         crashes_on: Callable[[bytes], bool] = lambda _body: False,
         crash_delay_seconds: float = 0.01,
+        answer_status: Callable[[], int] = lambda: 200,
         on_arrival: Callable[[Engine, dict[str, str], bytes], None] = lambda *_: None,
     ):
         self.fleet = fleet
@@ -361,6 +368,7 @@
         self.work_seconds = work_seconds
         self.crashes_on = crashes_on
         self.crash_delay_seconds = crash_delay_seconds
+        self.answer_status = answer_status
         self.on_arrival = on_arrival
         self.ip_address = f"{fleet.network}.{201 + number}"
         self.port = free_port(self.ip_address)
@@ -491,9 +499,11 @@
         await asyncio.sleep(work_seconds)
         if not self.is_up:
             return
-        self.fleet.record.write(f"engine {self.name}: answers {request}")
+        status = self.answer_status()
+        self.fleet.record.write(f"engine {self.name}: answers {request} with {status}")
         stamp = f"{random.getrandbits(32):08x}"
-        self._send(writer, 200, {"X-Attempt-Id": request, "X-Response-Stamp": stamp}, b"x" * 800)
+        extra = {"X-Attempt-Id": request, "X-Response-Stamp": stamp}
+        self._send(writer, status, extra, b"x" * 800, has_body=not first.startswith("HEAD "))
 
     def _send(
         self,
@@ -576,6 +586,7 @@
         seconds=2.0,
     )
     fleet.record.write(f"client: {request} got {answer.status or 'a closed connection'}")
+    answer.request = request
     return answer
 
 
