--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -596,6 +596,8 @@
     ``case`` takes the record and whether there is a disruption, and returns True if the rule held,
     False if it was broken, and None if the case couldn't run.
     """
+    # Ends with the processes' clean-up also when the time limit of run.sh is reached.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(2))
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
