--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -26,6 +26,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("zone-a", "zone-b", "zone-c")
 HEARTBEAT_SECONDS = 1.2
+# Time that an engine works on each request of a `KeptClient` but the first.
+KEPT_WORK_SECONDS = 2.0
 # Bounds of the small deployments on the users' pages.
 THRESHOLDS = {
     "contact_ms": 3000,
@@ -503,7 +505,11 @@
         self.fleet.record.write(f"engine {self.name}: answers {request} with {status}")
         stamp = f"{random.getrandbits(32):08x}"
         extra = {"X-Attempt-Id": request, "X-Response-Stamp": stamp}
-        self._send(writer, status, extra, b"x" * 800, has_body=not first.startswith("HEAD "))
+        answer = b"x" * 800
+        if "x-token-count" in headers:
+            extra["Content-Type"] = "text/event-stream"
+            answer = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(1, 4))
+        self._send(writer, status, extra, answer, has_body=not first.startswith("HEAD "))
 
     def _send(
         self,
@@ -572,7 +578,13 @@
 
 
 async def send_request(
-    fleet: Fleet, machine: Machine, path: str, body: bytes = b"", *, method: str = "POST"
+    fleet: Fleet,
+    machine: Machine,
+    path: str,
+    body: bytes = b"",
+    *,
+    method: str = "POST",
+    headers: dict[str, str] | None = None,
 ) -> Answer:
     """Send a client's request to an entry on a new connection; return the answer."""
     request = f"{random.getrandbits(64):016x}"
@@ -581,7 +593,7 @@
         machine.front,
         method,
         path,
-        headers=client_headers(request, 1500),
+        headers={**client_headers(request, 1500), **(headers or {})},
         body=body,
         seconds=2.0,
     )
@@ -590,7 +602,48 @@
     return answer
 
 
-def run(case: Callable[[Record, bool], Any], folder: pathlib.Path) -> None:
+class KeptClient:
+    """A client that sends one long request after the other on a kept connection."""
+
+    def __init__(self, fleet: Fleet, entry: Machine):
+        self._fleet = fleet
+        self._entry = entry
+        # Requests that the connection ended for without an answer, after it had carried another.
+        self.unanswered: list[str] = []
+
+    async def send_all(self, until: float) -> None:
+        """Send requests until a time."""
+        record = self._fleet.record
+        host, _, port = self._entry.front.rpartition(":")
+        while record.now() < until:
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.2)
+                continue
+            answer_count = 0
+            try:
+                while record.now() < until:
+                    request = f"{random.getrandbits(64):016x}"
+                    body = b"work %.1f" % (KEPT_WORK_SECONDS if answer_count else 0.02)
+                    headers = client_headers(request, 7000)
+                    headers["Content-Length"] = str(len(body))
+                    lines = [f"{name}: {value}" for name, value in headers.items()]
+                    head = "\r\n".join(["POST /hold/7 HTTP/1.1", *lines, "", ""])
+                    record.write(f"client: sends {request} to {self._entry.name}: POST /hold/7")
+                    writer.write(head.encode() + body)
+                    answer = await read_answer(reader)
+                    record.write(f"client: {request} got {answer.status}")
+                    answer_count += 1
+            except (OSError, asyncio.IncompleteReadError):
+                record.write(f"client: {request} got a closed connection")
+                if answer_count:
+                    self.unanswered.append(request)
+            finally:
+                writer.close()
+
+
+def run(case: Callable[[Record, bool], Any], record_path: pathlib.Path) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     ``case`` takes the record and whether there is a disruption, and returns True if the rule held,
@@ -598,7 +651,7 @@
     """
     # Ends with the processes' clean-up also when the time limit of run.sh is reached.
     signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(2))
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         result = asyncio.run(case(record, has_trouble))
