Commit departures of backend servers before they are acknowledged (DRAIN)

Cause: a control host acknowledged what was in memory only. Its file of servers is written once a second, so the newest state that outlived the loss of all was 'available', and a server that has departed sends no correction. The same held for 'draining', and for the loss of the one host that had heard of a departure.

Change: the leader proposes each departure that it hears of as a log entry, and the host that has the server's call answers once its replicated state has it, else with 503 after 0.9 s. The effect on entries is immediate as before. Reports older than a committed departure are amended, the file of servers also by log entries that are not known to be committed yet.

Why this works: a quorum has synced the entry before the answer, and any later leader has it, whichever disk is lost.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,24 +14,31 @@
 WORKER_COUNT = 6
 
 
-def run_seed(seed: int, steps: int, shard_counts: tuple[int, ...]) -> str:
+def run_seed(
+    seed: int, steps: int, shard_counts: tuple[int, ...], has_departures: bool = False
+) -> str:
     """Run a scenario with one seed and return its traceback, empty if it passed.
 
     ``shard_counts`` are the numbers of shards of the engines' service, which changes of the
-    declaration take in turn. If all are 0, the scenario is that of control hosts that are replaced.
+    declaration take in turn. If all are 0, the scenario is that of control hosts that are replaced,
+    at which servers depart if ``has_departures`` is set.
     """
     try:
         if any(shard_counts):
             scenarios.Scenario(seed, shards=shard_counts).run(steps)
         else:
-            control_scenarios.ControlScenario(seed).run(steps)
+            control_scenarios.ControlScenario(seed, has_departures=has_departures).run(steps)
     except Exception:
         return traceback.format_exc(limit=-3)
     return ""
 
 
 def main(
-    seeds: int = 1000, steps: int = 400, first: int = 1, shards: int | tuple[int, ...] = 1
+    seeds: int = 1000,
+    steps: int = 400,
+    first: int = 1,
+    shards: int | tuple[int, ...] = 1,
+    departures: bool = False,
 ) -> None:
     """Run a range of seeds and print each failure with the command that reproduces it.
 
@@ -43,6 +50,8 @@
         Number of shards of the engines' service. With several numbers, each change of the
         declaration takes the next one in turn. 0 runs the scenario of control hosts that
         discover each other through seed addresses and are replaced.
+    departures : bool
+        Whether servers depart in the scenario of control hosts.
     """
     shard_counts = (shards,) if isinstance(shards, int) else tuple(shards)
     shards_text = ",".join(map(str, shard_counts))
@@ -50,7 +59,7 @@
     failed_count = 0
     with futures.ProcessPoolExecutor(WORKER_COUNT) as pool:
         seeds_by_future = {
-            pool.submit(run_seed, seed, steps, shard_counts): seed
+            pool.submit(run_seed, seed, steps, shard_counts, departures): seed
             for seed in range(first, first + seeds)
         }
         for future in futures.as_completed(seeds_by_future):
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -1,7 +1,7 @@
 """Daemon of a control host that finds its cluster by seed addresses.
 
-It replicates the operators' declaration and their evacuations of availability zones, receives
-announcements of backend servers, and publishes changes of all to the entries.
+It replicates the operators' declaration, their evacuations of availability zones and the departures
+of backend servers, receives announcements of servers, and publishes changes of all to the entries.
 """
 
 from __future__ import annotations
@@ -17,7 +17,13 @@
 from flamingoramp import dialect as dialects
 from flamingoramp import errors, value_classes
 from flamingoramp.consensus import effects, node, replica, storage
-from flamingoramp.daemons import node_process, operator_calls, server_records, start_steps
+from flamingoramp.daemons import (
+    departure_calls,
+    node_process,
+    operator_calls,
+    server_records,
+    start_steps,
+)
 from flamingoramp.http import server as http_server
 from flamingoramp.intent import coordinator_state, versioned_declaration
 from flamingoramp.membership import entry_directory, registry, subscriptions
@@ -114,11 +120,22 @@
                 self._loop,
                 self._registry,
                 settings.data_folder,
+                departed=departure_calls.read_recovered(
+                    self._node, self._replicated_state.departures
+                ),
                 log=self._log,
                 metrics=self._metrics,
                 wall_time=self._process.wall_time,
             )
         self._evacuation_calls = self._make_evacuation_calls()
+        self._departure_calls = departure_calls.DepartureCalls(
+            self._loop,
+            node=self._node,
+            state=self._replicated_state.departures,
+            member_registry=self._registry,
+            log=self._log,
+            metrics=self._metrics,
+        )
         self._process.add_cleanup(self._node.close)
         self._process.transport.name = self._node.identity or settings.control_internal_address
         if settings.listen.operators:
@@ -146,6 +163,11 @@
         """Replica of the declaration log on this host."""
         return self._node
 
+    @property
+    def replicated_state(self) -> coordinator_state.CoordinatorState:
+        """What the log of the control hosts has committed, as known to this host."""
+        return self._replicated_state
+
     @property
     def registry(self) -> registry.Registry:
         """Backend servers and entries that were announced to any control host."""
@@ -284,14 +306,20 @@
         now = self._loop.now()
         previous_change_number = self._registry.change_number
         for server in update.servers:
-            self._registry.update_server(server, now, relayed=True)
+            self._update_server(server, relayed=True)
         for entry in update.entries:
             self._registry.update_entry(entry, now, relayed=True)
         self._publisher.add_crashes(update.crashes, now)
+        self._departure_calls.update()
         self._publish_is_due = (
             self._publish_is_due or self._registry.change_number != previous_change_number
         )
 
+    def _update_server(self, record: messages.ServerRecord, *, relayed: bool = False) -> bool:
+        """Merge a report of a server, which may be older than its departure."""
+        amended = self._replicated_state.departures.amend(record)
+        return self._registry.update_server(amended, self._loop.now(), relayed=relayed)
+
     def _subscribe_to_peers(self) -> None:
         for host in self._node.hosts or self._settings.seed_internal_addresses:
             if host != self._settings.control_internal_address:
@@ -356,6 +384,7 @@
 
     def _record_changes(self) -> None:
         """Log and publish what has changed in the replicated state."""
+        self._publish_is_due = self._departure_calls.update() or self._publish_is_due
         evacuations = self._replicated_state.evacuations
         if self._state.version != self._recorded_version:
             self._recorded_version = self._state.version
@@ -532,10 +561,10 @@
         match call:
             case dialects.AnnounceServer(record):
                 self._handle_announcement(record)
-                exchange.respond(self._dialect.encode_acknowledgement())
+                self._acknowledge(record.server, record.leaving, exchange)
             case dialects.WithdrawServer(server):
                 self._handle_withdrawal(server)
-                exchange.respond(self._dialect.encode_acknowledgement())
+                self._acknowledge(server, True, exchange)
             case dialects.SubmitDeclaration(version, document):
                 self._dialect.decode_declaration(document)
                 self._handle_declaration(call, exchange, version)
@@ -548,7 +577,7 @@
 
     def _handle_announcement(self, record: messages.ServerRecord) -> None:
         previous = self._registry.find_server(record.server)
-        changed = self._registry.update_server(record, self._loop.now())
+        changed = self._update_server(record)
         current = self._registry.find_server(record.server)
         self._metrics.count("announcements")
         if not changed or current is None:
@@ -578,6 +607,17 @@
             self._publish_is_due = True
             self._log.write("server.withdrawn", server=server)
 
+    def _acknowledge(self, server: str, is_departing: bool, exchange: http_server.Exchange) -> None:
+        """Acknowledge a server's call; one that tells of its departure once that is committed."""
+
+        def _on_committed() -> None:
+            exchange.respond(self._dialect.encode_acknowledgement())
+
+        record = self._registry.find_server(server) if is_departing else None
+        self._departure_calls.submit(
+            record, on_committed=_on_committed, on_error=self._make_error_handler(exchange)
+        )
+
     def _handle_declaration(
         self, call: dialects.SubmitDeclaration, exchange: http_server.Exchange, version: int
     ) -> None:
--- a/flamingoramp/daemons/server_records.py
+++ b/flamingoramp/daemons/server_records.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from flamingoramp import errors
-from flamingoramp.membership import registry, server_records_file
+from flamingoramp.membership import departures, registry, server_records_file
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import metrics as metrics_module
 
@@ -29,6 +29,8 @@
     member_registry : registry.Registry
     folder : str
         Data folder of the host.
+    departed : departures.DepartureState
+        Departures that may be newer than the records.
     log : Any
         Event log.
     metrics : metrics_module.Metrics
@@ -42,6 +44,7 @@
         member_registry: registry.Registry,
         folder: str,
         *,
+        departed: departures.DepartureState,
         log: Any,
         metrics: metrics_module.Metrics,
         wall_time: Callable[[], float],
@@ -55,10 +58,10 @@
         self._saved_change_number = 0
         self._saved_at = loop.now()
         self._thread: threading.Thread | None = None
-        self._load()
+        self._load(departed)
         loop.call_every(CHECK_INTERVAL_SECONDS, self._save_if_due)
 
-    def _load(self) -> None:
+    def _load(self, departed: departures.DepartureState) -> None:
         try:
             records = server_records_file.load(self._path, self._wall_time())
         except (OSError, errors.ProtocolError) as error:
@@ -67,7 +70,7 @@
             return
         now = self._loop.now()
         for record in records:
-            self._registry.update_server(record, now, relayed=True)
+            self._registry.update_server(departed.amend(record), now, relayed=True)
         self._log.write("servers.loaded", count=len(records))
 
     def _save_if_due(self) -> None:
--- a/flamingoramp/daemons/tests/test_server_records.py
+++ b/flamingoramp/daemons/tests/test_server_records.py
@@ -10,7 +10,7 @@
 
 from flamingoramp import errors
 from flamingoramp.daemons import server_records
-from flamingoramp.membership import registry, server_records_file
+from flamingoramp.membership import departures, registry, server_records_file
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import metrics, virtual_time
 
@@ -41,6 +41,7 @@
         self.folder = folder.name
         self.path = pathlib.Path(self.folder, server_records.FILE_NAME)
         self.wall_time = WALL_TIME
+        self.departed = departures.DepartureState()
 
     def start(self) -> registry.Registry:
         self.loop = virtual_time.VirtualLoop()
@@ -51,6 +52,7 @@
             self.loop,
             self.registry,
             self.folder,
+            departed=self.departed,
             log=self.log,
             metrics=metrics.Metrics(),
             wall_time=lambda: self.wall_time,
@@ -93,6 +95,23 @@
         self.assertTrue(known.find_server("s0").leaving)
         self.assertEqual([record.server for record in known.servers()], ["s0"])
 
+    # Guards against servers that are used after a restart since their departure came after the last
+    # write of the file.
+    def test_departure_of_the_log_is_newer_than_the_record(self):
+        self.start()
+        for record in RECORDS[:3]:
+            self.registry.update_server(record, self.loop.now())
+        self.run_for(2.0)
+        payload = departures.encode(
+            [departures.Departure("s0", 5, False), departures.Departure("s1", 5, True)]
+        )
+        entry = messages.LogEntry(1, 1, departures.KIND_DEPARTURES, payload)
+        self.departed.apply_entry(entry)
+        known = {record.server: record for record in self.start().servers()}
+        self.assertEqual(sorted(known), ["s0", "s2"])
+        self.assertTrue(known["s0"].leaving)
+        self.assertFalse(known["s2"].leaving)
+
     def test_later_start_of_a_server_replaces_the_kept_record(self):
         self.start().update_server(RECORDS[0], 0.0)
         self.run_for(2.0)
--- a/flamingoramp/intent/tests/test_evacuations.py
+++ b/flamingoramp/intent/tests/test_evacuations.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from flamingoramp.intent import coordinator_state, evacuations, versioned_declaration
+from flamingoramp.membership import departures
 from flamingoramp.protocol import messages
 
 ORDERS = strategies.tuples(
@@ -123,7 +124,7 @@
 
 
 class TestCoordinatorState(unittest.TestCase):
-    """Declaration and evacuations share the log and the snapshot."""
+    """Declaration, evacuations and departures share the log and the snapshot."""
 
     def make_declaration_entry(self, index: int, version: int) -> messages.LogEntry:
         payload = versioned_declaration.encode(version, versioned_declaration.compress(b"{}"))
@@ -136,6 +137,16 @@
         self.assertEqual((restored.declaration.version, restored.declaration.document), (9, b"{}"))
         self.assertEqual((restored.evacuations.zones, restored.evacuations.number), (("b",), 2))
 
+    def test_snapshot_round_trip_keeps_departures(self):
+        departure = departures.Departure("s1", 5, True)
+        payload = departures.encode([departure])
+        entry = messages.LogEntry(3, 1, departures.KIND_DEPARTURES, payload)
+        state = apply_all([self.make_declaration_entry(1, 9), make_entry(2, "b"), entry])
+        restored = coordinator_state.CoordinatorState()
+        restored.load(state.dump())
+        self.assertTrue(restored.departures.contains(departure))
+        self.assertEqual((restored.declaration.version, restored.evacuations.zones), (9, ("b",)))
+
     def test_older_declaration_that_arrives_late_undoes_no_evacuation(self):
         state = apply_all(
             [
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -121,6 +121,7 @@
         self._incarnation = 1
         self._state = "ready"
         self._has_crashed = False
+        self._is_silent = False
         self._loop = loops.Loop()
         self._pool = client.Pool(self._loop)
         self._server = server.Server(self._loop, "127.0.0.1:0", self._handle)
@@ -140,6 +141,16 @@
         """Announce state ``draining`` from now on."""
         self._state = "draining"
 
+    def stop_announcing(self) -> None:
+        """Send no more announcements; requests are still served."""
+        self._is_silent = True
+
+    def start_anew(self) -> None:
+        """Announce a new start as an available server, and go on announcing."""
+        self._incarnation += 1
+        self._state = "ready"
+        self._is_silent = False
+
     def restart(self) -> None:
         """Announce a new start under the same name."""
         self._incarnation += 1
@@ -166,9 +177,8 @@
         self._pool.close()
         self._loop.close()
 
-    def _announce(self) -> None:
-        if self._has_crashed:
-            return
+    def make_announcement(self) -> bytes:
+        """Return the body of the next announcement."""
         self._sequence += 1
         body = {
             "service": self._service,
@@ -181,11 +191,16 @@
             "seq": self._sequence,
             "born": self._incarnation,
         }
+        return json.dumps(body).encode()
+
+    def _announce(self) -> None:
+        if self._has_crashed or self._is_silent:
+            return
         request = messages.Request(
             b"PUT",
             f"/v1/instances/{self.name}".encode(),
             ((b"host", b"control"),),
-            json.dumps(body).encode(),
+            self.make_announcement(),
         )
         control_address = self._control_addresses[self._sequence % len(self._control_addresses)]
         self._pool.send(control_address, request, client.Collector(lambda _head, _body: None))
--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -271,6 +271,36 @@
         self.controls.append(self.start_control(len(self._addresses) - 1))
         return self.controls[-1]
 
+    def restart_all(self, *, lost_disk: int | None = None) -> None:
+        """Stop all daemons as kills do, and start them again.
+
+        Parameters
+        ----------
+        lost_disk : int or None
+            Control host whose data is deleted meanwhile.
+        """
+        for daemon_thread in (*self.controls, *self.entries):
+            daemon_thread.daemon.process.loop.stop()
+        for daemon_thread in (*self.controls, *self.entries):
+            daemon_thread.stop()
+        if lost_disk is not None:
+            self.delete_data(lost_disk)
+        control_count = len(self.controls)
+        self.controls = [self.start_control(index) for index in range(control_count)]
+        self.entries = [
+            self.start_entry(control_count + index) for index in range(len(self.entries))
+        ]
+
+    def stop_controls(self, *indexes: int) -> None:
+        """Stop control daemons as kills do."""
+        for index in indexes:
+            self.controls[index].stop()
+
+    def start_controls(self, *indexes: int) -> None:
+        """Start control daemons that were stopped."""
+        for index in indexes:
+            self.controls[index] = self.start_control(index)
+
     def delete_data(self, index: int) -> None:
         """Delete the data of a host, as the loss of its disk does."""
         shutil.rmtree(self.folder / f"data-{index}")
--- a/flamingoramp/tests/control_scenarios.py
+++ b/flamingoramp/tests/control_scenarios.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from typing import Any
 
@@ -17,6 +18,7 @@
 from flamingoramp.consensus import effects, node, replica
 from flamingoramp.daemons import coordinator
 from flamingoramp.intent import coordinator_state, evacuations, versioned_declaration
+from flamingoramp.membership import departures
 from flamingoramp.tests import worlds
 
 SEED_HOST_COUNT = 3
@@ -144,9 +146,12 @@
     seed : int
     host_count : int
         Number of hosts; the first three are the seed hosts.
+    has_departures : bool
+        Whether servers depart, too, and at times all hosts are killed right after they have
+        acknowledged it.
     """
 
-    def __init__(self, seed: int, *, host_count: int = 5):
+    def __init__(self, seed: int, *, host_count: int = 5, has_departures: bool = False):
         self.sim = worlds.Simulation(seed)
         self.sim.message_faults_disabled = True
         self._rng = random.Random(f"control/{seed}")
@@ -158,6 +163,9 @@
         self._acknowledged_version = 0
         self._acknowledged_orders: dict[str, tuple[int, bool]] = {}
         self._zones_by_number: dict[int, tuple[str, ...]] = {}
+        self._has_departures = has_departures
+        self._server_numbers = itertools.count()
+        self._acknowledged_departures: list[departures.Departure] = []
         self._pending_reads: list[_Read] = []
         self._calm_until = 0.0
         for _ in range(host_count):
@@ -189,6 +197,8 @@
             (self._replace_host, 1),
             (self._change_seed_hosts, 1),
         )
+        if self._has_departures:
+            actions += ((self._depart, 6),)
         choices, weights = zip(*actions, strict=True)
         for _ in range(steps):
             self._rng.choices(choices, weights)[0]()
@@ -301,6 +311,28 @@
             lambda _error: None,
         )
 
+    def _depart(self) -> None:
+        """Let a server depart; at times, all hosts end with the acknowledgement."""
+        leaders = [candidate for candidate in self._responsive_hosts() if candidate.node.is_leader]
+        if not leaders:
+            return
+        host = self._rng.choice(leaders)
+        number = next(self._server_numbers)
+        departure = departures.Departure(f"server-{number}", number, self._rng.random() < 0.5)
+        ends_all = self._rng.random() < 0.3
+
+        def _handle_acknowledgement(_result: tuple[departures.Departure, ...]) -> None:
+            self._acknowledged_departures.append(departure)
+            if ends_all:
+                self.sim.schedule(0.0, None, self._kill_all)
+
+        host.node.propose(
+            departures.KIND_DEPARTURES,
+            departures.encode([departure]),
+            _handle_acknowledgement,
+            lambda _error: None,
+        )
+
     def _request_read(self) -> None:
         for host in self._responsive_hosts():
             if host.node.is_leader:
@@ -344,6 +376,11 @@
             if self._rng.random() < 0.7:
                 self._kill_and_restart_later(host)
 
+    def _kill_all(self) -> None:
+        for host in self._hosts.values():
+            if host.is_running:
+                self._kill_and_restart_later(host)
+
     def _kill_and_restart_later(self, host: Host | None) -> None:
         if host is None:
             return
@@ -509,6 +546,9 @@
                         f"order {index} about zone {zone} was acknowledged, but {host.name} has "
                         f"{last_index} ({host.evacuations.zones})"
                     )
+            for departure in self._acknowledged_departures:
+                if not host.replicated_state.departures.contains(departure):
+                    raise worlds.Violation(f"{departure} was acknowledged, {host.name} lacks it")
         previous_version = self._newest_version
         self._propose_declaration()
         self.sim.advance(3.0)
--- a/flamingoramp/tests/test_worlds.py
+++ b/flamingoramp/tests/test_worlds.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from flamingoramp.consensus import node
+from flamingoramp.membership import departures
 from flamingoramp.tests import control_scenarios, scenarios, worlds
 
 SCENARIO_SEEDS = range(1, 13)
@@ -71,6 +72,24 @@
             with self.subTest(seed=seed):
                 control_scenarios.ControlScenario(seed).run(CONTROL_STEP_COUNT)
 
+    # Guards against departures that are forgotten when all hosts end right after they acknowledged
+    # them, some of them with their disks.
+    def test_acknowledged_departures_are_kept_in_random_runs(self):
+        for seed in CONTROL_SEEDS:
+            with self.subTest(seed=seed):
+                scenario = control_scenarios.ControlScenario(seed, has_departures=True)
+                scenario.run(CONTROL_STEP_COUNT)
+
+    def test_scenario_detects_departures_that_are_not_in_snapshots(self):
+        with (
+            mock.patch.object(departures.DepartureState, "dump", lambda _state: []),
+            mock.patch.object(node, "SNAPSHOT_THRESHOLD_ENTRIES", 20),
+            self.assertRaisesRegex(worlds.Violation, "was acknowledged"),
+        ):
+            for seed in CONTROL_SEEDS:
+                scenario = control_scenarios.ControlScenario(seed, has_departures=True)
+                scenario.run(CONTROL_STEP_COUNT)
+
     def test_scenario_detects_unconfirmed_reads(self):
         with mock.patch.object(node.Node, "confirms_read", lambda _node, _requested_at: True):
             violations = 0
