Believe a refusal without a request id on an unused connection only (REFUSED)

What callers saw, in the new test: 503 'not run', while the server was running their request: it had written an earlier refusal once more on the kept connection that the request came on.

Cause: decode_answer_head took any 421, and any answer with X-Not-Executed, for a refusal of the request in hand if it carried no X-Attempt-Id. On a connection that has carried an answer, such bytes may be a copy of it.

Evidence: test_no_request_that_runs_is_answered_as_not_run on the code before, AssertionError: 503 unexpectedly found in (408, 421, 429, 503) : b'r1' for 503 and 429 without an id and for 421; copies with the id of their request were taken for foreign answers already.

Change: the HTTP client tells whether a head is the first on its connection, and a refusal without an id counts only then; else the answer is foreign: the connection is closed, and the request may have run.

Why this works: a first answer can't be a copy, and a later one needs the id. Errors after broken streams (nine kinds, three framings) and answers that are cut off anywhere held before, and are tested in the same module.

--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -55,10 +55,15 @@
 
 @attrs.frozen(eq=False, repr=False)
 class Head(value_classes.Value):
-    """Status and headers of a response."""
+    """Status and headers of a response.
+
+    ``is_first`` tells that the connection carried no response before. A later one may be a copy of
+    an earlier response that a faulty server repeats.
+    """
 
     status: int
     headers: messages.Headers
+    is_first: bool = True
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header by its lower-case name, None if it is missing."""
@@ -131,6 +136,7 @@
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._receiver: ResponseReceiver | None = None
         self._sent_bytes_at_start = 0
+        self._response_count = 0
         self._interim_count = 0
         self._body_bytes = 0
         self._max_body_bytes: int | None = None
@@ -223,7 +229,9 @@
                 case h11.Response():
                     headers = tuple((bytes(key), bytes(value)) for key, value in event.headers)
                     self._update_reuse_timeout(headers)
-                    self._receiver.handle_head(Head(event.status_code, headers))
+                    self._response_count += 1
+                    is_first = self._response_count == 1
+                    self._receiver.handle_head(Head(event.status_code, headers, is_first))
                 case h11.Data():
                     self._body_bytes += len(event.data)
                     limit = self._max_body_bytes
--- a/flamingoramp/http/tests/test_client.py
+++ b/flamingoramp/http/tests/test_client.py
@@ -16,11 +16,17 @@
 
 
 class ScriptedServer:
-    """Sends one of the given responses for each request, in order; None closes the connection."""
+    """Sends one of the given responses for each request, in order; None closes the connection.
 
-    def __init__(self, responses: list[bytes | None], *, reset: bool = False):
+    With ``close_after`` it closes after each response.
+    """
+
+    def __init__(
+        self, responses: list[bytes | None], *, reset: bool = False, close_after: bool = False
+    ):
         self.responses = responses
         self.reset = reset
+        self.close_after = close_after
         self.connection_count = 0
         self.request_count = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -52,6 +58,8 @@
                         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero_seconds)
                     return
                 sock.sendall(response)
+                if self.close_after:
+                    return
 
     def close(self) -> None:
         self.listener.close()
@@ -62,6 +70,7 @@
 
     def __init__(self):
         self.status = 0
+        self.is_first: bool | None = None
         self.body = b""
         self.completed = False
         self.failure: client.Failure | None = None
@@ -69,6 +78,7 @@
 
     def handle_head(self, head: client.Head) -> None:
         self.status = head.status
+        self.is_first = head.is_first
 
     def handle_data(self, data: bytes) -> None:
         self.body += data
@@ -94,8 +104,10 @@
         self.addCleanup(self.loop.close)
         self.addCleanup(self.pool.close)
 
-    def start_server(self, *responses: bytes | None, reset: bool = False) -> ScriptedServer:
-        server = ScriptedServer(list(responses), reset=reset)
+    def start_server(
+        self, *responses: bytes | None, reset: bool = False, close_after: bool = False
+    ) -> ScriptedServer:
+        server = ScriptedServer(list(responses), reset=reset, close_after=close_after)
         self.addCleanup(server.close)
         return server
 
@@ -113,6 +125,22 @@
             self.assertEqual(self.send_request(server.address).body, b"ok")
         self.assertEqual(server.connection_count, 1)
 
+    # Guards against copies of earlier responses that are taken for those of later requests.
+    def test_head_tells_whether_its_connection_carried_a_response_before(self):
+        server = self.start_server(OK_RESPONSE, OK_RESPONSE, OK_RESPONSE)
+        for new_connection, is_first in ((False, True), (False, False), (True, True)):
+            answer = self.send_request(server.address, new_connection=new_connection)
+            self.assertIs(answer.is_first, is_first)
+
+    # Guards against empty or short answers that look complete.
+    def test_no_part_of_a_response_is_complete(self):
+        whole = b"HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 2\r\n\r\nok"
+        for length in range(1, len(whole)):
+            server = self.start_server(whole[:length], close_after=True)
+            answer = self.send_request(server.address)
+            self.assertIs(answer.failure, client.Failure.CLOSED, whole[:length])
+            self.assertTrue(answer.may_have_run)
+
     def test_request_with_new_connection_does_not_reuse_an_idle_one(self):
         server = self.start_server(OK_RESPONSE, OK_RESPONSE)
         self.send_request(server.address)
--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -122,10 +122,15 @@
 
 
 def decode_answer_head(head: client.Head, request_id: str) -> dialect.AnswerHead:
-    """Decode the head of a backend server's answer to the request ``request_id``."""
+    """Decode the head of a backend server's answer to the request ``request_id``.
+
+    A refusal that names no request counts only on a connection without an earlier answer: on
+    another one, it may be a copy of an earlier refusal while the server runs the request.
+    """
     failed_address = (head.header(wire_names.FAILED_ADDRESS) or b"").decode("latin-1")
     echoed_id = head.header(wire_names.REQUEST_ID)
-    if echoed_id is not None and echoed_id != request_id.encode("latin-1"):
+    is_unassigned = echoed_id is None and not head.is_first
+    if is_unassigned or echoed_id not in (None, request_id.encode("latin-1")):
         return dialect.AnswerHead(dialect.AnswerKind.FOREIGN, failed_address)
     if head.status == 421:
         # Another server has this address now.
--- a/flamingoramp/platform/tests/test_backends.py
+++ b/flamingoramp/platform/tests/test_backends.py
@@ -243,6 +243,16 @@
         self.assertIs(kind, dialect.AnswerKind.NOT_RUN)
         self.assertIs(self.decode_kind(421, x_attempt_id=b"id1"), dialect.AnswerKind.NOT_RUN)
 
+    # Guards against a copy of an earlier refusal on a connection that is in use again.
+    def test_refusal_without_request_id_counts_on_an_unused_connection_only(self):
+        for status in (421, 429, 503):
+            headers = ((b"x-not-executed", b"1"),)
+            kinds = [
+                backends.decode_answer_head(client.Head(status, headers, is_first), "id1").kind
+                for is_first in (True, False)
+            ]
+            self.assertEqual(kinds, [dialect.AnswerKind.NOT_RUN, dialect.AnswerKind.FOREIGN])
+
     def test_limit_of_the_answering_server_is_decoded(self):
         signed = {"x_attempt_id": b"id1", "x_response_stamp": b"s"}
         refused = {"x_attempt_id": b"id1", "x_not_executed": b"1"}
--- /dev/null
+++ b/flamingoramp/platform/tests/test_faulty_answers.py
@@ -0,0 +1,213 @@
+"""End-to-end tests of backend servers that repeat, mix up or cut off their answers."""
+
+from __future__ import annotations
+
+import attrs
+
+from flamingoramp.http import server
+from flamingoramp.platform.tests import fake_server
+from flamingoramp.platform.tests import fleet as fleets
+
+# Statuses that promise that the request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Time after which a server that repeated an answer sends that to the request in hand.
+RUN_SECONDS = 0.2
+PLAIN_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nx-attempt-id: ID\r\nx-response-stamp: STAMP\r\n"
+    b"content-length: 5\r\n\r\nwhole"
+)
+HEAD_OF_STREAM = (
+    b"HTTP/1.1 200 OK\r\nx-attempt-id: ID\r\nx-response-stamp: STAMP\r\n"
+    b"content-type: text/event-stream\r\n"
+)
+TWO_EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+ERROR_TEXT = b"the engine failed"
+REQUEST_ID = b"x-attempt-id: ID\r\n"
+SIGNATURE = b"x-response-stamp: STAMP\r\n"
+LENGTH = b"content-length: 17\r\n\r\n"
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Return a part of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+BROKEN_STREAMS = {
+    "in chunks": HEAD_OF_STREAM + b"transfer-encoding: chunked\r\n\r\n" + make_chunk(TWO_EVENTS),
+    "with a length": HEAD_OF_STREAM + b"content-length: 500\r\n\r\n" + TWO_EVENTS,
+    "without a length": HEAD_OF_STREAM + b"\r\n" + TWO_EVENTS + b"id: 3\ndata: pi",
+}
+ERRORS = {
+    "failed": b"HTTP/1.1 500 Failed\r\n" + REQUEST_ID + SIGNATURE + LENGTH + ERROR_TEXT,
+    "bad request": b"HTTP/1.1 400 Bad\r\n" + REQUEST_ID + SIGNATURE + LENGTH + ERROR_TEXT,
+    "plain success": b"HTTP/1.1 200 OK\r\n" + REQUEST_ID + SIGNATURE + LENGTH + ERROR_TEXT,
+    "refused": b"HTTP/1.1 503 Full\r\n"
+    + REQUEST_ID
+    + b"x-not-executed: 1\r\n"
+    + LENGTH
+    + ERROR_TEXT,
+    "not its own": b"HTTP/1.1 421 Other\r\n" + LENGTH + ERROR_TEXT,
+    "without a length": b"HTTP/1.1 500 Failed\r\n" + REQUEST_ID + SIGNATURE + b"\r\n" + ERROR_TEXT,
+    "unsigned stream": b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+    + LENGTH
+    + ERROR_TEXT,
+    "no HTTP": ERROR_TEXT + b"\r\n\r\n",
+    "cut off in its head": b"HTTP/1.1 500 Failed\r\n" + REQUEST_ID,
+}
+
+
+@attrs.frozen
+class RawAnswer:
+    """Bytes of an answer, with ``ID`` and ``STAMP`` as placeholders; it closes after them."""
+
+    data: bytes
+
+
+class ScriptedServer(fake_server.FakeServer):
+    """Server that sends the next of some raw answers to each request, and sound ones after them.
+
+    Servers that share the list of answers share the order, too.
+    """
+
+    def __init__(self, name: str, service: str, seeds: list[str], answers: list[RawAnswer]):
+        self._answers = answers
+        super().__init__(name, service, seeds)
+
+    def _handle(self, exchange: server.Exchange) -> None:
+        if not self._answers:
+            super()._handle(exchange)
+            return
+        self.requests.append(exchange.request)
+        request_id = exchange.request.header(b"x-attempt-id") or b""
+        data = self._answers.pop(0).data.replace(b"ID", request_id).replace(b"STAMP", b"stamp")
+        stream = exchange._connection._stream
+        stream.write(data)
+        stream.shut_down_gracefully()
+
+
+class RepeatingServer(fake_server.FakeServer):
+    """Server that refuses the first request of each connection, and repeats that before the next.
+
+    It runs the later ones.
+    """
+
+    def __init__(self, name: str, service: str, seeds: list[str], refusal: bytes):
+        self._refusal = refusal
+        self._refusals_by_connection: dict[int, bytes] = {}
+        self.run_ids: list[bytes] = []
+        self.repeat_count = 0
+        super().__init__(name, service, seeds)
+
+    def _handle(self, exchange: server.Exchange) -> None:
+        request_id = exchange.request.header(b"x-attempt-id") or b""
+        connection = exchange._connection
+        copy = self._refusals_by_connection.get(id(connection))
+        if copy is None:
+            refusal = self._refusal.replace(b"ID", request_id)
+            self._refusals_by_connection[id(connection)] = refusal
+            headers = tuple(
+                tuple(line.split(b": ")) for line in refusal.split(b"\r\n")[1:] if b": " in line
+            )
+            status = int(refusal.split()[1])
+            headers = tuple(item for item in headers if item[0] != b"content-length")
+            exchange.respond(server.messages.Response(status, headers))
+            return
+        self.repeat_count += 1
+        self.run_ids.append(request_id)
+        connection._stream.write(copy)
+        self._loop.call_later(RUN_SECONDS, lambda: super(RepeatingServer, self)._handle(exchange))
+
+
+def wait_announced(fleet: fleets.Fleet, name: str) -> None:
+    """Wait until all entries know a server."""
+    for entry in fleet.entries:
+        fleets.wait_for(lambda entry=entry: entry.daemon.registry.find_server(name), name)
+
+
+def start_scripted(
+    fleet: fleets.Fleet, service: str, answers_by_name: dict[str, list[RawAnswer]]
+) -> None:
+    """Start servers that send raw answers."""
+    for name, answers in answers_by_name.items():
+        fleet.servers.append(ScriptedServer(name, service, fleet.seeds, answers))
+    for name in answers_by_name:
+        wait_announced(fleet, name)
+
+
+class TestRepeatedRefusals(fleets.FleetTestCase):
+    """A server writes an earlier refusal once more on a kept connection."""
+
+    REFUSALS = {
+        "with its id": b"HTTP/1.1 503 Full\r\n" + REQUEST_ID + b"x-not-executed: 1\r\n",
+        "without an id": b"HTTP/1.1 503 Full\r\nx-not-executed: 1\r\n",
+        "too many": b"HTTP/1.1 429 Many\r\nx-not-executed: 1\r\n",
+        "of another server": b"HTTP/1.1 421 Other\r\n",
+    }
+
+    # Guards against callers that are told to try again though a server runs their request.
+    def test_no_request_that_runs_is_answered_as_not_run(self):
+        for name, refusal in self.REFUSALS.items():
+            with self.subTest(refusal=name):
+                fleet = self.start_serving(entries=1)
+                repeating = RepeatingServer(
+                    "d1", "desk", fleet.seeds, refusal + b"content-length: 0\r\n\r\n"
+                )
+                fleet.servers.append(repeating)
+                wait_announced(fleet, "d1")
+                statuses = {}
+                for number in range(12):
+                    route = "hold" if number % 4 == 3 else "read"
+                    request_id = f"r{number}"
+                    answer = self.send(fleet, route, x_attempt_id=request_id)
+                    statuses[request_id.encode()] = answer.status
+                self.assertGreater(repeating.repeat_count, 0)
+                for run_id in repeating.run_ids:
+                    self.assertNotIn(statuses[run_id], NOT_RUN_STATUSES, run_id)
+                self.assertEqual(len(repeating.run_ids), len(set(repeating.run_ids)))
+
+
+class TestErrorsAfterBrokenStreams(fleets.FleetTestCase):
+    """A stream breaks off, and the next server answers with an error."""
+
+    def check_answer(self, stream: bytes, error: bytes) -> None:
+        # Servers that fail are avoided for a while, so each case has its own.
+        fleet = self.start_serving(entries=1)
+        answers = [RawAnswer(stream), RawAnswer(error)]
+        start_scripted(fleet, "llm", {"e1": answers, "e2": answers})
+        answer = self.send(fleet, "stream")
+        self.assertEqual(answers, [], "both servers got the request")
+        self.assertEqual((answer.status, answer.body), (0, TWO_EVENTS))
+        self.assertEqual(answer.headers["x-response-stamp"], "stamp")
+
+    # Guards against error texts in the middle of a stream, and against streams that end as if they
+    # were complete.
+    def test_caller_gets_the_events_and_no_end(self):
+        for name, error in ERRORS.items():
+            with self.subTest(error=name):
+                self.check_answer(BROKEN_STREAMS["in chunks"], error)
+        for name, stream in BROKEN_STREAMS.items():
+            with self.subTest(stream=name):
+                self.check_answer(stream, ERRORS["failed"])
+
+
+class TestHeadsThatAreCutOff(fleets.FleetTestCase):
+    """A server stops in the middle of an answer's head, or of its body, and closes."""
+
+    # Guards against empty or short answers that look complete.
+    def test_no_part_of_an_answer_is_a_success(self):
+        fleet = self.start_serving(entries=1)
+        answers: dict[str, list[RawAnswer]] = {"desk": [], "llm": []}
+        for service in answers:
+            start_scripted(fleet, service, {service: answers[service]})
+        stream = BROKEN_STREAMS["in chunks"]
+        for route, service, whole in (
+            ("read", "desk", PLAIN_ANSWER),
+            ("hold", "desk", PLAIN_ANSWER),
+            ("stream", "llm", stream),
+        ):
+            for length in range(0, len(whole), 5):
+                with self.subTest(route=route, length=length):
+                    answers[service][:] = [RawAnswer(whole[:length])]
+                    answer = self.send(fleet, route)
+                    answers[service].clear()
+                    self.assertNotEqual(answer.status // 100, 2, answer)
