--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -225,8 +225,14 @@
             self._server.loop.call_later(0, self._process_events)
 
     def abort(self) -> None:
-        """Close the connection before the response is complete."""
+        """Close the connection before the response is complete.
+
+        To a caller of HTTP/1.0, the end of the connection is that of the response, unless it is
+        reset.
+        """
         self._exchange = None
+        if self._parser.their_http_version == b"1.0":
+            self._stream.reset()
         self.close()
 
     def _new_parser(self) -> h11.Connection:
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -90,6 +90,13 @@
         self.addCleanup(sock.close)
         return sock
 
+    def wait_for_exchange(self, echo_server: EchoServer) -> server.Exchange:
+        """Wait for an exchange that the server keeps, and take it."""
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while not echo_server.kept_exchanges and time.monotonic() < deadline:
+            time.sleep(0.001)
+        return echo_server.kept_exchanges.pop()
+
 
 class TestPersistentConnections(ServerTestCase):
     """Several requests on one connection."""
@@ -342,6 +349,28 @@
 class TestStreams(ServerTestCase):
     """Responses sent in parts."""
 
+    # Guards against aborted answers that look complete, as nothing but the end of the connection
+    # ends them.
+    def test_aborted_answer_without_chunks_ends_with_a_reset(self):
+        echo_server = self.start_server()
+        echo_server.keep_exchanges = True
+        for version, is_reset in ((b"1.0", True), (b"1.1", False)):
+            with self.subTest(version=version):
+                sock = self.connect(echo_server)
+                sock.sendall(b"GET / HTTP/%b\r\nhost: h\r\n\r\n" % version)
+                exchange = self.wait_for_exchange(echo_server)
+                echo_server.run_in_loop(lambda exchange=exchange: exchange.start(200, ()))
+                echo_server.run_in_loop(lambda exchange=exchange: exchange.send(b"part"))
+                data = b""
+                while b"part" not in data:
+                    data += sock.recv(65536)
+                echo_server.run_in_loop(exchange.abort)
+                if is_reset:
+                    self.assertNotIn(b"chunked", data)
+                    self.assertRaises(ConnectionResetError, sock.recv, 65536)
+                else:
+                    self.assertEqual(sock.recv(65536), b"")
+
     def test_parts_are_sent_as_chunks_and_abort_omits_the_last_chunk(self):
         echo_server = self.start_server()
         echo_server.keep_exchanges = True
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -4,6 +4,7 @@
 
 import selectors
 import socket
+import struct
 from collections.abc import Callable
 
 from flamingoramp.runtime import loop as loops
@@ -15,6 +16,8 @@
 DRAIN_TIMEOUT_SECONDS = 1.0
 # Longest time for which the bytes of a peer that goes on sending are discarded.
 MAX_DRAIN_SECONDS = 20.0
+# Value of SO_LINGER with which closing resets the connection.
+_LINGER_NO_TIME = struct.pack("ii", 1, 0)
 
 
 class Stream:
@@ -147,6 +150,12 @@
         self._loop.unregister(self._sock)
         self._sock.close()
 
+    def reset(self) -> None:
+        """Close immediately, so that the peer gets an error and not the end of the data."""
+        if self._open:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NO_TIME)
+            self.close()
+
     def _fail(self) -> None:
         if self._open:
             self.close()
