--- /dev/null
+++ b/flamingoramp/backends/tests/test_transfers.py
@@ -0,0 +1,111 @@
+"""Tests of transfers from servers that stop in the middle of an answer."""
+
+from __future__ import annotations
+
+import unittest
+
+from flamingoramp import errors
+from flamingoramp.backends import runner, transfers
+from flamingoramp.dispatch import requests
+from flamingoramp.http.tests import test_client
+from flamingoramp.runtime import http_client
+from flamingoramp.runtime import loop as loops
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nwhole"
+REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+
+
+class CutOffCase(unittest.TestCase):
+    """Base of tests with a server that closes after a part of its answer."""
+
+    def make_loop(self) -> loops.Loop:
+        loop = loops.Loop()
+        self.addCleanup(loop.close)
+        return loop
+
+    def start_server(self, data: bytes) -> str:
+        """Start a server that sends some bytes to each caller and closes; return its URL."""
+        server = test_client.ScriptedServer([data], close_after=True)
+        self.addCleanup(server.close)
+        return f"http://{server.address}"
+
+
+class TestTransfers(CutOffCase):
+    """Outcome of a transfer."""
+
+    def fetch(self, data: bytes) -> tuple[transfers.TransferOutcome, int, bytes]:
+        loop = self.make_loop()
+        client = transfers.TransferClient(loop)
+        self.addCleanup(client.close)
+        body = bytearray()
+        results = []
+
+        def _handle_end(outcome: transfers.TransferOutcome, status: int) -> None:
+            results.append((outcome, status, bytes(body)))
+            loop.stop()
+
+        client.start(
+            transfers.HttpRequest(self.start_server(data), method="GET"),
+            on_data=body.extend,
+            on_end=_handle_end,
+        )
+        loop.run()
+        return results[0]
+
+    # Guards against a 200 with an empty body, framed as whole: libcurl takes a head that is cut off
+    # for a whole one.
+    def test_part_of_an_answer_is_broken(self):
+        for whole in (ANSWER, REFUSAL, b"HTTP/1.1 100 Continue\r\n\r\n" + ANSWER):
+            for length in range(1, len(whole)):
+                outcome, _, _ = self.fetch(whole[:length])
+                self.assertIs(outcome, transfers.TransferOutcome.BROKEN, whole[:length])
+
+    def test_whole_answer_is_complete(self):
+        complete = transfers.TransferOutcome.COMPLETE
+        self.assertEqual(self.fetch(ANSWER), (complete, 200, b"whole"))
+        self.assertEqual(self.fetch(REFUSAL), (complete, 503, b""))
+        without_length = b"HTTP/1.1 200 OK\r\n\r\nwhole"
+        self.assertEqual(self.fetch(without_length), (complete, 200, b"whole"))
+
+
+class TestPlainCalls(CutOffCase):
+    """Calls of plain services, whose whole answer goes to the caller."""
+
+    def call(self, data: bytes) -> list:
+        loop = self.make_loop()
+        reports = []
+
+        def _report(report) -> None:
+            reports.append(report)
+            loop.stop()
+
+        attempts = runner.AttemptRunner(loop, idle_timeout_seconds=5.0, report=_report)
+        spec = requests.RequestSpec(
+            "r1", requests.RequestKind.PLAIN, "w", "desk", call=requests.PlainCall("GET", "slots")
+        )
+        attempts.call_plain(requests.StartPlain(spec, 1, self.start_server(data), 5.0))
+        loop.run()
+        return reports
+
+    # Guards against callers that get an empty 200, and against claims that are recorded as done.
+    def test_answer_that_is_cut_off_is_not_reported_as_the_response(self):
+        for length in range(1, len(ANSWER), 4):
+            (report,) = self.call(ANSWER[:length])
+            self.assertIsInstance(report, requests.TransferEnd)
+            self.assertIs(report.result, requests.TransferResult.BROKEN)
+        (report,) = self.call(ANSWER)
+        self.assertEqual((report.status, report.body), (200, b"whole"))
+
+
+class TestFetch(CutOffCase):
+    """Requests of the command line."""
+
+    def test_head_that_is_cut_off_is_an_error(self):
+        for length in range(1, ANSWER.index(b"\r\n\r\n") + 4):
+            with self.assertRaises(errors.BackendFailedError):
+                http_client.fetch(self.start_server(ANSWER[:length]))
+        self.assertEqual(http_client.fetch(self.start_server(ANSWER)).body, b"whole")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/flamingoramp/backends/transfers.py
+++ b/flamingoramp/backends/transfers.py
@@ -14,6 +14,7 @@
 import pycurl
 
 from flamingoramp.runtime import loop as loops
+from flamingoramp.runtime import response_heads
 
 CONNECT_TIMEOUT_MS = 1000
 IDLE_CHECK_INTERVAL_SECONDS = 0.25
@@ -63,8 +64,7 @@
     """A transfer in progress.
 
     ``last_received_at`` is the loop's time when the last part of the response body arrived, and the
-    time of the start before that. ``status`` is 0 until a status line arrives; ``content_type`` is
-    set at the end.
+    time of the start before that. ``content_type`` is set at the end.
     """
 
     request: HttpRequest
@@ -72,14 +72,14 @@
     on_end: Callable[[TransferOutcome, int], None]
     handle: pycurl.Curl
     last_received_at: float
-    status: int = 0
+    head: response_heads.ResponseHead = attrs.field(factory=response_heads.ResponseHead)
     content_type: str = ""
     cancelled: bool = False
 
-    def handle_header(self, line: bytes) -> None:
-        """Set ``status`` if the line is a status line of HTTP; libcurl passes every header line."""
-        if line.startswith(b"HTTP/"):
-            self.status = int(line.split(maxsplit=2)[1])
+    @property
+    def status(self) -> int:
+        """Status of the response; 0 until a status line arrives."""
+        return self.head.status
 
 
 class TransferClient:
@@ -157,7 +157,7 @@
             handle.setopt(pycurl.POSTFIELDS, request.body)
         if request.method == "HEAD":
             handle.setopt(pycurl.NOBODY, 1)
-        handle.setopt(pycurl.HEADERFUNCTION, transfer.handle_header)
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.head.handle_line)
         handle.setopt(pycurl.WRITEFUNCTION, lambda data: self._handle_data(transfer, data))
 
     def _handle_data(self, transfer: Transfer, data: bytes) -> None:
@@ -212,12 +212,18 @@
         while True:
             remaining, completed, failed = self._multi.info_read()
             for handle in completed:
-                self._finish(handle, TransferOutcome.COMPLETE)
+                self._finish(handle, self._classify_completed(handle))
             for handle, error_code, _message in failed:
                 self._finish(handle, _classify_error(handle, error_code))
             if not remaining:
                 return
 
+    def _classify_completed(self, handle: pycurl.Curl) -> TransferOutcome:
+        transfer = self._transfers.get(handle)
+        if transfer is not None and not transfer.head.is_complete:
+            return TransferOutcome.BROKEN
+        return TransferOutcome.COMPLETE
+
     def _finish(self, handle: pycurl.Curl, outcome: TransferOutcome) -> None:
         transfer = self._transfers.get(handle)
         if transfer is None:
--- a/flamingoramp/runtime/http_client.py
+++ b/flamingoramp/runtime/http_client.py
@@ -10,6 +10,7 @@
 import pycurl
 
 from flamingoramp import errors
+from flamingoramp.runtime import response_heads
 
 
 @attrs.frozen
@@ -40,6 +41,7 @@
         If no complete response arrived within the timeout.
     """
     response_body = io.BytesIO()
+    head = response_heads.ResponseHead()
     curl = pycurl.Curl()
     try:
         curl.setopt(pycurl.URL, url)
@@ -51,9 +53,12 @@
         curl.setopt(pycurl.TIMEOUT_MS, int(timeout_seconds * 1000))
         if body or method == "POST":
             curl.setopt(pycurl.POSTFIELDS, body)
+        curl.setopt(pycurl.HEADERFUNCTION, head.handle_line)
         curl.setopt(pycurl.WRITEDATA, response_body)
         curl.perform()
-        return Response(curl.getinfo(pycurl.RESPONSE_CODE), response_body.getvalue())
+        if not head.is_complete:
+            raise errors.BackendFailedError(f"{url}: the head of the response was cut off")
+        return Response(head.status, response_body.getvalue())
     except pycurl.error as error:
         raise errors.BackendFailedError(f"{url}: {error.args[1]}") from error
     finally:
