--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -139,9 +139,13 @@
         self._process.add_cleanup(self._node.close)
         self._process.transport.name = self._node.identity or settings.control_internal_address
         if settings.listen.operators:
-            self._process.serve(settings.listen.operators, self._handle_control_call)
+            self._process.serve(
+                settings.listen.operators, self._handle_control_call, answers_head=True
+            )
         if settings.listen.directory:
-            self._process.serve(settings.listen.directory, self._handle_directory)
+            self._process.serve(
+                settings.listen.directory, self._handle_directory, answers_head=True
+            )
         self._loop.call_every(TICK_INTERVAL_SECONDS, self._tick)
         self._loop.call_every(CHANGE_PUBLISH_INTERVAL_SECONDS, self._publish_if_due)
         self._loop.call_every(PERIODIC_PUBLISH_INTERVAL_SECONDS, self._publish)
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -190,9 +190,9 @@
     def _serve_other_endpoints(self, listen: node_settings.ListenSettings) -> None:
         """Serve readiness and directory if the settings give addresses to listen on for them."""
         if listen.readiness:
-            self._process.serve(listen.readiness, self._handle_readiness)
+            self._process.serve(listen.readiness, self._handle_readiness, answers_head=True)
         if listen.directory:
-            self._process.serve(listen.directory, self._handle_directory)
+            self._process.serve(listen.directory, self._handle_directory, answers_head=True)
 
     def _start_timers(self) -> None:
         loop = self.loop
@@ -557,8 +557,10 @@
     # Readiness, directory and caller limits.
 
     def _handle_readiness(self, exchange: http_server.Exchange) -> None:
-        if not self._dialect.is_readiness_call(exchange.request):
-            exchange.respond(messages.Response(404))
+        try:
+            self._dialect.check_readiness_call(exchange.request)
+        except errors.FlamingorampError as error:
+            exchange.respond(self._dialect.encode_error(error))
             return
         exchange.respond(messages.json_response({}, status=200 if self.is_ready else 503))
 
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -88,7 +88,7 @@
         self.servers: list[http_server.Server] = []
         self._cleanups: list[Callable[[], None]] = []
         if settings.listen.metrics:
-            self.serve(settings.listen.metrics, self._handle_metrics_request)
+            self.serve(settings.listen.metrics, self._handle_metrics_request, answers_head=True)
         self.loop.after_each_iteration(self.log.flush)
         self.loop.call_every(RESOURCE_USAGE_INTERVAL_SECONDS, self._record_resource_usage)
 
@@ -203,5 +203,8 @@
         if exchange.request.path != METRICS_PATH:
             exchange.respond(http_messages.Response(404))
             return
+        if exchange.request.method != b"GET":
+            exchange.respond(http_messages.Response(405, ((b"allow", b"GET, HEAD"),)))
+            return
         content_type = (b"content-type", b"text/plain; version=0.0.4")
         exchange.respond(http_messages.Response(200, (content_type,), self.metrics.render()))
--- a/flamingoramp/dialect.py
+++ b/flamingoramp/dialect.py
@@ -242,8 +242,10 @@
 
         Raises
         ------
+        flamingoramp.errors.MethodNotAllowedError
+            The path takes other methods.
         flamingoramp.errors.UnknownRouteError
-            Method and path are those of no call.
+            The path is that of no call.
         flamingoramp.errors.BadRequestError
             The body of an announcement is malformed.
         flamingoramp.errors.InvalidDeclarationError
@@ -273,8 +275,14 @@
     def encode_document(self, document: bytes) -> messages.Response:
         """Encode the answer that carries the declaration in force."""
 
-    def is_readiness_call(self, request: messages.Request) -> bool:
-        """Return whether the request is a readiness probe."""
+    def check_readiness_call(self, request: messages.Request) -> None:
+        """Check that the request is a readiness probe.
+
+        Raises
+        ------
+        flamingoramp.errors.UnknownRouteError
+            Method and path are not those of the probe.
+        """
 
     def decode_directory_call(self, request: messages.Request) -> str:
         """Decode a caller's request for entry addresses; return the caller's availability zone.
--- a/flamingoramp/errors.py
+++ b/flamingoramp/errors.py
@@ -103,6 +103,24 @@
     status = 404
 
 
+class MethodNotAllowedError(UnknownRouteError):
+    """The path exists, but takes other methods.
+
+    Parameters
+    ----------
+    message : str
+    allowed : tuple of bytes
+        Methods that the path takes.
+    """
+
+    code = "method_not_allowed"
+    status = 405
+
+    def __init__(self, message: str, *, allowed: tuple[bytes, ...]):
+        super().__init__(message)
+        self.allowed = allowed
+
+
 class UnknownZoneError(BadRequestError):
     """The settings name no availability zone of this name."""
 
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -125,6 +125,7 @@
         self._phase_started_at = self._received_at = server.loop.now()
         self._parser = self._new_parser()
         self._request_head: h11.Request | None = None
+        self._method = b""
         self._request_body_parts: list[bytes] = []
         self._request_body_bytes = 0
         self._bytes_since_dispatch = 0
@@ -204,8 +205,9 @@
         self._stream.write(self._parser.send(response) or b"")
 
     def send_data(self, data: bytes) -> None:
-        """Send a part of the response body."""
-        self._stream.write(self._parser.send(h11.Data(data=data)) or b"")
+        """Send a part of the response body; a response to HEAD has none."""
+        if self._method != b"HEAD":
+            self._stream.write(self._parser.send(h11.Data(data=data)) or b"")
 
     def finish_response(self) -> None:
         """Complete the response, then close the connection or process the next request."""
@@ -297,6 +299,10 @@
 
     def _accept_request_head(self, head: h11.Request) -> bool:
         headers = head.headers
+        self._method = bytes(head.method)
+        if self._method == b"CONNECT":
+            self._refuse_request(405)  # no tunnels
+            return False
         # The parser limits the size of a head only if it arrives in several parts.
         size = len(head.target) + sum(len(name) + len(value) + 4 for name, value in headers)
         if size > self._server.limits.header_bytes:
@@ -321,8 +327,9 @@
 
     def _dispatch(self) -> None:
         head = self._request_head
+        is_head_as_get = self._method == b"HEAD" and self._server.answers_head
         request = messages.Request(
-            method=bytes(head.method),
+            method=b"GET" if is_head_as_get else self._method,
             target=bytes(head.target),
             headers=tuple((bytes(name), bytes(value)) for name, value in head.headers),
             body=b"".join(self._request_body_parts),
@@ -364,6 +371,8 @@
         Maximum number of open connections; further ones are closed immediately.
     listener : socket.socket or None
         Socket that listens on this address already; None to open one.
+    answers_head : bool
+        Whether the handler gets HEAD requests as GET; their responses are sent without a body.
     """
 
     def __init__(
@@ -372,12 +381,14 @@
         listen: str,
         handler: Callable[[Exchange], None],
         *,
+        answers_head: bool = False,
         limits: Callable[[], Limits] = Limits,
         on_refused: Callable[[int], None] = lambda _status: None,
         max_connections: int = 3000,
         listener: socket.socket | None = None,
     ):
         self.loop = loop
+        self.answers_head = answers_head
         self._handler = handler
         self._limits = limits
         self._on_refused = on_refused
--- a/flamingoramp/platform/platform_dialect.py
+++ b/flamingoramp/platform/platform_dialect.py
@@ -42,6 +42,12 @@
                 return dialect.EvacuateZone(_decode_zone(zone_match[1]))
             case (b"DELETE", True):
                 return dialect.RestoreZone(_decode_zone(zone_match[1]))
+        if server_match is not None:
+            raise _method_error(request, b"PUT", b"DELETE")
+        if request.path == wire_names.DECLARATION_PATH:
+            raise _method_error(request, b"GET", b"HEAD", b"PUT")
+        if zone_match is not None:
+            raise _method_error(request, b"POST", b"DELETE")
         raise errors.UnknownRouteError(f"no such call: {request.path}")
 
     def decode_declaration(self, document: bytes) -> traffic.TrafficDeclaration:
@@ -64,6 +70,8 @@
         headers: messages.Headers = ()
         if error.retry_after:
             headers = ((wire_names.RETRY_AFTER, f"{error.retry_after:.3f}".encode()),)
+        if isinstance(error, errors.MethodNotAllowedError):
+            headers = ((b"allow", b", ".join(error.allowed)),)
         body = {"code": error.code, "message": str(error), "outcome": error.outcome.value}
         return messages.json_response(body, status=status, headers=headers)
 
@@ -75,14 +83,13 @@
         """Encode the declaration in force, as the operator sent it."""
         return messages.Response(200, ((b"content-type", b"application/json"),), document)
 
-    def is_readiness_call(self, request: messages.Request) -> bool:
-        """Return whether the request is the platform's readiness probe."""
-        return request.method == b"GET" and request.path == wire_names.READINESS_PATH
+    def check_readiness_call(self, request: messages.Request) -> None:
+        """Check that the request is the platform's readiness probe."""
+        _check_read(request, wire_names.READINESS_PATH)
 
     def decode_directory_call(self, request: messages.Request) -> str:
         """Decode a caller's request for entry addresses; return the caller's availability zone."""
-        if request.method != b"GET" or request.path != wire_names.DIRECTORY_PATH:
-            raise errors.UnknownRouteError(f"no such call: {request.path}")
+        _check_read(request, wire_names.DIRECTORY_PATH)
         return parse.parse_qs(request.query).get("zone", [""])[0]
 
     def encode_directory(self, addresses: list[str], seconds: float) -> messages.Response:
@@ -183,3 +190,16 @@
     parts = b",".join(values).decode("latin-1").split(",")
     ids = [part.partition(":")[0].strip().lower() for part in parts[:-1]]
     return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+
+
+def _check_read(request: messages.Request, path: str) -> None:
+    """Check that a request reads the only path of its port."""
+    if request.path != path:
+        raise errors.UnknownRouteError(f"no such call: {request.path}")
+    if request.method != b"GET":
+        raise _method_error(request, b"GET", b"HEAD")
+
+
+def _method_error(request: messages.Request, *allowed: bytes) -> errors.MethodNotAllowedError:
+    names = b", ".join(allowed).decode()
+    return errors.MethodNotAllowedError(f"{request.path} takes {names}", allowed=allowed)
--- a/flamingoramp/platform/tests/test_platform_dialect.py
+++ b/flamingoramp/platform/tests/test_platform_dialect.py
@@ -72,6 +72,18 @@
             with self.assertRaises(errors.UnknownRouteError):
                 self.decode(method, target)
 
+    def test_methods_that_a_path_takes_are_named(self):
+        for target, allowed in (
+            (b"/v1/config", b"GET, HEAD, PUT"),
+            (b"/v1/instances/s1", b"PUT, DELETE"),
+            (b"/v1/evacuation/b", b"POST, DELETE"),
+        ):
+            with self.assertRaises(errors.MethodNotAllowedError) as caught:
+                self.decode(b"PATCH", target)
+            answer = platform_dialect.PlatformDialect().encode_error(caught.exception)
+            self.assertEqual(answer.status, 405)
+            self.assertIn((b"allow", allowed), answer.headers)
+
 
 class TestRequests(unittest.TestCase):
     """Decoding of callers' requests."""
