--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -292,7 +292,7 @@
     def _first_event_timeout(self, target: attempts.AttemptTarget) -> float:
         route = self._admitted.route
         if not route.streams:
-            timeout = NON_STREAM_TIMEOUT_RATIO * route.latency_objective_seconds
+            timeout = NON_STREAM_TIMEOUT_RATIO * route.assumed_objective_seconds
         else:
             timeout = max(
                 FIRST_EVENT_TIMEOUT_RATIO * target.predicted_seconds,
--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -15,6 +15,8 @@
 
 # Number of items that one step of a check covers.
 ITEMS_PER_STEP = 200
+# Latency objective that decisions assume for a route without one; the default of a declaration.
+ASSUMED_OBJECTIVE_SECONDS = 1.0
 
 
 class Idempotency(enum.Enum):
@@ -74,6 +76,11 @@
     priority: int = 5
     is_public: bool = False
 
+    @property
+    def assumed_objective_seconds(self) -> float:
+        """Latency objective that decisions assume: the declared one, if there is one."""
+        return self.latency_objective_seconds or ASSUMED_OBJECTIVE_SECONDS
+
     @property
     def is_retryable(self) -> bool:
         """Whether a request may be sent to a second backend server after the first failed."""
--- a/flamingoramp/routing/selection.py
+++ b/flamingoramp/routing/selection.py
@@ -362,7 +362,7 @@
         ]
         return attempts.AttemptTarget(
             random.choice(responsive or records),
-            predicted_seconds=admitted.route.latency_objective_seconds,
+            predicted_seconds=admitted.route.assumed_objective_seconds,
             is_peer=True,
         )
 
@@ -378,7 +378,7 @@
     """Return how long a caller is assumed to wait for the first event of a stream, in seconds."""
     return max(
         MIN_FIRST_TOKEN_TIMEOUT_SECONDS,
-        FIRST_TOKEN_TIMEOUT_OBJECTIVE_RATIO * route.latency_objective_seconds,
+        FIRST_TOKEN_TIMEOUT_OBJECTIVE_RATIO * route.assumed_objective_seconds,
         FIRST_TOKEN_TIMEOUT_PAUSE_RATIO * route.gap_objective_seconds,
     )
 
@@ -387,7 +387,7 @@
     admitted: attempts.AdmittedRequest, zone: str, waited_seconds: float = 0.0
 ) -> placement.PlacementRequest:
     route = admitted.route
-    objective_seconds = route.latency_objective_seconds
+    objective_seconds = route.assumed_objective_seconds
     if waited_seconds:
         # Once the objective has passed, the first token is late, and the earlier the better.
         objective_seconds = max(
