--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -539,7 +539,9 @@
     def _handle_control_call(self, exchange: http_server.Exchange) -> None:
         try:
             call = self._dialect.decode_control_call(exchange.request)
-            self._execute_call(call, exchange)
+            self._execute_or_end(call, exchange)
+        except errors.InvariantViolationError:
+            raise
         except errors.FlamingorampError as error:
             self._metrics.count("calls_refused", code=error.code)
             self._log.write(
@@ -551,6 +553,19 @@
             )
             exchange.respond(self._dialect.encode_error(error))
 
+    def _execute_or_end(self, call: dialects.ControlCall, exchange: http_server.Exchange) -> None:
+        """Execute a call; end the process at an unexpected error.
+
+        The replicated state or the registry may be half changed then. A new start reads them from
+        the disk.
+        """
+        try:
+            self._execute_call(call, exchange)
+        except errors.FlamingorampError:
+            raise
+        except Exception as error:
+            raise errors.InvariantViolationError(f"unexpected error: {error!r}") from error
+
     def _handle_directory(self, exchange: http_server.Exchange) -> None:
         try:
             caller_zone = self._dialect.decode_directory_call(exchange.request)
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -95,7 +95,11 @@
     def serve(
         self, listen: str, handler: Callable[[http_server.Exchange], None], **options: Any
     ) -> http_server.Server:
-        """Serve HTTP on an ``ip:port``; ``options`` are those of `http_server.Server`."""
+        """Serve HTTP on an ``ip:port``; ``options`` are those of `http_server.Server`.
+
+        Unexpected errors in the handler fail their request only. A handler that changes state which
+        such an error may leave half changed stops the loop itself.
+        """
 
         def _count_refused(status: int) -> None:
             self.metrics.count("refused_bytes", status=str(status))
@@ -105,6 +109,7 @@
             listen,
             handler,
             on_refused=_count_refused,
+            on_error=self.record_contained_error,
             listener=self._listeners.take(listen),
             **options,
         )
@@ -141,15 +146,31 @@
         while self._error_times and now - self._error_times[0] > ERROR_WINDOW_SECONDS:
             self._error_times.popleft()
         self._error_times.append(now)
+        self._log_error(error, contained=False)
+        if len(self._error_times) > MAX_ERRORS:
+            raise error
+
+    def record_contained_error(self, error: Exception) -> None:
+        """Count and log an unexpected error that ended one request, and nothing else.
+
+        However many there are, a new start would end the requests of others, too.
+        """
+        self._log_error(error, contained=True)
+
+    def _log_error(self, error: Exception, *, contained: bool) -> None:
         self.metrics.count("unexpected_errors", type=type(error).__name__)
         # Imported on first use, since the import would delay the start of the process.
         import traceback
 
         frame = traceback.extract_tb(error.__traceback__)[-1]
         place = f"{os.path.basename(frame.filename)}:{frame.lineno}"
-        self.log.write("process.error", type=type(error).__name__, text=str(error), place=place)
-        if len(self._error_times) > MAX_ERRORS:
-            raise error
+        self.log.write(
+            "process.error",
+            type=type(error).__name__,
+            text=str(error),
+            place=place,
+            contained=contained,
+        )
 
     def run(self, *, on_stop: Callable[[], None], on_reload: Callable[[], None]) -> None:
         """Serve until the loop stops.
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -10,7 +10,7 @@
 import attrs
 import h11
 
-from flamingoramp import value_classes
+from flamingoramp import errors, value_classes
 from flamingoramp.http import messages
 from flamingoramp.runtime import listeners, stream
 from flamingoramp.runtime import loop as loops
@@ -199,20 +199,26 @@
             fields.append((b"transfer-encoding", b"chunked"))
         if self._server.is_closing:
             fields.append((b"connection", b"close"))
-        response = h11.Response(
-            status_code=status, headers=fields, reason=messages.reason_phrase(status)
-        )
-        self._stream.write(self._parser.send(response) or b"")
+        try:
+            response = h11.Response(
+                status_code=status, headers=fields, reason=messages.reason_phrase(status)
+            )
+        except h11.LocalProtocolError as error:
+            self._fail(error)
+            return
+        self._send(response)
 
     def send_data(self, data: bytes) -> None:
         """Send a part of the response body; a response to HEAD has none."""
         if self._method != b"HEAD":
-            self._stream.write(self._parser.send(h11.Data(data=data)) or b"")
+            self._send(h11.Data(data=data))
 
     def finish_response(self) -> None:
         """Complete the response, then close the connection or process the next request."""
-        self._stream.write(self._parser.send(h11.EndOfMessage()) or b"")
+        self._send(h11.EndOfMessage())
         self._exchange = None
+        if not self._stream.is_open:
+            return
         if self._parser.our_state is not h11.DONE or self._server.is_closing:
             self._finish_connection()
             return
@@ -237,6 +243,21 @@
             self._stream.reset()
         self.close()
 
+    def _send(self, event: h11.Response | h11.Data | h11.EndOfMessage) -> None:
+        """Send a part of a response; close the connection if it can't be encoded."""
+        try:
+            data = self._parser.send(event)
+        except h11.LocalProtocolError as error:
+            self._fail(error)
+            return
+        self._stream.write(data or b"")
+
+    def _fail(self, error: Exception) -> None:
+        """Report an error of this program and close the connection."""
+        self._server.report_error(error)
+        self._handle_closed()
+        self.close()
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._server.limits.header_bytes
@@ -371,6 +392,9 @@
         Maximum number of open connections; further ones are closed immediately.
     listener : socket.socket or None
         Socket that listens on this address already; None to open one.
+    on_error : callable or None
+        Takes an unexpected error of the handler, or in the encoding of a response, which has ended
+        that request; None to let such errors end the loop.
     answers_head : bool
         Whether the handler gets HEAD requests as GET; their responses are sent without a body.
     """
@@ -381,6 +405,7 @@
         listen: str,
         handler: Callable[[Exchange], None],
         *,
+        on_error: Callable[[Exception], None] | None = None,
         answers_head: bool = False,
         limits: Callable[[], Limits] = Limits,
         on_refused: Callable[[int], None] = lambda _status: None,
@@ -392,6 +417,7 @@
         self._handler = handler
         self._limits = limits
         self._on_refused = on_refused
+        self._on_error = on_error
         self._max_connections = max_connections
         self._connections: set[Connection] = set()
         self._flushing: set[Connection] = set()
@@ -427,8 +453,35 @@
         )
 
     def handle(self, exchange: Exchange) -> None:
-        """Pass a complete request to the handler."""
-        self._handler(exchange)
+        """Pass a complete request to the handler; an error in it fails the request, if contained.
+
+        An answer that has begun is aborted.
+        """
+        if self._on_error is None:
+            self._handler(exchange)
+            return
+        try:
+            self._handler(exchange)
+        except errors.InvariantViolationError:
+            raise  # ends the process, whose state can't be trusted any more
+        except Exception as error:
+            self._on_error(error)
+            if exchange.has_started:
+                exchange.abort()
+            else:
+                exchange.respond(messages.Response(500))
+
+    def report_error(self, error: Exception) -> None:
+        """Report an error that has closed a connection.
+
+        Raises
+        ------
+        Exception
+            The error itself if errors are not contained.
+        """
+        if self._on_error is None:
+            raise error
+        self._on_error(error)
 
     def report_refusal(self, status: int) -> None:
         """Report the status of a refused request to ``on_refused``."""
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest import mock
 
+from flamingoramp import errors
 from flamingoramp.http import messages, server
 from flamingoramp.runtime import loop, stream
 
@@ -22,11 +23,12 @@
     With ``keep_exchanges`` it keeps the exchanges instead, for the test to respond to.
     """
 
-    def __init__(self, limits: server.Limits = LIMITS):
+    def __init__(self, limits: server.Limits = LIMITS, *, contains_errors: bool = False):
         self.loop = loop.Loop()
         self.requests: list[messages.Request] = []
         self.kept_exchanges: list[server.Exchange] = []
         self.refused_statuses: list[int] = []
+        self.errors: list[Exception] = []
         self.keep_exchanges = False
         self.server = server.Server(
             self.loop,
@@ -34,6 +36,7 @@
             self.handle,
             limits=lambda: limits,
             on_refused=self.refused_statuses.append,
+            on_error=self.errors.append if contains_errors else None,
         )
         self.address = ("127.0.0.1", int(self.server.address.rpartition(":")[2]))
         self.thread = threading.Thread(target=self.loop.run)
@@ -44,6 +47,18 @@
         if self.keep_exchanges:
             self.kept_exchanges.append(exchange)
             return
+        match exchange.request.path:
+            case "/fails":
+                raise ZeroDivisionError
+            case "/fails-late":
+                exchange.start(200, ())
+                exchange.send(b"part")
+                raise ZeroDivisionError
+            case "/unencodable":
+                exchange.respond(messages.Response(200, ((b"x-a", b"b\r\nc: d"),)))
+                return
+            case "/ends":
+                raise errors.InvariantViolationError("half changed")
         exchange.respond(messages.Response(200, (), exchange.request.body or b"empty"))
 
     def run_in_loop(self, function) -> None:
@@ -346,6 +361,44 @@
         self.assertTrue(disconnected.wait(TIMEOUT_SECONDS))
 
 
+class TestErrorsOfHandlers(ServerTestCase):
+    """Unexpected errors while a request is handled, or its response encoded."""
+
+    def request(self, echo_server: EchoServer, path: bytes) -> bytes:
+        """Send a request and return what arrives until the connection is closed or idle."""
+        sock = self.connect(echo_server)
+        sock.sendall(b"GET %b HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n" % path)
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while part := sock.recv(65536):
+                data += part
+        return data
+
+    # Guards against a request that ends the process, with the requests of all other callers.
+    def test_error_ends_its_own_request_only(self):
+        echo_server = self.start_server(contains_errors=True)
+        echo_server.keep_exchanges = True
+        other = self.connect(echo_server)
+        other.sendall(b"GET /other HTTP/1.1\r\nhost: h\r\n\r\n")
+        exchange = self.wait_for_exchange(echo_server)
+        echo_server.keep_exchanges = False
+        self.assertTrue(self.request(echo_server, b"/fails").startswith(b"HTTP/1.1 500 "))
+        partial = self.request(echo_server, b"/fails-late")
+        self.assertIn(b"part", partial)
+        self.assertNotIn(b"0\r\n\r\n", partial)
+        self.assertEqual(self.request(echo_server, b"/unencodable"), b"")
+        self.assertEqual(len(echo_server.errors), 3)
+        echo_server.run_in_loop(lambda: exchange.respond(messages.Response(200, (), b"whole")))
+        self.assertEqual(read_response(other)[::2], (200, b"whole"))
+
+    def test_error_after_which_state_is_not_trusted_ends_the_loop(self):
+        echo_server = self.start_server(contains_errors=True)
+        with mock.patch.object(threading, "excepthook"):
+            self.connect(echo_server).sendall(b"GET /ends HTTP/1.1\r\nhost: h\r\n\r\n")
+            echo_server.thread.join(TIMEOUT_SECONDS)
+        self.assertFalse(echo_server.thread.is_alive())
+
+
 class TestStreams(ServerTestCase):
     """Responses sent in parts."""
 
--- a/flamingoramp/platform/tests/test_path.py
+++ b/flamingoramp/platform/tests/test_path.py
@@ -9,9 +9,10 @@
 import unittest
 from unittest import mock
 
-from flamingoramp.daemons import gateway
+from flamingoramp.daemons import gateway, node_process
 from flamingoramp.dispatch import crash_evidence
 from flamingoramp.http import client
+from flamingoramp.membership import registry
 from flamingoramp.platform.tests import fake_server
 from flamingoramp.platform.tests import fleet as fleets
 
@@ -133,6 +134,34 @@
         self.assertTrue(entry.is_running)
         self.assertIn(b"unexpected_errors", entry.daemon.process.metrics.render())
 
+    # Guards against callers whose requests meet one error again and again, and who end an entry for
+    # all others.
+    def test_errors_of_single_requests_do_not_end_an_entry(self):
+        fleet = self.start_serving(entries=1)
+        fleet.add_server("d1", "desk")
+        with mock.patch.object(client.Pool, "send", side_effect=ZeroDivisionError):
+            for _ in range(node_process.MAX_ERRORS + 5):
+                self.assertEqual(self.send(fleet, "read").status, 500)
+        self.assertEqual(self.send(fleet, "read").status, 200)
+        self.assertTrue(fleet.entries[0].is_running)
+
+    # Guards against a control host that goes on with a state that an error has left half changed.
+    def test_control_host_ends_at_an_error_while_it_changes_its_state(self):
+        fleet = self.start_serving(controls=1, entries=1)
+        with (
+            mock.patch.object(threading, "excepthook"),
+            mock.patch.object(registry.Registry, "update_server", side_effect=ZeroDivisionError),
+        ):
+            body = {"service": "desk", "addr": "127.0.0.1:9", "zone": "a", "slots": 8, "seq": 1}
+            answer = fleets.send_request(
+                fleet.seeds[0],
+                "PUT",
+                "/v1/instances/d1",
+                body=json.dumps({**body, "state": "ready"}).encode(),
+            )
+            self.assertEqual(answer.status, 0)
+            fleets.wait_for(lambda: not fleet.controls[0].is_running, "the end of the control host")
+
     # Guards against a malformed announcement that ends each control host that it reaches.
     def test_unencodable_announcements_are_refused_and_end_no_process(self):
         fleet = self.start_serving(entries=1)
