Raise the typed error at each operation of a replica's storage, and sync what it reads

By reading: a record that a killed process had written and not synced was acknowledged and voted by after the next start, and lost with the next loss of power.

Cause: closing, opening, reading and removing files stood outside the typed error; closing the log wrote its buffered rest again. recover took what the page cache had for durable, also after a sync that had failed.

Change: all operations raise StorageFailedError, the log has no buffer, recover syncs the log and drops what this process failed to sync.

Result: a fault at each operation, alone and with a second one within the next twelve, ends no process and loses nothing that was acknowledged.

--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -12,13 +12,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
+import io
 import json
 import os
 import pathlib
 import re
 import struct
 import zlib
+from collections.abc import Callable
+from typing import TextIO, TypeVar
 
 import attrs
 
@@ -26,6 +30,8 @@
 from flamingoramp.consensus import effects, entry_log
 from flamingoramp.protocol import messages
 
+_Result = TypeVar("_Result")
+
 _RECORD_HEADER = struct.Struct(">II")
 _TAG_HARD_STATE = 1
 _TAG_ENTRY = 2
@@ -188,6 +194,13 @@
     return entry_log.RecoveredState(hard_state, snapshot, remaining)
 
 
+def _read_if_exists(path: pathlib.Path) -> bytes | None:
+    try:
+        return path.read_bytes()
+    except FileNotFoundError:
+        return None
+
+
 class Storage:
     """Storage of one replica in a data folder on disk.
 
@@ -199,33 +212,35 @@
     Raises
     ------
     flamingoramp.errors.StorageFailedError
-        If the folder can't be created or another process holds its lock. Every method that writes
-        raises it too when the disk refuses the write.
+        If the folder can't be created or another process holds its lock. Every method that uses the
+        disk raises it too when the disk fails.
     """
 
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
-        self._do_io(lambda: folder.mkdir(parents=True, exist_ok=True))
-        self._lock_file = open(folder / "lock", "w")  # noqa: SIM115
+        self._log_file: io.FileIO | None = None
+        self._log_number = 0
+        # Bytes of each log file that a sync of this process has covered.
+        self._synced_bytes: dict[int, int] = {}
+        self._lock_file = self._do_io(self._open_lock)
         try:
             fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
             raise errors.StorageFailedError(
                 f"{folder}: locked by another process; give each replica its own data folder"
             ) from error
-        self._log_file = None
-        self._log_number = 0
 
     @property
     def log_bytes(self) -> int:
-        """Size of the log file in bytes."""
-        return self._log_file.tell()
+        """Size of the synced part of the log file in bytes."""
+        return self._synced_bytes.get(self._log_number, 0)
 
     def load_identity(self, host: str, new_incarnation: str) -> str:
         """Return the stored identity, or store and return a new one if there is none."""
         path = self._folder / "identity"
-        if path.exists():
-            return path.read_text()
+        stored = self._do_io(lambda: _read_if_exists(path))
+        if stored is not None:
+            return stored.decode()
         identity = f"{host}#{new_incarnation}"
         self._replace_atomically(path, identity.encode())
         return identity
@@ -233,17 +248,20 @@
     def recover(self) -> entry_log.RecoveredState:
         """Read the snapshot and the log, drop a torn last record and open the log for appending.
 
+        What an earlier process wrote but did not sync is synced: the replica may acknowledge all
+        that this returns. What this process failed to sync is dropped, since a later sync may
+        succeed without having written it.
+
         Raises
         ------
         flamingoramp.errors.CorruptLogError
             If the snapshot or a record before the last valid one is damaged.
         """
-        if self._log_file is not None:
-            self._log_file.close()
-        snapshot = self._read_snapshot()
+        self._do_io(self._close_log)
+        snapshot = self._do_io(self._read_snapshot)
         path = self._log_path()
-        data = path.read_bytes() if path.exists() else b""
-        records, end = read_records(data, str(path))
+        data = self._do_io(lambda: _read_if_exists(path)) or b""
+        records, end = read_records(data[: self._synced_bytes.get(self._log_number)], str(path))
         self._do_io(lambda: self._open_log(path, end))
         return _replay(records, snapshot)
 
@@ -278,22 +296,40 @@
         self._replace_atomically(
             self._folder / "snapshot", _pack_record(1, header) + _pack_record(2, snapshot.data)
         )
-        self._log_number = log_number
-        if self._log_file is not None:
-            self._log_file.close()
-        self._log_file = open(self._log_path(), "ab")  # noqa: SIM115
-        previous_log_path.unlink(missing_ok=True)
+        self._do_io(lambda: self._switch_log(previous_log_path, log_number))
 
     def close(self) -> None:
         """Close the log file and release the lock of the data folder."""
-        if self._log_file is not None:
-            self._log_file.close()
-        self._lock_file.close()
+        # All that was acknowledged is synced, so that nothing depends on whether closing succeeds.
+        with contextlib.suppress(OSError):
+            self._close_log()
+        with contextlib.suppress(OSError):
+            self._lock_file.close()
+
+    def _open_lock(self) -> TextIO:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        return open(self._folder / "lock", "w")  # noqa: SIM115
 
     def _open_log(self, path: pathlib.Path, end: int) -> None:
-        self._log_file = open(path, "ab")  # noqa: SIM115
+        self._log_file = open(path, "ab", buffering=0)  # noqa: SIM115
         self._log_file.truncate(end)
+        os.fsync(self._log_file.fileno())
         self._sync_folder()
+        self._synced_bytes = {self._log_number: end}
+
+    def _close_log(self) -> None:
+        if self._log_file is not None:
+            log_file, self._log_file = self._log_file, None
+            log_file.close()
+
+    def _switch_log(self, previous_path: pathlib.Path, log_number: int) -> None:
+        """Continue with the log file that the new snapshot names."""
+        self._log_number = log_number
+        self._close_log()
+        path = self._log_path()
+        self._synced_bytes = {log_number: path.stat().st_size}
+        self._log_file = open(path, "ab", buffering=0)  # noqa: SIM115
+        previous_path.unlink(missing_ok=True)
 
     def _append(self, batch: list[effects.Persist]) -> None:
         items = []
@@ -302,15 +338,19 @@
             if effect.truncate_from:
                 items.append((_TAG_TRUNCATE, effect.truncate_from.to_bytes(_TRUNCATE_BYTES, "big")))
             items += [(_TAG_ENTRY, _pack_entry(entry)) for entry in effect.entries]
-        self._log_file.write(_pack_batch(items))
-        self._log_file.flush()
+        record = memoryview(_pack_batch(items))
+        unwritten = record
+        while unwritten:
+            unwritten = unwritten[self._log_file.write(unwritten) :]
         os.fsync(self._log_file.fileno())
+        self._synced_bytes[self._log_number] += len(record)
 
     def _read_snapshot(self) -> effects.Snapshot:
         path = self._folder / "snapshot"
-        if not path.exists():
+        data = _read_if_exists(path)
+        if data is None:
             return effects.Snapshot()
-        records, _ = read_records(path.read_bytes(), str(path))
+        records, _ = read_records(data, str(path))
         if len(records) != 2:
             raise errors.CorruptLogError(
                 f"{path}: snapshot is damaged: found {len(records)} valid records instead of 2; "
@@ -342,15 +382,17 @@
 
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
-        os.fsync(descriptor)
-        os.close(descriptor)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
 
-    def _do_io(self, action) -> None:
+    def _do_io(self, action: Callable[[], _Result]) -> _Result:
         try:
-            action()
+            return action()
         except OSError as error:
             raise errors.StorageFailedError(
-                f"{self._folder}: write failed: {error}; free disk space or replace the disk"
+                f"{self._folder}: the disk failed: {error}; free disk space or replace the disk"
             ) from error
 
 
--- a/flamingoramp/consensus/tests/test_storage.py
+++ b/flamingoramp/consensus/tests/test_storage.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
+import os
 import pathlib
 import random
+import shutil
 import struct
 import tempfile
 import time
@@ -11,11 +15,16 @@
 from unittest import mock
 
 from flamingoramp import errors
-from flamingoramp.consensus import effects, storage
+from flamingoramp.consensus import effects, entry_log, storage
 from flamingoramp.protocol import messages
 
 TORN_BYTES = 8 * 1024 * 1024
 MAX_SCAN_SECONDS = 0.1
+ENTRY_COUNT = 6
+SNAPSHOT_AT = 3
+MIN_OPERATION_COUNT = 40
+# A second fault comes at most so many operations after the first.
+SECOND_FAULT_SPAN = 12
 
 
 class StorageCase(unittest.TestCase):
@@ -110,6 +119,41 @@
         self.assertEqual(self.open_storage().load_identity("host", "3"), "host#3")
 
 
+class TestUnsyncedWrites(StorageCase):
+    """Records that were written, and not synced when the process was killed or the sync failed."""
+
+    # Guards against entries that are acknowledged after a restart, and lost with the next loss of
+    # power.
+    def test_records_of_an_earlier_process_are_synced_before_they_are_used(self):
+        self.write_entries(3)
+        store = self.open_storage()
+        synced = []
+
+        def _sync(descriptor: int) -> None:
+            synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+
+        with mock.patch.object(storage.os, "fsync", _sync):
+            self.assertEqual(len(store.recover().entries), 3)
+        self.assertIn(str(self.log_path().resolve()), synced)
+
+    # Guards against a sync that succeeds after one that has failed, without the failed writes.
+    def test_record_whose_sync_failed_is_dropped(self):
+        self.write_entries(2)
+        store = self.open_storage()
+        store.recover()
+        entry = messages.LogEntry(3, 1, "test", b"x")
+        batch = [effects.Persist(effects.HardState(1, "a", "c"), 0, (entry,))]
+        with (
+            mock.patch.object(storage.os, "fsync", side_effect=OSError(5, "failed")),
+            self.assertRaises(errors.StorageFailedError),
+        ):
+            store.persist(batch)
+        self.assertEqual(len(store.recover().entries), 2)
+        store.persist(batch)
+        store.close()
+        self.assertEqual(len(self.open_storage().recover().entries), 3)
+
+
 class TestTornRecords(StorageCase):
     """Time to find out that no record follows a torn one."""
 
@@ -137,6 +181,154 @@
                 storage.read_records(data, "log")
 
 
+class FaultyDisk:
+    """Fails the operations of a storage whose numbers are given, as a full disk does.
+
+    A write that fails has written half of its data.
+    """
+
+    def __init__(self, failing: tuple[int, ...]):
+        self.count = 0
+        self._failing = failing
+
+    def step(self) -> None:
+        """Count an operation, and fail it if it is one of the given."""
+        self.count += 1
+        if self.count in self._failing:
+            raise OSError(28, "no space left on device")
+
+    def wrap(self, function):
+        def _call(*arguments, **options):
+            self.step()
+            return function(*arguments, **options)
+
+        return _call
+
+    def open(self, path, mode="r", buffering=-1):
+        self.step()
+        return FaultyFile(self, open(path, mode, buffering))  # noqa: SIM115
+
+    def patch(self, stack: contextlib.ExitStack) -> None:
+        """Take the place of the disk for the module of the storage."""
+        for owner, name in (
+            (storage.os, "fsync"),
+            (storage.os, "replace"),
+            (storage.os, "open"),
+            (pathlib.Path, "read_bytes"),
+            (pathlib.Path, "unlink"),
+            (pathlib.Path, "stat"),
+            (pathlib.Path, "mkdir"),
+        ):
+            wrapped = self.wrap(getattr(owner, name))
+            if owner is pathlib.Path:
+                wrapped = functools.partialmethod(
+                    lambda path, f=wrapped, **options: f(path, **options)
+                )
+            stack.enter_context(mock.patch.object(owner, name, wrapped))
+        stack.enter_context(mock.patch.object(storage, "open", self.open, create=True))
+
+
+class FaultyFile:
+    """A file of a `FaultyDisk`."""
+
+    def __init__(self, disk: FaultyDisk, file):
+        self._disk = disk
+        self._file = file
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_exception):
+        self._file.close()
+
+    def __getattr__(self, name: str):
+        return getattr(self._file, name)
+
+    def write(self, data) -> int:
+        try:
+            self._disk.step()
+        except OSError:
+            self._file.write(bytes(data[: len(data) // 2]))
+            raise
+        return self._file.write(data)
+
+    def truncate(self, size: int) -> int:
+        self._disk.step()
+        return self._file.truncate(size)
+
+    def close(self) -> None:
+        self._file.close()
+        self._disk.step()
+
+
+class TestFaultsOfEveryOperation(StorageCase):
+    """A fault at each operation of a workload, alone and with a second one soon after."""
+
+    def run_workload(self, disk: FaultyDisk) -> None:
+        """Store entries and a snapshot as a node does, and check what a new start finds."""
+        acknowledged = 0
+        with contextlib.ExitStack() as stack:
+            disk.patch(stack)
+            store = self.retry(lambda: storage.Storage(self.folder))
+            self.start(store)
+            while acknowledged < ENTRY_COUNT:
+                entry = messages.LogEntry(acknowledged + 1, 1, "test", b"x")
+                batch = [effects.Persist(effects.HardState(1, "a", "c"), 0, (entry,))]
+                try:
+                    store.persist(batch)
+                    acknowledged += 1
+                    if acknowledged == SNAPSHOT_AT:
+                        snapshot = effects.Snapshot(acknowledged - 1, 1, data=b"state")
+                        store.save_snapshot(effects.HardState(1, "a", "c"), snapshot, (entry,))
+                except errors.StorageFailedError:
+                    recovered = self.start(store)
+                    self.check(recovered, acknowledged)
+                    acknowledged = max(acknowledged, self.last_index(recovered))
+            store.close()
+        store = storage.Storage(self.folder)
+        self.assertEqual(store.load_identity("host", "9"), "host#1")
+        self.check(store.recover(), acknowledged)
+        store.close()
+
+    def start(self, store: storage.Storage) -> entry_log.RecoveredState:
+        """Do what a node does at its start until it succeeds."""
+
+        def _start() -> entry_log.RecoveredState:
+            store.load_identity("host", "1")
+            recovered = store.recover()
+            store.check_writable()
+            return recovered
+
+        return self.retry(_start)
+
+    def retry(self, action):
+        for _ in range(5):
+            with contextlib.suppress(errors.StorageFailedError):
+                return action()
+        raise AssertionError("the storage does not recover")
+
+    def last_index(self, recovered: entry_log.RecoveredState) -> int:
+        return recovered.snapshot.last_index + len(recovered.entries)
+
+    def check(self, recovered: entry_log.RecoveredState, acknowledged: int) -> None:
+        self.assertGreaterEqual(self.last_index(recovered), acknowledged)
+        first_index = recovered.snapshot.last_index + 1
+        for index, entry in enumerate(recovered.entries, first_index):
+            self.assertEqual(entry.index, index)
+
+    # Guards against errors outside of the typed one, which end a control host, and against entries
+    # that are lost after they were acknowledged.
+    def test_no_fault_ends_the_process_or_loses_an_acknowledged_entry(self):
+        calm = FaultyDisk(())
+        self.run_workload(calm)
+        self.assertGreater(calm.count, MIN_OPERATION_COUNT)
+        for first in range(1, calm.count + 1):
+            for second in (0, *range(first + 1, first + 1 + SECOND_FAULT_SPAN)):
+                with self.subTest(first=first, second=second):
+                    shutil.rmtree(self.folder)
+                    self.run_workload(FaultyDisk((first, second)))
+
+
 class TestSnapshots(StorageCase):
     """Atomic replacement of the snapshot and the log file."""
 
