Ignore SIGHUP until a process has read its settings

Cause: its default action was in force until the loop ran. Evidence: test_reload_signals_during_the_start_end_no_process; before, the process ended at the first signal. Change: the handlers of the start ignore it, and are installed first. Why this works: the settings are still to be read, and are checked again later.

--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -17,8 +17,8 @@
 
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
+    early_stop.handle_signals()
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
-    early_stop.exit_on_stop_signals()
     # Connections are accepted by the kernel while the modules below are imported.
     opened = listeners.open_configured(settings_path, role)
     # The modules and the daemon live as long as the process: searching them for garbage while they
--- a/flamingoramp/platform/tests/test_start.py
+++ b/flamingoramp/platform/tests/test_start.py
@@ -4,6 +4,7 @@
 
 import os
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -55,6 +56,19 @@
         listening = entry.wait_for_event("start.listening")
         self.assertLessEqual(listening["processor_seconds"], MAX_LISTENING_PROCESSOR_SECONDS)
 
+    # Guards against a process that a change of its settings file ends while it starts.
+    def test_reload_signals_during_the_start_end_no_process(self):
+        entry = test_programs.DaemonProcess(self.fleet, 1)
+        self.addCleanup(entry.close)
+        self.connect_to_starting(entry).close()
+        while entry.process.poll() is None and not entry.logged_events("process.started"):
+            entry.process.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+        self.assertIsNone(entry.process.poll(), "the process has ended")
+        entry.process.send_signal(signal.SIGHUP)
+        entry.wait_for_event("declaration.in_force")
+        self.assertIsNone(entry.process.poll(), "the process has ended")
+
     def test_burst_of_callers_that_connect_during_the_start_is_served(self):
         self.fleet.add_server("desk1", "desk", fake_server.Behaviour())
         entry = test_programs.DaemonProcess(self.fleet, 1)
--- a/flamingoramp/runtime/early_stop.py
+++ b/flamingoramp/runtime/early_stop.py
@@ -1,4 +1,4 @@
-"""Stop signals that arrive before a process serves.
+"""Signals that arrive before a process serves.
 
 This module imports the standard library only.
 """
@@ -9,11 +9,13 @@
 import signal
 
 
-def exit_on_stop_signals() -> None:
+def handle_signals() -> None:
     """End the process at once on SIGTERM and SIGINT, until other handlers are installed.
 
     The default action does so too, except for the first process of a container, which would ignore
-    a stop signal that arrives during its start.
+    a stop signal that arrives during its start. SIGHUP, whose default action ends the process, has
+    no effect: the settings are still to be read.
     """
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda _number, _frame: os._exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
