Answer 502 where a server's status would tell a caller to repeat a request that ran (REFUSED)

Cause: a server's 408, 429 or 503 that doesn't say 'not run' was passed on; to a caller these statuses promise just that.

Evidence: TestStatuses on the code before, 408, 429 and 503 != 502; test_status_that_reads_as_not_run_is_replaced_if_the_request_ran.

Change: for requests that may not run twice, such an answer becomes a 502 without the server's signature. Why this works: 502 promises nothing, and the signature would vouch for another status.

--- a/flamingoramp/dialect.py
+++ b/flamingoramp/dialect.py
@@ -226,12 +226,16 @@
     retry_after_seconds : float
         Time after which another entry that refused the request may be asked again; 0 if it named
         none.
+    has_refusal_status : bool
+        Whether the status tells a caller that its request has not run, though the server doesn't
+        say so.
     """
 
     kind: AnswerKind
     failed_address: str = ""
     statement: statements.ServerStatement | None = None
     retry_after_seconds: float = 0.0
+    has_refusal_status: bool = False
 
 
 class Dialect(Protocol):
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -443,6 +443,8 @@
                 attempt.is_stream = True
             case dialects.AnswerKind.ANSWER:
                 self._may_have_run = True
+                if answer_head.has_refusal_status and not self._admitted.route.is_retryable:
+                    self._replace_refusal_status(attempt)
 
     def handle_data(self, attempt: attempts.Attempt, data: bytes) -> None:
         """Collect received bytes, or relay the events of a stream that they complete."""
@@ -632,6 +634,17 @@
             "the servers refused it", retry_after=attempts.RETRY_AFTER_SECONDS
         )
 
+    def _replace_refusal_status(self, attempt: attempts.Attempt) -> None:
+        """Fail a request that has run, in place of a status by which its caller would repeat it."""
+        attempt.detach()
+        self._context.record_answer(attempt.target.server, failed=True)
+        self._record_sound(attempt)
+        self._end_failed(
+            errors.BackendFailedError(
+                f"the server ran the request and answered {attempt.head.status}"
+            )
+        )
+
     def _handle_broken_attempt(self, reason: str, *, was_reached: bool = True) -> None:
         """Retry, refuse or fail the request after an attempt without a complete answer."""
         if self._can_retry() and self._retry(reason, was_reached=was_reached):
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -127,7 +127,9 @@
 
     def decode_answer_head(self, head: client.Head, request_id: str) -> dialect.AnswerHead:
         answer_kind = head.header(b"answer-kind")
-        return dialect.AnswerHead(dialect.AnswerKind(answer_kind.decode()))
+        return dialect.AnswerHead(
+            dialect.AnswerKind(answer_kind.decode()), has_refusal_status=head.status in (429, 503)
+        )
 
 
 class FakeContext:
@@ -428,6 +430,25 @@
         self.receive_head("not_run", 503)
         self.assert_ended(503)
 
+    # Guards against callers that book again since a server that ran their request answered 503.
+    def test_status_that_reads_as_not_run_is_replaced_if_the_request_ran(self):
+        for status, expected in ((503, 502), (429, 502), (500, 500), (404, 404)):
+            with self.subTest(status=status):
+                self.setUp()
+                self.start_request(NON_IDEMPOTENT)
+                self.receive_head("answer", status)
+                if expected == status:
+                    self.complete_answer()
+                self.assert_ended(expected)
+                self.assertEqual((len(self.calls), self.context.failures), (1, []))
+
+    def test_status_that_reads_as_not_run_is_relayed_if_the_request_may_run_again(self):
+        self.context.retries_left = 0
+        self.start_request(PLAIN)
+        self.receive_head("answer", 503)
+        self.complete_answer()
+        self.assert_ended(503)
+
     def test_retries_a_failed_connection_when_attempts_are_left(self):
         self.start_request(attrs.evolve(NON_IDEMPOTENT, attempts=2))
         self.fail_call(client.Failure.NOT_CONNECTED, may_have_run=False)
--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -144,7 +144,12 @@
     content_type = head.header(b"content-type") or b""
     if head.status == 200 and content_type.startswith(b"text/event-stream"):
         return dialect.AnswerHead(dialect.AnswerKind.STREAM, failed_address, statement)
-    return dialect.AnswerHead(dialect.AnswerKind.ANSWER, failed_address, statement)
+    return dialect.AnswerHead(
+        dialect.AnswerKind.ANSWER,
+        failed_address,
+        statement,
+        has_refusal_status=head.status in _NOT_RUN_STATUSES,
+    )
 
 
 def encode_peer_request(passed_on: dialect.PeerRequest) -> messages.Request:
@@ -167,8 +172,10 @@
     """Decode the head of another entry's answer to the request ``request_id``."""
     if head.header(wire_names.SIGNATURE) is not None:
         # What the server states of itself is known to the other entry, and reported by it.
-        kind = decode_answer_head(head, request_id).kind
-        return dialect.AnswerHead(kind)
+        answer_head = decode_answer_head(head, request_id)
+        return dialect.AnswerHead(
+            answer_head.kind, has_refusal_status=answer_head.has_refusal_status
+        )
     if head.status in _NOT_RUN_STATUSES:
         times = [value for name, value in head.headers if name == wire_names.RETRY_AFTER]
         return dialect.AnswerHead(
--- a/flamingoramp/platform/tests/test_faulty_answers.py
+++ b/flamingoramp/platform/tests/test_faulty_answers.py
@@ -166,6 +166,41 @@
                 self.assertEqual(len(repeating.run_ids), len(set(repeating.run_ids)))
 
 
+class TestStatuses(fleets.FleetTestCase):
+    """What a caller gets for each status of a server, by whether the request may run again."""
+
+    # Guards against callers that repeat a booking which a server ran and answered with 503.
+    def test_no_request_that_ran_once_for_all_is_answered_as_not_run(self):
+        fleet = self.start_serving(entries=1)
+        answers: list[RawAnswer] = []
+        # Servers that fail are avoided for a while.
+        start_scripted(fleet, "desk", {f"d{number}": answers for number in range(24)})
+        for status in (200, 201, 400, 404, 408, 409, 421, 429, 500, 503, 504):
+            for is_marked in (False, True):
+                mark = b"x-not-executed: 1\r\n" if is_marked else b""
+                data = (
+                    b"HTTP/1.1 %d Status\r\n" % status
+                    + REQUEST_ID
+                    + SIGNATURE
+                    + mark
+                    + b"content-length: 5\r\n\r\nwhole"
+                )
+                has_run = not (is_marked or status == 421)
+                with self.subTest(status=status, is_marked=is_marked):
+                    answers[:] = [RawAnswer(data)]
+                    answer = self.send(fleet, "hold")
+                    self.assertEqual(answers, [])
+                    if has_run and status in NOT_RUN_STATUSES:
+                        self.assertEqual(answer.status, 502)
+                        self.assertNotIn("x-response-stamp", answer.headers)
+                    elif has_run:
+                        self.assertEqual((answer.status, answer.body), (status, b"whole"))
+                        self.assertEqual(answer.headers["x-response-stamp"], "stamp")
+                    else:
+                        self.assertEqual(answer.status, 503)
+                        self.assertIn("retry-after", answer.headers)
+
+
 class TestErrorsAfterBrokenStreams(fleets.FleetTestCase):
     """A stream breaks off, and the next server answers with an error."""
 
