End a group whose engine stops responding, and release its memory (LEAK)

Cause: the reservation was renewed as long as the attempt wasn't given up. A silent group was checked after up to 7.5 s, and one with a backlog, which its own prompt is, was left alone though its engine was known not to respond.

Change: the engine of a group that receives nothing is checked every 0.8 s, and the group ends when it is known not to respond twice in a row: it is retried, or fails at once.

Why this works: the engine is found out within 2.5 s, below the 4 s that the memory may stay reserved, and one lost packet ends no group.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -40,6 +40,9 @@
 # A group of engines without a first event after this share of the time for which its caller waits
 # is replaced even if the engines have other work, so that a second group can still be in time.
 GROUP_START_RATIO = 0.5
+# Interval at which the engine of a group is checked while nothing arrives: the helpers' memory is
+# set aside for as long as the group waits.
+GROUP_CHECK_INTERVAL_SECONDS = 0.8
 # A request without a stream is retried after this many times the route's latency objective.
 NON_STREAM_TIMEOUT_RATIO = 1.5
 # Entries that one request is passed on to, one after the other.
@@ -255,6 +258,8 @@
         )
         if admitted.route.is_retryable:
             self._schedule_stall_check(attempt, self._first_event_timeout(target))
+        if self._reservation is not None:
+            self._schedule_group_check(attempt, was_unresponsive=False)
 
     def _send_to_peer(self) -> None:
         """Pass the request on to another entry, which sends it to a server."""
@@ -326,6 +331,44 @@
         )
         loop.call_later(check_at - loop.now(), _check_for_stall)
 
+    def _schedule_group_check(self, attempt: attempts.Attempt, *, was_unresponsive: bool) -> None:
+        """End a group whose engine is found not to respond twice in a row.
+
+        The memory at its helpers would stay reserved for a prompt that nobody reads.
+        """
+        loop = self._context.loop
+        server = attempt.target.server
+
+        def _check() -> None:
+            if self._attempt is not attempt or not attempt.is_active:
+                return
+            idle_seconds = loop.now() - attempt.last_progress_at
+            is_idle = idle_seconds >= GROUP_CHECK_INTERVAL_SECONDS
+            # An entry that reaches no server knows nothing of a single one.
+            is_unresponsive = (
+                is_idle and not self._context.is_cut_off and self._context.is_unresponsive(server)
+            )
+            if is_unresponsive and was_unresponsive:
+                self._end_group(attempt, idle_seconds)
+                return
+            if is_idle and not is_unresponsive:
+                self._context.check_server(server)
+            self._schedule_group_check(attempt, was_unresponsive=is_unresponsive)
+
+        loop.call_later(GROUP_CHECK_INTERVAL_SECONDS, _check)
+
+    def _end_group(self, attempt: attempts.Attempt, idle_seconds: float) -> None:
+        """Retry a prompt whose group has lost its engine, or fail it; its memory is released."""
+        self._context.record_step(
+            self._admitted,
+            "request.group_lost",
+            server=attempt.target.server.server,
+            silent=round(idle_seconds, 3),
+        )
+        self._may_have_run = True
+        self._record_failure(attempt, crashed=False)
+        self._handle_broken_attempt("group_lost")
+
     def _replace_stalled(
         self, attempt: attempts.Attempt, idle_seconds: float, timeout_seconds: float
     ) -> bool:
