Count runs before the one that departed as gone (DRAIN)

What callers could see: a server started anew under its name and departed; all processes were killed, and a control host whose file of servers was older had the earlier run as available.

Cause: a departure amended records of its own run only. Evidence: test_run_before_the_one_that_departed_is_gone failed before, (False, False) != (True, True). Found by reading; not seen in a run. Change: records of earlier runs are amended as gone. Why this works: a later run began after the earlier one had ended.

--- a/flamingoramp/membership/departures.py
+++ b/flamingoramp/membership/departures.py
@@ -80,11 +80,12 @@
         return known is not None and known.covers(departure)
 
     def amend(self, record: messages.ServerRecord) -> messages.ServerRecord:
-        """Return a record with the departure of its run, if there is one."""
+        """Return a record with the departure of its run, if that or a later run has departed."""
         known = self._departures.get(record.server)
-        if known is None or (known.born and record.born and known.born != record.born):
+        if known is None or 0 < known.born < record.born:
             return record
-        gone = record.gone or known.gone
+        is_earlier_run = 0 < record.born < known.born
+        gone = record.gone or known.gone or is_earlier_run
         if record.leaving and record.gone == gone:
             return record
         return attrs.evolve(record, leaving=True, gone=gone)
--- a/flamingoramp/membership/tests/test_departures.py
+++ b/flamingoramp/membership/tests/test_departures.py
@@ -95,7 +95,13 @@
         ended = make_state(departures.Departure("a", 5, True)).amend(record)
         self.assertEqual((ended.leaving, ended.gone), (True, True))
 
-    def test_record_of_another_run_or_server_stays(self):
+    # Guards against an earlier run that a control host with an old file brings back.
+    def test_run_before_the_one_that_departed_is_gone(self):
+        state = make_state(departures.Departure("a", 5, False))
+        amended = state.amend(messages.ServerRecord("a", "llm", born=4))
+        self.assertEqual((amended.leaving, amended.gone), (True, True))
+
+    def test_record_of_a_later_run_or_another_server_stays(self):
         state = make_state(departures.Departure("a", 5, True))
         for record in (
             messages.ServerRecord("a", "llm", born=6),
