--- /dev/null
+++ b/bench/control_hosts.py
@@ -0,0 +1,130 @@
+"""Control programs of a platform's hosts, as real processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+
+import attrs
+
+from flamingoramp.platform import main as platform_main
+from flamingoramp.platform.tests import fleet as platform_fleets
+from flamingoramp.runtime import node_settings
+
+SEED_HOST_COUNT = 3
+CALL_TIMEOUT_SECONDS = 1.0
+ANNOUNCE_INTERVAL_SECONDS = 1.2
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+class ControlHost:
+    """A host with a data folder that runs the control program.
+
+    Parameters
+    ----------
+    number : int
+        Number of the host, from 0.
+    host_count : int
+    folder : pathlib.Path
+        Folder of all hosts; created if missing.
+    network : int
+        Third number of the hosts' addresses, and part of their ports: another one for each group of
+        hosts that run at the same time.
+    """
+
+    def __init__(self, number: int, host_count: int, folder: pathlib.Path, *, network: int):
+        first_port = 20_000 + 10 * network
+        port = first_port + 2
+        addresses = [f"127.0.{network}.{n + 1}" for n in range(host_count)]
+        self._folder = folder / f"host-{number}"
+        self._data_folder = self._folder / "data"
+        self._settings = node_settings.NodeSettings(
+            name=f"host-{number}",
+            availability_zone="a",
+            address=addresses[number],
+            inner_ports=(first_port, first_port + 1),
+            seeds=tuple([f"{address}:{port}" for address in addresses[:SEED_HOST_COUNT]]),
+            data_folder=str(self._data_folder),
+            listen=node_settings.ListenSettings(operators=f"{addresses[number]}:{port}"),
+            bounds=node_settings.BoundSettings(
+                announce_milliseconds=1000 * ANNOUNCE_INTERVAL_SECONDS,
+                evacuate_milliseconds=5000.0,
+            ),
+        )
+        self.process: subprocess.Popen | None = None
+
+    @property
+    def operators(self) -> str:
+        """Address at which operators and backend servers call."""
+        return self._settings.listen.operators
+
+    @property
+    def inner(self) -> str:
+        """Address for the system's own processes."""
+        return self._settings.control_internal_address
+
+    def start(self, *, first_start: bool = False) -> None:
+        """Start the program."""
+        self._data_folder.mkdir(parents=True, exist_ok=True)
+        path = self._folder / "settings.json"
+        path.write_text(
+            json.dumps(attrs.asdict(attrs.evolve(self._settings, first_start=first_start)))
+        )
+        with (self._folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "flamingoramp.platform.main", "control"],
+                env={**os.environ, platform_main.SETTINGS_PATH_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self) -> None:
+        """Kill the process; the data stays."""
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self, *, stopped: bool) -> None:
+        """Suspend the process, or let it go on."""
+        self.process.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+
+    def lose_disk(self) -> None:
+        """Delete the data of a host whose process was killed."""
+        shutil.rmtree(self._data_folder)
+
+    def call(self, method: str, path: str, body: bytes = b"") -> platform_fleets.Answer:
+        """Send a call; the status of the answer is 0 if there is none in time."""
+        try:
+            return platform_fleets.send_request(
+                self.operators, method, path, body=body, timeout=CALL_TIMEOUT_SECONDS
+            )
+        except (OSError, ValueError, IndexError):  # none, or one that was cut off
+            return platform_fleets.Answer(0, {}, b"")
+
+    def read_usage(self) -> tuple[float, int]:
+        """Return the processor time in seconds and the bytes written to the disk so far."""
+        folder = pathlib.Path(f"/proc/{self.process.pid}")
+        fields = (folder / "stat").read_text().rpartition(")")[2].split()
+        seconds = (int(fields[11]) + int(fields[12])) / _TICKS_PER_SECOND
+        counters = dict(line.split(": ") for line in (folder / "io").read_text().splitlines())
+        return seconds, int(counters["write_bytes"])
+
+
+def make_announcement(name: str, number: int, sequence: int, state: str = "ready") -> bytes:
+    """Return the body of the announcement of a server; the name stands in the path of the call."""
+    body = {
+        "service": name.partition("-")[0],
+        "addr": f"10.0.{number // 250}.{number % 250 + 1}:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": state,
+        "cold_left_ms": 0,
+        "seq": sequence,
+        "born": 1,
+    }
+    return json.dumps(body).encode()
