--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -128,14 +128,7 @@
                 wall_time=self._process.wall_time,
             )
         self._evacuation_calls = self._make_evacuation_calls()
-        self._departure_calls = departure_calls.DepartureCalls(
-            self._loop,
-            node=self._node,
-            state=self._replicated_state.departures,
-            member_registry=self._registry,
-            log=self._log,
-            metrics=self._metrics,
-        )
+        self._departure_calls = self._make_departure_calls()
         self._process.add_cleanup(self._node.close)
         self._process.transport.name = self._node.identity or settings.control_internal_address
         if settings.listen.operators:
@@ -217,6 +210,16 @@
             wall_time=self._process.wall_time,
         )
 
+    def _make_departure_calls(self) -> departure_calls.DepartureCalls:
+        return departure_calls.DepartureCalls(
+            self._loop,
+            node=self._node,
+            state=self._replicated_state.departures,
+            member_registry=self._registry,
+            log=self._log,
+            metrics=self._metrics,
+        )
+
     def _record_leader_change(self, change: effects.LeaderChanged) -> None:
         self._log.write("leader.changed", leader=change.leader, term=change.term)
         if change.leader:
