Keep the platform's names out of the soak and the benchmark of departures

Cause: paths and fields of the platform stood in bench/, outside of the folder that speaks to it. Change: control_hosts moves to platform/tests and has a method for each call; bench.acknowledgements and bench.departures use these.

--- a/bench/acknowledgements.py
+++ b/bench/acknowledgements.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 import pathlib
 import random
@@ -19,13 +18,13 @@
 import threading
 import time
 import traceback
+from collections.abc import Callable
 from concurrent import futures
 from typing import Any
 
 import fire
 
-from bench import control_hosts
-from flamingoramp.platform.tests import fleet as platform_fleets
+from flamingoramp.platform.tests import control_hosts
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import clock, transport
 from flamingoramp.runtime import loop as loops
@@ -141,43 +140,37 @@
 
     # Calls.
 
-    def _call(self, method: str, path: str, body: bytes = b"") -> bool:
+    def _call(self, action: Callable[[control_hosts.ControlHost], bool]) -> bool:
         """Call hosts in turn until one acknowledges; False if none does."""
-        for host in self._rng.sample(self._hosts, len(self._hosts)):
-            if host.call(method, path, body).status == 200:
-                return True
-        return False
+        return any(action(host) for host in self._rng.sample(self._hosts, len(self._hosts)))
 
     def _announce(self) -> None:
         number = self._server_count
         self._server_count += 1
         body = control_hosts.make_announcement("llm", number, self._sequence)
-        if self._call("PUT", f"/v1/instances/s{number}", body):
+        if self._call(lambda host: host.call_as_server("PUT", f"s{number}", body)):
             self._available.append(number)
 
     def _depart(self) -> None:
         if not self._available:
             return
         number = self._available.pop(self._rng.randrange(len(self._available)))
-        path = f"/v1/instances/s{number}"
+        method, body = "DELETE", b""
         if self._rng.random() < 0.5:
-            is_acknowledged = self._call("DELETE", path)
-        else:
             self._sequence += 1
-            body = control_hosts.make_announcement("llm", number, self._sequence, "draining")
-            is_acknowledged = self._call("PUT", path, body)
-        if is_acknowledged:
+            method = "PUT"
+            body = control_hosts.make_announcement("llm", number, self._sequence, is_leaving=True)
+        if self._call(lambda host: host.call_as_server(method, f"s{number}", body)):
             self._departed.add(f"s{number}")
 
     def _declare(self) -> None:
-        self._version += self._rng.randint(1, 3)
-        body = json.dumps(platform_fleets.make_document(self._version)).encode()
-        if self._call("PUT", "/v1/config", body):
-            self._acknowledged_version = self._version
+        version = self._version = self._version + self._rng.randint(1, 3)
+        if self._call(lambda host: host.declare(version)):
+            self._acknowledged_version = version
 
     def _order_zone(self) -> None:
         zone, evacuated = self._rng.choice(ZONES), self._rng.random() < 0.5
-        if self._call("POST" if evacuated else "DELETE", f"/v1/evacuation/{zone}"):
+        if self._call(lambda host: host.order_zone(zone, evacuated=evacuated)):
             self._zone_states[zone] = {evacuated}
         else:
             self._zone_states[zone].add(evacuated)
@@ -250,11 +243,9 @@
                     raise ViolationError(f"zone {zone} is {allowed}, not {update.evacuated_zones}")
             if update.version < self._acknowledged_version:
                 raise ViolationError(f"{host.inner} has version {update.version}")
-            answer = host.call("GET", "/v1/config")
-            if answer.status == 200:
-                version = json.loads(answer.body)["version"]
-                if version < self._acknowledged_version:
-                    raise ViolationError(f"{host.inner} reads version {version}")
+            version = host.read_version()
+            if version is not None and version < self._acknowledged_version:
+                raise ViolationError(f"{host.inner} reads version {version}")
 
 
 def run_seed(seed: int) -> str:
--- a/bench/departures.py
+++ b/bench/departures.py
@@ -16,7 +16,8 @@
 
 import fire
 
-from bench import control_hosts, fleets
+from bench import fleets
+from flamingoramp.platform.tests import control_hosts
 from flamingoramp.platform.tests import fleet as platform_fleets
 
 FOLDER = fleets.ROOT / "out" / "fleet-departures"
@@ -29,11 +30,10 @@
 ) -> dict[str, Any]:
     """Send calls of servers at a steady rate, to all hosts in turn; return times and usage."""
 
-    def _call(number: int) -> tuple[int, float]:
-        method, server, body = calls[number]
+    def _call(number: int) -> tuple[bool, float]:
         sent_at = time.monotonic()
-        answer = hosts[number % len(hosts)].call(method, f"/v1/instances/{server}", body)
-        return answer.status, time.monotonic() - sent_at
+        is_acknowledged = hosts[number % len(hosts)].call_as_server(*calls[number])
+        return is_acknowledged, time.monotonic() - sent_at
 
     before = [host.read_usage() for host in hosts]
     started_at = time.monotonic()
@@ -46,7 +46,7 @@
     seconds = time.monotonic() - started_at
     after = [host.read_usage() for host in hosts]
     used = [(now[0] - then[0], now[1] - then[1]) for then, now in zip(before, after, strict=True)]
-    times = sorted(duration for status, duration in answers if status == 200)
+    times = sorted(duration for is_acknowledged, duration in answers if is_acknowledged)
     return {
         "calls": len(calls),
         "acknowledged": len(times),
@@ -80,8 +80,7 @@
             host.start(first_start=True)
         probe = control_hosts.make_announcement("probe", servers, 1)
         platform_fleets.wait_for(
-            lambda: running[0].call("PUT", "/v1/instances/probe", probe).status == 200,
-            "a control host",
+            lambda: running[0].call_as_server("PUT", "probe", probe), "a control host"
         )
         time.sleep(3.0)
         rate = servers / control_hosts.ANNOUNCE_INTERVAL_SECONDS
--- a/bench/control_hosts.py
+++ b/flamingoramp/platform/tests/control_hosts.py
@@ -19,6 +19,7 @@
 SEED_HOST_COUNT = 3
 CALL_TIMEOUT_SECONDS = 1.0
 ANNOUNCE_INTERVAL_SECONDS = 1.2
+DECLARATION_PATH = "/v1/config"
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
@@ -105,6 +106,25 @@
         except (OSError, ValueError, IndexError):  # none, or one that was cut off
             return platform_fleets.Answer(0, {}, b"")
 
+    def call_as_server(self, method: str, server: str, body: bytes = b"") -> bool:
+        """Send an announcement or a withdrawal of a server; return whether it is acknowledged."""
+        return self.call(method, f"/v1/instances/{server}", body).status == 200
+
+    def declare(self, version: int) -> bool:
+        """Submit a version of a declaration; return whether it is acknowledged."""
+        body = json.dumps(platform_fleets.make_document(version)).encode()
+        return self.call("PUT", DECLARATION_PATH, body).status == 200
+
+    def read_version(self) -> int | None:
+        """Return the version of the declaration that the host reads, None if it does not answer."""
+        answer = self.call("GET", DECLARATION_PATH)
+        return json.loads(answer.body)["version"] if answer.status == 200 else None
+
+    def order_zone(self, zone: str, *, evacuated: bool) -> bool:
+        """Evacuate or restore a zone; return whether that is acknowledged."""
+        method = "POST" if evacuated else "DELETE"
+        return self.call(method, f"/v1/evacuation/{zone}").status == 200
+
     def read_usage(self) -> tuple[float, int]:
         """Return the processor time in seconds and the bytes written to the disk so far."""
         folder = pathlib.Path(f"/proc/{self.process.pid}")
@@ -114,15 +134,17 @@
         return seconds, int(counters["write_bytes"])
 
 
-def make_announcement(name: str, number: int, sequence: int, state: str = "ready") -> bytes:
-    """Return the body of the announcement of a server; the name stands in the path of the call."""
+def make_announcement(
+    service: str, number: int, sequence: int, *, is_leaving: bool = False
+) -> bytes:
+    """Return the body of the announcement of a server with a number."""
     body = {
-        "service": name.partition("-")[0],
+        "service": service,
         "addr": f"10.0.{number // 250}.{number % 250 + 1}:80",
         "zone": "a",
         "version": "v1",
         "slots": 8,
-        "state": state,
+        "state": "draining" if is_leaving else "ready",
         "cold_left_ms": 0,
         "seq": sequence,
         "born": 1,
