Log what cuts an answer: the stop, a limit, or an answer that was not read

A request that the stop ended had the line of one that reached its own limit, and an answer that was thrown away unread had none.

Requests that the stop ends have a code of their own (`stop_timeout`, 504 as before); lines about requests during a stop say how long it has gone on and how long the request took to arrive; a connection that is closed with bytes of an answer left is logged and counted with the reason (`answer.undelivered`); `process.gave_up` also counts requests that have arrived in part and answers that were not read. Nothing is decided otherwise.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -136,7 +136,10 @@
         self._process.add_cleanup(self._pool.close)
         self._process.add_cleanup(self._request_handler.peer_pool.close)
         self._caller_server = self._process.serve(
-            settings.listen.callers, self._request_handler.handle_request, limits=self._http_limits
+            settings.listen.callers,
+            self._request_handler.handle_request,
+            limits=self._http_limits,
+            on_undelivered=self._record_undelivered,
         )
         self._serve_other_endpoints(settings.listen)
         self._start_timers()
@@ -493,6 +496,7 @@
         if self._stop_began_at:
             return
         self._stop_began_at = self.loop.now()
+        self._request_handler.begin_stop()
         self._log.write("process.stopping", requests=self._request_handler.active_count)
         self._caller_server.begin_closing()
         self._subscribe()
@@ -510,11 +514,32 @@
             self.loop.stop()
         elif stopping_seconds > bounds.stop_seconds - reserve_seconds and not self._has_given_up:
             self._has_given_up = True
-            self._log.write("process.gave_up", requests=self._request_handler.active_count)
+            self._log.write(
+                "process.gave_up",
+                requests=self._request_handler.active_count,
+                receiving=self._caller_server.receiving_count,
+                undelivered=self._caller_server.undelivered_count,
+            )
             self._metrics.count("requests_given_up", self._request_handler.active_count)
             self._request_handler.end_all()
             self.loop.call_later(STOP_FLUSH_SECONDS, self.loop.stop)
 
+    def _record_undelivered(self, answer: http_server.UndeliveredAnswer) -> None:
+        """Count and log an answer that its caller did not get as a whole."""
+        self._metrics.count("answers_undelivered", reason=answer.reason)
+        try:
+            request_id = self._dialect.decode_request(answer.request).request_id
+        except errors.FlamingorampError:
+            request_id = ""
+        stopping_seconds = self.loop.now() - self._stop_began_at if self._stop_began_at else 0.0
+        self._log.write(
+            "answer.undelivered",
+            request_id,
+            reason=answer.reason,
+            bytes=answer.buffered_bytes,
+            stopping=round(stopping_seconds, 3),
+        )
+
     # Load reports.
 
     def _handle_datagram(self, message: Any) -> None:
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -704,10 +704,15 @@
     # Outcomes.
 
     def end_by_deadline(self) -> None:
-        """Fail the request, unless it has ended, as its caller or this process waits no longer."""
+        """Fail the request, unless it has ended, as its caller waits no longer."""
         if not self._is_done:
             self._end_failed(errors.RouteTimeoutError("the time limit passed"))
 
+    def end_by_stop(self) -> None:
+        """Fail the request, unless it has ended, as this process has to end."""
+        if not self._is_done:
+            self._end_failed(errors.StopTimeoutError("this entry's planned stop is over"))
+
     def _end_refused(self, error: errors.FlamingorampError) -> None:
         """Refuse a request that has not run; fail it if it may have run."""
         if self._exchange.has_started or self._may_have_run:
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -204,6 +204,7 @@
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._queue = startup_queue.StartupQueue()
         self._is_releasing = False
+        self._stop_began_at: float | None = None
 
     @property
     def declaration(self) -> traffic.TrafficDeclaration | None:
@@ -296,10 +297,23 @@
         self._unresponsive.evict_stale()
         self._metrics.set_gauge("crash_suspects", self._crash_evidence.suspect_count)
 
+    def begin_stop(self) -> None:
+        """Note that a planned stop of this entry has begun."""
+        self._stop_began_at = self.loop.now()
+
+    def _stop_fields(self, exchange: http_server.Exchange) -> dict[str, float]:
+        """Return log fields of a request during a planned stop; empty without one."""
+        if self._stop_began_at is None:
+            return {}
+        return {
+            "stopping": round(self.loop.now() - self._stop_began_at, 3),
+            "received": round(exchange.receiving_seconds, 3),
+        }
+
     def end_all(self) -> None:
         """Fail the requests in progress, whose outcome is unknown; the process waits no longer."""
         for forwarder in list(self._forwarders):
-            forwarder.end_by_deadline()
+            forwarder.end_by_stop()
 
     # Admission.
 
@@ -388,6 +402,7 @@
                 code=error.code,
                 version=self._declaration.version if self._declaration else 0,
                 text=str(error),
+                **self._stop_fields(exchange),
             )
             exchange.respond(self.dialect.encode_error(error))
             return
@@ -683,7 +698,13 @@
             self._metrics.observe(
                 "longest_pause_seconds", fields["longest_pause"], route=admitted.route.name
             )
-        self._log.write("request.ended", admitted.caller.request_id, outcome=outcome, **fields)
+        self._log.write(
+            "request.ended",
+            admitted.caller.request_id,
+            outcome=outcome,
+            **fields,
+            **self._stop_fields(admitted.exchange),
+        )
 
     def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
         """Log a step in the processing of a request, and count it."""
@@ -694,6 +715,7 @@
             route=admitted.route.name,
             version=self._declaration.version,
             **fields,
+            **self._stop_fields(admitted.exchange),
         )
 
 
--- a/flamingoramp/errors.py
+++ b/flamingoramp/errors.py
@@ -189,6 +189,12 @@
     code = "route_timeout"
 
 
+class StopTimeoutError(TimeLimitExceededError):
+    """The planned stop of the entry ended before the response was complete."""
+
+    code = "stop_timeout"
+
+
 class BackendFailedError(FlamingorampError):
     """The backend server failed, and no retry was allowed."""
 
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -44,16 +44,37 @@
     idle_seconds: float = 15.0
 
 
+@attrs.frozen(eq=False, repr=False)
+class UndeliveredAnswer(value_classes.Value):
+    """An answer whose connection was closed before all of it was passed to the kernel.
+
+    ``request`` is the last request of the connection. ``reason`` is ``"overflow"`` if the output
+    buffer was full, ``"reset"`` if the caller closed the connection, ``"stalled"`` if the caller
+    took no bytes for too long, and ``"idle"`` or ``"exit"`` if this program closed it.
+    """
+
+    request: messages.Request
+    reason: str
+    buffered_bytes: int
+
+
 class Exchange:
     """One request and the response to it, which can be sent as a whole or in parts.
 
     ``on_disconnect`` is called if the connection is lost before the response is complete.
     """
 
-    def __init__(self, connection: Connection, request: messages.Request, arrived_at: float):
+    def __init__(
+        self,
+        connection: Connection,
+        request: messages.Request,
+        arrived_at: float,
+        receiving_seconds: float = 0.0,
+    ):
         self._connection = connection
         self._request = request
         self._arrived_at = arrived_at
+        self._receiving_seconds = receiving_seconds
         self._is_done = False
         self._has_started = False
         self.on_disconnect: Callable[[], None] | None = None
@@ -68,6 +89,11 @@
         """When the complete request was parsed, in seconds of the loop's clock."""
         return self._arrived_at
 
+    @property
+    def receiving_seconds(self) -> float:
+        """Time from the first byte of the request to the last one."""
+        return self._receiving_seconds
+
     @property
     def is_done(self) -> bool:
         """Whether the response is complete or aborted, or the caller has disconnected."""
@@ -131,6 +157,7 @@
         self._bytes_since_dispatch = 0
         self._is_first_request = True
         self._exchange: Exchange | None = None
+        self._last_request: messages.Request | None = None
         self._stream = stream.Stream(
             server.loop,
             sock,
@@ -177,19 +204,28 @@
         elif elapsed_seconds > (
             limits.header_seconds if self._is_first_request else limits.idle_seconds
         ):
-            self.close()
+            self.close("idle")
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is expected, being received or responded to."""
         is_expected = self.awaits_first_request(self._server.loop.now())
         if self._exchange is None and not self.is_reading and not is_expected:
-            self.close()
+            self.close("idle")
 
-    def close(self) -> None:
-        """Close the connection immediately."""
+    def close(self, reason: str = "") -> None:
+        """Close the connection immediately; report an answer that is lost for a reason."""
+        if self._stream.is_open and reason:
+            self._report_undelivered(reason)
         self._stream.close()
         self._server.remove_connection(self)
 
+    def _report_undelivered(self, reason: str) -> None:
+        """Report the last answer if some of it was not passed to the kernel."""
+        if self._stream.buffered_bytes and self._last_request is not None:
+            self._server.report_undelivered(
+                UndeliveredAnswer(self._last_request, reason, self._stream.buffered_bytes)
+            )
+
     def send_head(self, status: int, headers: messages.Headers, length: int | None) -> None:
         """Send the head of a response; ``length`` None means a chunked body."""
         fields = [*headers]
@@ -270,6 +306,10 @@
             self._server.add_flushing(self)
 
     def _handle_closed(self) -> None:
+        reason = "reset" if self._stream.was_reset else "stalled"
+        if self._stream.buffered_bytes > MAX_WRITE_BUFFER_BYTES:
+            reason = "overflow"
+        self._report_undelivered(reason)
         self._server.remove_connection(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -358,7 +398,9 @@
         self._request_head = None
         self._request_body_parts = []
         self._bytes_since_dispatch = 0
-        self._exchange = Exchange(self, request, self._server.loop.now())
+        self._last_request = request
+        now = self._server.loop.now()
+        self._exchange = Exchange(self, request, now, now - self._phase_started_at)
         self._server.handle(self._exchange)
 
     def _refuse_request(self, status: int) -> None:
@@ -388,6 +430,8 @@
         Returns the current `Limits`.
     on_refused : callable
         Takes the status with which an invalid request or excess connection was refused.
+    on_undelivered : callable
+        Takes an `UndeliveredAnswer`.
     max_connections : int
         Maximum number of open connections; further ones are closed immediately.
     listener : socket.socket or None
@@ -409,6 +453,7 @@
         answers_head: bool = False,
         limits: Callable[[], Limits] = Limits,
         on_refused: Callable[[int], None] = lambda _status: None,
+        on_undelivered: Callable[[UndeliveredAnswer], None] = lambda _answer: None,
         max_connections: int = 3000,
         listener: socket.socket | None = None,
     ):
@@ -417,6 +462,7 @@
         self._handler = handler
         self._limits = limits
         self._on_refused = on_refused
+        self._on_undelivered = on_undelivered
         self._on_error = on_error
         self._max_connections = max_connections
         self._connections: set[Connection] = set()
@@ -442,6 +488,22 @@
         """Whether connections are closed after the response to their current request."""
         return self._closing
 
+    @property
+    def receiving_count(self) -> int:
+        """Number of connections of which part of a request, but not all of it, was received."""
+        return sum(
+            not connection.has_exchange and connection.is_reading
+            for connection in self._connections
+        )
+
+    @property
+    def undelivered_count(self) -> int:
+        """Number of connections with a complete answer that is not yet passed to the kernel."""
+        connections = (*self._flushing, *self._connections)
+        return sum(
+            not connection.has_exchange and connection.is_flushing for connection in connections
+        )
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a request that is expected, being received or responded to."""
@@ -487,6 +549,10 @@
         """Report the status of a refused request to ``on_refused``."""
         self._on_refused(status)
 
+    def report_undelivered(self, answer: UndeliveredAnswer) -> None:
+        """Report an answer that the caller did not get as a whole to ``on_undelivered``."""
+        self._on_undelivered(answer)
+
     def remove_connection(self, connection: Connection) -> None:
         """Remove a closed connection from the set of open connections."""
         self._connections.discard(connection)
@@ -516,8 +582,8 @@
     def close(self) -> None:
         """Stop listening and close all connections immediately."""
         self.stop_accepting()
-        for connection in list(self._connections):
-            connection.close()
+        for connection in (*self._connections, *self._flushing):
+            connection.close("exit")
 
     def _accept(self, _events: Any) -> None:
         for _ in range(MAX_ACCEPTS_PER_ITERATION):
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -29,6 +29,7 @@
         self.kept_exchanges: list[server.Exchange] = []
         self.refused_statuses: list[int] = []
         self.errors: list[Exception] = []
+        self.undelivered: list[server.UndeliveredAnswer] = []
         self.keep_exchanges = False
         self.server = server.Server(
             self.loop,
@@ -36,6 +37,7 @@
             self.handle,
             limits=lambda: limits,
             on_refused=self.refused_statuses.append,
+            on_undelivered=self.undelivered.append,
             on_error=self.errors.append if contains_errors else None,
         )
         self.address = ("127.0.0.1", int(self.server.address.rpartition(":")[2]))
@@ -234,6 +236,57 @@
         self.wait_for_busy_count(echo_server, 0, 1.0)
 
 
+class TestUndeliveredAnswers(ServerTestCase):
+    """Reports of answers whose connection closed before all of them was passed to the kernel."""
+
+    BODY = b"x" * (7 * 1024 * 1024)
+
+    def begin_answer(self, echo_server: EchoServer, body: bytes = BODY) -> socket.socket:
+        """Let a caller that reads nothing get an answer that the kernel can't take as a whole."""
+        echo_server.keep_exchanges = True
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * 1024)
+        sock.connect(echo_server.address)
+        sock.sendall(b"GET /slow HTTP/1.1\r\nhost: h\r\n\r\n")
+        exchange = self.wait_for_exchange(echo_server)
+        echo_server.run_in_loop(lambda: exchange.respond(messages.Response(200, (), body)))
+        return sock
+
+    def assert_reported(self, echo_server: EchoServer, reason: str) -> None:
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while not echo_server.undelivered and time.monotonic() < deadline:
+            time.sleep(0.01)
+        [answer] = echo_server.undelivered
+        self.assertEqual((answer.request.path, answer.reason), ("/slow", reason))
+        self.assertGreater(answer.buffered_bytes, 0)
+
+    def test_caller_that_disconnects_before_it_has_read_its_answer_is_reported_as_reset(self):
+        echo_server = self.start_server()
+        self.begin_answer(echo_server).close()
+        self.assert_reported(echo_server, "reset")
+
+    def test_answer_beyond_the_output_buffer_is_reported_as_overflow(self):
+        echo_server = self.start_server()
+        self.begin_answer(echo_server, b"x" * (20 * 1024 * 1024))
+        self.assert_reported(echo_server, "overflow")
+
+    def test_answer_that_is_not_read_before_the_process_ends_is_reported_as_exit(self):
+        echo_server = self.start_server()
+        echo_server.run_in_loop(echo_server.server.begin_closing)
+        self.begin_answer(echo_server)
+        echo_server.run_in_loop(echo_server.server.close)
+        self.assert_reported(echo_server, "exit")
+
+    def test_answer_that_was_read_is_not_reported(self):
+        echo_server = self.start_server()
+        sock = self.connect(echo_server)
+        sock.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        self.assertEqual(read_response(sock)[2], b"empty")
+        echo_server.run_in_loop(echo_server.server.close)
+        self.assertEqual(echo_server.undelivered, [])
+
+
 class TestCallersThatSendOn(ServerTestCase):
     """A refused caller who sends the rest of its body before it reads the answer."""
 
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -217,7 +217,11 @@
         thread.join(fleets.TIMEOUT_SECONDS)
         # It may have run, so the answer says neither that it has nor that it hasn't.
         self.assertEqual(answers[0].status, 504)
-        self.assertEqual(self.entry.wait_for_event("process.gave_up")["requests"], 1)
+        gave_up = self.entry.wait_for_event("process.gave_up")
+        self.assertEqual((gave_up["requests"], gave_up["undelivered"]), (1, 0))
+        [ended] = self.entry.logged_events("request.ended")
+        self.assertEqual(ended["code"], "stop_timeout")
+        self.assertGreater(ended["stopping"], stop_seconds / 2)
 
     def test_stop_during_the_start_ends_the_process_at_once(self):
         self.entry.close()
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -129,6 +129,8 @@
             sends_on = may_send_on and self._discarded_bytes > discarded_bytes
             if takes_output or sends_on:
                 self._schedule_drain_check()
+            elif self._output_buffer:
+                self._fail()
             else:
                 self.close()
 
