--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -38,7 +38,9 @@
 MAX_FINGERPRINTS = 4096
 # Per fingerprint; the latest are kept.
 MAX_ENDS = 256
-# Two times that were equal at the sender differ by less than this at the receiver.
+# Ends of one fingerprint that an entry reports again with a new one.
+MAX_REPEATED_ENDS = 8
+# Two times of one report that were equal at the sender differ by less than this at the receiver.
 ROUNDING_SECONDS = 0.001
 
 # A server's name and start.
@@ -68,11 +70,15 @@
         Times of the sending of the request and of the end.
     is_confirmed : bool
         Whether the server is known to have ended; else it has only broken the connection.
+    is_own : bool
+        Whether this entry saw the end. The times of others' ends are late by what their reports
+        took; the earliest report of an end is the most exact.
     """
 
     sent_at: float
     ended_at: float
     is_confirmed: bool = True
+    is_own: bool = False
 
 
 def count_independent(ends: Iterable[ServerEnd]) -> int:
@@ -117,7 +123,7 @@
     ) -> None:
         """Record that a server broke off a request; whether it has ended isn't known yet."""
         for fingerprint in fingerprints:
-            end = ServerEnd(sent_at, now, is_confirmed=False)
+            end = ServerEnd(sent_at, now, is_confirmed=False, is_own=True)
             self._add(fingerprint, run, end)
 
     def confirm(self, run: ServerRun) -> None:
@@ -162,15 +168,27 @@
                 self._add(fingerprint, (record.server, record.born), end)
 
     def drain_records(self, now: float) -> tuple[messages.CrashRecord, ...]:
-        """Return the evidence of this entry that it has not reported yet."""
+        """Return the evidence of this entry that it has not reported yet.
+
+        With a new end go the earlier ones of the same fingerprint: reports take different times,
+        and only within one report is it certain which end came first.
+        """
         records = [
             messages.CrashRecord(fingerprint, age=now - cleared_at, is_clearance=True)
             for fingerprint, cleared_at in self._new_clearances.items()
         ]
-        for fingerprint, run in self._new_ends:
-            end = self._ends.get(fingerprint, {}).get(run)
-            if end is not None:
-                records.append(_to_record(fingerprint, run, end, now))
+        for fingerprint in dict.fromkeys(fingerprint for fingerprint, _ in self._new_ends):
+            own_ends = [
+                (run, end)
+                for run, end in self._ends.get(fingerprint, {}).items()
+                if end.is_own and end.is_confirmed
+            ]
+            new_runs = {run for name, run in self._new_ends if name == fingerprint}
+            records.extend(
+                _to_record(fingerprint, run, end, now)
+                for number, (run, end) in enumerate(reversed(own_ends))
+                if number < MAX_REPEATED_ENDS or run in new_runs
+            )
         self._new_ends.clear()
         self._new_clearances.clear()
         return tuple(records)
@@ -251,7 +269,7 @@
     def _add(self, fingerprint: str, run: ServerRun, end: ServerEnd) -> None:
         ends = self._ends.setdefault(fingerprint, {})
         known = ends.get(run)
-        if known is None or (end.is_confirmed and not known.is_confirmed):
+        if known is None or _replaces(end, known):
             ends[run] = end
         if len(ends) > MAX_ENDS:
             del ends[min(ends, key=lambda run: ends[run].ended_at)]
@@ -278,6 +296,14 @@
             self._answered_at.popitem(last=False)
 
 
+def _replaces(end: ServerEnd, known: ServerEnd) -> bool:
+    """Return whether an end is to replace the one that is known of the same server run."""
+    if end.is_confirmed and not known.is_confirmed:
+        return True
+    are_reported = not (end.is_own or known.is_own)
+    return are_reported and end.ended_at < known.ended_at
+
+
 def _to_record(
     fingerprint: str, run: ServerRun, end: ServerEnd, now: float
 ) -> messages.CrashRecord:
--- a/flamingoramp/dispatch/tests/test_crash_evidence.py
+++ b/flamingoramp/dispatch/tests/test_crash_evidence.py
@@ -198,6 +198,30 @@
         for evidence in (self.first, self.second):
             self.assertEqual(evidence.find_quarantined(("d", "p")), "p")
 
+    # Guards against a fourth run of a crashing request: its second run, at the same entry, looks
+    # like one that began before the first one had ended, if the report of the first took longer.
+    def test_ends_in_turn_at_one_entry_count_one_by_one_whatever_their_reports_took(self):
+        for first_delay, second_delay in ((0.012, 0.001), (0.001, 0.012), (0.3, 0.0)):
+            with self.subTest((first_delay, second_delay)):
+                self.setUp()
+                control = subscriptions.Publisher(registry.Registry())
+                control.handle(_Connection(), messages.Subscribe("second"), 10.0)
+                end_server(self.first, "s1", ("a",), at=10.005, sent_before=0.005)
+                first_report = self.first.drain_records(10.01)
+                end_server(self.first, "s2", ("a",), at=10.021, sent_before=0.015)
+                second_report = self.first.drain_records(10.03)
+                arrivals = [
+                    (10.01 + first_delay, first_report), (10.03 + second_delay, second_report)
+                ]  # fmt: skip
+                for arrived_at, report in sorted(arrivals, key=lambda arrival: arrival[0]):
+                    control.add_crashes(report, arrived_at)
+                    for _, update in control.make_updates(
+                        version=0, document=b"", confirmed=True, controls=(), now=arrived_at
+                    ):
+                        self.second.apply_records(update.crashes, arrived_at + 0.01)
+                end_server(self.second, "s3", ("a",), at=11.0)
+                self.assertEqual(self.second.find_quarantined(("a",)), "a")
+
     def test_answer_at_one_entry_clears_at_the_other(self):
         for number in range(END_COUNT):
             end_server(self.first, f"s{number}", ("a", "p"), at=10.0 + number)
--- a/flamingoramp/membership/subscriptions.py
+++ b/flamingoramp/membership/subscriptions.py
@@ -32,6 +32,8 @@
 # Retention of crash records; entries keep their evidence for as long.
 CRASH_RETENTION_SECONDS = 3600.0
 MAX_CRASH_RECORDS = 16_384
+# A report of a stored crash replaces it if it tells of a time that is earlier by this much.
+MIN_CRASH_TIME_GAIN_SECONDS = 0.0005
 
 
 @attrs.define(eq=False, repr=False)
@@ -83,7 +85,10 @@
         self.last_number = 0
 
     def add(self, record: messages.CrashRecord, now: float) -> None:
-        """Add a record unless it is stored, or a clearance that clears nothing."""
+        """Add a record unless it is stored, or a clearance that clears nothing.
+
+        A stored one is replaced by a report of the same end that arrived with less delay.
+        """
         key = (record.fingerprint, record.server, record.born)
         at = now - record.age
         if record.is_clearance:
@@ -99,7 +104,9 @@
             if key in self._stored:
                 self._remove(key)
         elif key in self._stored:
-            return
+            if at > self._stored[key].at - MIN_CRASH_TIME_GAIN_SECONDS:
+                return
+            self._remove(key)
         self.last_number += 1
         self._stored[key] = _StoredCrash(record, self.last_number, at)
         self._keys_by_fingerprint.setdefault(record.fingerprint, set()).add(key)
