Weigh rounds of ends by what else ended (BUDGET, DENIED)

What callers saw: copies of a crashing request that were sent at the same time ended nine servers before they were refused; and sound requests got 400 after their servers had crashed together several times.

Cause: a group of ends that overlap counted as one, whatever it was. Two contents with the same ends also excused each other for good.

A round of a whole content counts as its servers if no other server ended meanwhile, as nothing if a third of the service ended and most of it without the content, and else as one; rounds of one moment count as two at most. Of two contents with the same ends the first by name is refused and the other one tried alone.

--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -5,12 +5,16 @@
 the cause, and so may each of their parts. What is sound comes to be in complete answers as well,
 which ends the suspicion; a crashing content never does.
 
-Of the ends that a fingerprint was part of, those count that
+Ends that overlap, where a request was sent before the previous end, make up a round. Of the ends
+that a fingerprint was part of, those are left out that another fingerprint explains, one that the
+request doesn't have and that was part of as many of them or more. So what runs beside a crashing
+content, on the same servers, isn't refused with it. Of the rounds of the others
 
-- are independent: each request was sent after the previous end. Servers that end together, for
-  another cause, count as one;
-- aren't explained by a fingerprint that the request doesn't have and that was part of as many ends
-  or more. So what runs beside a crashing content, on the same servers, isn't refused with it.
+- one counts as one, since servers that fail together have the same parts of prompts;
+- one of a whole content counts as many as its servers, if no other server ended meanwhile: copies
+  of a crashing request that were sent at the same time;
+- one counts as nothing if many servers of the service ended meanwhile that did not have the
+  content: they have a common cause.
 
 All entries exchange their evidence through the control hosts.
 """
@@ -19,7 +23,7 @@
 
 import collections
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -40,6 +44,17 @@
 MAX_ENDS = 256
 # Ends of one fingerprint that an entry reports again with a new one.
 MAX_REPEATED_ENDS = 8
+# Servers that end within this time of a round may have a common cause with it, if at least this
+# share of the servers of their service, and more than this number without the content, did so.
+COMMON_CAUSE_SECONDS = 0.5
+COMMON_CAUSE_RATIO = 0.35
+MIN_COMMON_CAUSE_ENDS = 2
+MAX_KNOWN_RUNS = 4096
+# Rounds that begin within this time count at most as one request and its retry: while servers end
+# one after the other for another cause, a request is sent on from one to the next.
+MOMENT_SECONDS = 0.1
+MAX_ROUNDS_PER_MOMENT = 2
+PART_PREFIX = "part-"
 # Two times of one report that were equal at the sender differ by less than this at the receiver.
 ROUNDING_SECONDS = 0.001
 
@@ -57,7 +72,7 @@
 
 def part_fingerprint(part_id: str) -> str:
     """Return the fingerprint of a part of a prompt."""
-    return "part-" + hashlib.blake2b(part_id.encode(), digest_size=12).hexdigest()
+    return PART_PREFIX + hashlib.blake2b(part_id.encode(), digest_size=12).hexdigest()
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -81,21 +96,33 @@
     is_own: bool = False
 
 
-def count_independent(ends: Iterable[ServerEnd]) -> int:
-    """Return the largest number of ends of which each request was sent after the previous end."""
-    count = 0
-    previous_end = float("-inf")
+def split_rounds(ends: Iterable[ServerEnd]) -> list[list[ServerEnd]]:
+    """Split ends into rounds; the first request of each was sent after the first end of the last.
+
+    No larger number of ends could be chosen of which each request was sent after the previous end.
+    """
+    rounds: list[list[ServerEnd]] = []
     for end in sorted(ends, key=lambda end: end.ended_at):
-        if end.sent_at >= previous_end - ROUNDING_SECONDS:
-            count += 1
-            previous_end = end.ended_at
-    return count
+        if not rounds or end.sent_at >= rounds[-1][0].ended_at - ROUNDING_SECONDS:
+            rounds.append([])
+        rounds[-1].append(end)
+    return rounds
 
 
 class CrashEvidence:
-    """Ends of servers by the fingerprints of the requests that they had, at all entries."""
+    """Ends of servers by the fingerprints of the requests that they had, at all entries.
 
-    def __init__(self):
+    Parameters
+    ----------
+    count_servers : callable
+        Takes the name of a server and returns the number of servers of its service, 0 if it isn't
+        known.
+    """
+
+    def __init__(self, count_servers: Callable[[str], int] = lambda _server: 0):
+        self._count_servers = count_servers
+        # Times of all ends, also of servers whose requests were answered by others since.
+        self._ended_at: collections.OrderedDict[ServerRun, float] = collections.OrderedDict()
         self._ends: dict[str, dict[ServerRun, ServerEnd]] = {}
         self._answered_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         # Fingerprints with new ends, or whose ends were cleared, at this entry.
@@ -136,6 +163,7 @@
 
     def withdraw(self, run: ServerRun) -> None:
         """Remove the breaks of a server that has not ended."""
+        self._ended_at.pop(run, None)
         for fingerprint, ends in list(self._ends.items()):
             end = ends.get(run)
             if end is not None and not end.is_confirmed:
@@ -226,11 +254,43 @@
                 limit = QUARANTINE_END_COUNT_AFTER_ANSWERS
             if len(ends) < limit:
                 continue
-            self._remove_explained(ends, fingerprints)
-            if count_independent(ends.values()) >= limit:
+            self._remove_explained(fingerprint, ends, fingerprints)
+            is_content = fingerprint == fingerprints[0]
+            if self._count_accusing(fingerprint, ends, is_content=is_content) >= limit:
                 return fingerprint
         return ""
 
+    def _count_accusing(
+        self, fingerprint: str, ends: dict[ServerRun, ServerEnd], *, is_content: bool
+    ) -> int:
+        """Return the number of unexplained ends that count against a fingerprint."""
+        if not ends:
+            return 0
+        server_count = self._count_servers(next(reversed(ends))[0])
+        known_runs = self._ends[fingerprint].keys()
+        other_ends = [at for run, at in self._ended_at.items() if run not in known_runs]
+        count = moment_count = 0
+        moment_began_at = float("-inf")
+        for ends_of_round in split_rounds(ends.values()):
+            begin = ends_of_round[0].ended_at - COMMON_CAUSE_SECONDS
+            end = ends_of_round[-1].ended_at + COMMON_CAUSE_SECONDS
+            other_count = sum(begin <= at <= end for at in other_ends)
+            ended_count = other_count + len(ends_of_round)
+            if (
+                other_count > max(MIN_COMMON_CAUSE_ENDS, len(ends_of_round))
+                and 0 < COMMON_CAUSE_RATIO * server_count <= ended_count
+            ):
+                continue
+            if is_content and not other_count:
+                count += len(ends_of_round)
+                continue
+            if ends_of_round[0].ended_at > moment_began_at + MOMENT_SECONDS:
+                moment_began_at = ends_of_round[0].ended_at
+                moment_count = 0
+            moment_count += 1
+            count += moment_count <= MAX_ROUNDS_PER_MOMENT
+        return count
+
     def try_again(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is to be sent, though its fingerprint is refused."""
         trial_count, tried_at = self._trials.get(fingerprint, (0, float("-inf")))
@@ -242,12 +302,26 @@
         return True
 
     def _remove_explained(
-        self, ends: dict[ServerRun, ServerEnd], fingerprints: tuple[str, ...]
+        self,
+        fingerprint: str,
+        ends: dict[ServerRun, ServerEnd],
+        fingerprints: tuple[str, ...],
     ) -> None:
-        """Remove the ends that others than a request's own fingerprints explain as well."""
+        """Remove the ends that others than a request's own fingerprints explain as well.
+
+        Of two whole contents with as many ends, the first one by name explains those of the other.
+        Once it is refused, the other one has more ends, or an answer.
+        """
         end_count = len(ends)
+        is_own_content = fingerprint == fingerprints[0]
         for other, other_ends in self._ends.items():
-            if len(other_ends) >= end_count and other not in fingerprints:
+            if other in fingerprints or len(other_ends) < end_count:
+                continue
+            is_content = not other.startswith(PART_PREFIX)
+            explains = len(other_ends) > end_count or not (
+                is_own_content and is_content and fingerprint < other
+            )
+            if explains:
                 for run in ends.keys() & other_ends.keys():
                     del ends[run]
 
@@ -255,6 +329,9 @@
         """Forget ends after their retention, and the least suspect of too many fingerprints."""
         for fingerprint, ends in list(self._ends.items()):
             self._retain_ends(fingerprint, ends, ended_after=now - END_RETENTION_SECONDS)
+        for run, ended_at in list(self._ended_at.items()):
+            if ended_at <= now - END_RETENTION_SECONDS:
+                del self._ended_at[run]
         excess = len(self._ends) - MAX_FINGERPRINTS
         if excess > 0:
             least_suspect = sorted(self._ends, key=lambda fingerprint: len(self._ends[fingerprint]))
@@ -271,6 +348,9 @@
         known = ends.get(run)
         if known is None or _replaces(end, known):
             ends[run] = end
+            self._ended_at[run] = end.ended_at
+            if len(self._ended_at) > MAX_KNOWN_RUNS:
+                self._ended_at.popitem(last=False)
         if len(ends) > MAX_ENDS:
             del ends[min(ends, key=lambda run: ends[run].ended_at)]
 
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -179,7 +179,7 @@
             find_declaration=lambda: self._declaration,
         )
         self._retry_allowances: dict[str, allowance.RetryAllowance] = {}
-        self._crash_evidence = crash_evidence.CrashEvidence()
+        self._crash_evidence = crash_evidence.CrashEvidence(self._count_servers_beside)
         self._server_ends = server_ends.ServerEndChecks(
             loop,
             pool,
@@ -365,6 +365,20 @@
             for record in self._registry.servers()
         )
 
+    def _count_servers_beside(self, name: str) -> int:
+        """Return the number of servers of the service that a server belongs to, 0 if unknown."""
+        server = self._registry.find_server(name)
+        if server is None:
+            return 0
+        # A server that ended and its next run may both be known.
+        return len(
+            {
+                record.address
+                for record in self._registry.servers()
+                if record.service == server.service
+            }
+        )
+
     def _enqueue(self, request: startup_queue.QueuedRequest, timeout_seconds: float) -> None:
         """Queue a request until this entry can serve it, or until the timeout."""
         exchange = request.exchange
--- a/flamingoramp/dispatch/tests/test_crash_evidence.py
+++ b/flamingoramp/dispatch/tests/test_crash_evidence.py
@@ -37,8 +37,10 @@
     """Ends that count one by one, and those that count together."""
 
     def count(self, *times: tuple[float, float]) -> int:
-        return crash_evidence.count_independent(
-            crash_evidence.ServerEnd(sent_at, ended_at) for sent_at, ended_at in times
+        return len(
+            crash_evidence.split_rounds(
+                crash_evidence.ServerEnd(sent_at, ended_at) for sent_at, ended_at in times
+            )
         )
 
     def test_requests_sent_after_the_previous_end_count_one_by_one(self):
@@ -67,7 +69,7 @@
                 for earlier, later in itertools.pairwise(chosen)
             )
         )
-        self.assertEqual(crash_evidence.count_independent(ends), largest)
+        self.assertEqual(len(crash_evidence.split_rounds(ends)), largest)
 
 
 class TestEvidenceOfOneEntry(unittest.TestCase):
@@ -180,6 +182,104 @@
         self.assertEqual(self.evidence.find_quarantined(("c",)), "c")
 
 
+class TestCopies(unittest.TestCase):
+    """Copies of one request that are at several servers at the same time."""
+
+    def setUp(self):
+        self.evidence = crash_evidence.CrashEvidence(count_servers=lambda _server: 14)
+
+    # Guards against a crashing request whose copies overlap: each round of them counted as one end.
+    def test_copies_that_crash_all_their_servers_count_one_by_one(self):
+        for number in range(END_COUNT):
+            at = 10.0 + 0.1 * number
+            end_server(self.evidence, f"s{number}", ("c", "part-p"), at=at, sent_before=0.4)
+        self.assertEqual(self.evidence.find_quarantined(("c", "part-p")), "c")
+        self.assertEqual(self.evidence.find_quarantined(("other", "part-p")), "")
+
+    def test_copies_at_servers_that_end_with_many_others_count_as_one(self):
+        for number in range(14):
+            content = "c" if number < END_COUNT else f"c{number}"
+            end_server(self.evidence, f"s{number}", (content, "part-p"), at=10.0 + 0.01 * number)
+        self.assertEqual(self.evidence.find_quarantined(("c", "part-p")), "")
+
+    def test_copies_of_a_content_that_had_an_answer_count_one_by_one_after_more_ends(self):
+        self.evidence.record_answer(("c",), 5.0)
+        for number in range(crash_evidence.QUARANTINE_END_COUNT_AFTER_ANSWERS):
+            self.assertEqual(self.evidence.find_quarantined(("c",)), "")
+            end_server(self.evidence, f"s{number}", ("c",), at=10.0 + 0.1 * number, sent_before=0.9)
+        self.assertEqual(self.evidence.find_quarantined(("c",)), "c")
+
+    # Guards against two crashing requests that always meet at a server, and excuse each other.
+    def test_two_contents_with_the_same_ends_are_refused_one_after_the_other(self):
+        for number in range(END_COUNT):
+            end_server(self.evidence, f"s{number}", ("c",), ("d",), at=10.0 + number)
+        found = [self.evidence.find_quarantined((content,)) for content in ("c", "d")]
+        self.assertEqual(found, ["c", ""])
+        end_server(self.evidence, "s9", ("d",), at=20.0)
+        self.assertEqual(self.evidence.find_quarantined(("d",)), "d")
+
+    def test_content_that_is_refused_in_place_of_another_is_accepted_once_that_ends_one_more(self):
+        for number in range(END_COUNT):
+            end_server(self.evidence, f"s{number}", ("sound",), ("z",), at=10.0 + number)
+        self.assertEqual(self.evidence.find_quarantined(("sound",)), "sound")
+        end_server(self.evidence, "s9", ("z",), at=20.0)
+        self.assertEqual(self.evidence.find_quarantined(("sound",)), "")
+
+
+class TestCommonCause(unittest.TestCase):
+    """Servers of a service that end at about the same time, again and again."""
+
+    SERVER_COUNT = 14
+
+    def setUp(self):
+        self.evidence = crash_evidence.CrashEvidence(count_servers=lambda _server: 14)
+
+    def crash(self, round_number: int, *, share: float, others: str = "c") -> None:
+        """End a share of the servers; the first one has content "hit", the others have others."""
+        at = 10.0 + 3.0 * round_number
+        for number in range(int(share * self.SERVER_COUNT)):
+            content = f"{others}{round_number}-{number}" if number else "hit"
+            run = f"s{round_number}-{number}"
+            end_server(self.evidence, run, (content,), at=at + 0.01 * number)
+
+    # Guards against sound requests that get 400 since they happened to be at servers which ended
+    # several times for another cause (DENIED).
+    def test_content_that_was_at_one_of_many_servers_each_time_is_not_refused(self):
+        for share in (0.4, 0.6, 1.0):
+            with self.subTest(share=share):
+                self.setUp()
+                for round_number in range(10):
+                    self.crash(round_number, share=share)
+                    self.assertEqual(self.evidence.find_quarantined(("hit",)), "")
+
+    # Guards against a common part that is refused since requests with it were sent on from server
+    # to server while all of these ended within some milliseconds, and few others had a request.
+    def test_rounds_of_one_moment_count_as_a_request_and_its_retry(self):
+        for number in range(5):
+            at = 10.0 + 0.002 * number
+            run = f"s{number}"
+            end_server(self.evidence, run, (f"c{number}", "part-p"), at=at, sent_before=0.001)
+        self.assertEqual(self.evidence.find_quarantined(("c", "part-p")), "")
+        end_server(self.evidence, "s9", ("c9", "part-p"), at=11.0)
+        self.assertEqual(self.evidence.find_quarantined(("c", "part-p")), "part-p")
+
+    def test_answers_to_the_other_requests_leave_the_common_cause_known(self):
+        for round_number in range(10):
+            self.crash(round_number, share=1.0)
+            for number in range(1, self.SERVER_COUNT):
+                content = f"c{round_number}-{number}"
+                self.evidence.record_answer((content,), 11.0 + 3.0 * round_number)
+            self.assertEqual(self.evidence.find_quarantined(("hit",)), "")
+
+    def test_crashing_contents_that_come_at_the_same_time_are_refused_each(self):
+        for round_number in range(END_COUNT):
+            for number in range(4):
+                run = f"s{round_number}-{number}"
+                end_server(self.evidence, run, (f"c{number}",), at=10.0 + 3.0 * round_number)
+        found = [self.evidence.find_quarantined((f"c{number}",)) for number in range(4)]
+        self.assertEqual(found, ["c0", "c1", "c2", "c3"])
+
+
 class TestExchange(unittest.TestCase):
     """Evidence that entries exchange as crash records."""
 
