Deliver a complete answer to a reader that pauses

Cause: a stream that is shut down gracefully looked once a second whether its peer had taken a byte, and threw the output buffer away if not; the end of the peer's input closed it whatever was left to send.

Why it works: with output left, the bound is that of the kernel for a peer that takes nothing (10 s), or the end of the process; the second after which a quiet peer is closed counts from the last byte or from the end that it was sent. A peer that has ended its input is not read any more, but still written to; one that is gone makes sending fail. A connection that fails with output left is reset, so that no truncated answer ends in order. The output buffer is bounded as before.

--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import selectors
 import socket
 import struct
@@ -10,9 +11,11 @@
 from flamingoramp.runtime import loop as loops
 
 MAX_READ_BYTES = 256 * 1024
-TCP_USER_TIMEOUT_MS = 10_000
-# Time for the peer to read the last response before the connection is closed; it starts again
-# while the peer takes bytes of the output buffer, or sends bytes that are discarded.
+# A peer that takes no byte of the output for so long is taken for gone, also by the kernel.
+STALL_TIMEOUT_SECONDS = 10.0
+TCP_USER_TIMEOUT_MS = int(STALL_TIMEOUT_SECONDS * 1000)
+# Time to read on after the write side was shut down; it starts again with each byte that the peer
+# sends, which is discarded.
 DRAIN_TIMEOUT_SECONDS = 1.0
 # Longest time for which the bytes of a peer that goes on sending are discarded.
 MAX_DRAIN_SECONDS = 20.0
@@ -56,8 +59,9 @@
         self._open = True
         self._write_interest = True
         self._discard_input = False
-        self._discarded_bytes = 0
+        self._input_ended = False
         self._drain_began_at = 0.0
+        self._progress_at = 0.0
         self._sent_bytes = 0
         self._was_reset = False
         sock.setblocking(False)
@@ -86,6 +90,19 @@
         """Whether a socket error ended the connection, rather than an orderly close by the peer."""
         return self._was_reset
 
+    @property
+    def progress_at(self) -> float:
+        """When the peer last took or sent a byte, or got the end, of a graceful shutdown.
+
+        In seconds of the loop's clock; 0 before `shut_down_gracefully`.
+        """
+        return self._progress_at
+
+    @property
+    def has_input_ended(self) -> bool:
+        """Whether the peer has closed its side in an orderly way."""
+        return self._input_ended
+
     def write(self, data: bytes) -> None:
         """Queue bytes for sending; they are discarded if the connection is closed."""
         if not self._open:
@@ -114,34 +131,36 @@
             return
         self._close_requested = True
         self._discard_input = True
-        self._drain_began_at = self._loop.now()
-        self._schedule_drain_check()
+        self._drain_began_at = self._progress_at = self._loop.now()
         if not self._output_buffer:
             self._shut_down_write_side()
+        self._check_progress()
 
-    def _schedule_drain_check(self) -> None:
-        sent_bytes = self._sent_bytes
-        discarded_bytes = self._discarded_bytes
-
-        def _check() -> None:
-            takes_output = self._output_buffer and self._sent_bytes > sent_bytes
-            may_send_on = self._loop.now() - self._drain_began_at < MAX_DRAIN_SECONDS
-            sends_on = may_send_on and self._discarded_bytes > discarded_bytes
-            if takes_output or sends_on:
-                self._schedule_drain_check()
-            elif self._output_buffer:
-                self._fail()
-            else:
-                self.close()
-
-        self._loop.call_later(DRAIN_TIMEOUT_SECONDS, _check)
+    def _check_progress(self) -> None:
+        """Close a stream that was shut down once its peer has had its time."""
+        if not self._open:
+            return
+        now = self._loop.now()
+        timeout = STALL_TIMEOUT_SECONDS if self._output_buffer else DRAIN_TIMEOUT_SECONDS
+        seconds_left = self._progress_at + timeout - now
+        if seconds_left > 0:
+            delay = min(seconds_left, DRAIN_TIMEOUT_SECONDS)
+            self._loop.call_later(delay, self._check_progress)
+        elif self._output_buffer:
+            self._fail()
+        else:
+            self.close()
 
     def _shut_down_write_side(self) -> None:
+        if self._input_ended:
+            self.close()
+            return
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.close()  # the peer has disconnected already
             return
+        self._progress_at = self._loop.now()
         self._set_write_interest(False)
 
     def close(self) -> None:
@@ -152,6 +171,33 @@
         self._loop.unregister(self._sock)
         self._sock.close()
 
+    def read_pending(self) -> None:
+        """Pass on input that the kernel has received already."""
+        if self._open:
+            self._read()
+
+    def flush(self) -> None:
+        """Pass as much of the output buffer to the kernel as it takes."""
+        if self._open and self._output_buffer:
+            self._flush()
+
+    def end_now(self) -> None:
+        """Close immediately, so that the peer can read what the kernel took of the output.
+
+        The connection is reset if part of the output is left, or if more input arrives later.
+        """
+        if self._output_buffer:
+            self.reset()
+            return
+        if not self._open:
+            return
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+            discarded_bytes = 0
+            while discarded_bytes < MAX_READ_BYTES and (data := self._sock.recv(MAX_READ_BYTES)):
+                discarded_bytes += len(data)
+        self.close()
+
     def reset(self) -> None:
         """Close immediately, so that the peer gets an error and not the end of the data."""
         if self._open:
@@ -159,9 +205,13 @@
             self.close()
 
     def _fail(self) -> None:
-        if self._open:
+        if not self._open:
+            return
+        if self._output_buffer:
+            self.reset()  # what was sent must not look complete
+        else:
             self.close()
-            self._on_closed()
+        self._on_closed()
 
     def _handle_events(self, events: int) -> None:
         if self._open and events & selectors.EVENT_WRITE:
@@ -179,12 +229,19 @@
             self._fail()
             return
         if data and self._discard_input:
-            self._discarded_bytes += len(data)
+            now = self._loop.now()
+            if now - self._drain_began_at < MAX_DRAIN_SECONDS:
+                self._progress_at = now
             return
         if data:
             self._on_data(data)
-        elif not self._close_requested:
+            return
+        self._input_ended = True
+        if not self._close_requested:
             self._fail()
+        elif self._output_buffer:
+            # The peer may still read; if it doesn't, sending fails.
+            self._watch()
         else:
             self.close()
 
@@ -193,6 +250,8 @@
             while self._output_buffer:
                 sent = self._sock.send(self._output_buffer)
                 self._sent_bytes += sent
+                if self._discard_input:
+                    self._progress_at = self._loop.now()
                 del self._output_buffer[:sent]
         except BlockingIOError:
             self._set_write_interest(True)
@@ -212,5 +271,10 @@
         if enabled == self._write_interest:
             return
         self._write_interest = enabled
-        events = selectors.EVENT_READ | (selectors.EVENT_WRITE if enabled else 0)
+        self._watch()
+
+    def _watch(self) -> None:
+        """Watch the socket for the events of interest."""
+        events = 0 if self._input_ended else selectors.EVENT_READ
+        events |= selectors.EVENT_WRITE if self._write_interest else 0
         self._loop.modify(self._sock, events, self._handle_events)
