End idle connections in order: 408, half-close, read on, close

Cause: connections without a request were closed at one instant, whether or not the kernel held input or the output buffer an answer. Closing a socket with unread input resets it, and so does input that arrives later.

Why it works: what the kernel has received is read and handled first. A connection that is idle then gets `408` with `Connection: close` after any output that is left; it is half-closed and read on for up to a second, and nothing that arrives is handled any more. So a request that crosses the end has a complete answer that promises that it never runs (RFC 9110, 15.5.9), and a caller without a request sees a closed connection. Such connections count as busy for half a second, so that the process doesn't end and reset them. An excess connection gets 503 in the same way; a caller that sends too far ahead gets its answer and then the end; at the end of the process connections get their 408 and are drained before the close.

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -26,6 +26,11 @@
 FIRST_REQUEST_SECONDS = 0.5
 # A stopping server refuses a request of which no bytes arrived for this long.
 CLOSING_SILENCE_SECONDS = 2.0
+CLOSING_CHECK_INTERVAL_SECONDS = 0.1
+# A stopping server goes on reading a connection for this long after it told its caller the end.
+LINGER_SECONDS = 0.5
+# Excess connections that get a response at the same time; further ones are closed immediately.
+MAX_REFUSED_CONNECTIONS = 128
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -157,6 +162,8 @@
         self._bytes_since_dispatch = 0
         self._is_first_request = True
         self._exchange: Exchange | None = None
+        self._is_ending = False
+        self._discards_requests = False
         self._last_request: messages.Request | None = None
         self._stream = stream.Stream(
             server.loop,
@@ -181,13 +188,24 @@
         """Whether the response is complete, but not yet passed to the kernel."""
         return self._stream.is_open and self._stream.buffered_bytes > 0
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection isn't closed yet."""
+        return self._stream.is_open
+
+    def is_lingering(self, now: float) -> bool:
+        """Return whether the caller may not have read that the connection ends."""
+        return self.is_flushing or (
+            self._stream.is_open and now - self._stream.progress_at < LINGER_SECONDS
+        )
+
     def awaits_first_request(self, now: float) -> bool:
         """Return whether the connection is new and its first request may be on the way."""
         is_new = now - self._phase_started_at < FIRST_REQUEST_SECONDS
         return self._is_first_request and self._exchange is None and is_new
 
     def close_if_timed_out(self, now: float) -> None:
-        """Refuse with 408 a request that takes too long to arrive; close an idle connection."""
+        """Refuse with 408 a request that takes too long to arrive; end an idle connection."""
         limits = self._server.limits
         if self._exchange is not None:
             return
@@ -204,13 +222,45 @@
         elif elapsed_seconds > (
             limits.header_seconds if self._is_first_request else limits.idle_seconds
         ):
-            self.close("idle")
+            self._end_idle()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is expected, being received or responded to."""
+        """End the connection unless a request is expected, being received or responded to."""
+        if self._is_idle():
+            self._end_idle()
+
+    def _is_idle(self) -> bool:
         is_expected = self.awaits_first_request(self._server.loop.now())
-        if self._exchange is None and not self.is_reading and not is_expected:
-            self.close("idle")
+        return self._exchange is None and not self.is_reading and not is_expected
+
+    def _end_idle(self) -> None:
+        """End the connection with a 408, unless the kernel has received a request.
+
+        A request that crosses the 408 gets it as its response: it is read, but never handled.
+        """
+        self._stream.read_pending()
+        if self._stream.is_open and self._exchange is None and not self.is_reading:
+            self._send_refusal(408)
+            self._finish_connection()
+
+    def refuse(self, status: int) -> None:
+        """Respond to any request with a status, and end the connection."""
+        self._send_refusal(status)
+        self._finish_connection()
+
+    def end_at_exit(self) -> None:
+        """Close the connection since the process ends; refuse a request that was not handled."""
+        if self._exchange is not None:
+            self.close("exit")
+            return
+        if self._stream.is_open:
+            if not self._is_ending:
+                self._send_refusal(408)
+            self._stream.flush()
+        if self._stream.is_open:
+            self._report_undelivered("exit")
+            self._stream.end_now()
+        self._server.remove_connection(self)
 
     def close(self, reason: str = "") -> None:
         """Close the connection immediately; report an answer that is lost for a reason."""
@@ -233,7 +283,7 @@
             fields.append((b"content-length", b"%d" % length))
         else:
             fields.append((b"transfer-encoding", b"chunked"))
-        if self._server.is_closing:
+        if self._server.is_closing or self._discards_requests:
             fields.append((b"connection", b"close"))
         try:
             response = h11.Response(
@@ -255,7 +305,8 @@
         self._exchange = None
         if not self._stream.is_open:
             return
-        if self._parser.our_state is not h11.DONE or self._server.is_closing:
+        is_last = self._server.is_closing or self._discards_requests
+        if self._parser.our_state is not h11.DONE or is_last:
             self._finish_connection()
             return
         if self._parser.their_state is not h11.DONE:
@@ -300,13 +351,15 @@
         )
 
     def _finish_connection(self) -> None:
+        self._is_ending = True
         self._stream.shut_down_gracefully()
         self._server.remove_connection(self)
-        if self.is_flushing:
-            self._server.add_flushing(self)
+        if self._stream.is_open:
+            self._server.add_ending(self)
 
     def _handle_closed(self) -> None:
-        reason = "reset" if self._stream.was_reset else "stalled"
+        was_closed_by_caller = self._stream.was_reset or self._stream.has_input_ended
+        reason = "reset" if was_closed_by_caller else "stalled"
         if self._stream.buffered_bytes > MAX_WRITE_BUFFER_BYTES:
             reason = "overflow"
         self._report_undelivered(reason)
@@ -316,6 +369,8 @@
             exchange.mark_disconnected()
 
     def _handle_data(self, data: bytes) -> None:
+        if self._discards_requests:
+            return
         self._received_at = self._server.loop.now()
         if self._exchange is None and not self.is_reading:
             self._phase_started_at = self._received_at
@@ -328,12 +383,11 @@
         if self._exchange is None:
             self._process_events()
         elif self._bytes_since_dispatch > MAX_PIPELINED_BYTES:
-            self._handle_closed()
-            self.close()
+            self._discards_requests = True
 
     def _process_events(self) -> None:
         """Handle the parsed events up to the end of the next request."""
-        while self._exchange is None and self._stream.is_open:
+        while self._exchange is None and self._stream.is_open and not self._is_ending:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -406,14 +460,18 @@
     def _refuse_request(self, status: int) -> None:
         """Respond to an invalid request with a status, and close the connection."""
         self._server.report_refusal(status)
+        self._send_refusal(status)
+        self._exchange = None
+        self._finish_connection()
+
+    def _send_refusal(self, status: int) -> None:
+        """Send an empty response, unless another one has begun."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"content-length", b"0"), (b"connection", b"close")]
             response = h11.Response(
                 status_code=status, headers=headers, reason=messages.reason_phrase(status)
             )
             self._stream.write(self._parser.send(response) or b"")
-        self._exchange = None
-        self._finish_connection()
 
 
 class Server:
@@ -433,7 +491,7 @@
     on_undelivered : callable
         Takes an `UndeliveredAnswer`.
     max_connections : int
-        Maximum number of open connections; further ones are closed immediately.
+        Maximum number of open connections; further ones are refused with 503.
     listener : socket.socket or None
         Socket that listens on this address already; None to open one.
     on_error : callable or None
@@ -466,8 +524,10 @@
         self._on_error = on_error
         self._max_connections = max_connections
         self._connections: set[Connection] = set()
-        self._flushing: set[Connection] = set()
+        # Connections that are no longer read for requests, but not closed yet.
+        self._ending: set[Connection] = set()
         self._closing = False
+        self._has_stopped_accepting = False
         self._listener: socket.socket | None = listener or listeners.open_listener(listen)
         loop.register(self._listener, selectors.EVENT_READ, self._accept)
         loop.call_every(TIMEOUT_CHECK_INTERVAL_SECONDS, self._close_timed_out)
@@ -499,18 +559,26 @@
     @property
     def undelivered_count(self) -> int:
         """Number of connections with a complete answer that is not yet passed to the kernel."""
-        connections = (*self._flushing, *self._connections)
+        connections = (*self._ending, *self._connections)
         return sum(
             not connection.has_exchange and connection.is_flushing for connection in connections
         )
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request that is expected, being received or responded to."""
+        """Number of connections that the end of the process would cut off.
+
+        Those with a request that is expected, being received or responded to, and those whose
+        caller may not have read the last response, or that the connection ends.
+        """
         now = self.loop.now()
-        self._flushing = {connection for connection in self._flushing if connection.is_flushing}
-        return len(self._flushing) + sum(
-            connection.has_exchange or connection.is_reading or connection.awaits_first_request(now)
+        self._forget_closed()
+        return sum(connection.is_lingering(now) for connection in self._ending) + sum(
+            self._has_stopped_accepting
+            or connection.has_exchange
+            or connection.is_reading
+            or connection.is_flushing
+            or connection.awaits_first_request(now)
             for connection in self._connections
         )
 
@@ -554,52 +622,82 @@
         self._on_undelivered(answer)
 
     def remove_connection(self, connection: Connection) -> None:
-        """Remove a closed connection from the set of open connections."""
+        """Remove a connection that takes no more requests."""
         self._connections.discard(connection)
 
-    def add_flushing(self, connection: Connection) -> None:
-        """Count a finished connection as busy until its response is passed to the kernel."""
-        self._flushing.add(connection)
+    def add_ending(self, connection: Connection) -> None:
+        """Count a finished connection as busy until its caller had time to read the end."""
+        self._ending.add(connection)
 
     def begin_closing(self) -> None:
         """Close each connection after the response to its current request."""
         self._closing = True
 
     def stop_accepting(self) -> None:
-        """Stop listening, and close the connections without a request in progress.
+        """Stop listening, and end the connections without a request in progress.
 
         Connections that the kernel has accepted are served: closing the listener would reset them.
         """
-        if self._listener is not None:
-            for _ in range(listeners.BACKLOG_COUNT // MAX_ACCEPTS_PER_ITERATION):
-                self._accept(selectors.EVENT_READ)
-            self.loop.unregister(self._listener)
-            self._listener.close()
-            self._listener = None
-        for connection in list(self._connections):
-            connection.close_if_idle()
+        if self._listener is None or self._has_stopped_accepting:
+            return
+        self._has_stopped_accepting = True
+        self._close_listener()
+        self._end_idle_connections()
 
     def close(self) -> None:
         """Stop listening and close all connections immediately."""
-        self.stop_accepting()
-        for connection in (*self._connections, *self._flushing):
-            connection.close("exit")
+        self._has_stopped_accepting = True
+        self._close_listener()
+        for connection in (*self._connections, *self._ending):
+            connection.end_at_exit()
+
+    def _close_listener(self) -> None:
+        if self._listener is None:
+            return
+        self.loop.unregister(self._listener)
+        self._accept_all()
+        self._listener.close()
+        self._listener = None
+
+    def _accept_all(self) -> None:
+        for _ in range(listeners.BACKLOG_COUNT // MAX_ACCEPTS_PER_ITERATION):
+            if not self._accept_some():
+                return
+
+    def _end_idle_connections(self) -> None:
+        """End idle connections now, and the others as soon as they are idle."""
+        self._close_timed_out()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        if self._connections or self._listener is not None:
+            self.loop.call_later(CLOSING_CHECK_INTERVAL_SECONDS, self._end_idle_connections)
+
+    def _forget_closed(self) -> None:
+        self._ending = {connection for connection in self._ending if connection.is_open}
 
     def _accept(self, _events: Any) -> None:
+        if self._listener is not None:  # closed by another callback of this iteration
+            self._accept_some()
+
+    def _accept_some(self) -> bool:
+        """Accept connections; return whether more may be pending."""
         for _ in range(MAX_ACCEPTS_PER_ITERATION):
-            if self._listener is None:
-                return  # closed by another callback of this iteration
             try:
                 sock, _ = self._listener.accept()
             except OSError:
-                return  # no connection is pending, or the caller closed it already
-            if len(self._connections) >= self._max_connections:
-                self._on_refused(503)
-                sock.close()
+                return False  # no connection is pending, or the caller closed it already
+            if len(self._connections) < self._max_connections:
+                self._connections.add(Connection(self, sock))
                 continue
-            self._connections.add(Connection(self, sock))
+            self._on_refused(503)
+            if len(self._ending) < MAX_REFUSED_CONNECTIONS:
+                Connection(self, sock).refuse(503)
+            else:
+                sock.close()
+        return True
 
     def _close_timed_out(self) -> None:
         now = self.loop.now()
+        self._forget_closed()
         for connection in list(self._connections):
             connection.close_if_timed_out(now)
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from flamingoramp.http import messages
+from flamingoramp.http import messages, server
 from flamingoramp.http.tests import test_server
 from flamingoramp.runtime import stream
 
@@ -77,6 +77,26 @@
         self.assert_whole(self.read_to_end(sock))
         self.assertEqual(echo_server.undelivered, [])
 
+    # Guards against answers that were complete before the stop, and cut as their connection was
+    # taken for an idle one.
+    def test_answer_that_was_complete_before_the_stop_is_sent_whole(self):
+        echo_server = self.start_server()
+        sock = self.request_long_answer(echo_server)
+        self.assertEqual(self.busy_count(echo_server), 1)
+        self.stop_accepting(echo_server)
+        self.assertEqual(self.busy_count(echo_server), 1)
+        self.assert_whole(self.read_to_end(sock))
+        self.assertEqual(echo_server.undelivered, [])
+
+    # Guards against answers that are cut since their reader takes longer than an idle connection
+    # is kept.
+    def test_answer_that_is_read_longer_than_the_idle_time_is_sent_whole(self):
+        echo_server = self.start_server(limits=server.Limits(idle_seconds=0.3))
+        sock = self.request_long_answer(echo_server)
+        time.sleep(2 * server.TIMEOUT_CHECK_INTERVAL_SECONDS + 0.3)
+        self.assert_whole(self.read_to_end(sock))
+        self.assertEqual(echo_server.undelivered, [])
+
     # Guards against answers that are cut as their caller has nothing more to send.
     def test_caller_that_shuts_down_its_side_gets_the_rest_of_its_answer(self):
         echo_server = self.start_server()
@@ -96,3 +116,138 @@
         [answer] = echo_server.undelivered
         # The kernel has the same bound.
         self.assertIn(answer.reason, ("stalled", "reset"))
+
+
+class TestIdleConnections(ClosingTestCase):
+    """Connections without a request at the moment when the server ends them."""
+
+    def assert_refused(self, sock: socket.socket) -> None:
+        data = self.read_to_end(sock)
+        self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data)
+        self.assertIn(b"connection: close", data.lower())
+        self.assertTrue(data.endswith(b"\r\n\r\n"), data)
+        self.assertEqual(data.count(b"HTTP/1.1"), 1)
+
+    # Guards against requests that are reset, so that their caller can't know whether they ran,
+    # since they cross the close of a kept connection.
+    def test_request_that_crosses_the_end_of_accepting_is_answered_as_not_run(self):
+        echo_server = self.start_server()
+        sockets = [self.connect_kept(echo_server) for _ in range(50)]
+        handled_count = len(echo_server.requests)
+        self.stop_accepting(echo_server)
+        for sock in sockets:
+            sock.sendall(REQUEST)
+        time.sleep(0.05)
+        for sock in sockets:
+            self.assert_refused(sock)
+        self.assertEqual(len(echo_server.requests), handled_count)
+        self.assertEqual(echo_server.refused_statuses, [])
+
+    def test_request_that_crosses_the_idle_timeout_is_answered_as_not_run(self):
+        echo_server = self.start_server(limits=server.Limits(idle_seconds=0.1))
+        sock = self.connect_kept(echo_server)
+        time.sleep(0.1 + 1.5 * server.TIMEOUT_CHECK_INTERVAL_SECONDS)
+        sock.sendall(REQUEST)
+        time.sleep(0.05)
+        self.assert_refused(sock)
+        self.assertEqual(len(echo_server.requests), 1)
+
+    # Guards against the reset of requests that the kernel had received before the close.
+    def test_request_that_the_kernel_has_received_is_handled(self):
+        echo_server = self.start_server()
+        sockets = [self.connect_kept(echo_server) for _ in range(50)]
+
+        def _send_and_stop() -> None:
+            for sock in sockets:
+                sock.sendall(REQUEST)
+            echo_server.server.begin_closing()
+            echo_server.server.stop_accepting()
+
+        echo_server.run_in_loop(_send_and_stop)
+        for sock in sockets:
+            data = self.read_to_end(sock)
+            self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
+            self.assertEqual(data.count(b"HTTP/1.1"), 1)
+
+    # Guards against a request that runs after its caller was promised that it doesn't.
+    def test_rest_of_a_request_that_was_refused_is_never_handled(self):
+        echo_server = self.start_server()
+        sock = self.connect(echo_server)
+        sock.sendall(REQUEST[:10])
+        time.sleep(0.05)
+        self.stop_accepting(echo_server)
+        time.sleep(server.CLOSING_SILENCE_SECONDS + 2 * server.CLOSING_CHECK_INTERVAL_SECONDS)
+        sock.sendall(REQUEST[10:] + REQUEST)
+        time.sleep(0.05)
+        self.assert_refused(sock)
+        self.assertEqual(echo_server.requests, [])
+
+    def test_server_is_busy_until_callers_had_time_to_read_the_end(self):
+        echo_server = self.start_server()
+        open_connection = self.connect_kept(echo_server)
+        self.stop_accepting(echo_server)
+        began_at = time.monotonic()
+        while self.busy_count(echo_server):
+            time.sleep(0.01)
+        elapsed_seconds = time.monotonic() - began_at
+        self.assertGreater(elapsed_seconds, server.LINGER_SECONDS - 0.05)
+        self.assertLess(elapsed_seconds, server.LINGER_SECONDS + 0.5)
+        self.assert_refused(open_connection)
+
+    # Guards against new connections that are idle when the process ends, which then reset what
+    # they send.
+    def test_new_connection_without_a_request_is_ended_as_well(self):
+        echo_server = self.start_server()
+        sock = self.connect(echo_server)
+        self.stop_accepting(echo_server)
+        self.assertEqual(self.busy_count(echo_server), 1)
+        time.sleep(server.FIRST_REQUEST_SECONDS + 2 * server.CLOSING_CHECK_INTERVAL_SECONDS)
+        sock.sendall(REQUEST)
+        time.sleep(0.05)
+        self.assert_refused(sock)
+
+    def test_request_is_answered_as_not_run_when_the_process_ends(self):
+        echo_server = self.start_server()
+        sock = self.connect_kept(echo_server)
+
+        def _send_and_close() -> None:
+            sock.sendall(REQUEST)
+            echo_server.server.close()
+
+        echo_server.run_in_loop(_send_and_close)
+        self.assert_refused(sock)
+        self.assertEqual(len(echo_server.requests), 1)
+
+
+class TestLimits(ClosingTestCase):
+    """Callers beyond a limit get a complete answer."""
+
+    # Guards against the loss of an answer whose caller sends many requests ahead of it.
+    def test_answer_is_whole_after_too_many_requests_ahead_of_it(self):
+        echo_server = self.start_server()
+        echo_server.keep_exchanges = True
+        sock = self.connect(echo_server)
+        request = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 50000\r\n\r\n" + b"x" * 50_000
+        sock.sendall(REQUEST)
+        exchange = self.wait_for_exchange(echo_server)
+        for _ in range(20):
+            sock.sendall(request)
+        time.sleep(0.2)
+        echo_server.run_in_loop(lambda: exchange.respond(messages.Response(200, (), b"whole")))
+        data = self.read_to_end(sock)
+        self.assertTrue(data.startswith(b"HTTP/1.1 200 "))
+        self.assertTrue(data.endswith(b"whole"))
+        self.assertEqual(len(echo_server.requests), 1)
+
+    # Guards against the reset of connections over the limit, whose callers can't know that their
+    # request didn't run.
+    def test_excess_connection_gets_a_503(self):
+        echo_server = self.start_server()
+        echo_server.server._max_connections = 1
+        self.connect_kept(echo_server)
+        sock = self.connect(echo_server)
+        sock.sendall(REQUEST)
+        time.sleep(0.05)
+        self.assertTrue(self.read_to_end(sock).startswith(b"HTTP/1.1 503 "))
+        self.assertEqual(len(echo_server.requests), 1)
+        self.assertEqual(echo_server.refused_statuses, [503])
