Refuse connections for a moment before a stopping server closes its listener

Cause: a connection that the kernel accepts between the last accept and the close of the listener is reset, and so is one whose handshake has begun by then.

Evidence, before: "Tuples differ: (0, 1) != (1, 0)" (test_connection_ between_the_last_accept_and_the_close_is_refused), "0 not greater than or equal to 1" (test_connection_whose_handshake_has_begun_is_served).

Why it works: the listener is bound to an interface that doesn't exist (SO_BINDTOIFINDEX, no privilege needed). It then matches no new connection, which the kernel refuses at once, while handshakes that have begun complete and are accepted for 0.2 s more. Where the option is refused, all that is pending is accepted and the listener closed at once, as before but with nothing in between. A filter that drops SYN packets was tried: no reset either, but 80 of 80 callers were refused only after 1 s.

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -27,6 +27,8 @@
 # A stopping server refuses a request of which no bytes arrived for this long.
 CLOSING_SILENCE_SECONDS = 2.0
 CLOSING_CHECK_INTERVAL_SECONDS = 0.1
+# Time for the handshakes that have begun when a stopping server refuses new connections.
+HANDSHAKE_SECONDS = 0.2
 # A stopping server goes on reading a connection for this long after it told its caller the end.
 LINGER_SECONDS = 0.5
 # Excess connections that get a response at the same time; further ones are closed immediately.
@@ -569,11 +571,12 @@
         """Number of connections that the end of the process would cut off.
 
         Those with a request that is expected, being received or responded to, and those whose
-        caller may not have read the last response, or that the connection ends.
+        caller may not have read the last response, or that the connection ends. At least 1 while
+        handshakes may be in progress after `stop_accepting`.
         """
         now = self.loop.now()
         self._forget_closed()
-        return sum(connection.is_lingering(now) for connection in self._ending) + sum(
+        count = sum(connection.is_lingering(now) for connection in self._ending) + sum(
             self._has_stopped_accepting
             or connection.has_exchange
             or connection.is_reading
@@ -581,6 +584,8 @@
             or connection.awaits_first_request(now)
             for connection in self._connections
         )
+        awaits_handshakes = self._has_stopped_accepting and self._listener is not None
+        return max(count, int(awaits_handshakes))
 
     def handle(self, exchange: Exchange) -> None:
         """Pass a complete request to the handler; an error in it fails the request, if contained.
@@ -641,7 +646,11 @@
         if self._listener is None or self._has_stopped_accepting:
             return
         self._has_stopped_accepting = True
-        self._close_listener()
+        if listeners.refuse_connections(self._listener):
+            self._accept_all()
+            self.loop.call_later(HANDSHAKE_SECONDS, self._close_listener)
+        else:
+            self._close_listener()
         self._end_idle_connections()
 
     def close(self) -> None:
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import threading
 import time
 
 from flamingoramp.http import messages, server
 from flamingoramp.http.tests import test_server
-from flamingoramp.runtime import stream
+from flamingoramp.runtime import listeners, loop, stream
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 LONG_BODY = b"x" * (7 * 1024 * 1024)
@@ -251,3 +253,111 @@
         self.assertTrue(self.read_to_end(sock).startswith(b"HTTP/1.1 503 "))
         self.assertEqual(len(echo_server.requests), 1)
         self.assertEqual(echo_server.refused_statuses, [503])
+
+
+class _LateListener:
+    """Listening socket to which a caller connects just before it is closed."""
+
+    def __init__(self):
+        self._listener = listeners.open_listener("127.0.0.1:0")
+        self.connected: list[socket.socket] = []
+        self.refused_count = 0
+
+    def __getattr__(self, name: str):
+        return getattr(self._listener, name)
+
+    def close(self) -> None:
+        sock = socket.socket()
+        try:
+            sock.connect(self._listener.getsockname())
+        except ConnectionRefusedError:
+            self.refused_count += 1
+            sock.close()
+        else:
+            self.connected.append(sock)
+        self._listener.close()
+
+
+class TestListenerClose(ClosingTestCase):
+    """Connections that begin while the listening socket is being closed."""
+
+    # Guards against the reset of a connection that the kernel accepts between the last accept and
+    # the close of the listener: it must be refused.
+    def test_connection_between_the_last_accept_and_the_close_is_refused(self):
+        event_loop = loop.Loop()
+        self.addCleanup(event_loop.close)
+        listener = _LateListener()
+        stopping = server.Server(event_loop, "", lambda _exchange: None, listener=listener)
+        stopping.begin_closing()
+        stopping.stop_accepting()
+        deadline = time.monotonic() + 2 * server.HANDSHAKE_SECONDS
+        while time.monotonic() < deadline:
+            event_loop.run_once(0.01)
+        stopping.close()
+        self.assertEqual((listener.refused_count, len(listener.connected)), (1, 0))
+
+    # Guards against the reset of a connection whose handshake is in progress at the close.
+    def test_connection_whose_handshake_has_begun_is_served(self):
+        echo_server = self.start_server()
+        # The kernel then takes the first data for the end of the handshake.
+        echo_server.server._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 5)
+        sock = self.connect(echo_server)
+        self.stop_accepting(echo_server)
+        self.assertGreaterEqual(self.busy_count(echo_server), 1)
+        with self.assertRaises(ConnectionRefusedError):
+            self.connect(echo_server)
+        sock.sendall(REQUEST)
+        self.assertEqual(test_server.read_response(sock)[::2], (200, b"empty"))
+
+    # Guards against a kernel without the option: all that was accepted is served.
+    def test_listener_is_closed_at_once_where_connections_can_not_be_refused(self):
+        class _OldListener(_LateListener):
+            def setsockopt(self, *_arguments) -> None:
+                raise OSError
+
+        event_loop = loop.Loop()
+        self.addCleanup(event_loop.close)
+        listener = _OldListener()
+        stopping = server.Server(event_loop, "", lambda _exchange: None, listener=listener)
+        with socket.create_connection(listener.getsockname()):
+            stopping.begin_closing()
+            stopping.stop_accepting()
+            self.assertEqual(stopping.busy_count, 1)
+            self.assertEqual(len(listener.connected), 1)
+            stopping.close()
+        for sock in listener.connected:
+            sock.close()
+
+    def test_no_connection_around_the_close_is_reset(self):
+        outcomes: list[str] = []
+        for _ in range(20):
+            echo_server = self.start_server()
+            threads = [
+                threading.Thread(target=self.call_until_refused, args=(echo_server, outcomes))
+                for _ in range(4)
+            ]
+            for thread in threads:
+                thread.start()
+            time.sleep(0.02)
+            self.stop_accepting(echo_server)
+            for thread in threads:
+                thread.join(test_server.TIMEOUT_SECONDS)
+        self.assertEqual(set(outcomes), {"served", "refused"})
+
+    def call_until_refused(self, echo_server: test_server.EchoServer, outcomes: list[str]) -> None:
+        while True:
+            with socket.socket() as sock:
+                try:
+                    sock.connect(echo_server.address)
+                except ConnectionRefusedError:
+                    outcomes.append("refused")
+                    return
+                except ConnectionError:
+                    outcomes.append("reset in the handshake")
+                    continue
+                outcome = "reset"
+                with contextlib.suppress(ConnectionError):
+                    sock.sendall(REQUEST)
+                    status = test_server.read_response(sock)[0]
+                    outcome = "served" if status == 200 else f"status {status}"
+                outcomes.append(outcome)
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -21,6 +21,10 @@
 }
 # Offset of a role's port in the range for traffic between processes.
 INTERNAL_PORT_OFFSETS = {"control": 0, "entry": 1}
+# Linux's SO_BINDTOIFINDEX (since 5.1), which the socket module doesn't name, and an index that no
+# network interface has.
+_SO_BINDTOIFINDEX = 62
+_NO_INTERFACE_INDEX = 2**31 - 1
 
 
 def open_listener(address: str) -> socket.socket:
@@ -37,6 +41,25 @@
     return listener
 
 
+def refuse_connections(listener: socket.socket) -> bool:
+    """Let the kernel refuse new connections to a listening socket.
+
+    Those whose handshake has begun complete it and can be accepted; closing the socket at once
+    would reset them. The socket is bound to an interface that doesn't exist, so that it matches no
+    new connection.
+
+    Returns
+    -------
+    bool
+        False if the kernel doesn't offer this.
+    """
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, _SO_BINDTOIFINDEX, _NO_INTERFACE_INDEX)
+    except OSError:
+        return False
+    return True
+
+
 class Listeners:
     """Listening sockets by address, which the servers of the process take over.
 
