Reset answers of HTTP/1.0 that are in progress when the process ends

What callers saw: to a caller of HTTP/1.0, a stream that was cut by the end of its entry's process looked complete, as an aborted one did before.

Cause: the connection was closed in order at the exit, and nothing but the end of the connection ends such an answer.

Evidence, before: "AssertionError: ConnectionResetError not raised" (TestExit.test_answer_in_progress_does_not_look_complete).

Why it works: an answer in progress is aborted at the exit like any other. Besides, refusals of excess connections aren't limited by connections that are closed already, and no answer is undelivered as `idle` any more.

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -57,7 +57,7 @@
 
     ``request`` is the last request of the connection. ``reason`` is ``"overflow"`` if the output
     buffer was full, ``"reset"`` if the caller closed the connection, ``"stalled"`` if the caller
-    took no bytes for too long, and ``"idle"`` or ``"exit"`` if this program closed it.
+    took no bytes for too long, and ``"exit"`` if this program ended.
     """
 
     request: messages.Request
@@ -253,7 +253,8 @@
     def end_at_exit(self) -> None:
         """Close the connection since the process ends; refuse a request that was not handled."""
         if self._exchange is not None:
-            self.close("exit")
+            self._report_undelivered("exit")
+            self.abort()
             return
         if self._stream.is_open:
             if not self._is_ending:
@@ -264,10 +265,8 @@
             self._stream.end_now()
         self._server.remove_connection(self)
 
-    def close(self, reason: str = "") -> None:
-        """Close the connection immediately; report an answer that is lost for a reason."""
-        if self._stream.is_open and reason:
-            self._report_undelivered(reason)
+    def close(self) -> None:
+        """Close the connection immediately."""
         self._stream.close()
         self._server.remove_connection(self)
 
@@ -699,6 +698,8 @@
                 self._connections.add(Connection(self, sock))
                 continue
             self._on_refused(503)
+            if len(self._ending) >= MAX_REFUSED_CONNECTIONS:
+                self._forget_closed()
             if len(self._ending) < MAX_REFUSED_CONNECTIONS:
                 Connection(self, sock).refuse(503)
             else:
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -58,6 +58,13 @@
         echo_server.run_in_loop(lambda: exchange.respond(messages.Response(200, (), LONG_BODY)))
         return sock
 
+    def assert_refused(self, sock: socket.socket) -> None:
+        data = self.read_to_end(sock)
+        self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data)
+        self.assertIn(b"connection: close", data.lower())
+        self.assertTrue(data.endswith(b"\r\n\r\n"), data)
+        self.assertEqual(data.count(b"HTTP/1.1"), 1)
+
     def assert_whole(self, data: bytes) -> None:
         head, _, rest = data.partition(b"\r\n\r\n")
         self.assertTrue(head.startswith(b"HTTP/1.1 200 "))
@@ -123,13 +130,6 @@
 class TestIdleConnections(ClosingTestCase):
     """Connections without a request at the moment when the server ends them."""
 
-    def assert_refused(self, sock: socket.socket) -> None:
-        data = self.read_to_end(sock)
-        self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data)
-        self.assertIn(b"connection: close", data.lower())
-        self.assertTrue(data.endswith(b"\r\n\r\n"), data)
-        self.assertEqual(data.count(b"HTTP/1.1"), 1)
-
     # Guards against requests that are reset, so that their caller can't know whether they ran,
     # since they cross the close of a kept connection.
     def test_request_that_crosses_the_end_of_accepting_is_answered_as_not_run(self):
@@ -208,7 +208,11 @@
         time.sleep(0.05)
         self.assert_refused(sock)
 
-    def test_request_is_answered_as_not_run_when_the_process_ends(self):
+
+class TestExit(ClosingTestCase):
+    """Connections that are open when the process ends."""
+
+    def test_request_is_answered_as_not_run(self):
         echo_server = self.start_server()
         sock = self.connect_kept(echo_server)
 
@@ -220,6 +224,20 @@
         self.assert_refused(sock)
         self.assertEqual(len(echo_server.requests), 1)
 
+    # Guards against a partial answer that looks complete to a caller of HTTP/1.0, as nothing but
+    # the end of the connection ends it.
+    def test_answer_in_progress_does_not_look_complete(self):
+        echo_server = self.start_server()
+        echo_server.keep_exchanges = True
+        sock = self.connect(echo_server)
+        sock.sendall(b"GET / HTTP/1.0\r\nhost: h\r\n\r\n")
+        exchange = self.wait_for_exchange(echo_server)
+        echo_server.run_in_loop(lambda: exchange.start(200, ()))
+        echo_server.run_in_loop(lambda: exchange.send(b"part"))
+        echo_server.run_in_loop(echo_server.server.close)
+        with self.assertRaises(ConnectionResetError):
+            self.read_to_end(sock)
+
 
 class TestLimits(ClosingTestCase):
     """Callers beyond a limit get a complete answer."""
