Refuse connections before a listener is closed at the exit

What callers saw: connections to the readiness, directory and metrics servers of an entry, and to all servers of a process that gives up, could be reset when the process ended.

Evidence, before: "Tuples differ: (0, 1) != (1, 0)" (test_connection_is_ refused_while_a_server_is_closed_at_the_exit).

Why it works: the kernel refuses new connections before the last accepts.

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -654,6 +654,8 @@
 
     def close(self) -> None:
         """Stop listening and close all connections immediately."""
+        if self._listener is not None:
+            listeners.refuse_connections(self._listener)
         self._has_stopped_accepting = True
         self._close_listener()
         for connection in (*self._connections, *self._ending):
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -314,6 +314,14 @@
         stopping.close()
         self.assertEqual((listener.refused_count, len(listener.connected)), (1, 0))
 
+    # Guards against the same at the end of the process, for servers that never stop accepting.
+    def test_connection_is_refused_while_a_server_is_closed_at_the_exit(self):
+        event_loop = loop.Loop()
+        self.addCleanup(event_loop.close)
+        listener = _LateListener()
+        server.Server(event_loop, "", lambda _exchange: None, listener=listener).close()
+        self.assertEqual((listener.refused_count, len(listener.connected)), (1, 0))
+
     # Guards against the reset of a connection whose handshake is in progress at the close.
     def test_connection_whose_handshake_has_begun_is_served(self):
         echo_server = self.start_server()
