--- a/flamingoramp/platform/tests/test_stop_resets.py
+++ b/flamingoramp/platform/tests/test_stop_resets.py
@@ -37,7 +37,7 @@
     -------
     outcome : str
         ``"status N"`` of a complete answer; ``"reset"``; ``"cut"`` for an answer that began and did
-        not end; ``"closed"`` for an end before any byte of an answer.
+        not end; ``"closed"`` for an end before any byte of an answer; ``"no end in time"``.
     keeps_open : bool
         Whether the connection may carry another request.
     """
@@ -50,6 +50,8 @@
             data += part
     except ConnectionError:
         return "reset", False
+    except TimeoutError:
+        return "no end in time", False
     head = data.partition(b"\r\n\r\n")[0].lower()
     return f"status {int(head.split()[1])}", b"connection: close" not in head
 
@@ -101,7 +103,9 @@
     def join(self) -> None:
         """Wait until all callers have ended."""
         for thread in self._threads:
-            thread.join(READ_TIMEOUT_SECONDS)
+            thread.join(2 * READ_TIMEOUT_SECONDS)
+            if thread.is_alive():
+                self._count("stuck caller")
 
     def _connect(self) -> socket.socket:
         sock = socket.socket()
