Take on only what ends before a planned stop does

Cause: an entry accepts connections for 2.5 s of a stop and bodies after that; whatever was complete was passed on, with no regard to what was left of the stop.

A request is passed on only if its answer is expected to end within what is left of the stop less a reserve, by its limit, the model of the engine and earlier answers of its route. One pure function decides, when the body is complete and again before each send: out of queues, after placement and reservations, before second attempts, resumed streams and other entries. The rest is refused at once as not run, so that callers go elsewhere. Requests in the startup queue, which the end left without an answer, are refused as well, and so are requests of which only a part has arrived once no answer could end in time. Started answers go on until the process has to end, and it ends as soon as all answers are delivered.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -43,11 +43,6 @@
 # The other entries go on sending a content that crashes servers until they are told.
 CRASH_REPORT_DELAY_SECONDS = 0.01
 STOP_CHECK_INTERVAL_SECONDS = 0.05
-# A stopping entry fails its last requests this long before `stop_seconds` have passed, when the
-# platform kills it. On a share of a core, a late timer and the end of the process take some tenths.
-STOP_RESERVE_SECONDS = 0.8
-# Time for sending the errors of these requests.
-STOP_FLUSH_SECONDS = 0.2
 # An entry without a declaration applies one from a control host that has no contact with the leader
 # only after this time since its start.
 UNCONFIRMED_DECLARATION_DELAY_SECONDS = 1.5
@@ -505,24 +500,48 @@
         self.loop.call_every(STOP_CHECK_INTERVAL_SECONDS, self._stop_if_drained)
 
     def _stop_if_drained(self) -> None:
-        bounds = self._settings.bounds
-        stopping_seconds = self.loop.now() - self._stop_began_at
-        accept_period_over = stopping_seconds > bounds.accept_seconds
+        """End once nothing is in progress, and what would outlast the stop before that.
+
+        Answers that have begun, and those that are being delivered, go on until the process has
+        to end.
+        """
+        stop = self._request_handler.stop_time
+        self._request_handler.refuse_waiting()
+        if not stop.takes_any:
+            self._refuse_receiving()
+        if stop.remaining_seconds <= 0 and not self._has_given_up:
+            self._give_up()
         idle = not self._request_handler.active_count and not self._caller_server.busy_count
-        reserve_seconds = min(STOP_RESERVE_SECONDS, bounds.stop_seconds / 2)
-        if accept_period_over and idle:
+        if not stop.is_accepting and idle:
             self.loop.stop()
-        elif stopping_seconds > bounds.stop_seconds - reserve_seconds and not self._has_given_up:
-            self._has_given_up = True
+        elif stop.seconds_until_exit <= 0:
+            self._metrics.count("requests_given_up", self._request_handler.active_count)
+            self._request_handler.end_all()
+            self.loop.stop()
+
+    def _refuse_receiving(self) -> None:
+        """Refuse the requests of which only a part has arrived."""
+        count = self._caller_server.receiving_count
+        if count:
+            self._log.write("process.refused_receiving", requests=count)
+            self._metrics.count("stop_refusals", count, reason="receiving")
+            self._caller_server.refuse_receiving()
+
+    def _give_up(self) -> None:
+        """Answer the requests without an answer by an error."""
+        self._has_given_up = True
+        started_count = self._request_handler.started_answer_count
+        unstarted_count = self._request_handler.active_count - started_count
+        undelivered_count = self._caller_server.undelivered_count
+        if unstarted_count or started_count or undelivered_count:
             self._log.write(
                 "process.gave_up",
-                requests=self._request_handler.active_count,
-                receiving=self._caller_server.receiving_count,
-                undelivered=self._caller_server.undelivered_count,
+                requests=unstarted_count,
+                started=started_count,
+                undelivered=undelivered_count,
             )
-            self._metrics.count("requests_given_up", self._request_handler.active_count)
-            self._request_handler.end_all()
-            self.loop.call_later(STOP_FLUSH_SECONDS, self.loop.stop)
+        self._metrics.count("requests_given_up", unstarted_count)
+        self._request_handler.end_unstarted()
 
     def _record_undelivered(self, answer: http_server.UndeliveredAnswer) -> None:
         """Count and log an answer that its caller did not get as a whole."""
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -17,6 +17,7 @@
     attempts,
     forwarding_context,
     memory_reservations,
+    stop_admission,
     unreached_servers,
 )
 from flamingoramp.http import client
@@ -101,6 +102,7 @@
         self._last_event_id = admitted.caller.last_event_id
         self._may_have_run = False
         self._first_event_at = 0.0
+        self._relayed_event_count = 0
         self._is_done = False
         self._exchange.on_disconnect = lambda: self._finish("caller_gone")
 
@@ -123,6 +125,8 @@
         except errors.FlamingorampError as error:
             self._end_refused(error)
             return
+        if self._end_if_too_late(target.predicted_seconds):
+            return
         self._target = target
         self._context.record_target(target)
         self._context.settle(target, lambda must_move: self._handle_settled(target, must_move))
@@ -202,9 +206,31 @@
             return
         self._start_attempt()
 
+    def _find_stop_refusal(self, first_event_seconds: float) -> stop_admission.Refuse | None:
+        return self._context.find_stop_refusal(
+            self._admitted,
+            self._deadline - self._context.loop.now(),
+            first_event_seconds=first_event_seconds,
+            received_events=self._relayed_event_count,
+        )
+
+    def _end_if_too_late(self, first_event_seconds: float = 0.0) -> bool:
+        """End a request that would outlast this entry's planned stop; return whether it ended."""
+        refusal = self._find_stop_refusal(first_event_seconds)
+        if refusal is None:
+            return False
+        self._context.record_stop_refusal(self._admitted, refusal)
+        if self._exchange.has_started or self._may_have_run:
+            self._end_failed(errors.StopTimeoutError(stop_admission.explain(refusal)))
+        else:
+            self._end_refused(stop_admission.make_error(refusal))
+        return True
+
     def _send(self) -> None:
         target = self._target
         admitted = self._admitted
+        if self._end_if_too_late(target.predicted_seconds):
+            return
         now = self._context.loop.now()
         self._excluded.add(target.server.server)
         if target.is_peer:
@@ -393,6 +419,8 @@
             return False
         if replacement.predicted_seconds > MAX_REPLACEMENT_WAIT_RATIO * idle_seconds:
             return False
+        if self._find_stop_refusal(replacement.predicted_seconds) is not None:
+            return False
         self._context.record_step(
             self._admitted, "request.silent", server=server.server, silent=round(idle_seconds, 3)
         )
@@ -537,6 +565,7 @@
                 return
             self._context.record_answer(attempt.target.server, failed=False)
             self._record_sound(attempt)
+            self._record_answer_seconds(attempt)
             if not attempt.target.is_peer:
                 self._context.record_event_gaps(
                     self._admitted.service, attempt.target.server, attempt.event_gaps
@@ -548,6 +577,8 @@
         failed = head.status >= 500
         self._context.record_answer(attempt.target.server, failed=failed)
         self._record_sound(attempt)
+        if not failed:
+            self._record_answer_seconds(attempt)
         # Another entry has used the attempts that were left.
         is_retryable = failed and not attempt.target.is_peer and self._can_retry()
         if is_retryable and self._retry(f"status_{head.status}"):
@@ -585,6 +616,13 @@
         if attempt.head.has_framed_body and not attempt.target.is_peer:
             self._context.record_sound(self._admitted)
 
+    def _record_answer_seconds(self, attempt: attempts.Attempt) -> None:
+        """Record how long a whole answer took, if it came by a single send."""
+        is_resumed = bool(self._admitted.caller.last_event_id)
+        if self._run_count == 1 and not is_resumed:
+            seconds = self._context.loop.now() - attempt.sent_at
+            self._context.record_answer_seconds(self._admitted, seconds)
+
     def _record_failure(
         self, attempt: attempts.Attempt, *, crashed: bool, not_connected: bool = False
     ) -> None:
@@ -615,6 +653,7 @@
             headers = http_messages.end_to_end_headers(attempt.head.headers)
             self._exchange.start(attempt.head.status, headers)
         self._exchange.send(b"".join(block.data for block in new_blocks))
+        self._relayed_event_count += sum(not block.is_comment for block in new_blocks)
         self._last_event_id = new_blocks[-1].event_id or self._last_event_id
 
     def _record_progress(self, attempt: attempts.Attempt, event_count: int, now: float) -> None:
@@ -708,10 +747,24 @@
         if not self._is_done:
             self._end_failed(errors.RouteTimeoutError("the time limit passed"))
 
+    @property
+    def has_started_answer(self) -> bool:
+        """Whether the caller has a part of the answer."""
+        return self._exchange.has_started
+
+    def end_if_unsent_too_late(self) -> None:
+        """Refuse a request that waits to be sent if it would outlast this entry's stop."""
+        if not self._is_done and self._attempt is None:
+            self._end_if_too_late(self._target.predicted_seconds if self._target else 0.0)
+
     def end_by_stop(self) -> None:
-        """Fail the request, unless it has ended, as this process has to end."""
-        if not self._is_done:
-            self._end_failed(errors.StopTimeoutError("this entry's planned stop is over"))
+        """End the request, unless it has ended, as this process has to end."""
+        if self._is_done:
+            return
+        if self._attempt is None and not self._may_have_run and not self.has_started_answer:
+            self._end_refused(stop_admission.make_error())
+            return
+        self._end_failed(errors.StopTimeoutError("this entry's planned stop is over"))
 
     def _end_refused(self, error: errors.FlamingorampError) -> None:
         """Refuse a request that has not run; fail it if it may have run."""
--- a/flamingoramp/dispatch/forwarding_context.py
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -6,7 +6,7 @@
 from typing import Any, Protocol
 
 from flamingoramp import dialect as dialects
-from flamingoramp.dispatch import attempts
+from flamingoramp.dispatch import attempts, stop_admission
 from flamingoramp.http import client
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_table, statements
@@ -43,6 +43,35 @@
             If no server is available or none has capacity.
         """
 
+    def find_stop_refusal(
+        self,
+        admitted: attempts.AdmittedRequest,
+        limit_seconds: float,
+        *,
+        first_event_seconds: float = 0.0,
+        received_events: int = 0,
+    ) -> stop_admission.Refuse | None:
+        """Return why a planned stop of this entry keeps a request from being passed on, or None.
+
+        Parameters
+        ----------
+        admitted : attempts.AdmittedRequest
+        limit_seconds : float
+            Time until its deadline.
+        first_event_seconds : float
+            Predicted wait for the first event at the chosen server; 0 if none is chosen.
+        received_events : int
+            Events of a stream that its caller has already.
+        """
+
+    def record_stop_refusal(
+        self, admitted: attempts.AdmittedRequest, refusal: stop_admission.Refuse
+    ) -> None:
+        """Record that a request is not passed on since its answer would end after this entry."""
+
+    def record_answer_seconds(self, admitted: attempts.AdmittedRequest, seconds: float) -> None:
+        """Record the time from the only send of a request to the end of its answer."""
+
     def list_servers_of_zone(self, service: str, zone: str) -> set[str]:
         """Return the names of a service's servers in an availability zone."""
 
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -13,6 +13,7 @@
 from flamingoramp import errors
 from flamingoramp.dispatch import (
     allowance,
+    answer_times,
     attempts,
     crash_evidence,
     evacuated_services,
@@ -22,6 +23,7 @@
     room_queue,
     server_ends,
     startup_queue,
+    stop_admission,
     unresponsive_servers,
     warm_ups,
 )
@@ -204,6 +206,7 @@
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._queue = startup_queue.StartupQueue()
         self._is_releasing = False
+        self._answer_times = answer_times.AnswerTimes()
         self._stop_began_at: float | None = None
 
     @property
@@ -224,6 +227,7 @@
     def apply_declaration(self, declaration: traffic.TrafficDeclaration) -> None:
         """Use a declaration for new requests, and start the queued ones."""
         self._declaration = declaration
+        self._answer_times.retain_only({route.name for route in declaration.routes})
         self._warm_ups.apply_declaration(declaration)
         self.start_queued()
 
@@ -301,6 +305,22 @@
         """Note that a planned stop of this entry has begun."""
         self._stop_began_at = self.loop.now()
 
+    @property
+    def stop_time(self) -> stop_admission.StopTime | None:
+        """How far a planned stop has come, None without one."""
+        if self._stop_began_at is None:
+            return None
+        return stop_admission.StopTime(
+            self.loop.now() - self._stop_began_at,
+            self._bounds.accept_seconds,
+            self._bounds.stop_seconds,
+        )
+
+    @property
+    def started_answer_count(self) -> int:
+        """Number of requests of whose answers the callers have a part."""
+        return sum(forwarder.has_started_answer for forwarder in self._forwarders)
+
     def _stop_fields(self, exchange: http_server.Exchange) -> dict[str, float]:
         """Return log fields of a request during a planned stop; empty without one."""
         if self._stop_began_at is None:
@@ -310,11 +330,93 @@
             "received": round(exchange.receiving_seconds, 3),
         }
 
+    def refuse_waiting(self) -> None:
+        """Refuse the requests in queues whose answers would end after this entry."""
+        for forwarder in list(self._forwarders):
+            forwarder.end_if_unsent_too_late()
+        for request in self._queue.list_requests():
+            limit_seconds = request.deadline - self.loop.now()
+            pending = stop_admission.PendingRequest(limit_seconds, False, None)
+            match stop_admission.decide(self.stop_time, pending):
+                case stop_admission.Refuse() as refusal:
+                    self._refuse_queued(request, refusal)
+
+    def _refuse_queued(
+        self, request: startup_queue.QueuedRequest, refusal: stop_admission.Refuse | None
+    ) -> None:
+        """Refuse a request of the startup queue, which has not run."""
+        if self._queue.remove(request.exchange):
+            self._count_stop_refusal(refusal)
+            error = stop_admission.make_error(refusal)
+            self._refuse(request.exchange, request.caller.request_id, error)
+
+    def end_unstarted(self) -> None:
+        """End the requests whose answers have not begun, while an error can be delivered."""
+        for request in self._queue.list_requests():
+            self._refuse_queued(request, None)
+        for forwarder in list(self._forwarders):
+            if not forwarder.has_started_answer:
+                forwarder.end_by_stop()
+
     def end_all(self) -> None:
-        """Fail the requests in progress, whose outcome is unknown; the process waits no longer."""
+        """Break off all answers; the process waits no longer."""
+        self.end_unstarted()
         for forwarder in list(self._forwarders):
             forwarder.end_by_stop()
 
+    def find_stop_refusal(
+        self,
+        admitted: attempts.AdmittedRequest,
+        limit_seconds: float,
+        *,
+        first_event_seconds: float = 0.0,
+        received_events: int = 0,
+    ) -> stop_admission.Refuse | None:
+        """Return why a planned stop keeps a request from being passed on, None if nothing does."""
+        stop = self.stop_time
+        if stop is None:
+            return None
+        pending = stop_admission.PendingRequest(
+            limit_seconds,
+            admitted.route.is_retryable,
+            self._answer_times.expect(
+                admitted,
+                self._find_engine(admitted),
+                first_event_seconds=first_event_seconds,
+                received_events=received_events,
+            ),
+        )
+        match stop_admission.decide(stop, pending):
+            case stop_admission.Refuse() as refusal:
+                return refusal
+        return None
+
+    def record_stop_refusal(
+        self, admitted: attempts.AdmittedRequest, refusal: stop_admission.Refuse
+    ) -> None:
+        """Record that a request is not passed on since its answer would end after this entry."""
+        self._count_stop_refusal(refusal)
+        needed_seconds = refusal.needed_seconds
+        self.record_step(
+            admitted,
+            "request.stop_refused",
+            why=refusal.reason.value,
+            needed=round(needed_seconds, 3) if needed_seconds is not None else None,
+            left=round(refusal.remaining_seconds, 3),
+        )
+
+    def _count_stop_refusal(self, refusal: stop_admission.Refuse | None) -> None:
+        reason = refusal.reason if refusal is not None else stop_admission.Reason.OVER
+        self._metrics.count("stop_refusals", reason=reason.value)
+
+    def record_answer_seconds(self, admitted: attempts.AdmittedRequest, seconds: float) -> None:
+        """Record the time from the only send of a request to the end of its answer."""
+        self._answer_times.record(admitted, self._find_engine(admitted), seconds)
+
+    def _find_engine(self, admitted: attempts.AdmittedRequest) -> traffic.EngineCostModel | None:
+        service = self._declaration.find_service(admitted.service)
+        return service.engine if service is not None else None
+
     # Admission.
 
     def handle_request(self, exchange: http_server.Exchange) -> None:
@@ -394,17 +496,7 @@
             request_id = caller.request_id
             admitted = self._admit(exchange, caller)
         except errors.FlamingorampError as error:
-            self._metrics.count("requests_refused", code=error.code)
-            self._log.write(
-                "request.refused",
-                request_id,
-                path=exchange.request.path,
-                code=error.code,
-                version=self._declaration.version if self._declaration else 0,
-                text=str(error),
-                **self._stop_fields(exchange),
-            )
-            exchange.respond(self.dialect.encode_error(error))
+            self._refuse(exchange, request_id, error)
             return
         forwarder = forwarding.RequestForwarder(self, admitted, self._forwarders.discard)
         self._forwarders.add(forwarder)
@@ -414,6 +506,22 @@
         else:
             self._room_queue.start(admitted, forwarder.start)
 
+    def _refuse(
+        self, exchange: http_server.Exchange, request_id: str, error: errors.FlamingorampError
+    ) -> None:
+        """Refuse a request that was not admitted."""
+        self._metrics.count("requests_refused", code=error.code)
+        self._log.write(
+            "request.refused",
+            request_id,
+            path=exchange.request.path,
+            code=error.code,
+            version=self._declaration.version if self._declaration else 0,
+            text=str(error),
+            **self._stop_fields(exchange),
+        )
+        exchange.respond(self.dialect.encode_error(error))
+
     def _admit(
         self, exchange: http_server.Exchange, caller: dialects.CallerRequest
     ) -> attempts.AdmittedRequest:
@@ -425,6 +533,8 @@
             Says why the request is refused; it has not run.
         """
         declaration = self._declaration
+        if declaration is None and self._stop_began_at is not None:
+            raise stop_admission.make_error()
         if declaration is None:
             remaining_startup_seconds = (
                 self._started_at + EXPECTED_STARTUP_SECONDS - self.loop.now()
@@ -442,14 +552,13 @@
         if workspace is None and declaration.workspaces and not route.is_public:
             raise errors.UnknownApiKeyError("no workspace holds this key")
         fingerprints = _make_fingerprints(caller, exchange.request.body)
-        self._check_quarantine(caller.request_id, fingerprints)
         time_limit_seconds = route.timeout_seconds
         if caller.remaining_seconds is not None:
             time_limit_seconds = min(time_limit_seconds, caller.remaining_seconds)
         declared_priority = route.priority
         if workspace is not None and workspace.priority is not None:
             declared_priority = workspace.priority
-        return attempts.AdmittedRequest(
+        admitted = attempts.AdmittedRequest(
             exchange=exchange,
             caller=caller,
             route=route,
@@ -460,6 +569,12 @@
             time_limit_seconds=time_limit_seconds,
             rank=declared_priority,
         )
+        limit_seconds = exchange.arrived_at + time_limit_seconds - self.loop.now()
+        if refusal := self.find_stop_refusal(admitted, limit_seconds):
+            self._count_stop_refusal(refusal)
+            raise stop_admission.make_error(refusal)
+        self._check_quarantine(caller.request_id, fingerprints)
+        return admitted
 
     def _check_quarantine(self, request_id: str, fingerprints: tuple[str, ...]) -> None:
         """Refuse a request that has crashed servers, but for single ones that try it again."""
--- a/flamingoramp/dispatch/room_queue.py
+++ b/flamingoramp/dispatch/room_queue.py
@@ -143,7 +143,7 @@
         """Remove a request that has ended, and learn from complete answers how long they take."""
         item = self._items.get(id(admitted))
         if item is not None:
-            self._leave(item, "caller_gone")
+            self._leave(item, "caller_gone" if outcome == "caller_gone" else "ended")
         if outcome == "done" and self._contends(admitted):
             self._answer_seconds += ANSWER_SECONDS_WEIGHT * (seconds - self._answer_seconds)
 
--- a/flamingoramp/dispatch/startup_queue.py
+++ b/flamingoramp/dispatch/startup_queue.py
@@ -44,6 +44,10 @@
         """Remove a request; return whether it was in the queue."""
         return self._requests.pop(exchange, None) is not None
 
+    def list_requests(self) -> list[QueuedRequest]:
+        """Return all requests in the order of their arrival."""
+        return list(self._requests.values())
+
     def pop_first(
         self, is_startable: Callable[[dialects.CallerRequest], bool]
     ) -> QueuedRequest | None:
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -8,7 +8,7 @@
 import attrs
 
 from flamingoramp import dialect, errors
-from flamingoramp.dispatch import attempts, forwarding
+from flamingoramp.dispatch import attempts, forwarding, stop_admission
 from flamingoramp.http import client
 from flamingoramp.http import messages as http_messages
 from flamingoramp.intent import traffic
@@ -159,6 +159,8 @@
         self.outcomes: list[tuple[str, dict[str, Any]]] = []
         self.failures: list[tuple[str, bool]] = []
         self.sound_count = 0
+        self.stop_refusal: stop_admission.Refuse | None = None
+        self.answer_seconds: list[float] = []
 
     def choose_target(self, admitted, excluded) -> attempts.AttemptTarget:
         for name in self.servers:
@@ -176,6 +178,15 @@
                 )
         raise errors.NoBackendError("none left", retry_after=0.4)
 
+    def find_stop_refusal(self, admitted, limit_seconds, **_expected):
+        return self.stop_refusal
+
+    def record_stop_refusal(self, admitted, refusal) -> None:
+        """Do nothing."""
+
+    def record_answer_seconds(self, admitted, seconds) -> None:
+        self.answer_seconds.append(seconds)
+
     def list_servers_of_zone(self, service, zone) -> set[str]:
         return {name for name in self.servers if self.zones.get(name, name) == zone}
 
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -561,6 +561,12 @@
         """Count a finished connection as busy until its response is passed to the kernel."""
         self._flushing.add(connection)
 
+    def refuse_receiving(self) -> None:
+        """Refuse with 503 all requests of which a part, but not all, has arrived."""
+        for connection in list(self._connections):
+            if not connection.has_exchange and connection.is_reading:
+                connection._refuse_request(503)
+
     def begin_closing(self) -> None:
         """Close each connection after the response to its current request."""
         self._closing = True
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -63,6 +63,8 @@
         Bytes that it sends in place of an answer until the caller closes.
     cold_seconds : float
         Time for which it announces to be cold after each start.
+    answer_seconds : float
+        Time that a plain answer takes.
     """
 
     event_count: int = 5
@@ -78,6 +80,7 @@
     headers: messages.Headers = ()
     endless: EndlessAnswer | None = None
     cold_seconds: float = 0.0
+    answer_seconds: float = 0.0
 
 
 class FakeServer:
@@ -235,7 +238,12 @@
         headers = (*headers, (b"x-response-stamp", f"stamp-{self.name}".encode()))
         if request.header(b"x-token-count") is None:
             body = b"answer to " + request_id + b":" + request.body
-            exchange.respond(messages.Response(self.behaviour.status, headers, body))
+            answer = messages.Response(self.behaviour.status, headers, body)
+            if self.behaviour.answer_seconds:
+                seconds = self.behaviour.answer_seconds
+                self._loop.call_later(seconds, lambda: exchange.respond(answer))
+            else:
+                exchange.respond(answer)
             return
         content_type = (b"content-type", b"text/event-stream")
         exchange.start(200, (*headers, content_type))
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -34,12 +34,15 @@
         Index of the host whose settings it gets.
     role : str
         ``entry`` or ``control``.
+    **bounds
+        Fields of the settings' `bounds` that differ from those of the fleet.
     """
 
-    def __init__(self, fleet: fleets.Fleet, host_index: int, role: str = "entry"):
+    def __init__(self, fleet: fleets.Fleet, host_index: int, role: str = "entry", **bounds: float):
         folder = pathlib.Path(tempfile.mkdtemp(dir=fleet.folder))
         self.settings_path = folder / "settings.json"
         self.settings = attrs.asdict(fleet.settings(host_index))
+        self.settings["bounds"].update(bounds)
         self.write_settings(self.settings)
         self._log_path = folder / "log"
         self._imports_path = folder / "imports"
