Tests: the table of what a stopping entry takes on, row by row

Groups with reserved memory, second attempts, resumed streams, other entries, the room queue, the startup queue and observed durations without a network; calls of unknown duration, requests that are still arriving, a second signal and a change in the middle, a stop right after the start and slow readers with a real process.

--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -69,7 +69,7 @@
 
     def __init__(self):
         self.request = http_messages.Request(b"POST", b"/", (), b"body")
-        self.arrived_at = 0.0
+        self.arrived_at = self.receiving_seconds = 0.0
         self.status = 0
         self.headers: http_messages.Headers = ()
         self.body = b""
@@ -160,6 +160,7 @@
         self.failures: list[tuple[str, bool]] = []
         self.sound_count = 0
         self.stop_refusal: stop_admission.Refuse | None = None
+        self.received_events: list[int] = []
         self.answer_seconds: list[float] = []
 
     def choose_target(self, admitted, excluded) -> attempts.AttemptTarget:
@@ -178,7 +179,10 @@
                 )
         raise errors.NoBackendError("none left", retry_after=0.4)
 
-    def find_stop_refusal(self, admitted, limit_seconds, **_expected):
+    def find_stop_refusal(
+        self, admitted, limit_seconds, *, first_event_seconds=0.0, received_events=0
+    ) -> stop_admission.Refuse | None:
+        self.received_events.append(received_events)
         return self.stop_refusal
 
     def record_stop_refusal(self, admitted, refusal) -> None:
@@ -264,6 +268,7 @@
         *,
         time_limit_seconds: float = 10.0,
         attempts_used: int | None = None,
+        forwarders: list[forwarding.RequestForwarder] | None = None,
     ) -> None:
         admitted = attempts.AdmittedRequest(
             exchange=self.exchange,
@@ -275,7 +280,10 @@
             fingerprints=("f",),
             time_limit_seconds=time_limit_seconds,
         )
-        forwarding.RequestForwarder(self.context, admitted, lambda _forwarder: None).start()
+        forwarder = forwarding.RequestForwarder(self.context, admitted, lambda _forwarder: None)
+        if forwarders is not None:
+            forwarders.append(forwarder)
+        forwarder.start()
 
     @property
     def calls(self) -> list[FakeCall]:
--- a/flamingoramp/platform/tests/test_stop_admission.py
+++ b/flamingoramp/platform/tests/test_stop_admission.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import socket
+import threading
 import time
 import unittest
 from concurrent import futures
@@ -22,6 +23,8 @@
 OUTPUT_TOKENS = 100
 # Time limit of the callers and routes, which ends long after the stop.
 LIMIT_SECONDS = 30.0
+# Routes of calls, and whether their bodies are chunked.
+ROUTES = (("stream", True), ("stream", False), ("hold", True), ("hold", False))
 # An answer that begins this long after SIGTERM, or earlier, is complete in time.
 SURELY_IN_TIME_SECONDS = 2.4
 
@@ -129,7 +132,8 @@
         document["services"][0]["engine"] = engine
         for route in document["routes"]:
             route["timeout_ms"] = 1000 * LIMIT_SECONDS
-        self.fleet.declare(1, routes=document["routes"], services=document["services"])
+        self.services = document["services"]
+        self.fleet.declare(1, routes=document["routes"], services=self.services)
         self.fleet.wait_in_force(1)
         # The entry process takes the place and the address of the fleet's entry.
         self.fleet.entries.pop().stop()
@@ -228,3 +232,109 @@
 
     def test_requests_that_are_complete_too_late_are_refused_and_not_cut_seed_2(self):
         self.check_bodies_that_arrive_late(2)
+
+
+class TestUnknownDurations(StoppingEntryTestCase):
+    """Calls that must not run twice, of a route that the entry has not served before."""
+
+    # Guards against a call that runs and can't be answered, which its caller may not repeat.
+    def test_late_call_of_unknown_duration_is_refused_as_not_run(self):
+        calls = [Call("hold", True, start, 5, 0.8) for start in (-1.4, -0.2, 0.8)]
+        early, *late = self.run_calls([Call("hold", False, 0.5, 1, 0.0), *calls])
+        self.assertEqual(early.status, 200)
+        for result in late:
+            with self.subTest(result=result):
+                is_early = result.sent_at <= ACCEPT_SECONDS
+                self.assertEqual(result.status, 200 if is_early else 503)
+                self.assertEqual(result.request_id in self.arrived_ids(), is_early)
+
+
+class TestPartialRequests(StoppingEntryTestCase):
+    """Requests of which only a part has arrived when nothing can be taken on any more."""
+
+    # Guards against connections that are closed at the end of a stop in the middle of a request,
+    # without an answer.
+    def test_requests_that_are_still_arriving_get_a_complete_refusal(self):
+        calls = [Call(route, is_chunked, 0.5, 40, 0.2) for route, is_chunked in ROUTES]
+        results = self.run_calls(calls)
+        for result in results:
+            with self.subTest(result=result):
+                self.assertEqual(result.status, 503)
+                self.assertGreater(result.ended_at, 6.5)
+        self.assertEqual(self.arrived_ids(), set())
+        [line] = self.entry.logged_events("process.refused_receiving")
+        self.assertEqual(line["requests"], len(results))
+        self.assertLess(self.stopped_after, STOP_SECONDS - 0.4)
+
+
+class TestDisturbedStops(StoppingEntryTestCase):
+    """Stops beside other events."""
+
+    def test_second_signal_and_a_change_in_the_middle_change_nothing(self):
+        self.serve_once("stream", "hold")
+        routes = fleets.make_document(2)["routes"]
+        for route in routes:
+            route["timeout_ms"] = 1000 * LIMIT_SECONDS
+
+        def _disturb() -> None:
+            for number in range(3):
+                time.sleep(0.9)
+                self.entry.process.send_signal(signal.SIGTERM)
+                self.fleet.declare(2 + number, routes=routes, services=self.services)
+
+        disturbance = threading.Thread(target=lambda: (time.sleep(1.2), _disturb()))
+        disturbance.start()
+        results = self.run_calls(make_calls(3))
+        disturbance.join()
+        self.assertEqual({result.status for result in results}, {200, 503})
+        self.assertGreaterEqual(len(self.entry.logged_events("declaration.in_force")), 2)
+        self.assertEqual(len(self.entry.logged_events("process.stopping")), 1)
+        for result in results:
+            if result.status == 503:
+                self.assertGreater(result.sent_at, SURELY_IN_TIME_SECONDS)
+
+    def test_requests_beside_a_stop_right_after_the_start_get_whole_answers(self):
+        self.entry.close()
+        self.entry = test_programs.DaemonProcess(
+            self.fleet, 1, accept_seconds=ACCEPT_SECONDS, stop_seconds=STOP_SECONDS
+        )
+        self.addCleanup(self.entry.close)
+        self.entry.wait_for_event("process.started")
+        starts = (-0.9, -0.5, 0.0, 0.2, 0.4, 0.8)
+        results = self.run_calls([Call("stream", False, start, 1, 0.0) for start in starts])
+        self.assertEqual({result.status for result in results}, {200}, self.describe(results))
+
+
+class TestSlowReaders(StoppingEntryTestCase):
+    """Callers that read a long answer for most of the stop."""
+
+    def test_process_ends_only_after_a_slow_reader_has_the_whole_answer(self):
+        length = 7 * 1024 * 1024
+        self.desk.behaviour = fake_server.Behaviour(
+            endless=fake_server.EndlessAnswer(
+                b"HTTP/1.1 200 OK\r\nx-attempt-id: ID\r\nx-response-stamp: STAMP\r\n"
+                b"content-length: %d\r\n\r\n" % length,
+                bytes(65536),
+            )
+        )
+        host, _, port = self.entry.caller_address.rpartition(":")
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            sock.settimeout(fleets.TIMEOUT_SECONDS)
+            sock.connect((host, int(port)))
+            head = f"POST /hold/x HTTP/1.1\r\nhost: {fleets.ROUTE_HOST}\r\ncontent-length: 1\r\n"
+            more = "authorization: Token k1\r\nx-attempt-id: slow\r\nx-deadline-ms: 20000\r\n\r\nb"
+            sock.sendall((head + more).encode())
+            self.entry.wait_for_event("request.sent")
+            self.entry.process.send_signal(signal.SIGTERM)
+            began_at = time.monotonic()
+            answer = http.client.HTTPResponse(sock, method="POST")
+            answer.begin()
+            received = 0
+            while piece := answer.read1(65536):
+                received += len(piece)
+                time.sleep(max(0.0, began_at + 5.0 * received / length - time.monotonic()))
+            self.assertEqual(received, length)
+        self.assertEqual(self.entry.process.wait(fleets.TIMEOUT_SECONDS), 0)
+        self.assertLess(time.monotonic() - began_at, 6.5)
+        self.assertEqual(self.entry.logged_events("answer.undelivered"), [])
