Pass on a server's failure if a stop leaves no time for another attempt

A plain call that a server answered with 5xx is sent to another server. In a planned stop that has no time for it, the first answer was dropped and the caller got the entry's own 504 instead of what the server said.

Evidence: the new test, before: "Tuples differ: (504, 'finished') != (500, 'finished')". The decision is made before the first answer is given up.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -581,7 +581,8 @@
             self._record_answer_seconds(attempt)
         # Another entry has used the attempts that were left.
         is_retryable = failed and not attempt.target.is_peer and self._can_retry()
-        if is_retryable and self._retry(f"status_{head.status}"):
+        is_too_late = is_retryable and self._find_stop_refusal(0.0) is not None
+        if is_retryable and not is_too_late and self._retry(f"status_{head.status}"):
             return
         if attempt.is_relayed:
             self._exchange.finish()
--- a/flamingoramp/dispatch/tests/test_forwarding_stop.py
+++ b/flamingoramp/dispatch/tests/test_forwarding_stop.py
@@ -121,6 +121,16 @@
         self.assertEqual(len(self.calls), 2)
         self.assertEqual(self.context.received_events, [0, 0, 3, 3])
 
+    # Guards against a whole answer of a server that is replaced by the entry's own error.
+    def test_failure_that_a_server_answered_is_passed_on_if_it_is_too_late_for_another(self):
+        self.start_request(test_forwarding.PLAIN)
+        self.make_too_late()
+        self.receive_head("answer", 500)
+        self.calls[0].receiver.handle_data(b"broken")
+        self.complete_answer()
+        self.assert_ended(500)
+        self.assertEqual(self.exchange.body, b"broken")
+
     # Guards against a first attempt that is cancelled in favour of one that may not be sent.
     def test_silent_server_keeps_a_request_that_could_not_end_elsewhere(self):
         self.start_request(test_forwarding.PLAIN)
