--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -8,7 +8,7 @@
 import attrs
 
 from flamingoramp import dialect, errors
-from flamingoramp.dispatch import attempts, forwarding
+from flamingoramp.dispatch import attempts, forwarding, stop_admission
 from flamingoramp.http import client
 from flamingoramp.http import messages as http_messages
 from flamingoramp.intent import traffic
@@ -69,7 +69,7 @@
 
     def __init__(self):
         self.request = http_messages.Request(b"POST", b"/", (), b"body")
-        self.arrived_at = 0.0
+        self.arrived_at = self.receiving_seconds = 0.0
         self.status = 0
         self.headers: http_messages.Headers = ()
         self.body = b""
@@ -159,6 +159,9 @@
         self.outcomes: list[tuple[str, dict[str, Any]]] = []
         self.failures: list[tuple[str, bool]] = []
         self.sound_count = 0
+        self.stop_refusal: stop_admission.Refuse | None = None
+        self.received_events: list[int] = []
+        self.answer_seconds: list[float] = []
 
     def choose_target(self, admitted, excluded) -> attempts.AttemptTarget:
         for name in self.servers:
@@ -176,6 +179,18 @@
                 )
         raise errors.NoBackendError("none left", retry_after=0.4)
 
+    def find_stop_refusal(
+        self, admitted, limit_seconds, *, first_event_seconds=0.0, received_events=0
+    ) -> stop_admission.Refuse | None:
+        self.received_events.append(received_events)
+        return self.stop_refusal
+
+    def record_stop_refusal(self, admitted, refusal) -> None:
+        """Do nothing."""
+
+    def record_answer_seconds(self, admitted, seconds) -> None:
+        self.answer_seconds.append(seconds)
+
     def list_servers_of_zone(self, service, zone) -> set[str]:
         return {name for name in self.servers if self.zones.get(name, name) == zone}
 
@@ -253,6 +268,7 @@
         *,
         time_limit_seconds: float = 10.0,
         attempts_used: int | None = None,
+        forwarders: list[forwarding.RequestForwarder] | None = None,
     ) -> None:
         admitted = attempts.AdmittedRequest(
             exchange=self.exchange,
@@ -264,7 +280,10 @@
             fingerprints=("f",),
             time_limit_seconds=time_limit_seconds,
         )
-        forwarding.RequestForwarder(self.context, admitted, lambda _forwarder: None).start()
+        forwarder = forwarding.RequestForwarder(self.context, admitted, lambda _forwarder: None)
+        if forwarders is not None:
+            forwarders.append(forwarder)
+        forwarder.start()
 
     @property
     def calls(self) -> list[FakeCall]:
