Each process logs why it ends, as its last line

Operators saw processes that ended by themselves; the log of such a process did not tell an address that is held, a failing disk and an import that fails from each other or from a planned stop: a traceback on standard error, and process.stopped.

process.ended is the last line of each log, with the cause, the exit status and, for an error, its type, text and place. process.stopped stands for planned stops only. An import that fails has its own status, 4. An end by an error skips the interpreter's shutdown, which threads of the disk could hold up.

--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -23,6 +23,7 @@
     loop,
     metrics,
     node_settings,
+    process_end,
     transport,
 )
 
@@ -47,9 +48,10 @@
     deliver : callable
         Takes sender, message and connection of each message from another process.
     log_descriptor : int
-        File descriptor that log lines are written to.
+        File descriptor that log lines are written to without ``opened``.
     opened : listeners.Listeners or None
-        Listening sockets that the program has opened already; those not served are closed.
+        Listening sockets that the program has opened already, and its log; those not served are
+        closed.
     survives_errors : bool
         Whether the process goes on after an unexpected error of one callback: the requests of all
         other callers do. A control host must not acknowledge anything in a state that is only
@@ -69,11 +71,13 @@
     ):
         self.name = f"{role}-{settings.name}"
         self.settings = settings
-        self._listeners = opened or listeners.Listeners()
+        self._listeners = opened or listeners.Listeners(
+            event_log.EventLog(self.name, descriptor=log_descriptor)
+        )
         self.loop = loop.Loop(on_error=self.record_error if survives_errors else None)
         self._error_times: collections.deque[float] = collections.deque()
         self.metrics = metrics.Metrics()
-        self.log = event_log.EventLog(self.name, descriptor=log_descriptor)
+        self.log = self._listeners.log
         self.start_steps = start_steps.StartSteps(self._listeners, self.log, self.metrics)
         self.transport = transport.Transport(
             self.loop,
@@ -186,8 +190,10 @@
             signal.signal(number, lambda _number, _frame: self.loop.post(on_stop))
         signal.signal(signal.SIGHUP, lambda _number, _frame: self.loop.post(on_reload))
         self.serve_until_stopped()
+        self.log.write("process.stopped")
+        process_end.log_stop(self.log)
         # The interpreter's shutdown would take a tenth of a second of processor time.
-        os._exit(0)
+        os._exit(process_end.STOPPED_STATUS)
 
     def serve_until_stopped(self) -> None:
         """Serve until the loop stops, then close servers, transport, cleanups and loop."""
@@ -197,7 +203,6 @@
             self.loop.run()
         finally:
             self._record_resource_usage()
-            self.log.write("process.stopped")
             self.log.flush()
             for server in self.servers:
                 server.close()
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -5,52 +5,74 @@
 import gc
 import os
 import sys
+from collections.abc import Callable
 from typing import Any
 
-from flamingoramp.runtime import early_stop, listeners
+from flamingoramp.runtime import early_stop, event_log, listeners, process_end
 
 SETTINGS_PATH_VARIABLE = "FLAMINGORAMP_CONFIG"
 
 
 def main(role: str) -> None:
-    """Run the daemon of a role, ``entry`` or ``control``.
+    """Run the daemon of a role, ``entry`` or ``control``, to the end of the process.
 
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
     early_stop.handle_signals()
+    log = event_log.EventLog(role)
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
     # Connections are accepted by the kernel while the modules below are imported.
-    opened = listeners.open_configured(settings_path, role)
+    opened = listeners.open_configured(settings_path, role, log)
     # The modules and the daemon live as long as the process: searching them for garbage while they
     # are made takes a tenth of a start.
     gc.disable()
-    daemon = _make_daemon(role, settings_path, opened)
-    gc.freeze()
-    gc.enable()
-    daemon.run()
+    try:
+        make_daemon = _import_daemon(role)
+    except Exception as error:
+        process_end.end_with_error(log, error, cause="import", status=process_end.IMPORT_STATUS)
+    _run(make_daemon, settings_path, opened)
 
 
-def _make_daemon(role: str, settings_path: str, opened: listeners.Listeners) -> Any:
-    """Import a role's modules only, which shortens a restart, and return its daemon."""
-    from flamingoramp import errors
+def _import_daemon(role: str) -> Callable[[str, listeners.Listeners], Any]:
+    """Import a role's modules only, which shortens a restart; return what makes its daemon."""
     from flamingoramp.platform import platform_dialect
     from flamingoramp.runtime import node_settings
 
-    try:
-        settings = node_settings.load(settings_path)
-    except errors.SettingsError as error:
-        print(f"flamingoramp: {error}", file=sys.stderr)
-        sys.exit(2)
     if role == "control":
         from flamingoramp.daemons import coordinator
 
-        return coordinator.Coordinator(settings, platform_dialect.PlatformDialect(), opened=opened)
+        return lambda settings_path, opened: coordinator.Coordinator(
+            node_settings.load(settings_path), platform_dialect.PlatformDialect(), opened=opened
+        )
     from flamingoramp.daemons import gateway
 
-    return gateway.Gateway(
-        settings, platform_dialect.PlatformDialect(), settings_path=settings_path, opened=opened
+    return lambda settings_path, opened: gateway.Gateway(
+        node_settings.load(settings_path),
+        platform_dialect.PlatformDialect(),
+        settings_path=settings_path,
+        opened=opened,
     )
 
 
+def _run(
+    make_daemon: Callable[[str, listeners.Listeners], Any],
+    settings_path: str,
+    opened: listeners.Listeners,
+) -> None:
+    from flamingoramp import errors
+
+    try:
+        daemon = make_daemon(settings_path, opened)
+        gc.freeze()
+        gc.enable()
+        daemon.run()
+    except errors.SettingsError as error:
+        process_end.end_with_message(
+            opened.log, cause="settings", status=process_end.SETTINGS_STATUS, text=str(error)
+        )
+    except BaseException as error:
+        process_end.end_with_error(opened.log, error, status=process_end.ERROR_STATUS)
+
+
 if __name__ == "__main__":
     main(sys.argv[1])
--- /dev/null
+++ b/flamingoramp/platform/tests/programs.py
@@ -0,0 +1,88 @@
+"""Programs of the deploy file, run as processes with the environment that the platform gives."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tomllib
+from typing import Any
+
+import flamingoramp
+from flamingoramp.platform import main
+from flamingoramp.platform.tests import fleet as fleets
+
+ROOT = pathlib.Path(flamingoramp.__file__).parent.parent
+DEPLOY_PATH = ROOT / "deploy" / "system.toml"
+
+
+def run_arguments(role: str) -> list[str]:
+    """Return the command of a role, with the interpreter of this process."""
+    deployment = tomllib.loads(DEPLOY_PATH.read_text())
+    return [sys.executable, *deployment["roles"][role]["run"].split()[1:]]
+
+
+class Program:
+    """A role's program, started by the run line of the deploy file.
+
+    Parameters
+    ----------
+    role : str
+        ``entry`` or ``control``.
+    folder : pathlib.Path
+        Folder of its settings file and its output.
+    settings : dict or str
+        Content of its settings file, which isn't written if empty.
+    import_folder : str
+        Folder that precedes the libraries on the path of imports; empty for none.
+    """
+
+    def __init__(
+        self, role: str, folder: pathlib.Path, settings: dict | str, import_folder: str = ""
+    ):
+        self.folder = folder
+        self.settings_path = folder / "settings.json"
+        if settings:
+            text = settings if isinstance(settings, str) else json.dumps(settings)
+            self.settings_path.write_text(text)
+        libraries = [path for path in sys.path if path.endswith("-packages")]
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": os.pathsep.join(filter(None, [import_folder, *libraries])),
+            main.SETTINGS_PATH_VARIABLE: str(self.settings_path),
+        }
+        with (folder / "log").open("wb") as log, (folder / "errors").open("wb") as error_output:
+            self.process = subprocess.Popen(
+                run_arguments(role), cwd=ROOT, env=environment, stdout=log, stderr=error_output
+            )
+
+    @property
+    def log(self) -> list[dict[str, Any]]:
+        """Complete lines of its log so far."""
+        return [json.loads(line) for line in (self.folder / "log").read_bytes().split(b"\n")[:-1]]
+
+    @property
+    def errors(self) -> str:
+        """What it has written to standard error so far."""
+        return (self.folder / "errors").read_text()
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of one event name."""
+        return [line for line in self.log if line["event"] == name]
+
+    def wait_for_event(self, name: str) -> dict[str, Any]:
+        """Wait until an event is in the log, and return its first line."""
+        return fleets.wait_for(
+            lambda: self.events(name)[0] if self.events(name) else None, f"{name} in {self.folder}"
+        )
+
+    def wait(self, timeout: float = fleets.TIMEOUT_SECONDS) -> int:
+        """Wait until the process ends, and return its exit status."""
+        return self.process.wait(timeout)
+
+    def close(self) -> None:
+        """Kill the process."""
+        self.process.kill()
+        self.process.wait(fleets.TIMEOUT_SECONDS)
--- a/flamingoramp/runtime/early_stop.py
+++ b/flamingoramp/runtime/early_stop.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-import os
 import signal
 
+from flamingoramp.runtime import process_end
+
 
 def handle_signals() -> None:
     """End the process at once on SIGTERM and SIGINT, until other handlers are installed.
@@ -17,5 +18,5 @@
     no effect: the settings are still to be read.
     """
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: os._exit(0))
+        signal.signal(number, lambda _number, _frame: process_end.end_during_start())
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/flamingoramp/runtime/event_log.py
+++ b/flamingoramp/runtime/event_log.py
@@ -50,6 +50,14 @@
             self._dropped_lines += 1
             return
         self._available_lines -= 1
+        self._append(event, request, fields)
+
+    def write_last(self, event: str, **fields: Any) -> None:
+        """Write a line in spite of the rate limit, as the last one of the process."""
+        self._append(event, "", fields)
+        self.flush()
+
+    def _append(self, event: str, request: str, fields: dict[str, Any]) -> None:
         line: dict[str, Any] = {"time": round(time.time(), 4), "event": event}
         if request:
             line["request"] = request
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -13,6 +13,8 @@
 import time
 from typing import Any
 
+from flamingoramp.runtime import event_log
+
 BACKLOG_COUNT = 1024
 # Keys of `node_settings.ListenSettings` that each role serves.
 SERVED_KEYS_BY_ROLE = {
@@ -42,17 +44,25 @@
 
     Parameters
     ----------
+    log : event_log.EventLog
+        Log of the process.
     program_started_at : float or None
         Monotonic time at which the program began, in seconds; None for now.
     """
 
-    def __init__(self, program_started_at: float | None = None):
+    def __init__(self, log: event_log.EventLog, program_started_at: float | None = None):
         now = time.monotonic()
+        self._log = log
         self._sockets: dict[str, socket.socket] = {}
         self._program_started_at = now if program_started_at is None else program_started_at
         self._opened_at = now
         self._processor_seconds = time.process_time()
 
+    @property
+    def log(self) -> event_log.EventLog:
+        """Log of the process."""
+        return self._log
+
     @property
     def program_started_at(self) -> float:
         """Monotonic time at which the program began, in seconds."""
@@ -104,13 +114,13 @@
         self._processor_seconds = time.process_time()
 
 
-def open_configured(settings_path: str, role: str) -> Listeners:
+def open_configured(settings_path: str, role: str, log: event_log.EventLog) -> Listeners:
     """Listen on the addresses of a settings file that a role serves.
 
     Nothing is opened for a file that can't be read or a value that isn't an address;
     `node_settings.load` reports these.
     """
-    listeners = Listeners(time.monotonic())
+    listeners = Listeners(log, time.monotonic())
     try:
         with open(settings_path, encoding="utf-8") as file:
             settings = json.load(file)
