Signals from the first statement on end no process but by a planned stop

Operators saw processes that ended by themselves. SIGHUP ended a process by its default action during the first 35 ms after the exec, on a share of a core some tenths of a second; SIGTERM ended it with signal 15 instead of status 0.

SIGHUP is held back until the loop runs, so that none is lost while the settings are read. The handlers of the loop only set a flag: those before posted a callback and raised OverloadedError in the interrupted code when the queue was full.

Before: 'AssertionError: ended with -1 before settings.reloaded', '-15 != 0', '-2 != 0', '-1 != 0' in test_signals.

--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -7,7 +7,6 @@
 
 import collections
 import os
-import signal
 import time
 from collections.abc import Callable
 from typing import Any
@@ -24,6 +23,7 @@
     metrics,
     node_settings,
     process_end,
+    process_signals,
     transport,
 )
 
@@ -93,7 +93,6 @@
         self._cleanups: list[Callable[[], None]] = []
         if settings.listen.metrics:
             self.serve(settings.listen.metrics, self._handle_metrics_request, answers_head=True)
-        self.loop.after_each_iteration(self.log.flush)
         self.loop.call_every(RESOURCE_USAGE_INTERVAL_SECONDS, self._record_resource_usage)
 
     def serve(
@@ -186,9 +185,7 @@
         on_reload : callable
             Called in the loop's thread on SIGHUP.
         """
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda _number, _frame: self.loop.post(on_stop))
-        signal.signal(signal.SIGHUP, lambda _number, _frame: self.loop.post(on_reload))
+        process_signals.handle_in_loop(self.loop, on_stop=on_stop, on_reload=on_reload)
         self.serve_until_stopped()
         self.log.write("process.stopped")
         process_end.log_stop(self.log)
@@ -199,6 +196,8 @@
         """Serve until the loop stops, then close servers, transport, cleanups and loop."""
         self._listeners.close()
         self.start_steps.record_listening()
+        # After all other hooks, so that no line waits for the next iteration.
+        self.loop.after_each_iteration(self.log.flush)
         try:
             self.loop.run()
         finally:
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from flamingoramp.runtime import early_stop, event_log, listeners, process_end
+from flamingoramp.runtime import event_log, listeners, process_end, process_signals
 
 SETTINGS_PATH_VARIABLE = "FLAMINGORAMP_CONFIG"
 
@@ -18,7 +18,7 @@
 
     The environment variable `SETTINGS_PATH_VARIABLE` holds the path of its settings file.
     """
-    early_stop.handle_signals()
+    process_signals.handle_during_start()
     log = event_log.EventLog(role)
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
     # Connections are accepted by the kernel while the modules below are imported.
--- a/flamingoramp/platform/tests/programs.py
+++ b/flamingoramp/platform/tests/programs.py
@@ -74,9 +74,15 @@
 
     def wait_for_event(self, name: str) -> dict[str, Any]:
         """Wait until an event is in the log, and return its first line."""
-        return fleets.wait_for(
-            lambda: self.events(name)[0] if self.events(name) else None, f"{name} in {self.folder}"
-        )
+
+        def _find() -> dict[str, Any] | None:
+            status = self.process.poll()
+            found = self.events(name)
+            if not found and status is not None:
+                raise AssertionError(f"ended with {status} before {name}: {self.errors}")
+            return found[0] if found else None
+
+        return fleets.wait_for(_find, name)
 
     def wait(self, timeout: float = fleets.TIMEOUT_SECONDS) -> int:
         """Wait until the process ends, and return its exit status."""
--- a/flamingoramp/runtime/loop.py
+++ b/flamingoramp/runtime/loop.py
@@ -87,7 +87,7 @@
             if len(self._posted_callbacks) >= MAX_POSTED_CALLBACKS:
                 raise errors.OverloadedError("too many waiting messages; retry", retry_after=1.0)
             self._posted_callbacks.append(callback)
-        self._wake_up()
+        self.wake_up()
 
     def call_later(self, delay: float, callback: Callable[[], None]) -> Timer:
         """Run a callback once after ``delay`` seconds."""
@@ -118,7 +118,14 @@
     def stop(self) -> None:
         """Make `run` return after the current iteration; may be called from any thread."""
         self._stop_requested = True
-        self._wake_up()
+        self.wake_up()
+
+    def wake_up(self) -> None:
+        """End the wait of `run` for sockets and timers; may be called from anywhere."""
+        try:
+            self._wake_writer.send(b"\0")
+        except OSError:
+            return  # the buffer is full, so a wake-up is pending already
 
     def run(self) -> None:
         """Run until `stop` is called."""
@@ -166,12 +173,6 @@
             if not timer.cancelled:
                 self._invoke(timer.callback)
 
-    def _wake_up(self) -> None:
-        try:
-            self._wake_writer.send(b"\0")
-        except OSError:
-            return  # the buffer is full, so a wake-up is pending already
-
     def _drain_wakeups(self, _events: int) -> None:
         try:
             self._wake_reader.recv(4096)
