A second stop signal during the start doesn't write a second last line

A stop signal that arrived while the handler of another one ran wrote process.ended twice: it interrupted the handler between its line and the end of the process. An end ignores further signals now.

--- a/flamingoramp/platform/tests/test_signals.py
+++ b/flamingoramp/platform/tests/test_signals.py
@@ -76,6 +76,7 @@
             for numbers in (
                 (signal.SIGTERM,),
                 (signal.SIGINT,),
+                (signal.SIGTERM, signal.SIGINT),
                 (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM),
             ):
                 with self.subTest(role=role, numbers=numbers):
--- a/flamingoramp/runtime/process_end.py
+++ b/flamingoramp/runtime/process_end.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import time
 
@@ -28,6 +29,7 @@
 
     The signal may interrupt an import, so nothing is imported and no log is shared.
     """
+    _ignore_signals()
     line = b'{"time":%.4f,"event":"process.ended","cause":"stop_during_start","status":%d}\n'
     try:
         os.set_blocking(1, False)
@@ -39,6 +41,7 @@
 
 def end_with_message(log: event_log.EventLog, *, cause: str, status: int, text: str) -> None:
     """End the process for a cause that an operator can remove."""
+    _ignore_signals()
     print(f"flamingoramp: {text}", file=sys.stderr, flush=True)
     log.write_last("process.ended", cause=cause, status=status, text=text)
     os._exit(status)
@@ -48,6 +51,7 @@
     log: event_log.EventLog, error: BaseException, *, cause: str = "error", status: int
 ) -> None:
     """End the process for an unexpected error, with its traceback on standard error."""
+    _ignore_signals()
     sys.excepthook(type(error), error, error.__traceback__)
     sys.stderr.flush()
     log.write_last(
@@ -62,6 +66,12 @@
     os._exit(status)
 
 
+def _ignore_signals() -> None:
+    """Let no further stop signal write another last line or change the exit status."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _find_place(error: BaseException) -> str:
     """Return file name and line of the code that raised an error; `traceback` isn't imported."""
     step = error.__traceback__
--- a/flamingoramp/runtime/tests/test_process_signals.py
+++ b/flamingoramp/runtime/tests/test_process_signals.py
@@ -4,11 +4,40 @@
 
 import os
 import signal
+import subprocess
+import sys
 import unittest
 
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import process_signals
 
+# Stops itself; while the last line is being written, another stop signal arrives.
+INTERRUPTED_STOP = """
+import os
+import signal
+from flamingoramp.runtime import process_signals
+write = os.write
+def interrupted_write(descriptor, data):
+    write(descriptor, data)
+    os.kill(os.getpid(), signal.SIGINT)
+os.write = interrupted_write
+process_signals.handle_during_start()
+os.kill(os.getpid(), signal.SIGTERM)
+signal.pause()
+"""
+
+
+class TestHandleDuringStart(unittest.TestCase):
+    """Signals to a process that doesn't serve yet."""
+
+    # Guards against a second last line, written by the handler that interrupts the first one.
+    def test_stop_signal_during_a_stop_changes_nothing(self):
+        stopped = subprocess.run(
+            [sys.executable, "-c", INTERRUPTED_STOP], capture_output=True, timeout=30.0
+        )
+        self.assertEqual(stopped.returncode, 0, stopped.stderr)
+        self.assertEqual(stopped.stdout.count(b"process.ended"), 1, stopped.stdout)
+
 
 class TestHandleInLoop(unittest.TestCase):
     """Signals to this process while a loop runs in its main thread."""
