A process waits for its addresses, and ends with a status of its own without them

Operators saw processes that didn't start.

The errors of the early opening were swallowed and the servers raised them later. Now a process has all of its addresses or none: it tries again for 10 s, logs once a second what holds it up, and makes no daemon before, so that it votes, announces and answers nothing.

The TCP port of an entry for other processes is not opened any more: control hosts answer on the connections that entries open, and entries send each other datagrams.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -84,7 +84,8 @@
         self._process = node_process.NodeProcess(
             settings,
             role="entry",
-            internal_address=settings.entry_internal_address,
+            # Control hosts answer on the connections that an entry opens.
+            internal_address="",
             deliver=self._handle_message,
             log_descriptor=log_descriptor,
             opened=opened,
@@ -170,12 +171,14 @@
         self._process.start_steps.record(start_steps.Step.REQUEST_STARTED)
 
     def _make_datagram_socket(self) -> datagrams.DatagramSocket:
+        address = self._settings.entry_internal_address
         return datagrams.DatagramSocket(
             self.loop,
-            listen=self._settings.entry_internal_address,
+            listen=address,
             deliver=self._handle_datagram,
             on_protocol_error=self._process.record_protocol_error,
             traffic=self._process.transport.traffic,
+            bound=self._process.take_datagram_socket(address),
         )
 
     def _make_load_exchange(self) -> load_exchange.LoadExchange:
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -7,6 +7,7 @@
 
 import collections
 import os
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -44,7 +45,7 @@
     role : str
         Prefix of the name in the log and in messages to other processes.
     internal_address : str
-        ``ip:port`` that receives messages from other processes.
+        ``ip:port`` that accepts connections of other processes; empty for none.
     deliver : callable
         Takes sender, message and connection of each message from another process.
     log_descriptor : int
@@ -86,7 +87,7 @@
             clock=clock.HybridClock(),
             deliver=deliver,
             on_protocol_error=self.record_protocol_error,
-            listener=self._listeners.take(internal_address),
+            listener=self._listeners.take(internal_address) if internal_address else None,
         )
         self._started_at = self.loop.now()
         self.servers: list[http_server.Server] = []
@@ -119,6 +120,10 @@
         self.servers.append(server)
         return server
 
+    def take_datagram_socket(self, address: str) -> socket.socket:
+        """Return a datagram socket that is bound to an ``ip:port``."""
+        return self._listeners.take_datagram_socket(address)
+
     def add_cleanup(self, cleanup: Callable[[], None]) -> None:
         """Add a function that is called after the loop has stopped."""
         self._cleanups.append(cleanup)
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -1,4 +1,4 @@
-"""Entry point of the daemons on the platform's hosts: ``main.py entry`` or ``main.py control``."""
+"""The daemons on the platform's hosts, ``entry`` or ``control``; ``deploy/start.py`` runs them."""
 
 from __future__ import annotations
 
@@ -20,6 +20,14 @@
     """
     process_signals.handle_during_start()
     log = event_log.EventLog(role)
+    if role not in listeners.SERVED_KEYS_BY_ROLE:
+        roles = " or ".join(listeners.SERVED_KEYS_BY_ROLE)
+        process_end.end_with_message(
+            log,
+            cause="settings",
+            status=process_end.SETTINGS_STATUS,
+            text=f"role: found {role!r}, takes {roles}",
+        )
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
     # Connections are accepted by the kernel while the modules below are imported.
     opened = listeners.open_configured(settings_path, role, log)
@@ -35,19 +43,28 @@
 
 def _import_daemon(role: str) -> Callable[[str, listeners.Listeners], Any]:
     """Import a role's modules only, which shortens a restart; return what makes its daemon."""
+    import attrs
+
     from flamingoramp.platform import platform_dialect
     from flamingoramp.runtime import node_settings
 
+    def _load(settings_path: str, opened: listeners.Listeners) -> node_settings.NodeSettings:
+        settings = node_settings.load(settings_path)
+        addresses = listeners.list_addresses(attrs.asdict(settings), role)
+        node_settings.check_addresses([address for _, address in addresses], settings_path)
+        opened.wait_for_all(addresses)
+        return settings
+
     if role == "control":
         from flamingoramp.daemons import coordinator
 
         return lambda settings_path, opened: coordinator.Coordinator(
-            node_settings.load(settings_path), platform_dialect.PlatformDialect(), opened=opened
+            _load(settings_path, opened), platform_dialect.PlatformDialect(), opened=opened
         )
     from flamingoramp.daemons import gateway
 
     return lambda settings_path, opened: gateway.Gateway(
-        node_settings.load(settings_path),
+        _load(settings_path, opened),
         platform_dialect.PlatformDialect(),
         settings_path=settings_path,
         opened=opened,
@@ -70,6 +87,10 @@
         process_end.end_with_message(
             opened.log, cause="settings", status=process_end.SETTINGS_STATUS, text=str(error)
         )
+    except listeners.AddressUnavailableError as error:
+        process_end.end_with_message(
+            opened.log, cause="address", status=process_end.ADDRESS_STATUS, text=str(error)
+        )
     except BaseException as error:
         process_end.end_with_error(opened.log, error, status=process_end.ERROR_STATUS)
 
--- a/flamingoramp/platform/tests/test_process_ends.py
+++ b/flamingoramp/platform/tests/test_process_ends.py
@@ -28,6 +28,8 @@
         self.fleet.controls.pop().stop()
         self.fleet.entries.pop().stop()
         self.addCleanup(self.fleet.close)
+        self.programs: list[programs.Program] = []
+        self.addCleanup(self.close_programs)
 
     def make_settings(self, role: str) -> dict:
         index = ROLES[::-1].index(role)
@@ -37,9 +39,15 @@
         folder = pathlib.Path(tempfile.mkdtemp(dir=self.folder))
         settings = settings or self.make_settings(role)
         program = programs.Program(role, folder, settings, import_folder)
-        self.addCleanup(program.close)
+        self.programs.append(program)
         return program
 
+    def close_programs(self) -> None:
+        """Kill the programs that still run."""
+        for program in self.programs:
+            program.close()
+        self.programs.clear()
+
     def assert_ended(self, program: programs.Program, status: int, cause: str) -> dict:
         self.assertEqual(program.wait(), status, program.errors)
         last = program.log[-1]
--- a/flamingoramp/platform/tests/test_start.py
+++ b/flamingoramp/platform/tests/test_start.py
@@ -116,11 +116,13 @@
             document = attrs.asdict(settings)
             document["inner_ports"] = list(document["inner_ports"])
             expected = {
-                getattr(settings.listen, key)
+                (socket.SOCK_STREAM, getattr(settings.listen, key))
                 for key in listeners.SERVED_KEYS_BY_ROLE[role]
                 if getattr(settings.listen, key)
             }
-            expected.add(getattr(settings, f"{role}_internal_address"))
+            # Other processes connect to control hosts, and send datagrams to entries.
+            kind = socket.SOCK_DGRAM if role == "entry" else socket.SOCK_STREAM
+            expected.add((kind, getattr(settings, f"{role}_internal_address")))
             self.assertEqual(set(listeners.list_addresses(document, role)), expected)
 
     def test_bad_settings_end_the_process_with_the_same_error_and_code(self):
--- a/flamingoramp/runtime/datagrams.py
+++ b/flamingoramp/runtime/datagrams.py
@@ -9,8 +9,8 @@
 
 from flamingoramp import errors
 from flamingoramp.protocol import codec
+from flamingoramp.runtime import listeners, transport
 from flamingoramp.runtime import loop as loops
-from flamingoramp.runtime import transport
 
 MAX_DATAGRAMS_PER_CALLBACK = 256
 
@@ -29,6 +29,8 @@
         Called with an `errors.ProtocolError` for each datagram that can't be decoded.
     traffic : transport.Traffic
         Traffic counters, which the process's connections share.
+    bound : socket.socket or None
+        Datagram socket that is bound to this address already; None to bind one.
     """
 
     def __init__(
@@ -39,14 +41,13 @@
         deliver: Callable[[Any], None],
         on_protocol_error: Callable[[errors.ProtocolError], None],
         traffic: transport.Traffic,
+        bound: socket.socket | None = None,
     ):
         self._loop = loop
         self._deliver = deliver
         self._on_protocol_error = on_protocol_error
         self._traffic = traffic
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind(transport.parse_address(listen))
+        self._socket = bound or listeners.open_datagram_socket(listen)
         self.send_error_count = 0
         loop.register(self._socket, selectors.EVENT_READ, self._receive)
 
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -1,17 +1,22 @@
-"""Listening sockets of a process that are opened before its other modules are imported.
+"""Sockets of a process with addresses of their own, opened before its other modules are imported.
 
 Imports take most of the processor time of a start. A caller whose connection is refused meanwhile
 gives up; one whose connection the kernel accepts is served as soon as the process can.
 
+A process has all of its addresses or none: while one can't be bound, its callers are refused and
+go elsewhere, and it takes part in nothing.
+
 This module imports the standard library only.
 """
 
 from __future__ import annotations
 
 import json
+import os
 import socket
 import time
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from flamingoramp.runtime import event_log
 
@@ -21,8 +26,38 @@
     "entry": ("callers", "readiness", "directory", "metrics"),
     "control": ("operators", "directory", "metrics"),
 }
-# Offset of a role's port in the range for traffic between processes.
-INTERNAL_PORT_OFFSETS = {"control": 0, "entry": 1}
+# Kind and offset of a role's port in the range for traffic between processes.
+INTERNAL_PORTS = {"control": (socket.SOCK_STREAM, 0), "entry": (socket.SOCK_DGRAM, 1)}
+# A predecessor may take its grace period to release an address.
+BIND_TIMEOUT_SECONDS = 10.0
+BIND_RETRY_SECONDS = 0.05
+BIND_LOG_INTERVAL_SECONDS = 1.0
+
+T = TypeVar("T")
+# Kind of socket and ``ip:port``.
+Address = tuple[socket.SocketKind, str]
+
+
+class BindError(OSError):
+    """An address can't be bound.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``, with ``/udp`` for datagrams.
+    cause : OSError
+    """
+
+    def __init__(self, address: str, cause: OSError):
+        super().__init__(cause.errno, os.strerror(cause.errno) if cause.errno else str(cause))
+        self.address = address
+
+    def __str__(self) -> str:
+        return f"{self.address}: {self.strerror}"
+
+
+class AddressUnavailableError(Exception):
+    """An address could not be bound for `BIND_TIMEOUT_SECONDS`."""
 
 
 def open_listener(address: str) -> socket.socket:
@@ -30,15 +65,67 @@
 
     Raises
     ------
-    OSError
+    BindError
         If the address can't be bound.
     """
     ip_address, _, port = address.rpartition(":")
-    listener = socket.create_server((ip_address, int(port)), backlog=BACKLOG_COUNT)
+    try:
+        listener = socket.create_server((ip_address, int(port)), backlog=BACKLOG_COUNT)
+    except OSError as error:
+        raise BindError(address, error) from error
     listener.setblocking(False)
     return listener
 
 
+def open_datagram_socket(address: str) -> socket.socket:
+    """Bind a datagram socket to an ``ip:port``; port 0 selects a free port.
+
+    Raises
+    ------
+    BindError
+        If the address can't be bound.
+    """
+    ip_address, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    try:
+        sock.bind((ip_address, int(port)))
+    except OSError as error:
+        sock.close()
+        raise BindError(f"{address}/udp", error) from error
+    return sock
+
+
+def retry_binding(open_all: Callable[[], T], *, on_wait: Callable[[BindError, float], None]) -> T:
+    """Call a function again while an address that it binds is unavailable; return its result.
+
+    Parameters
+    ----------
+    open_all : callable
+        Raises `BindError` and leaves no socket open if an address can't be bound.
+    on_wait : callable
+        Takes the error and the seconds waited so far; called every `BIND_LOG_INTERVAL_SECONDS`.
+
+    Raises
+    ------
+    AddressUnavailableError
+        After `BIND_TIMEOUT_SECONDS`.
+    """
+    began_at = time.monotonic()
+    reported_at = None
+    while True:
+        try:
+            return open_all()
+        except BindError as error:
+            now = time.monotonic()
+            if now - began_at > BIND_TIMEOUT_SECONDS:
+                raise AddressUnavailableError(f"{error} for {now - began_at:.0f} s") from error
+            if reported_at is None or now - reported_at >= BIND_LOG_INTERVAL_SECONDS:
+                reported_at = now
+                on_wait(error, now - began_at)
+        time.sleep(BIND_RETRY_SECONDS)
+
+
 class Listeners:
     """Listening sockets by address, which the servers of the process take over.
 
@@ -53,7 +140,7 @@
     def __init__(self, log: event_log.EventLog, program_started_at: float | None = None):
         now = time.monotonic()
         self._log = log
-        self._sockets: dict[str, socket.socket] = {}
+        self._sockets: dict[Address, socket.socket] = {}
         self._program_started_at = now if program_started_at is None else program_started_at
         self._opened_at = now
         self._processor_seconds = time.process_time()
@@ -70,7 +157,7 @@
 
     @property
     def opened_at(self) -> float:
-        """Monotonic time at which the last socket was opened, in seconds."""
+        """Monotonic time at which the last listening socket was opened, in seconds."""
         return self._opened_at
 
     @property
@@ -78,30 +165,78 @@
         """Processor time of the process at `opened_at`, in seconds."""
         return self._processor_seconds
 
-    def open_early(self, addresses: list[str]) -> None:
-        """Open the addresses that can be bound; `take` reports the errors of the others."""
-        for address in addresses:
-            if address in self._sockets:
-                continue
+    def open_early(self, addresses: list[Address]) -> None:
+        """Listen on addresses if all of them can be bound; `wait_for_all` reports errors.
+
+        Datagrams aren't received before the process can read them, since they would be outdated.
+        """
+        try:
+            self._open([address for address in addresses if address[0] is socket.SOCK_STREAM])
+        except (BindError, ValueError, OverflowError):
+            self.close()
+
+    def wait_for_all(self, addresses: list[Address]) -> None:
+        """Open the addresses that aren't open yet, all or none, until it succeeds.
+
+        What holds it up is logged.
+
+        Raises
+        ------
+        AddressUnavailableError
+            After `BIND_TIMEOUT_SECONDS`.
+        """
+
+        def _open_all() -> None:
             try:
-                self._sockets[address] = open_listener(address)
-            except (OSError, ValueError, OverflowError):
-                continue
-        self._record_opening()
+                self._open(addresses)
+            except BindError:
+                self.close()
+                raise
+
+        def _log(error: BindError, seconds: float) -> None:
+            self._log.write(
+                "address.unavailable",
+                address=error.address,
+                text=error.strerror,
+                seconds=round(seconds, 1),
+            )
+            self._log.flush()
+
+        retry_binding(_open_all, on_wait=_log)
 
     def take(self, address: str) -> socket.socket:
         """Hand over the socket that listens on an address, or open one.
 
         Raises
         ------
-        OSError
+        BindError
             If the address can't be bound.
         """
-        listener = self._sockets.pop(address, None)
-        if listener is None:
-            listener = open_listener(address)
-            self._record_opening()
-        return listener
+        return self._take((socket.SOCK_STREAM, address))
+
+    def take_datagram_socket(self, address: str) -> socket.socket:
+        """Hand over the datagram socket that is bound to an address, or bind one.
+
+        Raises
+        ------
+        BindError
+            If the address can't be bound.
+        """
+        return self._take((socket.SOCK_DGRAM, address))
+
+    def _take(self, address: Address) -> socket.socket:
+        if address not in self._sockets:
+            self._open([address])
+        return self._sockets.pop(address)
+
+    def _open(self, addresses: list[Address]) -> None:
+        missing = [address for address in addresses if address not in self._sockets]
+        for kind, address in missing:
+            opener = open_listener if kind is socket.SOCK_STREAM else open_datagram_socket
+            self._sockets[kind, address] = opener(address)
+        if any(kind is socket.SOCK_STREAM for kind, _ in missing):
+            self._opened_at = time.monotonic()
+            self._processor_seconds = time.process_time()
 
     def close(self) -> None:
         """Close the sockets that no server took."""
@@ -109,10 +244,6 @@
             listener.close()
         self._sockets.clear()
 
-    def _record_opening(self) -> None:
-        self._opened_at = time.monotonic()
-        self._processor_seconds = time.process_time()
-
 
 def open_configured(settings_path: str, role: str, log: event_log.EventLog) -> Listeners:
     """Listen on the addresses of a settings file that a role serves.
@@ -130,16 +261,22 @@
     return listeners
 
 
-def list_addresses(settings: Any, role: str) -> list[str]:
-    """Return the addresses that a role serves, the most urgent first."""
+def list_addresses(settings: Any, role: str) -> list[Address]:
+    """Return the addresses that a role binds, the most urgent first."""
     if not isinstance(settings, dict):
         return []
     listen = settings.get("listen")
-    addresses: list[Any] = []
+    addresses: list[Address] = []
     if isinstance(listen, dict):
-        addresses += [listen.get(key) for key in SERVED_KEYS_BY_ROLE.get(role, ())]
+        served = [listen.get(key) for key in SERVED_KEYS_BY_ROLE.get(role, ())]
+        addresses += [
+            (socket.SOCK_STREAM, address)
+            for address in served
+            if isinstance(address, str) and address
+        ]
     ports = settings.get("inner_ports")
-    if isinstance(ports, list) and ports and isinstance(ports[0], int):
+    if isinstance(ports, list | tuple) and ports and isinstance(ports[0], int):
+        kind, offset = INTERNAL_PORTS[role]
         ip_address = settings.get("address", "127.0.0.1")
-        addresses.append(f"{ip_address}:{ports[0] + INTERNAL_PORT_OFFSETS.get(role, 1)}")
-    return [address for address in addresses if isinstance(address, str) and address]
+        addresses.append((kind, f"{ip_address}:{ports[0] + offset}"))
+    return addresses
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections
+import socket
+
 import attrs
 
 from flamingoramp import errors, utils, value_classes
@@ -162,3 +165,33 @@
             f"{path}: seeds: found no address, takes at least 1 address of a control host"
         )
     return settings
+
+
+def check_addresses(addresses: list[str], source: str) -> None:
+    """Check the addresses that a process binds, each for one kind of calls.
+
+    Raises
+    ------
+    flamingoramp.errors.SettingsError
+        If one is no IPv4 address with a port, which no wait can change, or is given twice.
+    """
+    for address, count in collections.Counter(addresses).items():
+        ip_address, _, port = address.rpartition(":")
+        is_port = port.isascii() and port.isdecimal() and int(port) < 2**16
+        if not is_port or not _is_ip_address(ip_address):
+            raise errors.SettingsError(
+                f"{source}: found {address!r}, takes an IPv4 address and a port, ip:port"
+            )
+        if count > 1 and int(port):
+            raise errors.SettingsError(
+                f"{source}: found {address!r} for {count} kinds of calls, takes different ones"
+            )
+
+
+def _is_ip_address(text: str) -> bool:
+    # No names are looked up.
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, UnicodeError):
+        return False
+    return True
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -150,7 +150,8 @@
     name : str
         Sender name in the messages of this process.
     listen : str
-        ``ip:port`` that accepts connections of other processes; port 0 selects a free port.
+        ``ip:port`` that accepts connections of other processes; port 0 selects a free port. Empty
+        if other processes only answer on connections that this one opens.
     listener : socket.socket or None
         Socket that listens on this address already; None to open one.
     clock : clocks.HybridClock
@@ -180,13 +181,18 @@
         self._outgoing: dict[str, Connection] = {}
         self._accepted: set[Connection] = set()
         self._retry_at: dict[str, float] = {}
-        self._listener = listener or listeners.open_listener(listen)
-        loop.register(self._listener, selectors.EVENT_READ, self._accept)
+        self._listener = listener
+        if listen and listener is None:
+            self._listener = listeners.open_listener(listen)
+        if self._listener is not None:
+            loop.register(self._listener, selectors.EVENT_READ, self._accept)
         loop.call_every(PING_INTERVAL_SECONDS, self._check_connections)
 
     @property
     def address(self) -> str:
-        """``ip:port`` that the transport listens on."""
+        """``ip:port`` that the transport listens on; empty if it accepts no connections."""
+        if self._listener is None:
+            return ""
         host, port = self._listener.getsockname()[:2]
         return f"{host}:{port}"
 
@@ -224,8 +230,9 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        self.loop.unregister(self._listener)
-        self._listener.close()
+        if self._listener is not None:
+            self.loop.unregister(self._listener)
+            self._listener.close()
         for connection in [*self._outgoing.values(), *self._accepted]:
             connection.close()
 
