--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -29,6 +29,13 @@
             text=f"role: found {role!r}, takes {roles}",
         )
     settings_path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
+    try:
+        _start(role, settings_path, log)
+    except BaseException as error:
+        process_end.end_with_error(log, error, status=process_end.ERROR_STATUS)
+
+
+def _start(role: str, settings_path: str, log: event_log.EventLog) -> None:
     # Connections are accepted by the kernel while the modules below are imported.
     opened = listeners.open_configured(settings_path, role, log)
     # The modules and the daemon live as long as the process: searching them for garbage while they
@@ -91,8 +98,10 @@
         process_end.end_with_message(
             opened.log, cause="address", status=process_end.ADDRESS_STATUS, text=str(error)
         )
-    except BaseException as error:
-        process_end.end_with_error(opened.log, error, status=process_end.ERROR_STATUS)
+    except errors.StorageFailedError as error:
+        process_end.end_with_message(
+            opened.log, cause="storage", status=process_end.STORAGE_STATUS, text=str(error)
+        )
 
 
 if __name__ == "__main__":
--- a/flamingoramp/platform/tests/programs.py
+++ b/flamingoramp/platform/tests/programs.py
@@ -5,10 +5,12 @@
 import json
 import os
 import pathlib
+import resource
 import subprocess
 import sys
+import threading
 import tomllib
-from typing import Any
+from typing import IO, Any
 
 import flamingoramp
 from flamingoramp.platform import main
@@ -37,10 +39,17 @@
         Content of its settings file, which isn't written if empty.
     import_folder : str
         Folder that precedes the libraries on the path of imports; empty for none.
+    max_file_bytes : int or None
+        Size beyond which the process can't write to a file, as on a full disk; None for no limit.
     """
 
     def __init__(
-        self, role: str, folder: pathlib.Path, settings: dict | str, import_folder: str = ""
+        self,
+        role: str,
+        folder: pathlib.Path,
+        settings: dict | str,
+        import_folder: str = "",
+        max_file_bytes: int | None = None,
     ):
         self.folder = folder
         self.settings_path = folder / "settings.json"
@@ -53,20 +62,38 @@
             "PYTHONPATH": os.pathsep.join(filter(None, [import_folder, *libraries])),
             main.SETTINGS_PATH_VARIABLE: str(self.settings_path),
         }
-        with (folder / "log").open("wb") as log, (folder / "errors").open("wb") as error_output:
-            self.process = subprocess.Popen(
-                run_arguments(role), cwd=ROOT, env=environment, stdout=log, stderr=error_output
-            )
+        # Pipes, since the limit holds for all files of the process.
+        self._outputs = {"log": b"", "errors": b""}
+        self.process = subprocess.Popen(
+            run_arguments(role),
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        if max_file_bytes is not None:
+            limits = (max_file_bytes, max_file_bytes)
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, limits)
+        self._threads = [
+            threading.Thread(target=self._read, args=arguments, daemon=True)
+            for arguments in (("log", self.process.stdout), ("errors", self.process.stderr))
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _read(self, name: str, pipe: IO[bytes]) -> None:
+        while data := os.read(pipe.fileno(), 65536):
+            self._outputs[name] += data
 
     @property
     def log(self) -> list[dict[str, Any]]:
         """Complete lines of its log so far."""
-        return [json.loads(line) for line in (self.folder / "log").read_bytes().split(b"\n")[:-1]]
+        return [json.loads(line) for line in self._outputs["log"].split(b"\n")[:-1]]
 
     @property
     def errors(self) -> str:
         """What it has written to standard error so far."""
-        return (self.folder / "errors").read_text()
+        return self._outputs["errors"].decode()
 
     def events(self, name: str) -> list[dict[str, Any]]:
         """Return the log lines of one event name."""
@@ -85,10 +112,15 @@
         return fleets.wait_for(_find, name)
 
     def wait(self, timeout: float = fleets.TIMEOUT_SECONDS) -> int:
-        """Wait until the process ends, and return its exit status."""
-        return self.process.wait(timeout)
+        """Wait until the process ends and all of its output is read; return its exit status."""
+        status = self.process.wait(timeout)
+        for thread in self._threads:
+            thread.join(timeout)
+        return status
 
     def close(self) -> None:
         """Kill the process."""
         self.process.kill()
-        self.process.wait(fleets.TIMEOUT_SECONDS)
+        self.wait()
+        self.process.stdout.close()
+        self.process.stderr.close()
--- a/flamingoramp/platform/tests/test_process_ends.py
+++ b/flamingoramp/platform/tests/test_process_ends.py
@@ -7,10 +7,13 @@
 import shutil
 import signal
 import tempfile
+import time
 import unittest
+from typing import Any
 
 import attrs
 
+from flamingoramp.daemons import node_process
 from flamingoramp.platform.tests import fleet as fleets
 from flamingoramp.platform.tests import programs
 
@@ -35,10 +38,10 @@
         index = ROLES[::-1].index(role)
         return json.loads(json.dumps(attrs.asdict(self.fleet.settings(index))))
 
-    def start(self, role: str, settings: dict | str = "", import_folder: str = ""):
+    def start(self, role: str, settings: dict | str = "", **options: Any) -> programs.Program:
         folder = pathlib.Path(tempfile.mkdtemp(dir=self.folder))
         settings = settings or self.make_settings(role)
-        program = programs.Program(role, folder, settings, import_folder)
+        program = programs.Program(role, folder, settings, **options)
         self.programs.append(program)
         return program
 
@@ -94,3 +97,132 @@
                     last = self.assert_ended(program, 4, "import")
                     self.assertIn(last["type"], program.errors)
                     self.assertIn("Traceback", program.errors)
+
+
+class TestUnexpectedErrors(ProgramTestCase):
+    """Errors that nobody expects, in a callback of the loop."""
+
+    def setUp(self):
+        super().setUp()
+        # A json module that raises an error for the log line of a reload.
+        self.import_folder = pathlib.Path(tempfile.mkdtemp(dir=self.folder))
+        shutil.copytree(pathlib.Path(json.__file__).parent, self.import_folder / "json")
+        with (self.import_folder / "json" / "__init__.py").open("a") as module:
+            module.write(
+                "\n_dumps = dumps\n"
+                "def dumps(value, **options):\n"
+                "    if value.get('event') == 'settings.reloaded':\n"
+                "        raise RuntimeError('fault')\n"
+                "    return _dumps(value, **options)\n"
+            )
+
+    def start_serving(self, role: str) -> programs.Program:
+        program = self.start(role, import_folder=str(self.import_folder))
+        program.wait_for_event("start.listening")
+        return program
+
+    def test_entry_survives_single_errors_and_ends_after_many(self):
+        program = self.start_serving("entry")
+        for count in range(1, node_process.MAX_ERRORS + 1):
+            program.process.send_signal(signal.SIGHUP)
+            fleets.wait_for(
+                lambda count=count: len(program.events("process.error")) >= count, "an error"
+            )
+        self.assertIsNone(program.process.poll())
+        program.process.send_signal(signal.SIGHUP)
+        last = self.assert_ended(program, 1, "error")
+        self.assertEqual((last["type"], last["text"]), ("RuntimeError", "fault"))
+        self.assertIn("RuntimeError: fault", program.errors)
+        self.assertEqual(program.events("process.stopped"), [])
+
+    def test_control_host_ends_at_the_first_error(self):
+        program = self.start_serving("control")
+        program.process.send_signal(signal.SIGHUP)
+        last = self.assert_ended(program, 1, "error")
+        self.assertEqual((last["type"], last["text"]), ("RuntimeError", "fault"))
+        self.assertTrue(last["place"].startswith("__init__.py:"), last)
+        self.assertEqual(program.events("process.stopped"), [])
+
+
+class TestSettingsOfRunningProcess(ProgramTestCase):
+    """A settings file that is replaced badly while its process runs."""
+
+    # Guards against a settings file that ends a process which has no need of it.
+    def test_unreadable_settings_end_no_running_process(self):
+        for role in ROLES:
+            with self.subTest(role):
+                program = self.start(role)
+                program.wait_for_event("start.listening")
+                text = program.settings_path.read_text()
+                half_written = [text[:size] for size in range(0, len(text), len(text) // 20)]
+                odd = ["[" * 100_000, "\0", '"' + "9" * 5000, "9" * 5000, "NaN", "null"]
+                for content in half_written + odd:
+                    program.settings_path.write_text(content)
+                    program.process.send_signal(signal.SIGHUP)
+                    time.sleep(0.02)
+                program.settings_path.write_bytes(b"\xff\xfe")
+                program.process.send_signal(signal.SIGHUP)
+                time.sleep(0.1)
+                program.settings_path.unlink()
+                program.process.send_signal(signal.SIGHUP)
+                time.sleep(0.1)
+                program.settings_path.mkdir()
+                program.process.send_signal(signal.SIGHUP)
+                time.sleep(0.1)
+                self.assertIsNone(program.process.poll(), program.errors)
+                self.assertEqual(program.events("process.error"), [])
+                program.process.send_signal(signal.SIGTERM)
+                self.assert_ended(program, 0, "stop")
+
+    def test_settings_that_are_nested_too_deep_are_refused_at_the_start(self):
+        for role in ROLES:
+            with self.subTest(role):
+                self.assert_ended(self.start(role, "[" * 100_000), 2, "settings")
+
+
+class TestDataFolder(ProgramTestCase):
+    """Data folders of a control host that can't be used."""
+
+    def start_with_data(
+        self, path: pathlib.Path, *, first_start: bool = False, **options: Any
+    ) -> programs.Program:
+        settings = self.make_settings("control")
+        settings |= {"data_folder": str(path), "first_start": first_start}
+        return self.start("control", settings, **options)
+
+    def assert_serves(self, program: programs.Program) -> None:
+        program.wait_for_event("start.listening")
+        time.sleep(1.0)
+        self.assertIsNone(program.process.poll(), program.errors)
+
+    def test_missing_folder_is_created(self):
+        self.assert_serves(self.start_with_data(self.folder / "missing" / "data"))
+
+    # Guards against a folder that is none, whose end looked like a fault of the program.
+    def test_folder_that_cannot_be_made_ends_the_process_with_a_status_of_its_own(self):
+        path = self.folder / "file"
+        path.write_text("no folder")
+        last = self.assert_ended(self.start_with_data(path), 5, "storage")
+        self.assertIn(str(path), last["text"])
+        self.assertNotIn("Traceback", self.programs[-1].errors)
+
+    def test_full_disk_ends_no_control_host_at_its_start(self):
+        for first_start in (False, True):
+            with self.subTest(first_start=first_start):
+                path = pathlib.Path(tempfile.mkdtemp(dir=self.folder))
+                program = self.start_with_data(path, first_start=first_start, max_file_bytes=0)
+                self.assert_serves(program)
+                self.assertNotEqual(program.events("storage.failed"), [])
+                program.process.send_signal(signal.SIGTERM)
+                self.assert_ended(program, 0, "stop")
+
+    def test_disk_that_fills_up_ends_no_control_host_with_data(self):
+        path = self.folder / "data"
+        program = self.start_with_data(path)
+        self.assert_serves(program)
+        program.process.send_signal(signal.SIGTERM)
+        self.assert_ended(program, 0, "stop")
+        program = self.start_with_data(path, max_file_bytes=0)
+        self.assert_serves(program)
+        program.process.send_signal(signal.SIGTERM)
+        self.assert_ended(program, 0, "stop")
--- a/flamingoramp/platform/tests/test_signals.py
+++ b/flamingoramp/platform/tests/test_signals.py
@@ -103,8 +103,9 @@
         """Return whether the process has run its first statement."""
         status = pathlib.Path(f"/proc/{program.process.pid}/status").read_text()
         masks = dict(line.split(":\t", 1) for line in status.splitlines() if ":\t" in line)
-        bit = 1 << (signal.SIGHUP - 1)
-        return any(int(masks[name], 16) & bit for name in ("SigBlk", "SigIgn", "SigCgt"))
+        # The interpreter handles SIGINT itself, and `nohup` has SIGHUP ignored from the start.
+        bit = 1 << (signal.SIGTERM - 1)
+        return any(int(masks[name], 16) & bit for name in ("SigBlk", "SigCgt"))
 
     def run_series(self, role: str, seed: int) -> None:
         rng = random.Random(f"{role} {seed}")
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -255,7 +255,7 @@
     try:
         with open(settings_path, encoding="utf-8") as file:
             settings = json.load(file)
-    except (OSError, ValueError):
+    except (OSError, ValueError, RecursionError):
         return listeners
     listeners.open_early(list_addresses(settings, role))
     return listeners
--- a/flamingoramp/runtime/process_end.py
+++ b/flamingoramp/runtime/process_end.py
@@ -17,6 +17,7 @@
 SETTINGS_STATUS = 2
 ADDRESS_STATUS = 3
 IMPORT_STATUS = 4
+STORAGE_STATUS = 5
 
 
 def log_stop(log: event_log.EventLog) -> None:
--- a/flamingoramp/utils.py
+++ b/flamingoramp/utils.py
@@ -147,7 +147,7 @@
         return json.loads(_read_text(path))
     except OSError as error:
         raise errors.SettingsError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.SettingsError(f"{path}: not JSON: {error}") from error
 
 
