Daemons of the own interface wait for their addresses, and survive a reload signal

They had the faults of the platform's programs: SIGHUP ended them at any time, since it never had a handler, and an address that was held ended them at once, with a message of werkzeug for HTTP. They use the same functions now: all addresses or none, tried again for 10 s, then status 3; signals that set a flag of the loop; process.ended as the last line.

--- a/flamingoramp/cli/main.py
+++ b/flamingoramp/cli/main.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import fire
@@ -14,7 +16,14 @@
 from flamingoramp.daemons import control as control_daemon
 from flamingoramp.daemons import entry as entry_daemon
 from flamingoramp.intent import declarations
-from flamingoramp.runtime import http_client, logs, timeline
+from flamingoramp.runtime import (
+    http_client,
+    listeners,
+    logs,
+    process_end,
+    process_signals,
+    timeline,
+)
 from flamingoramp.runtime import settings as settings_module
 
 EXIT_OK = 0
@@ -35,11 +44,30 @@
 def _prepare_daemon(
     path: str, host: str
 ) -> tuple[settings_module.Settings, settings_module.HostSettings]:
+    process_signals.handle_during_start()
     settings = _load_settings(path)
     logs.configure(log_format=settings.logs.format, level=settings.logs.level)
     return settings, settings.find_host(host or settings.host)
 
 
+def _run_daemon(make_daemon: Callable[[], Any]) -> None:
+    """Run a daemon; its last log line tells why it ends."""
+    try:
+        make_daemon().run()
+    except listeners.AddressUnavailableError as error:
+        _log_end(cause="address", status=process_end.ADDRESS_STATUS, text=str(error))
+        print(f"flamingoramp: {error}", file=sys.stderr)
+        sys.exit(process_end.ADDRESS_STATUS)
+    except Exception as error:
+        _log_end(cause="error", status=EXIT_FAILURE, type=type(error).__name__, text=str(error))
+        raise
+    _log_end(cause="stop", status=EXIT_OK)
+
+
+def _log_end(**fields: Any) -> None:
+    logs.log_change(logging.getLogger("flamingoramp"), "process.ended", **fields)
+
+
 def _print_result(document: Any, lines: list[str], as_json: bool) -> None:
     print(json.dumps(document, indent=2) if as_json else "\n".join(lines))
 
@@ -93,7 +121,8 @@
     Operators: `plan` a declaration, `confirm` the plan, show `status` and `timeline`,
     `zone evacuate`, `zone restore` and `zone list`.
     Each command takes --settings FILE or reads FLAMINGORAMP_SETTINGS, and --json.
-    Exit codes: 0 done, 1 refused or failed, 2 bad usage or settings.
+    Exit codes: 0 done, 1 refused or failed, 2 bad usage or settings, 3 an address of a daemon
+    could not be bound.
     """
 
     zone = ZoneCommands()
@@ -113,7 +142,7 @@
             raise errors.SettingsError(
                 f"host {host_settings.name} has no entry_inner_port; set it to run an entry there"
             )
-        entry_daemon.Entry(loaded, host_settings).run()
+        _run_daemon(lambda: entry_daemon.Entry(loaded, host_settings))
 
     def control(self, settings: str = "", host: str = "") -> None:
         """Run the control daemon of a host.
@@ -130,7 +159,7 @@
             raise errors.SettingsError(
                 f"host {host_settings.name} has no control_inner_port; set it to run control there"
             )
-        control_daemon.Control(loaded, host_settings).run()
+        _run_daemon(lambda: control_daemon.Control(loaded, host_settings))
 
     def plan(self, file: str, settings: str = "", json: bool = False) -> None:
         """Show what a declaration would change, and store it as a plan to confirm.
--- a/flamingoramp/daemons/process.py
+++ b/flamingoramp/daemons/process.py
@@ -4,7 +4,7 @@
 
 import logging
 import secrets
-import signal
+import socket
 import time
 from collections.abc import Callable
 from concurrent import futures
@@ -16,9 +16,11 @@
 from flamingoramp.runtime import (
     clock,
     http_server,
+    listeners,
     logs,
     loop,
     metrics,
+    process_signals,
     settings,
     timeline,
     transport,
@@ -44,6 +46,11 @@
     respond : callable
         Takes an HTTP request and its socket. Returns the response, or None if the handler writes
         the response to the socket itself.
+
+    Raises
+    ------
+    listeners.AddressUnavailableError
+        If an address could not be bound for `listeners.BIND_TIMEOUT_SECONDS`.
     """
 
     def __init__(
@@ -58,11 +65,14 @@
     ):
         self.name = name
         self.settings = settings
+        self.logger = logging.getLogger(name)
+        internal_listener, http_listener = listeners.retry_binding(
+            lambda: _open_all(internal_address, http_address), on_wait=self._log_wait
+        )
         self.loop = loop.Loop()
         self.clock = clock.HybridClock()
         self.metrics = metrics.Metrics()
         self.timeline = timeline.Timeline(name, self.clock)
-        self.logger = logging.getLogger(name)
         self._respond = respond
         self.transport = transport.Transport(
             self.loop,
@@ -71,12 +81,14 @@
             clock=self.clock,
             deliver=deliver,
             on_protocol_error=self._handle_protocol_error,
+            listener=internal_listener,
         )
         self.http = http_server.HttpServer(
             http_address,
             self._handle_request,
             max_body_bytes=settings.limits.max_body_bytes,
             on_error=self._handle_handler_error,
+            listener=http_listener,
         )
         self._executor = futures.ThreadPoolExecutor(2, thread_name_prefix=name)
 
@@ -125,8 +137,9 @@
         on_signal : callable
             Called in the loop's thread on SIGTERM and SIGINT.
         """
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda _number, _frame: self.loop.post(on_signal))
+        process_signals.handle_in_loop(
+            self.loop, on_stop=on_signal, on_reload=lambda: self.log_change("settings.kept")
+        )
         self.serve_until_stopped()
 
     def serve_until_stopped(self) -> None:
@@ -141,6 +154,15 @@
             self.loop.close()
             self._executor.shutdown()
 
+    def _log_wait(self, error: listeners.BindError, seconds: float) -> None:
+        logs.log_change(
+            self.logger,
+            "address.unavailable",
+            address=error.address,
+            text=error.strerror,
+            seconds=round(seconds, 1),
+        )
+
     def _handle_request(self, request: werkzeug.Request, sock: Any) -> werkzeug.Response | None:
         match (request.method, request.path):
             case ("GET", "/metrics"):
@@ -171,3 +193,12 @@
     def _handle_handler_error(self, error: BaseException) -> None:
         self.metrics.count("http_faults")
         self.logger.error("a request handler failed", exc_info=error)
+
+
+def _open_all(internal_address: str, http_address: str) -> tuple[socket.socket, socket.socket]:
+    internal_listener = listeners.open_listener(internal_address)
+    try:
+        return internal_listener, listeners.open_listener(http_address)
+    except listeners.BindError:
+        internal_listener.close()
+        raise
--- a/flamingoramp/runtime/http_server.py
+++ b/flamingoramp/runtime/http_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import threading
@@ -106,6 +107,8 @@
         Largest accepted request body.
     on_error : callable
         Called with each exception that is not a `FlamingorampError` or a failed read.
+    listener : socket.socket or None
+        Socket that listens on this address already; None to open one.
     """
 
     request_queue_size = 512
@@ -117,9 +120,13 @@
         *,
         max_body_bytes: int,
         on_error: Callable[[BaseException], None],
+        listener: socket.socket | None = None,
     ):
         host, port = transport.parse_address(listen)
-        super().__init__(host, port, app=None, handler=_RequestHandler)
+        # The server uses a duplicate of a given socket.
+        with listener or contextlib.nullcontext():
+            descriptor = listener.fileno() if listener else None
+            super().__init__(host, port, app=None, handler=_RequestHandler, fd=descriptor)
         self._handler = handler
         self._max_body_bytes = max_body_bytes
         self._on_error = on_error
