A control host starts without its data folder, and uses it once it can

A data folder that could not be made, as on a full disk, or that a predecessor still had locked, ended a control host at its start: the folder is made and locked outside of what the node tries again. On deployments whose disks fill up this is a process that doesn't start, though it could pass announcements on without its replica.

The storage of a coordinator makes and locks its folder on first use, which the node tries again like any other failure of the disk. A damaged log has a line and a status of its own, 5. Before: 'ended with 5 before storage.failed: .../data/replica: the disk failed: [Errno 20] Not a directory', '... locked by another process', and '1 != 5' for the damaged log.

--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -208,6 +208,9 @@
     ----------
     folder : pathlib.Path
         Created if missing, and locked so that no second process can use it.
+    opens_on_use : bool
+        Whether the folder is created and locked by `load_identity`, which may be called again after
+        a failure, instead of here.
 
     Raises
     ------
@@ -216,19 +219,15 @@
         disk raises it too when the disk fails.
     """
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(self, folder: pathlib.Path, *, opens_on_use: bool = False):
         self._folder = folder
         self._log_file: io.FileIO | None = None
         self._log_number = 0
         # Bytes of each log file that a sync of this process has covered.
         self._synced_bytes: dict[int, int] = {}
-        self._lock_file = self._do_io(self._open_lock)
-        try:
-            fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as error:
-            raise errors.StorageFailedError(
-                f"{folder}: locked by another process; give each replica its own data folder"
-            ) from error
+        self._lock_file: TextIO | None = None
+        if not opens_on_use:
+            self._lock()
 
     @property
     def log_bytes(self) -> int:
@@ -237,6 +236,7 @@
 
     def load_identity(self, host: str, new_incarnation: str) -> str:
         """Return the stored identity, or store and return a new one if there is none."""
+        self._lock()
         path = self._folder / "identity"
         stored = self._do_io(lambda: _read_if_exists(path))
         if stored is not None:
@@ -304,7 +304,22 @@
         with contextlib.suppress(OSError):
             self._close_log()
         with contextlib.suppress(OSError):
-            self._lock_file.close()
+            if self._lock_file is not None:
+                self._lock_file.close()
+
+    def _lock(self) -> None:
+        """Create and lock the folder, unless this was done before."""
+        if self._lock_file is not None:
+            return
+        lock_file = self._do_io(self._open_lock)
+        try:
+            fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            lock_file.close()
+            raise errors.StorageFailedError(
+                f"{self._folder}: locked by another process; give each replica its own data folder"
+            ) from error
+        self._lock_file = lock_file
 
     def _open_lock(self) -> TextIO:
         self._folder.mkdir(parents=True, exist_ok=True)
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -182,7 +182,9 @@
         seeds = settings.seed_internal_addresses
         own_host = settings.control_internal_address
         if settings.data_folder:
-            store = storage.Storage(pathlib.Path(settings.data_folder) / "replica")
+            # The node opens it again after a failure, at the start, too.
+            folder = pathlib.Path(settings.data_folder) / "replica"
+            store = storage.Storage(folder, opens_on_use=True)
         else:
             store = storage.MemoryStorage()
         return node.Node(
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -98,7 +98,7 @@
         process_end.end_with_message(
             opened.log, cause="address", status=process_end.ADDRESS_STATUS, text=str(error)
         )
-    except errors.StorageFailedError as error:
+    except (errors.StorageFailedError, errors.CorruptLogError) as error:
         process_end.end_with_message(
             opened.log, cause="storage", status=process_end.STORAGE_STATUS, text=str(error)
         )
