--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -7,7 +7,7 @@
 
 import collections
 import os
-import signal
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -23,6 +23,8 @@
     loop,
     metrics,
     node_settings,
+    process_end,
+    process_signals,
     transport,
 )
 
@@ -43,13 +45,14 @@
     role : str
         Prefix of the name in the log and in messages to other processes.
     internal_address : str
-        ``ip:port`` that receives messages from other processes.
+        ``ip:port`` that accepts connections of other processes; empty for none.
     deliver : callable
         Takes sender, message and connection of each message from another process.
     log_descriptor : int
-        File descriptor that log lines are written to.
+        File descriptor that log lines are written to without ``opened``.
     opened : listeners.Listeners or None
-        Listening sockets that the program has opened already; those not served are closed.
+        Listening sockets that the program has opened already, and its log; those not served are
+        closed.
     survives_errors : bool
         Whether the process goes on after an unexpected error of one callback: the requests of all
         other callers do. A control host must not acknowledge anything in a state that is only
@@ -69,11 +72,13 @@
     ):
         self.name = f"{role}-{settings.name}"
         self.settings = settings
-        self._listeners = opened or listeners.Listeners()
+        self._listeners = opened or listeners.Listeners(
+            event_log.EventLog(self.name, descriptor=log_descriptor)
+        )
         self.loop = loop.Loop(on_error=self.record_error if survives_errors else None)
         self._error_times: collections.deque[float] = collections.deque()
         self.metrics = metrics.Metrics()
-        self.log = event_log.EventLog(self.name, descriptor=log_descriptor)
+        self.log = self._listeners.log
         self.start_steps = start_steps.StartSteps(self._listeners, self.log, self.metrics)
         self.transport = transport.Transport(
             self.loop,
@@ -82,14 +87,13 @@
             clock=clock.HybridClock(),
             deliver=deliver,
             on_protocol_error=self.record_protocol_error,
-            listener=self._listeners.take(internal_address),
+            listener=self._listeners.take(internal_address) if internal_address else None,
         )
         self._started_at = self.loop.now()
         self.servers: list[http_server.Server] = []
         self._cleanups: list[Callable[[], None]] = []
         if settings.listen.metrics:
             self.serve(settings.listen.metrics, self._handle_metrics_request, answers_head=True)
-        self.loop.after_each_iteration(self.log.flush)
         self.loop.call_every(RESOURCE_USAGE_INTERVAL_SECONDS, self._record_resource_usage)
 
     def serve(
@@ -116,6 +120,10 @@
         self.servers.append(server)
         return server
 
+    def take_datagram_socket(self, address: str) -> socket.socket:
+        """Return a datagram socket that is bound to an ``ip:port``."""
+        return self._listeners.take_datagram_socket(address)
+
     def add_cleanup(self, cleanup: Callable[[], None]) -> None:
         """Add a function that is called after the loop has stopped."""
         self._cleanups.append(cleanup)
@@ -182,22 +190,23 @@
         on_reload : callable
             Called in the loop's thread on SIGHUP.
         """
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda _number, _frame: self.loop.post(on_stop))
-        signal.signal(signal.SIGHUP, lambda _number, _frame: self.loop.post(on_reload))
+        process_signals.handle_in_loop(self.loop, on_stop=on_stop, on_reload=on_reload)
         self.serve_until_stopped()
+        self.log.write("process.stopped")
+        process_end.log_stop(self.log)
         # The interpreter's shutdown would take a tenth of a second of processor time.
-        os._exit(0)
+        os._exit(process_end.STOPPED_STATUS)
 
     def serve_until_stopped(self) -> None:
         """Serve until the loop stops, then close servers, transport, cleanups and loop."""
         self._listeners.close()
         self.start_steps.record_listening()
+        # After all other hooks, so that no line waits for the next iteration.
+        self.loop.after_each_iteration(self.log.flush)
         try:
             self.loop.run()
         finally:
             self._record_resource_usage()
-            self.log.write("process.stopped")
             self.log.flush()
             for server in self.servers:
                 server.close()
