Control hosts wait for room when their disk is full at the start

What operators saw: a control process whose data folder or lock could not be created on a full disk ended with a traceback and exit status 1, again at each start until the disk had room.

Cause: the storage opened its lock in its constructor, before the node that handles a failed disk existed. Class: an error of the disk outside of the place that handles it.

A folder that can't be created or locked is now tried again each time the node starts its replica, like all other operations of the disk. A folder that another process holds still ends the process at once.

--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -212,8 +212,9 @@
     Raises
     ------
     flamingoramp.errors.StorageFailedError
-        If the folder can't be created or another process holds its lock. Every method that uses the
-        disk raises it too when the disk fails.
+        If another process holds the lock of the folder. Every method that uses the disk raises it
+        too when the disk fails. A folder that can't be created or locked yet, on a full disk, is
+        tried again by `load_identity`.
     """
 
     def __init__(self, folder: pathlib.Path):
@@ -222,13 +223,9 @@
         self._log_number = 0
         # Bytes of each log file that a sync of this process has covered.
         self._synced_bytes: dict[int, int] = {}
-        self._lock_file = self._do_io(self._open_lock)
-        try:
-            fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as error:
-            raise errors.StorageFailedError(
-                f"{folder}: locked by another process; give each replica its own data folder"
-            ) from error
+        self._lock_file: TextIO | None = None
+        with contextlib.suppress(OSError):
+            self._lock_folder()
 
     @property
     def log_bytes(self) -> int:
@@ -237,6 +234,8 @@
 
     def load_identity(self, host: str, new_incarnation: str) -> str:
         """Return the stored identity, or store and return a new one if there is none."""
+        if self._lock_file is None:
+            self._do_io(self._lock_folder)
         path = self._folder / "identity"
         stored = self._do_io(lambda: _read_if_exists(path))
         if stored is not None:
@@ -304,11 +303,20 @@
         with contextlib.suppress(OSError):
             self._close_log()
         with contextlib.suppress(OSError):
-            self._lock_file.close()
+            if self._lock_file is not None:
+                self._lock_file.close()
 
-    def _open_lock(self) -> TextIO:
+    def _lock_folder(self) -> None:
         self._folder.mkdir(parents=True, exist_ok=True)
-        return open(self._folder / "lock", "w")  # noqa: SIM115
+        lock_file = open(self._folder / "lock", "w")  # noqa: SIM115
+        try:
+            fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            lock_file.close()
+            raise errors.StorageFailedError(
+                f"{self._folder}: locked by another process; give each replica its own data folder"
+            ) from error
+        self._lock_file = lock_file
 
     def _open_log(self, path: pathlib.Path, end: int) -> None:
         self._log_file = open(path, "ab", buffering=0)  # noqa: SIM115
