--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -666,7 +666,11 @@
             self._send(sender, reply)
             return
         if message.last_index > self._commit_index:
-            self._restore_snapshot(snapshot)
+            if self._log.contains(message.last_index, message.last_term):
+                # Entries after it may be acknowledged, and the leader counts on them.
+                self._commit_to(message.last_index)
+            else:
+                self._restore_snapshot(snapshot)
         match_index = max(message.last_index, self._commit_index)
         self._send(
             sender, messages.AppendReply(self._hard_state.term, True, match_index, message.sent_at)
--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -8,7 +8,7 @@
 from hypothesis import settings, stateful, strategies
 
 from flamingoramp import errors
-from flamingoramp.consensus import effects, replica
+from flamingoramp.consensus import effects, entry_log, replica
 from flamingoramp.protocol import messages
 from flamingoramp.tests import worlds
 
@@ -130,6 +130,45 @@
         return [entry.payload for entry in self.applied[host] if entry.kind == "test"]
 
 
+class TestLeaderSnapshot(unittest.TestCase):
+    """A snapshot that the leader sends to a follower with entries after it."""
+
+    MEMBERSHIP = effects.Membership(("a#1", "b#1", "c#1"))
+    REQUEST = messages.InstallSnapshot(
+        term=2, leader="a#1", last_index=3, last_term=1, replicas=MEMBERSHIP.voters, cluster="c"
+    )
+
+    def handle(self, entry_term: int) -> tuple[replica.Replica, list]:
+        """Return a restarted follower with five entries, and its reaction to the snapshot."""
+        entries = [messages.LogEntry(index, entry_term, "test", b"x") for index in range(1, 6)]
+        recovered = entry_log.RecoveredState(
+            effects.HardState(1, "", "c"), effects.Snapshot(0, 0, self.MEMBERSHIP), tuple(entries)
+        )
+        follower = replica.Replica(
+            identity="b#1",
+            seed_hosts=("a", "b", "c"),
+            recovered=recovered,
+            rng=random.Random(1),
+            now=0.0,
+        )
+        return follower, follower.handle("a#1", self.REQUEST, 1.0)
+
+    # Guards against acknowledged entries that are lost: a follower whose disk was full lacks the
+    # last entry, gets a snapshot, and drops what it had acknowledged after that.
+    def test_entries_after_a_snapshot_that_the_log_includes_are_kept(self):
+        follower, batch = self.handle(entry_term=1)
+        self.assertEqual(follower.log.last_index, 5)
+        applied = [item.entry.index for item in batch if isinstance(item, effects.Apply)]
+        self.assertEqual(applied, [1, 2, 3])
+        self.assertFalse([item for item in batch if isinstance(item, effects.RestoreSnapshot)])
+        self.assertEqual(batch[-1].message, messages.AppendReply(2, True, 3))
+
+    def test_entries_of_another_term_are_replaced(self):
+        follower, batch = self.handle(entry_term=0)
+        self.assertEqual(follower.log.last_index, 3)
+        self.assertTrue([item for item in batch if isinstance(item, effects.RestoreSnapshot)])
+
+
 class ContactCluster(Cluster):
     """Records what hosts had applied whenever they said that they are level with the leader."""
 
