Servers of the last run are not used while their departures can't be read

What callers could have seen: a control host that starts while its disk is full reads its file of servers, but not its log. Servers whose acknowledged departure came after the last write of the file counted as available at that host.

Cause: a failed storage looked like one without departures.

read_recovered now tells the two apart, and the file is left aside (servers.unreadable): the other hosts and the servers themselves tell of them within some seconds.

--- a/flamingoramp/daemons/departure_calls.py
+++ b/flamingoramp/daemons/departure_calls.py
@@ -177,15 +177,19 @@
                 waiting.call.on_error(operator_calls.no_quorum_error())
 
 
-def read_recovered(node: nodes.Node, state: departures.DepartureState) -> departures.DepartureState:
+def read_recovered(
+    node: nodes.Node, state: departures.DepartureState
+) -> departures.DepartureState | None:
     """Return the departures that a starting host has on its disk, committed or not.
 
     Those of the log are known to be committed only once there is a leader. They are true all the
-    same, and servers that are loaded from the disk must not be used until then.
+    same, and servers that are loaded from the disk must not be used until then. None if the storage
+    has failed: they are not known.
     """
+    if node.replica is None:
+        return None
     recovered = departures.DepartureState()
     recovered.load(state.dump())
-    if node.replica is not None:
-        for entry in node.replica.log.entries:
-            recovered.apply_entry(entry)
+    for entry in node.replica.log.entries:
+        recovered.apply_entry(entry)
     return recovered
--- a/flamingoramp/daemons/server_records.py
+++ b/flamingoramp/daemons/server_records.py
@@ -29,8 +29,8 @@
     member_registry : registry.Registry
     folder : str
         Data folder of the host.
-    departed : departures.DepartureState
-        Departures that may be newer than the records.
+    departed : departures.DepartureState or None
+        Departures that may be newer than the records. Without them, the records are not used.
     log : Any
         Event log.
     metrics : metrics_module.Metrics
@@ -44,7 +44,7 @@
         member_registry: registry.Registry,
         folder: str,
         *,
-        departed: departures.DepartureState,
+        departed: departures.DepartureState | None,
         log: Any,
         metrics: metrics_module.Metrics,
         wall_time: Callable[[], float],
@@ -61,7 +61,11 @@
         self._load(departed)
         loop.call_every(CHECK_INTERVAL_SECONDS, self._save_if_due)
 
-    def _load(self, departed: departures.DepartureState) -> None:
+    def _load(self, departed: departures.DepartureState | None) -> None:
+        if departed is None:
+            self._log.write("servers.unreadable", text="the departures can't be read yet")
+            self._metrics.count("server_records_failures")
+            return
         try:
             records = server_records_file.load(self._path, self._wall_time())
         except (OSError, errors.ProtocolError) as error:
--- a/flamingoramp/daemons/tests/test_server_records.py
+++ b/flamingoramp/daemons/tests/test_server_records.py
@@ -112,6 +112,15 @@
         self.assertTrue(known["s0"].leaving)
         self.assertFalse(known["s2"].leaving)
 
+    # Guards against departed servers that are used after a start on a full disk, while the log with
+    # their departures is not read.
+    def test_records_are_not_used_while_the_departures_are_not_known(self):
+        self.start().update_server(RECORDS[0], self.loop.now())
+        self.run_for(2.0)
+        self.departed = None
+        self.assertEqual(self.start().servers(), [])
+        self.assertEqual(self.log.events, ["servers.unreadable"])
+
     def test_later_start_of_a_server_replaces_the_kept_record(self):
         self.start().update_server(RECORDS[0], 0.0)
         self.run_for(2.0)
