A leader whose disk fails tells the others, and another one leads at once

What operators saw: for half a second and more after the disk of the leader had filled, changes got 503 at all control hosts.

Cause: the leader knew at once that it could lead no longer, the others found out by its silence, after the election timeout.

A leader that gives up sends LeadershipTransfer with its term, after which that term has no leader: voters no longer refuse others on its behalf, and the voter with the longest log stands for election at once. Leases are safe: the leader has ended its own first. A late message names an earlier term and is ignored.

--- a/flamingoramp/consensus/node.py
+++ b/flamingoramp/consensus/node.py
@@ -27,6 +27,7 @@
     messages.AppendRequest,
     messages.AppendReply,
     messages.InstallSnapshot,
+    messages.LeadershipTransfer,
 )
 
 
@@ -223,6 +224,11 @@
         """Return whether a quorum confirmed this node as leader at ``requested_at`` or later."""
         return self._replica is not None and self._replica.confirms_read(requested_at)
 
+    def resign(self) -> None:
+        """End the leadership of this node, if any, so that another one takes over at once."""
+        if self._replica is not None:
+            self._execute(self._replica.resign(self._now()))
+
     def close(self) -> None:
         """Close the storage."""
         self._store.close()
@@ -254,8 +260,10 @@
         self._on_storage_status(None)
 
     def _handle_storage_failure(self, error: errors.StorageFailedError) -> None:
-        self._replica = None
+        failed, self._replica = self._replica, None
         self._retry_at = self._now() + STORAGE_RETRY_INTERVAL_SECONDS
+        if failed is not None:
+            self._driver.execute(failed.resign(self._now()))  # has no writes
         self._fail_proposals("storage failed; send it again to another host")
         self._on_storage_status(error)
 
--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -110,6 +110,8 @@
         self._term_start_index = 0
         self._elected_at = now
         self._leader_seen_at = now if self._timing.uses_leases else float("-inf")
+        # Whether the leader last in contact told that it leads no longer.
+        self._leader_has_resigned = False
         # When this replica, as a follower, last had all that its leader knew to be committed.
         self._level_at = float("-inf")
         self._started_at = now
@@ -207,6 +209,25 @@
         self._advance_commit(now)
         return index, self._drain_effects()
 
+    def resign(self, now: float) -> list[Any]:
+        """End the own leadership, if any, and let the voter with the longest log elect itself.
+
+        The others need not wait until they miss this leader: its term has none from now on.
+        """
+        if not self._is_leader:
+            return []
+        voters = [voter for voter in self.membership.voters if voter != self._identity]
+        successor = max(
+            voters,
+            key=lambda voter: (self._peers[voter].match_index, self._peers[voter].acknowledged_at),
+            default="",
+        )
+        message = messages.LeadershipTransfer(self._hard_state.term, successor, self.cluster)
+        for replica in self._peers:
+            self._send(replica, message)
+        self._step_down(self._hard_state.term, now)
+        return self._drain_effects()
+
     def compact(self, data: bytes) -> list[Any]:
         """Replace the applied entries by a snapshot; ``data`` is the serialized state machine."""
         index = self._applied_index
@@ -261,6 +282,8 @@
                 self._handle_append_reply(sender, message, now)
             case messages.InstallSnapshot():
                 self._handle_snapshot(sender, message, now)
+            case messages.LeadershipTransfer():
+                self._handle_transfer(message, now)
         self._check_invariants()
         return self._drain_effects()
 
@@ -392,16 +415,20 @@
     def _reset_election_timeout(self, now: float) -> None:
         timing = self._timing
         lower, upper = timing.election_min_seconds, timing.election_max_seconds
-        if self._is_restarting:
+        if self._may_elect_early:
             # Early, frequent elections are harmless: voters in contact with a leader refuse, and
             # those not yet started get a later request.
             lower, upper = timing.restart_election_min_seconds, timing.restart_election_max_seconds
         self._election_timeout_at = now + self._rng.uniform(lower, upper)
 
     @property
-    def _is_restarting(self) -> bool:
-        """Whether no leader made contact since the start, and leases don't forbid elections."""
-        return not self._timing.uses_leases and self._leader_seen_at == float("-inf")
+    def _may_elect_early(self) -> bool:
+        """Whether no leader can be missed: it has resigned, or there was none since the start.
+
+        After a start, leases forbid early elections.
+        """
+        is_restarting = not self._timing.uses_leases and self._leader_seen_at == float("-inf")
+        return is_restarting or self._leader_has_resigned
 
     def _start_election(self, now: float, *, pre_vote: bool) -> None:
         self._reset_election_timeout(now)
@@ -428,7 +455,8 @@
         if request.cluster != self.cluster or not self.cluster:
             return
         leader_is_active = self._is_leader or (
-            now < self._leader_seen_at + self._timing.election_min_seconds
+            not self._leader_has_resigned
+            and now < self._leader_seen_at + self._timing.election_min_seconds
         )
         if leader_is_active:
             self._send(sender, messages.VoteReply(self._hard_state.term, False, request.pre))
@@ -454,12 +482,12 @@
         self._send(sender, messages.VoteReply(self._hard_state.term, granted, False))
 
     def _yield_to_candidate(self, candidate: str, now: float) -> None:
-        """Delay the own election after a restart, once, for a candidate that got a pre-vote.
+        """Delay an early election of this replica, once, for a candidate that got a pre-vote.
 
         After a loss of all replicas just a quorum may be up, which elects nobody if two of them
         stand for the same term. Of two candidates, the one with the lower identity gives way.
         """
-        if not self._is_restarting or self._has_yielded:
+        if not self._may_elect_early or self._has_yielded:
             return
         if self._votes and (not self._pre_vote or candidate < self._identity):
             return
@@ -467,6 +495,18 @@
         self._votes = set()
         self._reset_election_timeout(now)
 
+    def _handle_transfer(self, message: messages.LeadershipTransfer, now: float) -> None:
+        if message.cluster != self.cluster or message.term != self._hard_state.term:
+            return
+        self._leader_has_resigned = True
+        if self._leader:
+            self._leader = ""
+            self._emit(effects.LeaderChanged("", False, self._hard_state.term))
+        if message.successor == self._identity and self._identity in self.membership.voters:
+            self._start_election(now, pre_vote=True)
+        else:
+            self._reset_election_timeout(now)
+
     def _handle_vote_reply(self, sender: str, reply: messages.VoteReply, now: float) -> None:
         if not reply.granted:
             if reply.term > self._hard_state.term:
@@ -490,6 +530,7 @@
 
     def _become_leader(self, now: float) -> None:
         self._is_leader = True
+        self._leader_has_resigned = False
         self._leader = self._identity
         self._votes = set()
         members = self.membership.voters + self.membership.learners
@@ -603,6 +644,7 @@
             raise errors.InvariantViolationError(f"two leaders in term {term}")
         if term > self._hard_state.term or self._leader != leader:
             self._step_down(term, now, leader)
+        self._leader_has_resigned = False
         self._leader_seen_at = now
         self._reset_election_timeout(now)
         return True
--- a/flamingoramp/consensus/tests/test_full_disks.py
+++ b/flamingoramp/consensus/tests/test_full_disks.py
@@ -9,6 +9,8 @@
 
 SEED_COUNT = 40
 SETTLE_SECONDS = 4.0
+# Bound on the time for which the disk of a leader may hold up changes.
+LEADERLESS_SECONDS = 0.5
 
 
 class TestFullAtTheStart(unittest.TestCase):
@@ -41,6 +43,30 @@
             cluster.check()
 
 
+class TestLeader(unittest.TestCase):
+    """The disk of the leader is full."""
+
+    # Guards against half a second and more without a leader, since the others had to miss the one
+    # that knew that it can lead no longer.
+    def test_another_host_leads_at_once(self):
+        for host_count in (3, 5):
+            for seed in range(10):
+                with (
+                    self.subTest(seed=seed, host_count=host_count),
+                    contextlib.ExitStack() as stack,
+                ):
+                    cluster = full_disks.Cluster(seed, host_count, stack)
+                    cluster.run(SETTLE_SECONDS)
+                    first = cluster.leader()
+                    cluster.disk.full.add(first.name)
+                    while first.node.is_leader:
+                        cluster.run(0.01)
+                    started_at, acknowledged = cluster.now, cluster.acknowledged
+                    while cluster.acknowledged == acknowledged:
+                        cluster.run(0.01)
+                        self.assertLess(cluster.now - started_at, LEADERLESS_SECONDS)
+
+
 class TestDisksInTurn(unittest.TestCase):
     """Each disk is full for some seconds, leader or follower, from any operation on."""
 
--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -169,6 +169,63 @@
         self.assertTrue([item for item in batch if isinstance(item, effects.RestoreSnapshot)])
 
 
+class TestResignation(unittest.TestCase):
+    """A leader that ends its leadership itself."""
+
+    TIMINGS = (replica.Timing(), replica.Timing(uses_leases=False, announces_commits=True))
+
+    # Guards against the time that voters wait to miss a leader which knows that it leads no longer.
+    def test_another_replica_leads_at_once(self):
+        for timing in self.TIMINGS:
+            with self.subTest(timing=timing):
+                cluster = Cluster(timing=timing)
+                cluster.run(5)
+                self.assertTrue(cluster.propose(b"x"))
+                first = cluster.leader()
+                cluster.execute(first, cluster.replicas[first].resign(cluster.now))
+                self.assertEqual(cluster.leader(), "")
+                cluster.run(0.1)
+                self.assertNotIn(cluster.leader(), ("", first))
+                cluster.run(2)
+                self.assertTrue(cluster.propose(b"y"))
+                cluster.run(1)
+                for host in HOSTS:
+                    self.assertEqual(cluster.payloads(host), [b"x", b"y"])
+
+    def test_others_elect_soon_if_the_successor_has_ended(self):
+        cluster = Cluster(timing=self.TIMINGS[1])
+        cluster.run(5)
+        first = cluster.leader()
+        batch = cluster.replicas[first].resign(cluster.now)
+        cluster.stop(replica.host_of(batch[0].message.successor))
+        cluster.execute(first, batch)
+        cluster.run(0.4)
+        self.assertNotEqual(cluster.leader(), "")
+
+    # Guards against a message that arrives after the next election and makes voters ignore that
+    # leader.
+    def test_resignation_of_an_earlier_term_changes_nothing(self):
+        cluster = Cluster(timing=self.TIMINGS[1])
+        cluster.run(5)
+        first = cluster.leader()
+        batch = cluster.replicas[first].resign(cluster.now)
+        cluster.execute(first, batch)
+        cluster.run(1)
+        leader = cluster.leader()
+        term = cluster.replicas[leader].term
+        for _ in range(3):
+            cluster.execute(first, batch)
+            cluster.run(1)
+        self.assertEqual((cluster.leader(), cluster.replicas[leader].term), (leader, term))
+
+    def test_follower_has_no_leadership_to_end(self):
+        cluster = Cluster()
+        cluster.run(5)
+        for host in HOSTS:
+            if host != cluster.leader():
+                self.assertEqual(cluster.replicas[host].resign(cluster.now), [])
+
+
 class ContactCluster(Cluster):
     """Records what hosts had applied whenever they said that they are level with the leader."""
 
--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -70,6 +70,7 @@
     36: "EvacuationRequest",
     37: "EvacuationReply",
     38: "ServerReachability",
+    39: "LeadershipTransfer",
 }
 _TAG_BY_NAME = {name: tag for tag, name in _NAME_BY_TAG.items()}
 
--- a/flamingoramp/protocol/messages.py
+++ b/flamingoramp/protocol/messages.py
@@ -84,6 +84,15 @@
     cluster: str = ""
 
 
+@attrs.frozen(eq=False, repr=False)
+class LeadershipTransfer(value_classes.Value):
+    """Tells that the leader of a term leads no longer, and which replica is to elect itself."""
+
+    term: int = 0
+    successor: str = ""
+    cluster: str = ""
+
+
 @attrs.frozen(eq=False, repr=False)
 class FoundingProbe(value_classes.Value):
     """Question of a replica without data to its peers, whether they belong to a cluster."""
