Operators' calls wait for the next leader within their time

Cause: a call was submitted to the leader once. If that led no longer, or nobody led, the call failed, though its caller waits for a second.

Declarations are idempotent, and an order about a zone is outdated by any later one, as before. A host whose own disk has failed refuses at once, since another host can answer sooner. If any attempt may have been committed, a final error says so.

test_evacuation: test_forwarded_order_that_a_suspended_leader_reads_late_has_no_effect expected a refusal of an order whose operator still waits. The next leader now acknowledges it. It is replaced by two tests: the operator gives up while the leader is suspended (still no effect), and the operator waits (in effect if and only if acknowledged).

--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -66,6 +66,14 @@
     pending_call: operator_calls.PendingCall
 
 
+@attrs.define(eq=False, repr=False)
+class _ForwardedCall(value_classes.MutableValue):
+    """A call that waits for the reply of the leader it was sent to."""
+
+    leader: str
+    pending_call: operator_calls.PendingCall
+
+
 class Coordinator:
     """Control daemon of one host.
 
@@ -108,7 +116,7 @@
         self._metrics = self._process.metrics
         self._loop = self._process.loop
         self._request_numbers = itertools.count()
-        self._forwarded_calls: dict[str, operator_calls.PendingCall] = {}
+        self._forwarded_calls: dict[str, _ForwardedCall] = {}
         self._pending_reads: list[_PendingRead] = []
         self._silence_checks = suspension.SuspensionDetector(MAX_SILENCE_CHECK_GAP_SECONDS)
         self._publish_is_due = False
@@ -226,6 +234,11 @@
             self._process.start_steps.record(start_steps.Step.LEADER_KNOWN)
         self._metrics.count("leader_changes")
         self._publish_is_due = True
+        # One that has lost its leadership may never reply.
+        for request_id, forwarded in list(self._forwarded_calls.items()):
+            if forwarded.leader != replica.host_of(change.leader):
+                del self._forwarded_calls[request_id]
+                forwarded.pending_call.on_error(operator_calls.no_quorum_error())
 
     def _record_storage_status(self, error: errors.StorageFailedError | None) -> None:
         if error is None:
@@ -415,12 +428,12 @@
         if self._node.identity:
             self._process.transport.name = self._node.identity
         self._complete_confirmed_reads()
-        for request_id, pending_call in list(self._forwarded_calls.items()):
-            if now > pending_call.deadline:
+        for request_id, forwarded in list(self._forwarded_calls.items()):
+            if now > forwarded.pending_call.deadline:
                 del self._forwarded_calls[request_id]
-                pending_call.on_error(operator_calls.no_quorum_error())
+                forwarded.pending_call.on_error(operator_calls.no_quorum_error())
         for pending_read in list(self._pending_reads):
-            if now > pending_read.pending_call.deadline:
+            if not self._node.is_leader or now > pending_read.pending_call.deadline:
                 self._pending_reads.remove(pending_read)
                 pending_read.pending_call.on_error(operator_calls.no_quorum_error())
 
@@ -466,12 +479,20 @@
         self, make_request: Callable[[str], Any], pending_call: operator_calls.PendingCall
     ) -> None:
         """Send the leader a request, made with an id; its reply is the result of the call."""
+        if self._node.replica is None:
+            pending_call.on_error(
+                errors.NotReadyError(
+                    "the disk of this host has failed; send it to another control host",
+                    retry_after=operator_calls.RETRY_AFTER_SECONDS,
+                )
+            )
+            return
         leader = self._node.leader_host
         if not leader or leader == self._settings.control_internal_address:
             pending_call.on_error(operator_calls.no_quorum_error())
             return
         request_id = f"{self._node.identity}/{next(self._request_numbers)}"
-        self._forwarded_calls[request_id] = pending_call
+        self._forwarded_calls[request_id] = _ForwardedCall(leader, pending_call)
         self._process.transport.send(leader, make_request(request_id))
 
     def _complete_confirmed_reads(self) -> None:
@@ -521,9 +542,10 @@
     def _complete_forwarded_call(
         self, reply: messages.DeclareReply | messages.ReadReply | messages.EvacuationReply
     ) -> None:
-        pending_call = self._forwarded_calls.pop(reply.request_id, None)
-        if pending_call is None:
+        forwarded = self._forwarded_calls.pop(reply.request_id, None)
+        if forwarded is None:
             return
+        pending_call = forwarded.pending_call
         match reply:
             case messages.DeclareReply(accepted=True):
                 pending_call.on_result(reply.version)
@@ -648,11 +670,9 @@
             self._publish()
             exchange.respond(self._dialect.encode_acknowledgement())
 
-        self._commit_declaration(
-            call,
-            operator_calls.PendingCall(
-                self._answer_deadline(), _on_result, self._make_error_handler(exchange)
-            ),
+        compressed = attrs.evolve(call, document=versioned_declaration.compress(call.document))
+        self._repeat_call(
+            exchange, lambda attempt: self._commit_declaration(compressed, attempt), _on_result
         )
 
     def _handle_read(self, exchange: http_server.Exchange) -> None:
@@ -671,11 +691,24 @@
                 return
             exchange.respond(self._dialect.encode_document(document))
 
-        self._read_declaration(
-            operator_calls.PendingCall(
-                self._answer_deadline(), _on_result, self._make_error_handler(exchange)
-            )
+        self._repeat_call(exchange, self._read_declaration, _on_result)
+
+    def _repeat_call(
+        self,
+        exchange: http_server.Exchange,
+        submit: Callable[[operator_calls.PendingCall], None],
+        on_result: Callable[[Any], None],
+    ) -> None:
+        """Submit an operator's call to the leader until one answers or the operator has gone."""
+
+        def _submit_if_awaited(attempt: operator_calls.PendingCall) -> None:
+            if not exchange.is_done:
+                submit(attempt)
+
+        call = operator_calls.PendingCall(
+            self._answer_deadline(), on_result, self._make_error_handler(exchange)
         )
+        operator_calls.RepeatedCall(self._loop, _submit_if_awaited, call).start()
 
     def _handle_zone_order(
         self, zone: str, evacuated: bool, exchange: http_server.Exchange
--- a/flamingoramp/daemons/operator_calls.py
+++ b/flamingoramp/daemons/operator_calls.py
@@ -27,6 +27,8 @@
 MAX_LOOP_GAP_SECONDS = 0.5
 # After a gap, calls are refused for this long: until all that had arrived in the gap has been read.
 REFUSAL_AFTER_GAP_SECONDS = 0.5
+# Interval at which a call is submitted again while no leader takes it.
+LEADER_RETRY_SECONDS = 0.05
 # Time in which the loop reads that a caller has closed its connection after it sent a call.
 CALLER_CHECK_SECONDS = 0.02
 
@@ -40,6 +42,13 @@
     on_error: Callable[[errors.FlamingorampError], None]
 
 
+def _suspended_error() -> errors.NotReadyError:
+    return errors.NotReadyError(
+        "the call may have waited while this host was suspended; send it again",
+        retry_after=RETRY_AFTER_SECONDS,
+    )
+
+
 def no_quorum_error() -> errors.NotLeaderError:
     """Return the error of a call that no leader with a quorum answered."""
     return errors.NotLeaderError(
@@ -47,6 +56,61 @@
     )
 
 
+class RepeatedCall:
+    """A call that is submitted to the leader, and again while there is none that answers it.
+
+    A change of leader would otherwise fail all calls of its time. The call may take effect twice:
+    when its leader was lost, nobody knows whether it had been committed.
+
+    Parameters
+    ----------
+    loop : loops.Loop
+    submit : callable
+        Submits the call once; called with a `PendingCall`. A `errors.NotLeaderError` of that is
+        followed by another attempt.
+    call : PendingCall
+        Completed once: with the result, with another error, or at its deadline.
+    """
+
+    def __init__(self, loop: loops.Loop, submit: Callable[[PendingCall], None], call: PendingCall):
+        self._loop = loop
+        self._submit = submit
+        self._call = call
+        self._is_complete = False
+        # Error of an attempt that may have taken effect.
+        self._uncertain_error: errors.FlamingorampError | None = None
+
+    def start(self) -> None:
+        """Submit the call for the first time."""
+        self._loop.call_later(
+            self._call.deadline - self._loop.now(), lambda: self._fail(no_quorum_error())
+        )
+        self._attempt()
+
+    def _attempt(self) -> None:
+        if not self._is_complete:
+            self._submit(PendingCall(self._call.deadline, self._succeed, self._handle_error))
+
+    def _succeed(self, result: Any) -> None:
+        if not self._is_complete:
+            self._is_complete = True
+            self._call.on_result(result)
+
+    def _handle_error(self, error: errors.FlamingorampError) -> None:
+        if error.outcome is errors.Outcome.OUTCOME_UNKNOWN:
+            self._uncertain_error = error
+        remaining_seconds = self._call.deadline - self._loop.now()
+        if isinstance(error, errors.NotLeaderError) and remaining_seconds > LEADER_RETRY_SECONDS:
+            self._loop.call_later(LEADER_RETRY_SECONDS, self._attempt)
+        else:
+            self._fail(error)
+
+    def _fail(self, error: errors.FlamingorampError) -> None:
+        if not self._is_complete:
+            self._is_complete = True
+            self._call.on_error(self._uncertain_error or error)
+
+
 class Leadership(Protocol):
     """How a control host reaches the leader."""
 
@@ -119,10 +183,7 @@
             The settings name other zones only.
         """
         if self.was_suspended:
-            raise errors.NotReadyError(
-                "the call may have waited while this host was suspended; send it again",
-                retry_after=RETRY_AFTER_SECONDS,
-            )
+            raise _suspended_error()
         if self._zones and zone not in (*self._zones, *self._state.zones):
             raise errors.UnknownZoneError(
                 f"no availability zone {zone!r}; there are {', '.join(self._zones)}"
@@ -139,12 +200,17 @@
                 _commit(result.last_index)
 
         def _commit(after: int) -> None:
+            order = evacuations.ZoneOrder(zone, evacuated, after)
+            RepeatedCall(self._loop, lambda attempt: _submit(order, attempt), call).start()
+
+        def _submit(order: evacuations.ZoneOrder, attempt: PendingCall) -> None:
             if exchange.is_done:
                 self._metrics.count("evacuation_calls", outcome="abandoned")
                 self._log.write("evacuation.abandoned", zone=zone, evacuated=evacuated)
-                return
-            order = evacuations.ZoneOrder(zone, evacuated, after)
-            self._commit_or_forward(order, call)
+            elif self.was_suspended:
+                attempt.on_error(_suspended_error())
+            else:
+                self._commit_or_forward(order, attempt)
 
         call = PendingCall(self._loop.now() + ANSWER_TIMEOUT_SECONDS, _handle_result, on_error)
         after = self._state.last_index(zone)
--- a/flamingoramp/daemons/tests/test_operator_calls.py
+++ b/flamingoramp/daemons/tests/test_operator_calls.py
@@ -200,3 +200,76 @@
         self.loop.advance(0.1)
         self.node.commit()
         self.assertEqual((self.results, self.state.zones), (["acknowledged"], ()))
+
+
+class TestRepeatedCall(unittest.TestCase):
+    """Calls that wait for a leader until their deadline."""
+
+    def setUp(self):
+        self.loop = virtual_time.VirtualLoop()
+        self.attempts: list[operator_calls.PendingCall] = []
+        self.results: list[Any] = []
+        call = operator_calls.PendingCall(
+            self.loop.now() + operator_calls.ANSWER_TIMEOUT_SECONDS,
+            self.results.append,
+            self.results.append,
+        )
+        operator_calls.RepeatedCall(self.loop, self.attempts.append, call).start()
+
+    # Guards against calls that are refused at once while another leader is elected.
+    def test_call_is_submitted_again_until_a_leader_answers(self):
+        for _ in range(3):
+            self.attempts[-1].on_error(operator_calls.no_quorum_error())
+            self.loop.advance(operator_calls.LEADER_RETRY_SECONDS)
+        self.assertEqual(len(self.attempts), 4)
+        self.attempts[-1].on_result("done")
+        self.loop.advance(2.0)
+        self.assertEqual((self.results, len(self.attempts)), (["done"], 4))
+
+    def test_call_without_an_answer_ends_at_its_deadline(self):
+        self.loop.advance(operator_calls.ANSWER_TIMEOUT_SECONDS)
+        self.attempts[-1].on_result("late")
+        self.assertEqual([type(error) for error in self.results], [errors.NotLeaderError])
+
+    def test_other_errors_end_the_call_at_once(self):
+        error = errors.NotReadyError("the disk has failed")
+        self.attempts[-1].on_error(error)
+        self.loop.advance(2.0)
+        self.assertEqual((self.results, len(self.attempts)), ([error], 1))
+
+    # Guards against "not run" for a call whose first attempt may have been committed.
+    def test_attempt_that_may_have_taken_effect_is_not_forgotten(self):
+        uncertain = errors.NotLeaderError("lost", outcome=errors.Outcome.OUTCOME_UNKNOWN)
+        self.attempts[-1].on_error(uncertain)
+        self.loop.advance(operator_calls.LEADER_RETRY_SECONDS)
+        self.attempts[-1].on_error(errors.NotReadyError("the disk has failed"))
+        self.assertEqual(self.results, [uncertain])
+
+
+class TestWithoutLeader(CallsCase):
+    """Orders that come while no leader is known."""
+
+    def test_order_is_forwarded_again_once_there_is_a_leader(self):
+        self.node.is_leader = False
+        self.submit()
+        self.loop.advance(0.1)
+        self.forwarded[0][1].on_error(operator_calls.no_quorum_error())
+        self.loop.advance(0.1)
+        self.forwarded[1][1].on_result(messages.EvacuationReply("r1", accepted=True, last_index=5))
+        self.assertEqual(self.results, ["acknowledged"])
+
+    # Guards against an order that takes effect though its operator has gone or this host was
+    # suspended meanwhile.
+    def test_order_is_not_forwarded_again_without_its_operator_or_after_a_suspension(self):
+        for is_gone in (True, False):
+            with self.subTest(is_gone=is_gone):
+                self.setUp()
+                self.node.is_leader = False
+                exchange = self.submit()
+                self.loop.advance(0.1)
+                exchange.is_done = is_gone
+                if not is_gone:
+                    self.suspend(0.6)
+                self.forwarded[0][1].on_error(operator_calls.no_quorum_error())
+                self.loop.advance(0.1)
+                self.assertEqual(len(self.forwarded), 1)
--- a/flamingoramp/platform/tests/control_hosts.py
+++ b/flamingoramp/platform/tests/control_hosts.py
@@ -5,10 +5,13 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import subprocess
 import sys
+import threading
+from typing import IO
 
 import attrs
 
@@ -64,6 +67,11 @@
         """Address at which operators and backend servers call."""
         return self._settings.listen.operators
 
+    @property
+    def log_path(self) -> pathlib.Path:
+        """File with what the processes of this host have written to standard output."""
+        return self._folder / "log"
+
     @property
     def inner(self) -> str:
         """Address for the system's own processes."""
@@ -76,13 +84,31 @@
         path.write_text(
             json.dumps(attrs.asdict(attrs.evolve(self._settings, first_start=first_start)))
         )
-        with (self._folder / "log").open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "flamingoramp.platform.main", "control"],
-                env={**os.environ, platform_main.SETTINGS_PATH_VARIABLE: str(path)},
-                stdout=log,
-                stderr=log,
-            )
+        # A pipe, since a full disk (`set_room`) would refuse a log on the disk.
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "flamingoramp.platform.main", "control"],
+            env={**os.environ, platform_main.SETTINGS_PATH_VARIABLE: str(path)},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        threading.Thread(target=self._copy_log, args=(self.process.stdout,), daemon=True).start()
+
+    def _copy_log(self, lines: IO[bytes]) -> None:
+        with lines, self.log_path.open("ab", buffering=0) as log:
+            for line in lines:
+                log.write(line)
+
+    def set_room(self, room_bytes: int | None) -> None:
+        """Let the largest file of the data folder grow by so many bytes only; None: without limit.
+
+        Writes beyond that store a part of their data, and fail.
+        """
+        limit = resource.RLIM_INFINITY
+        if room_bytes is not None:
+            sizes = [path.stat().st_size for path in self._data_folder.rglob("log.*")]
+            limit = max(sizes, default=0) + room_bytes
+        hard_limit = resource.RLIM_INFINITY
+        resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (limit, hard_limit))
 
     def kill(self) -> None:
         """Kill the process; the data stays."""
@@ -112,8 +138,12 @@
 
     def declare(self, version: int) -> bool:
         """Submit a version of a declaration; return whether it is acknowledged."""
+        return self.submit(version).status == 200
+
+    def submit(self, version: int) -> platform_fleets.Answer:
+        """Submit a version of a declaration; return the answer."""
         body = json.dumps(platform_fleets.make_document(version)).encode()
-        return self.call("PUT", DECLARATION_PATH, body).status == 200
+        return self.call("PUT", DECLARATION_PATH, body)
 
     def read_version(self) -> int | None:
         """Return the version of the declaration that the host reads, None if it does not answer."""
--- a/flamingoramp/platform/tests/test_evacuation.py
+++ b/flamingoramp/platform/tests/test_evacuation.py
@@ -427,12 +427,29 @@
         leader = self.leader_index(fleet)
         follower = fleet.seeds[(leader + 1) % 3]
         thread = self.suspend(fleet.controls[leader], self.CONTROL_SUSPENSION_SECONDS)
-        self.assertIn(fleet.send_order("POST", "a", follower), (0, 503))
+        host, _, port = follower.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(b"POST /v1/evacuation/a HTTP/1.1\r\nhost: c\r\ncontent-length: 0\r\n\r\n")
+            time.sleep(2 * operator_calls.CALLER_CHECK_SECONDS)
         thread.join()
         time.sleep(operator_calls.REFUSAL_AFTER_GAP_SECONDS)
         fleet.order_zone("POST", "c")
         self.wait_evacuated(fleet, "c")
 
+    # Guards against an order that is refused, or acknowledged without effect, because the leader it
+    # was forwarded to is suspended.
+    def test_forwarded_order_whose_operator_waits_is_acknowledged_by_the_next_leader(self):
+        fleet = self.start_serving(entries=1)
+        leader = self.leader_index(fleet)
+        follower = fleet.seeds[(leader + 1) % 3]
+        thread = self.suspend(fleet.controls[leader], self.CONTROL_SUSPENSION_SECONDS)
+        status = fleet.send_order("POST", "a", follower)
+        thread.join()
+        time.sleep(operator_calls.REFUSAL_AFTER_GAP_SECONDS)
+        fleet.order_zone("POST", "c")
+        self.assertIn(status, (200, 503))
+        self.wait_evacuated(fleet, *(("a", "c") if status == 200 else ("c",)))
+
     # Guards against requests that an entry reads when it wakes, before it knows of an evacuation.
     def test_entry_that_wakes_knows_before_its_first_request(self):
         fleet = self.start_fleet(entries=2)
