A stopping control host hands over leadership and answers the calls it has read

What operators saw: when the control host that leads was stopped as planned, a call at each other host got 503 after 0.9 s, and a call in progress at the stopping host was cut after 0.5 s, though it may take 0.9 s.

Cause: the others missed the leader only after the election timeout, and the stop didn't look at what was in progress.

Evidence: test_control_disruptions TestPlannedStopsInTurn (real processes, SIGTERM to each host in turn, SIGHUP and SIGTERM meanwhile) failed before: ViolationError: 2 of 63 failed: [Call(number=1, ..., status=503), ...] ViolationError: 2 of 46 failed: [Call(number=0, ..., status=503), ...]

A stop begins with LeadershipTransfer. What the host had proposed fails there and is submitted again to the next leader, by this host or by the one that had forwarded it. The process ends once no call is in progress, 0.5 s after the signal at the earliest, at half of stop_seconds at the latest, which it then logs (process.gave_up). A host that is the only voter keeps its leadership.

--- a/bench/acknowledgements.py
+++ b/bench/acknowledgements.py
@@ -5,6 +5,11 @@
 at times with an empty disk. What was acknowledged must be known to every host afterwards.
 
     python -m bench.acknowledgements --seeds=50
+
+With ``--disruption``, each host in turn is disrupted in one way of
+`flamingoramp.platform.tests.control_disruptions`, while operators call all the while:
+
+    python -m bench.acknowledgements --seeds=24 --disruption=fill_disk
 """
 
 from __future__ import annotations
@@ -24,7 +29,7 @@
 
 import fire
 
-from flamingoramp.platform.tests import control_hosts
+from flamingoramp.platform.tests import control_disruptions, control_hosts
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import clock, transport
 from flamingoramp.runtime import loop as loops
@@ -248,12 +253,23 @@
                 raise ViolationError(f"{host.inner} reads version {version}")
 
 
-def run_seed(seed: int) -> str:
+def run_seed(seed: int, disruption: str = "") -> str:
     """Run a scenario with one seed; return its traceback, empty if it passed."""
     folder = pathlib.Path(tempfile.mkdtemp())
-    scenario = Scenario(seed, folder)
+    if disruption:
+        scenario = control_disruptions.Scenario(
+            seed,
+            folder,
+            host_count=3 if seed % 2 else 5,
+            network=FIRST_NETWORK + os.getpid() % NETWORK_COUNT,
+        )
+    else:
+        scenario = Scenario(seed, folder)
     try:
-        scenario.run()
+        if disruption:
+            scenario.run(getattr(scenario, disruption))
+        else:
+            scenario.run()
     except Exception:
         return f"{traceback.format_exc(limit=-3)}logs: {folder}"
     finally:
@@ -262,18 +278,26 @@
     return ""
 
 
-def main(seeds: int = 50, first: int = 1) -> None:
+def main(
+    seeds: int = 50, first: int = 1, disruption: str = "", workers: int = WORKER_COUNT
+) -> None:
     """Run a range of seeds; print each failure, and exit with 1 if there is any.
 
     Parameters
     ----------
     seeds, first : int
         Number of seeds, and the first one.
+    disruption : str
+        ``fill_disk``, ``fill_disk_and_kill`` or ``restart``; empty for kills after acknowledgements.
+    workers : int
+        Number of seeds that run at the same time.
     """
     started_at = time.monotonic()
     failed = []
-    with futures.ProcessPoolExecutor(WORKER_COUNT) as pool:
-        results = {pool.submit(run_seed, seed): seed for seed in range(first, first + seeds)}
+    with futures.ProcessPoolExecutor(workers) as pool:
+        results = {
+            pool.submit(run_seed, seed, disruption): seed for seed in range(first, first + seeds)
+        }
         for result in futures.as_completed(results):
             if failure := result.result():
                 failed.append(results[result])
--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -210,17 +210,17 @@
         return index, self._drain_effects()
 
     def resign(self, now: float) -> list[Any]:
-        """End the own leadership, if any, and let the voter with the longest log elect itself.
+        """End the own leadership and let the voter with the longest log elect itself.
 
+        A replica that does not lead, or is the only voter, has no leadership to hand over.
         The others need not wait until they miss this leader: its term has none from now on.
         """
-        if not self._is_leader:
-            return []
         voters = [voter for voter in self.membership.voters if voter != self._identity]
+        if not self._is_leader or not voters:
+            return []
         successor = max(
             voters,
             key=lambda voter: (self._peers[voter].match_index, self._peers[voter].acknowledged_at),
-            default="",
         )
         message = messages.LeadershipTransfer(self._hard_state.term, successor, self.cluster)
         for replica in self._peers:
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -46,8 +46,10 @@
 # Announcements missed in a row after which a server counts as silent. Control hosts forward
 # announcements to each other, so any of them may have received the last one.
 MAX_MISSED_ANNOUNCEMENTS = 5
-# A stopping daemon waits this long for calls in progress before it exits.
+# A stopping daemon lives at least this long, in which the others take over from it, and then until
+# the calls in progress are answered.
 STOP_GRACE_SECONDS = 0.5
+STOP_CHECK_INTERVAL_SECONDS = 0.05
 
 REPLICA_TIMING = replica.Timing(
     heartbeat_seconds=0.12,
@@ -248,15 +250,34 @@
         self._metrics.count("storage_failures")
 
     def begin_stop(self) -> None:
-        """Begin a planned stop: accept no more calls, then stop the loop after a grace period."""
+        """Begin a planned stop: hand over leadership, accept no more calls, answer those read."""
         if self._stopping:
             return
         self._stopping = True
         self._log.write("process.stopping")
+        self._node.resign()
         for server in self._process.servers:
             server.begin_closing()
             server.stop_accepting()
-        self._loop.call_later(STOP_GRACE_SECONDS, self._loop.stop)
+        # Half of the time, since the platform kills a process that is still there at its end.
+        deadline = self._loop.now() + self._settings.bounds.stop_seconds / 2
+        self._loop.call_later(STOP_GRACE_SECONDS, lambda: self._stop_once_answered(deadline))
+
+    def _stop_once_answered(self, deadline: float) -> None:
+        """Stop the loop as soon as all calls in progress are answered, at a deadline at the latest.
+
+        Calls wait for a leader for less than that.
+        """
+        calls = sum(server.busy_count for server in self._process.servers)
+        if calls and self._loop.now() < deadline:
+            self._loop.call_later(
+                STOP_CHECK_INTERVAL_SECONDS, lambda: self._stop_once_answered(deadline)
+            )
+            return
+        if calls:
+            self._metrics.count("requests_given_up", calls)
+            self._log.write("process.gave_up", requests=calls)
+        self._loop.stop()
 
     def _reload(self) -> None:
         self._log.write("settings.reloaded", note="new seeds take effect at the next start")
--- a/flamingoramp/platform/tests/full_disks.py
+++ b/flamingoramp/platform/tests/control_disruptions.py
@@ -1,11 +1,13 @@
-"""Real control processes whose disks are full one after another, while operators submit changes."""
+"""Real control processes that are disrupted one after another, while operators submit changes."""
 
 from __future__ import annotations
 
 import pathlib
 import random
+import signal
 import threading
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -14,6 +16,8 @@
 # The operators' bound of an acknowledgement.
 ACKNOWLEDGEMENT_SECONDS = 4.0
 START_SECONDS = 30.0
+# Time that the platform gives a process to end.
+STOP_SECONDS = 8.0
 CALL_INTERVAL_SECONDS = 0.08
 # A host tries its disk at this interval; until then it has room, and refuses calls.
 STORAGE_RETRY_SECONDS = 0.5
@@ -25,13 +29,14 @@
 
 @attrs.frozen
 class Call:
-    """A submitted version: where, when, and the status of the answer (0 for none in time)."""
+    """A submitted version and how it ended: the status of the answer, or the error and 0."""
 
-    host: control_hosts.ControlHost
+    number: int
     version: int
     sent_at: float
-    ended_at: float
+    seconds: float
     status: int
+    error: str = ""
 
 
 class Scenario:
@@ -53,8 +58,8 @@
         """Highest version that was acknowledged."""
         return max((call.version for call in self.calls if call.status == 200), default=0)
 
-    def run(self, *, kills: bool) -> None:
-        """Fill each disk in turn, at times with a kill right after, and check after the last.
+    def run(self, disrupt: Callable[[control_hosts.ControlHost], None]) -> None:
+        """Disrupt each host in turn, and check after the last.
 
         Raises
         ------
@@ -69,7 +74,7 @@
             operator.start()
         try:
             for host in self._rng.sample(self.hosts, len(self.hosts)):
-                self._fill(host, is_killed=kills and self._rng.random() < 0.5)
+                disrupt(host)
         finally:
             self._is_over = True
             for operator in operators:
@@ -99,8 +104,13 @@
             self._version += 1
             version = self._version
         sent_at = time.monotonic()
-        status = host.submit(version).status
-        call = Call(host, version, sent_at, time.monotonic(), status)
+        status, error = 0, ""
+        try:
+            status = host.submit(version).status
+        except (OSError, ValueError, IndexError) as caught:
+            error = repr(caught)
+        number = self.hosts.index(host)
+        call = Call(number, version, sent_at, time.monotonic() - sent_at, status, error)
         self.calls.append(call)
         return call
 
@@ -109,7 +119,41 @@
             self._submit(host)
             time.sleep(CALL_INTERVAL_SECONDS)
 
-    def _fill(self, host: control_hosts.ControlHost, *, is_killed: bool) -> None:
+    def fill_disk(self, host: control_hosts.ControlHost) -> None:
+        """Fill the disk of a host for some seconds; no other host may refuse a change."""
+        self._fill_disk(host, is_killed=False)
+
+    def fill_disk_and_kill(self, host: control_hosts.ControlHost) -> None:
+        """Fill the disk of a host, and kill its process at times before there is room again."""
+        self._fill_disk(host, is_killed=self._rng.random() < 0.5)
+
+    def restart(self, host: control_hosts.ControlHost) -> None:
+        """Stop a host as planned, with reloads meanwhile, and start it again.
+
+        No other host may refuse a change, and a connection that this host accepts gets an answer.
+        """
+        first = len(self.calls)
+        for _ in range(self._rng.randrange(3)):
+            host.process.send_signal(signal.SIGHUP)
+        host.process.send_signal(signal.SIGTERM)
+        for _ in range(self._rng.randrange(3)):
+            time.sleep(self._rng.uniform(0.0, 0.3))
+            host.process.send_signal(self._rng.choice((signal.SIGHUP, signal.SIGTERM)))
+        code = host.process.wait(STOP_SECONDS)
+        if code != 0:
+            raise ViolationError(f"{host.operators} ended with {code}")
+        host.start()
+        time.sleep(self._rng.uniform(1.0, 2.0))
+        calls = self.calls[first:]
+        failed = [call for call in calls if call.status != 200 and not self._is_refused(call, host)]
+        if failed:
+            raise ViolationError(f"{len(failed)} of {len(calls)} failed: {failed[:5]}")
+
+    def _is_refused(self, call: Call, host: control_hosts.ControlHost) -> bool:
+        """Return whether a call could not connect to a host that does not listen."""
+        return self.hosts[call.number] is host and "ConnectionRefused" in call.error
+
+    def _fill_disk(self, host: control_hosts.ControlHost, *, is_killed: bool) -> None:
         first = len(self.calls)
         host.set_room(self._rng.choice((0, self._rng.randrange(4000))))
         time.sleep(self._rng.uniform(1.5, 3.0))
@@ -120,9 +164,10 @@
             host.set_room(None)
         time.sleep(STORAGE_RETRY_SECONDS + self._rng.uniform(0.3, 1.0))
         calls = self.calls[first:]
-        refused = [call for call in calls if call.host is not host and call.status != 200]
+        number = self.hosts.index(host)
+        refused = [call for call in calls if call.number != number and call.status != 200]
         if refused:
-            raise ViolationError(f"{len(refused)} of {len(calls)} refused elsewhere: {refused[0]}")
+            raise ViolationError(f"{len(refused)} of {len(calls)} refused: {refused[:5]}")
 
     def _check_kept(self) -> None:
         """Kill all processes, and check that no acknowledged version is lost."""
--- a/flamingoramp/platform/tests/control_hosts.py
+++ b/flamingoramp/platform/tests/control_hosts.py
@@ -138,12 +138,21 @@
 
     def declare(self, version: int) -> bool:
         """Submit a version of a declaration; return whether it is acknowledged."""
-        return self.submit(version).status == 200
+        body = json.dumps(platform_fleets.make_document(version)).encode()
+        return self.call("PUT", DECLARATION_PATH, body).status == 200
 
     def submit(self, version: int) -> platform_fleets.Answer:
-        """Submit a version of a declaration; return the answer."""
+        """Submit a version of a declaration; return the answer.
+
+        Raises
+        ------
+        OSError, ValueError, IndexError
+            If there is none in time, or one that was cut off.
+        """
         body = json.dumps(platform_fleets.make_document(version)).encode()
-        return self.call("PUT", DECLARATION_PATH, body)
+        return platform_fleets.send_request(
+            self.operators, "PUT", DECLARATION_PATH, body=body, timeout=CALL_TIMEOUT_SECONDS
+        )
 
     def read_version(self) -> int | None:
         """Return the version of the declaration that the host reads, None if it does not answer."""
