--- a/bench/acknowledgements.py
+++ b/bench/acknowledgements.py
@@ -288,7 +288,7 @@
     seeds, first : int
         Number of seeds, and the first one.
     disruption : str
-        ``fill_disk``, ``fill_disk_and_kill`` or ``restart``; empty for kills after acknowledgements.
+        ``fill_disk``, ``fill_disk_and_kill`` or ``restart``; empty: kills after acknowledgements.
     workers : int
         Number of seeds that run at the same time.
     """
