The last record of an earlier process is written again before it counts as durable

What operators could have lost: a sync fails, the process is killed before it drops the record, and the next process reads the record from the page cache. The kernel has forgotten that it did not write it, the next sync succeeds, and the record is acknowledged without being on the disk. The next loss of power takes it.

Records before the last one were synced before the next was written. The last one is written again in place, with the same bytes, before it is synced.

--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -249,7 +249,8 @@
 
         What an earlier process wrote but did not sync is synced: the replica may acknowledge all
         that this returns. What this process failed to sync is dropped, since a later sync may
-        succeed without having written it.
+        succeed without having written it. For the same reason, the last record of an earlier
+        process is written again; those before it were synced.
 
         Raises
         ------
@@ -261,6 +262,8 @@
         path = self._log_path()
         data = self._do_io(lambda: _read_if_exists(path)) or b""
         records, end = read_records(data[: self._synced_bytes.get(self._log_number)], str(path))
+        if records and self._log_number not in self._synced_bytes:
+            self._do_io(lambda: self._rewrite_last_record(path, data[:end], len(records[-1])))
         self._do_io(lambda: self._open_log(path, end))
         return _replay(records, snapshot)
 
@@ -325,6 +328,14 @@
         self._sync_folder()
         self._synced_bytes = {self._log_number: end}
 
+    def _rewrite_last_record(self, path: pathlib.Path, data: bytes, body_bytes: int) -> None:
+        start = len(data) - body_bytes - _RECORD_HEADER.size
+        with open(path, "r+b", buffering=0) as log_file:
+            log_file.seek(start)
+            unwritten = memoryview(data)[start:]
+            while unwritten:
+                unwritten = unwritten[log_file.write(unwritten) :]
+
     def _close_log(self) -> None:
         if self._log_file is not None:
             log_file, self._log_file = self._log_file, None
--- a/flamingoramp/consensus/tests/test_storage.py
+++ b/flamingoramp/consensus/tests/test_storage.py
@@ -136,6 +136,30 @@
             self.assertEqual(len(store.recover().entries), 3)
         self.assertIn(str(self.log_path().resolve()), synced)
 
+    # Guards against the same when the process ends after a sync that has failed: the kernel forgets
+    # that it did not write the record, and the next sync succeeds without it.
+    def test_last_record_of_an_earlier_process_is_written_again(self):
+        self.write_entries(3)
+        data = self.log_path().read_bytes()
+        records, _ = storage.read_records(data, "log")
+        written = []
+
+        class RecordingFile(FaultyFile):
+            def write(self, data) -> int:
+                written.append(bytes(data))
+                return super().write(data)
+
+        def _open(path, mode="r", buffering=-1):
+            return RecordingFile(FaultyDisk(()), open(path, mode, buffering))  # noqa: SIM115
+
+        store = self.open_storage()
+        with mock.patch.object(storage, "open", _open, create=True):
+            store.recover()
+            self.assertEqual(written, [data[-len(records[-1]) - 8 :]])
+            store.recover()
+        self.assertEqual(len(written), 1)
+        self.assertEqual(self.log_path().read_bytes(), data)
+
     # Guards against a sync that succeeds after one that has failed, without the failed writes.
     def test_record_whose_sync_failed_is_dropped(self):
         self.write_entries(2)
