--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -250,7 +250,8 @@
         What an earlier process wrote but did not sync is synced: the replica may acknowledge all
         that this returns. What this process failed to sync is dropped, since a later sync may
         succeed without having written it. For the same reason, the last record of an earlier
-        process is written again; those before it were synced.
+        process is written again; those before it were synced. Files that are left of an earlier
+        snapshot are removed.
 
         Raises
         ------
@@ -265,6 +266,7 @@
         if records and self._log_number not in self._synced_bytes:
             self._do_io(lambda: self._rewrite_last_record(path, data[:end], len(records[-1])))
         self._do_io(lambda: self._open_log(path, end))
+        self._do_io(self._remove_stale_files)
         return _replay(records, snapshot)
 
     def check_writable(self) -> None:
@@ -336,6 +338,13 @@
             while unwritten:
                 unwritten = unwritten[log_file.write(unwritten) :]
 
+    def _remove_stale_files(self) -> None:
+        """Remove temporary files and other logs than that of the snapshot, whose name is synced."""
+        current = self._log_path().name
+        for path in (*self._folder.glob("log.*"), *self._folder.glob("*.tmp")):
+            if path.name != current:
+                path.unlink(missing_ok=True)
+
     def _close_log(self) -> None:
         if self._log_file is not None:
             log_file, self._log_file = self._log_file, None
--- a/flamingoramp/consensus/tests/test_storage.py
+++ b/flamingoramp/consensus/tests/test_storage.py
@@ -389,6 +389,24 @@
         self.assertEqual(recovered.hard_state.term, 1)
         self.assertEqual(len(recovered.entries), 5)
 
+    # Guards against a disk that fills with the files of snapshots at which the process was killed.
+    def test_files_of_earlier_snapshots_are_removed(self):
+        self.write_entries(5)
+        for name in ("snapshot.tmp", "log.7", "log.1.tmp"):
+            (self.folder / name).write_bytes(b"x" * 1000)
+        store = self.open_storage()
+        store.recover()
+        with (
+            mock.patch.object(pathlib.Path, "unlink", side_effect=OSError("killed")),
+            self.assertRaises(errors.StorageFailedError),
+        ):
+            store.save_snapshot(effects.HardState(1, "a", "c"), self.SNAPSHOT, ())
+        store.close()
+        recovered = self.open_storage().recover()
+        self.assertEqual(recovered.snapshot, self.SNAPSHOT)
+        names = sorted(path.name for path in self.folder.iterdir())
+        self.assertEqual(names, ["lock", "log.1", "snapshot"])
+
     def test_damaged_snapshot_raises(self):
         self.write_entries(5)
         store = self.open_storage()
