--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -8,7 +8,7 @@
 from hypothesis import settings, stateful, strategies
 
 from flamingoramp import errors
-from flamingoramp.consensus import effects, replica
+from flamingoramp.consensus import effects, entry_log, replica
 from flamingoramp.protocol import messages
 from flamingoramp.tests import worlds
 
@@ -130,6 +130,102 @@
         return [entry.payload for entry in self.applied[host] if entry.kind == "test"]
 
 
+class TestLeaderSnapshot(unittest.TestCase):
+    """A snapshot that the leader sends to a follower with entries after it."""
+
+    MEMBERSHIP = effects.Membership(("a#1", "b#1", "c#1"))
+    REQUEST = messages.InstallSnapshot(
+        term=2, leader="a#1", last_index=3, last_term=1, replicas=MEMBERSHIP.voters, cluster="c"
+    )
+
+    def handle(self, entry_term: int) -> tuple[replica.Replica, list]:
+        """Return a restarted follower with five entries, and its reaction to the snapshot."""
+        entries = [messages.LogEntry(index, entry_term, "test", b"x") for index in range(1, 6)]
+        recovered = entry_log.RecoveredState(
+            effects.HardState(1, "", "c"), effects.Snapshot(0, 0, self.MEMBERSHIP), tuple(entries)
+        )
+        follower = replica.Replica(
+            identity="b#1",
+            seed_hosts=("a", "b", "c"),
+            recovered=recovered,
+            rng=random.Random(1),
+            now=0.0,
+        )
+        return follower, follower.handle("a#1", self.REQUEST, 1.0)
+
+    # Guards against acknowledged entries that are lost: a follower whose disk was full lacks the
+    # last entry, gets a snapshot, and drops what it had acknowledged after that.
+    def test_entries_after_a_snapshot_that_the_log_includes_are_kept(self):
+        follower, batch = self.handle(entry_term=1)
+        self.assertEqual(follower.log.last_index, 5)
+        applied = [item.entry.index for item in batch if isinstance(item, effects.Apply)]
+        self.assertEqual(applied, [1, 2, 3])
+        self.assertFalse([item for item in batch if isinstance(item, effects.RestoreSnapshot)])
+        self.assertEqual(batch[-1].message, messages.AppendReply(2, True, 3))
+
+    def test_entries_of_another_term_are_replaced(self):
+        follower, batch = self.handle(entry_term=0)
+        self.assertEqual(follower.log.last_index, 3)
+        self.assertTrue([item for item in batch if isinstance(item, effects.RestoreSnapshot)])
+
+
+class TestResignation(unittest.TestCase):
+    """A leader that ends its leadership itself."""
+
+    TIMINGS = (replica.Timing(), replica.Timing(uses_leases=False, announces_commits=True))
+
+    # Guards against the time that voters wait to miss a leader which knows that it leads no longer.
+    def test_another_replica_leads_at_once(self):
+        for timing in self.TIMINGS:
+            with self.subTest(timing=timing):
+                cluster = Cluster(timing=timing)
+                cluster.run(5)
+                self.assertTrue(cluster.propose(b"x"))
+                first = cluster.leader()
+                cluster.execute(first, cluster.replicas[first].resign(cluster.now))
+                self.assertEqual(cluster.leader(), "")
+                cluster.run(0.1)
+                self.assertNotIn(cluster.leader(), ("", first))
+                cluster.run(2)
+                self.assertTrue(cluster.propose(b"y"))
+                cluster.run(1)
+                for host in HOSTS:
+                    self.assertEqual(cluster.payloads(host), [b"x", b"y"])
+
+    def test_others_elect_soon_if_the_successor_has_ended(self):
+        cluster = Cluster(timing=self.TIMINGS[1])
+        cluster.run(5)
+        first = cluster.leader()
+        batch = cluster.replicas[first].resign(cluster.now)
+        cluster.stop(replica.host_of(batch[0].message.successor))
+        cluster.execute(first, batch)
+        cluster.run(0.4)
+        self.assertNotEqual(cluster.leader(), "")
+
+    # Guards against a message that arrives after the next election and makes voters ignore that
+    # leader.
+    def test_resignation_of_an_earlier_term_changes_nothing(self):
+        cluster = Cluster(timing=self.TIMINGS[1])
+        cluster.run(5)
+        first = cluster.leader()
+        batch = cluster.replicas[first].resign(cluster.now)
+        cluster.execute(first, batch)
+        cluster.run(1)
+        leader = cluster.leader()
+        term = cluster.replicas[leader].term
+        for _ in range(3):
+            cluster.execute(first, batch)
+            cluster.run(1)
+        self.assertEqual((cluster.leader(), cluster.replicas[leader].term), (leader, term))
+
+    def test_follower_has_no_leadership_to_end(self):
+        cluster = Cluster()
+        cluster.run(5)
+        for host in HOSTS:
+            if host != cluster.leader():
+                self.assertEqual(cluster.replicas[host].resign(cluster.now), [])
+
+
 class ContactCluster(Cluster):
     """Records what hosts had applied whenever they said that they are level with the leader."""
 
