A role that is none ends a process at once, with the status of wrong settings

A missing role ended in a traceback ('IndexError: list index out of range', status 1). A mistyped one, by reading, was taken for an entry before; this adds the test. Both name the roles and end with 2, and process.ended is the last line.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -21,7 +21,7 @@
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     from flamingoramp.platform import main
 
-    main.main(sys.argv[1])
+    main.main(" ".join(sys.argv[1:]))
 
 
 if __name__ == "__main__":
--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -105,4 +105,4 @@
 
 
 if __name__ == "__main__":
-    main(sys.argv[1])
+    main(" ".join(sys.argv[1:]))
--- a/flamingoramp/platform/tests/test_process_ends.py
+++ b/flamingoramp/platform/tests/test_process_ends.py
@@ -7,6 +7,7 @@
 import pathlib
 import shutil
 import signal
+import subprocess
 import tempfile
 import time
 import unittest
@@ -83,6 +84,22 @@
                     last = self.assert_ended(program, 2, "settings")
                     self.assertIn(last["text"], program.errors)
 
+    # Guards against a mistyped role, which was taken for an entry.
+    def test_unknown_role_is_logged(self):
+        for arguments in ([], ["entries"], ["entry", "control"]):
+            with self.subTest(arguments):
+                command = programs.run_arguments("entry")[:-1] + arguments
+                ended = subprocess.run(
+                    command,
+                    cwd=programs.ROOT,
+                    capture_output=True,
+                    timeout=fleets.TIMEOUT_SECONDS,
+                )
+                self.assertEqual(ended.returncode, 2, ended.stderr)
+                last = json.loads(ended.stdout)
+                self.assertEqual((last["event"], last["cause"]), ("process.ended", "settings"))
+                self.assertIn(repr(" ".join(arguments)), last["text"])
+
     # Guards against an import that fails and leaves a traceback alone.
     def test_library_that_is_missing_or_built_for_another_machine_is_logged(self):
         for role in ROLES:
