Keep a connection whose answer began before the stop until its caller knows

Callers saw a close without a response: an answer whose head was sent before SIGTERM has no Connection: close, but its connection was half-closed after it and the next request on it discarded. A caller can't know whether that request ran.

Cause: whether a response is the last one was decided from the state of the server at its end, not from what its head had told the caller.

Evidence: the test failed before, while connections are accepted and after that: ValueError: not enough values to unpack (expected 2, got 1).

The connection is kept now. Its next request is served with Connection: close while the entry accepts connections; later the connection is ended like any idle one, and what crosses that gets 408 (not run).

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -165,6 +165,8 @@
         self._is_first_request = True
         self._exchange: Exchange | None = None
         self._is_ending = False
+        # Whether the head of the current response says that the connection ends after it.
+        self._has_announced_close = False
         self._discards_requests = False
         self._last_request: messages.Request | None = None
         self._stream = stream.Stream(
@@ -284,7 +286,8 @@
             fields.append((b"content-length", b"%d" % length))
         else:
             fields.append((b"transfer-encoding", b"chunked"))
-        if self._server.is_closing or self._discards_requests:
+        self._has_announced_close = self._server.is_closing or self._discards_requests
+        if self._has_announced_close:
             fields.append((b"connection", b"close"))
         try:
             response = h11.Response(
@@ -301,12 +304,13 @@
             self._send(h11.Data(data=data))
 
     def finish_response(self) -> None:
-        """Complete the response, then close the connection or process the next request."""
+        """Complete the response, then end the connection or process the next request."""
         self._send(h11.EndOfMessage())
         self._exchange = None
         if not self._stream.is_open:
             return
-        is_last = self._server.is_closing or self._discards_requests
+        # A caller that wasn't told of the close may have sent its next request.
+        is_last = self._has_announced_close or self._discards_requests
         if self._parser.our_state is not h11.DONE or is_last:
             self._finish_connection()
             return
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -198,6 +198,30 @@
         self.assertLess(elapsed_seconds, server.LINGER_SECONDS + 0.5)
         self.assert_refused(open_connection)
 
+    # Guards against a request that gets no response, since it crosses the close after an answer
+    # that began before the stop and so didn't tell its caller of the close.
+    def test_request_that_crosses_the_end_of_an_answer_begun_before_the_stop_is_answered(self):
+        for has_stopped_accepting in (False, True):
+            with self.subTest(has_stopped_accepting=has_stopped_accepting):
+                echo_server = self.start_server()
+                echo_server.keep_exchanges = True
+                sock = self.connect(echo_server)
+                sock.sendall(REQUEST)
+                exchange = self.wait_for_exchange(echo_server)
+                echo_server.keep_exchanges = False
+                echo_server.run_in_loop(lambda kept=exchange: kept.start(200, (), length=2))
+                echo_server.run_in_loop(echo_server.server.begin_closing)
+                if has_stopped_accepting:
+                    echo_server.run_in_loop(echo_server.server.stop_accepting)
+                echo_server.run_in_loop(lambda kept=exchange: (kept.send(b"ok"), kept.finish()))
+                time.sleep(2 * server.CLOSING_CHECK_INTERVAL_SECONDS)
+                sock.sendall(REQUEST)
+                time.sleep(0.05)
+                first, second = self.read_to_end(sock).split(b"HTTP/1.1 ")[1:]
+                self.assertTrue(first.startswith(b"200 "), first)
+                self.assertTrue(second.startswith(b"408 " if has_stopped_accepting else b"200 "))
+                self.assertIn(b"connection: close", second.lower())
+
     # Guards against new connections that are idle when the process ends, which then reset what
     # they send.
     def test_new_connection_without_a_request_is_ended_as_well(self):
