Leave a connection open after a request that came at its idle timeout

Callers got a 408 right behind the response to a request that reached the kernel just before the idle timeout: the response said nothing of a close, and their next request got the 408 as its response.

Cause: after reading what the kernel had received, the connection was looked at as if nothing had been handled; a request that is answered at once leaves it idle again.

A connection of which bytes were read is in use and not ended.

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -242,8 +242,7 @@
 
         A request that crosses the 408 gets it as its response: it is read, but never handled.
         """
-        self._stream.read_pending()
-        if self._stream.is_open and self._exchange is None and not self.is_reading:
+        if not self._stream.read_pending() and self._stream.is_open:
             self._send_refusal(408)
             self._finish_connection()
 
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -222,6 +222,24 @@
                 self.assertTrue(second.startswith(b"408 " if has_stopped_accepting else b"200 "))
                 self.assertIn(b"connection: close", second.lower())
 
+    # Guards against a 408 right after the response to a request that came at the idle timeout:
+    # its caller was not told of the close and sends the next one.
+    def test_connection_stays_open_after_a_request_at_the_idle_timeout(self):
+        echo_server = self.start_server()
+        sock = self.connect_kept(echo_server)
+
+        def _send_and_check() -> None:
+            (connection,) = echo_server.server._connections
+            connection._phase_started_at -= echo_server.server.limits.idle_seconds
+            sock.sendall(REQUEST)
+            echo_server.server._close_timed_out()
+
+        echo_server.run_in_loop(_send_and_check)
+        for _ in range(2):
+            self.assertEqual(test_server.read_response(sock)[0], 200)
+            sock.sendall(REQUEST)
+        self.assertEqual(test_server.read_response(sock)[0], 200)
+
     # Guards against new connections that are idle when the process ends, which then reset what
     # they send.
     def test_new_connection_without_a_request_is_ended_as_well(self):
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -171,10 +171,9 @@
         self._loop.unregister(self._sock)
         self._sock.close()
 
-    def read_pending(self) -> None:
-        """Pass on input that the kernel has received already."""
-        if self._open:
-            self._read()
+    def read_pending(self) -> bool:
+        """Pass on input that the kernel has received already; return whether there was any."""
+        return self._open and self._read()
 
     def flush(self) -> None:
         """Pass as much of the output buffer to the kernel as it takes."""
@@ -219,23 +218,24 @@
         if self._open and events & selectors.EVENT_READ:
             self._read()
 
-    def _read(self) -> None:
+    def _read(self) -> bool:
+        """Receive bytes once; return whether there were any."""
         try:
             data = self._sock.recv(MAX_READ_BYTES)
         except BlockingIOError:
-            return
+            return False
         except OSError:
             self._was_reset = True
             self._fail()
-            return
+            return False
         if data and self._discard_input:
             now = self._loop.now()
             if now - self._drain_began_at < MAX_DRAIN_SECONDS:
                 self._progress_at = now
-            return
+            return True
         if data:
             self._on_data(data)
-            return
+            return True
         self._input_ended = True
         if not self._close_requested:
             self._fail()
@@ -244,6 +244,7 @@
             self._watch()
         else:
             self.close()
+        return False
 
     def _flush(self) -> None:
         try:
