Don't count client errors among the durations of a route's answers

A stopping entry took on requests that it then had to cut: the quick answers with 400 that a server gives to invalid calls made the typical answer of their route look short (one caller with invalid calls is enough).

Cause: every whole answer below 500 was observed as an answer of the route.

Evidence: the test failed before, First differing element: (0, '') in place of (503, 'finished'): with 4.8 s left, a call was sent whose route's answers take 5.5 s.

Answers with a status of 400 or more aren't observed. A route that has only such answers counts as unknown. Modules test_request_handler_stop, test_request_handler, test_forwarding and test_forwarding_stop of dispatch pass.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -577,7 +577,7 @@
         failed = head.status >= 500
         self._context.record_answer(attempt.target.server, failed=failed)
         self._record_sound(attempt)
-        if not failed:
+        if head.status < 400:
             self._record_answer_seconds(attempt)
         # Another entry has used the attempts that were left.
         is_retryable = failed and not attempt.target.is_peer and self._can_retry()
--- a/flamingoramp/dispatch/tests/test_request_handler_stop.py
+++ b/flamingoramp/dispatch/tests/test_request_handler_stop.py
@@ -79,6 +79,20 @@
         self.assertEqual(self.refusals(stop_admission.Reason.TOO_LONG), 1)
         self.assertEqual(self.log.events[-1], "request.refused")
 
+    # Guards against calls that are cut since quick refusals of invalid ones, by the server, were
+    # taken for the usual duration of answers.
+    def test_client_errors_do_not_shorten_the_expected_duration(self):
+        self.observe(5.5)
+        for _ in range(20):
+            self.send_request()
+            receiver = self.pool.calls[-1].receiver
+            receiver.handle_head(attrs.evolve(ANSWER_HEAD, status=400))
+            receiver.handle_complete()
+        self.handler.begin_stop()
+        self.loop.advance(BOUNDS.accept_seconds - 0.1)
+        self.assert_refused(self.send_request())
+        self.assertEqual(self.refusals(stop_admission.Reason.TOO_LONG), 1)
+
     def test_unknown_durations_are_taken_on_in_the_accept_period_and_refused_later(self):
         self.handler.begin_stop()
         self.loop.advance(BOUNDS.accept_seconds - 0.1)
