Votes asked for before a contact of the leader elect nobody after it

Callers of the own interface's control hosts could get answers of two leaders at once: a follower that had missed its leader asked for pre-votes, acknowledged the leader's next request, by which that renewed its lease, and was then elected by the pre-votes that arrived after it. The platform's control hosts use no leases; there, a living leader lost its term for nothing. Cause: a contact of the leader left the votes in progress as they were, unless it changed term or leader. Each contact that is accepted now ends them, as a change of leader did.

--- a/flamingoramp/consensus/replica.py
+++ b/flamingoramp/consensus/replica.py
@@ -644,6 +644,8 @@
             raise errors.InvariantViolationError(f"two leaders in term {term}")
         if term > self._hard_state.term or self._leader != leader:
             self._step_down(term, now, leader)
+        # Votes asked for before this contact must not elect this replica within the lease.
+        self._votes = set()
         self._leader_has_resigned = False
         self._leader_seen_at = now
         self._reset_election_timeout(now)
--- a/flamingoramp/consensus/tests/test_replica.py
+++ b/flamingoramp/consensus/tests/test_replica.py
@@ -336,6 +336,26 @@
                 ]
                 self.assertLessEqual(len(lease_holders), 1)
 
+    # Guards against two leaders that serve at once: a follower renews the leader's lease, and is
+    # elected by pre-votes that it had asked for before.
+    def test_pre_vote_ends_with_contact_to_the_leader(self):
+        cluster = Cluster(("a", "b", "c"))
+        cluster.run(5)
+        leader = cluster.leader()
+        follower, voter = (host for host in cluster.hosts if host != leader)
+        cluster.cut_links = {frozenset((leader, follower)), frozenset((leader, voter))}
+        while not (requests := cluster.in_flight):
+            cluster.now += STEP_SECONDS
+            cluster.execute(follower, cluster.replicas[follower].tick(cluster.now))
+        cluster.in_flight = []
+        cluster.cut_links = {frozenset((leader, voter))}
+        cluster.execute(leader, cluster.replicas[leader].request_read(cluster.now))
+        cluster.deliver()
+        self.assertEqual(cluster.leader(), leader)
+        cluster.in_flight = requests
+        cluster.deliver()
+        self.assertFalse(cluster.replicas[follower].is_leader)
+
     def test_reconnected_follower_causes_no_election(self):
         cluster = Cluster()
         cluster.run(3)
