The cause of an end is logged although standard error can't be written to

Operators would see no last line, and status 1 instead of 2, 3 or 5, of a process that ends for a cause of their own while standard error is on a full disk or its reader has gone. Cause: the message for standard error was written before the log line, and its error was not expected. Evidence: the test failed before, for both roles and both kinds of standard error: "[last] = ...: ValueError: not enough values to unpack (expected 1, got 0)". What standard error refuses is dropped now. Passed: TestLastLine of platform/tests/test_process_ends.py.

--- a/flamingoramp/platform/tests/programs.py
+++ b/flamingoramp/platform/tests/programs.py
@@ -26,6 +26,16 @@
     return [sys.executable, *deployment["roles"][role]["run"].split()[1:]]
 
 
+def make_environment(settings_path: pathlib.Path, import_folder: str = "") -> dict[str, str]:
+    """Return the environment that the platform gives a program; see `Program`."""
+    libraries = [path for path in sys.path if path.endswith("-packages")]
+    return {
+        "PATH": os.environ["PATH"],
+        "PYTHONPATH": os.pathsep.join(filter(None, [import_folder, *libraries])),
+        main.SETTINGS_PATH_VARIABLE: str(settings_path),
+    }
+
+
 class Program:
     """A role's program, started by the run line of the deploy file.
 
@@ -56,18 +66,12 @@
         if settings:
             text = settings if isinstance(settings, str) else json.dumps(settings)
             self.settings_path.write_text(text)
-        libraries = [path for path in sys.path if path.endswith("-packages")]
-        environment = {
-            "PATH": os.environ["PATH"],
-            "PYTHONPATH": os.pathsep.join(filter(None, [import_folder, *libraries])),
-            main.SETTINGS_PATH_VARIABLE: str(self.settings_path),
-        }
         # Pipes, since the limit holds for all files of the process.
         self._outputs = {"log": b"", "errors": b""}
         self.process = subprocess.Popen(
             run_arguments(role),
             cwd=ROOT,
-            env=environment,
+            env=make_environment(self.settings_path, import_folder),
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
         )
--- a/flamingoramp/platform/tests/test_process_ends.py
+++ b/flamingoramp/platform/tests/test_process_ends.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import json
+import os
 import pathlib
 import shutil
 import signal
@@ -100,6 +101,27 @@
                 self.assertEqual((last["event"], last["cause"]), ("process.ended", "settings"))
                 self.assertIn(repr(" ".join(arguments)), last["text"])
 
+    # Guards against a wrong status and a wrong cause in the log, since standard error is on a full
+    # disk, or its reader has gone.
+    def test_cause_is_logged_without_standard_error(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        with open("/dev/full", "wb") as full:
+            for role in ROLES:
+                for errors in (full, writer):
+                    with self.subTest(role=role, errors=errors):
+                        ended = subprocess.run(
+                            programs.run_arguments(role),
+                            cwd=programs.ROOT,
+                            env=programs.make_environment(self.folder / "missing.json"),
+                            stdout=subprocess.PIPE,
+                            stderr=errors,
+                            timeout=fleets.TIMEOUT_SECONDS,
+                        )
+                        [last] = [json.loads(line) for line in ended.stdout.splitlines()]
+                        self.assertEqual((ended.returncode, last["cause"]), (2, "settings"))
+
     # Guards against an import that fails and leaves a traceback alone.
     def test_library_that_is_missing_or_built_for_another_machine_is_logged(self):
         for role in ROLES:
--- a/flamingoramp/runtime/process_end.py
+++ b/flamingoramp/runtime/process_end.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import sys
@@ -43,7 +44,8 @@
 def end_with_message(log: event_log.EventLog, *, cause: str, status: int, text: str) -> None:
     """End the process for a cause that an operator can remove."""
     _ignore_signals()
-    print(f"flamingoramp: {text}", file=sys.stderr, flush=True)
+    with contextlib.suppress(OSError):  # a full disk, or nobody reads it
+        print(f"flamingoramp: {text}", file=sys.stderr, flush=True)
     log.write_last("process.ended", cause=cause, status=status, text=text)
     os._exit(status)
 
@@ -54,7 +56,9 @@
     """End the process for an unexpected error, with its traceback on standard error."""
     _ignore_signals()
     sys.excepthook(type(error), error, error.__traceback__)
-    sys.stderr.flush()
+    if sys.stderr is not None:
+        with contextlib.suppress(OSError):  # a full disk, or nobody reads it
+            sys.stderr.flush()
     log.write_last(
         "process.ended",
         cause=cause,
