A process that is started without standard output runs

Operators would see a process that ends at its start with status 1 and "OSError: [Errno 9] Bad file descriptor" on standard error, and no last line, if standard output is closed. Cause: the log sets the mode of its descriptor, which has to be open. Evidence: the test failed before, for both roles: "AssertionError: 1 is not None" (the exit status). The null device takes the place of a closed descriptor, so that no connection gets its number, and with it the log lines.

--- a/flamingoramp/platform/tests/test_process_ends.py
+++ b/flamingoramp/platform/tests/test_process_ends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import json
 import os
@@ -19,6 +20,7 @@
 from flamingoramp.daemons import node_process
 from flamingoramp.platform.tests import fleet as fleets
 from flamingoramp.platform.tests import programs
+from flamingoramp.runtime import listeners
 
 ROLES = ("entry", "control")
 
@@ -122,6 +124,33 @@
                         [last] = [json.loads(line) for line in ended.stdout.splitlines()]
                         self.assertEqual((ended.returncode, last["cause"]), (2, "settings"))
 
+    # Guards against a process that ends at its start, or writes its log to a connection, since it
+    # was started without standard output.
+    def test_process_runs_without_standard_output(self):
+        for role in ROLES:
+            with self.subTest(role):
+                path = self.folder / f"{role}.json"
+                settings = self.make_settings(role)
+                path.write_text(json.dumps(settings))
+                process = subprocess.Popen(
+                    ["sh", "-c", 'exec "$@" >&-', "sh", *programs.run_arguments(role)],
+                    cwd=programs.ROOT,
+                    env=programs.make_environment(path),
+                )
+                self.addCleanup(process.kill)
+                address = settings["listen"][listeners.SERVED_KEYS_BY_ROLE[role][0]]
+
+                def _answers(address=address, process=process) -> bool:
+                    self.assertIsNone(process.poll())
+                    with contextlib.suppress(OSError):
+                        return fleets.send_request(address, "GET", "/").status > 0
+                    return False
+
+                fleets.wait_for(_answers, "an answer")
+                self.assertEqual(os.readlink(f"/proc/{process.pid}/fd/1"), os.devnull)
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(process.wait(fleets.TIMEOUT_SECONDS), 0)
+
     # Guards against an import that fails and leaves a traceback alone.
     def test_library_that_is_missing_or_built_for_another_machine_is_logged(self):
         for role in ROLES:
--- a/flamingoramp/runtime/event_log.py
+++ b/flamingoramp/runtime/event_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import time
@@ -21,7 +22,8 @@
     process : str
         Name of the process that writes the log; the lines don't contain it.
     descriptor : int
-        File descriptor to write to; it is set to non-blocking mode.
+        File descriptor to write to; it is set to non-blocking mode, and opened on the null device
+        if it is closed.
     """
 
     def __init__(self, process: str, *, descriptor: int = 1):
@@ -31,7 +33,13 @@
         self._available_lines = BURST_LINES
         self._refilled_at = time.monotonic()
         self._dropped_lines = 0
-        os.set_blocking(descriptor, False)
+        try:
+            os.set_blocking(descriptor, False)
+        except OSError as error:
+            if error.errno != errno.EBADF:
+                raise
+            # It is closed; a connection must not get its number and the log.
+            os.dup2(os.open(os.devnull, os.O_WRONLY), descriptor)
 
     @property
     def dropped_lines(self) -> int:
