--- a/flamingoramp/platform/tests/test_process_ends.py
+++ b/flamingoramp/platform/tests/test_process_ends.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import json
+import os
 import pathlib
 import shutil
 import signal
@@ -18,6 +20,7 @@
 from flamingoramp.daemons import node_process
 from flamingoramp.platform.tests import fleet as fleets
 from flamingoramp.platform.tests import programs
+from flamingoramp.runtime import listeners
 
 ROLES = ("entry", "control")
 
@@ -100,6 +103,54 @@
                 self.assertEqual((last["event"], last["cause"]), ("process.ended", "settings"))
                 self.assertIn(repr(" ".join(arguments)), last["text"])
 
+    # Guards against a wrong status and a wrong cause in the log, since standard error is on a full
+    # disk, or its reader has gone.
+    def test_cause_is_logged_without_standard_error(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        with open("/dev/full", "wb") as full:
+            for role in ROLES:
+                for errors in (full, writer):
+                    with self.subTest(role=role, errors=errors):
+                        ended = subprocess.run(
+                            programs.run_arguments(role),
+                            cwd=programs.ROOT,
+                            env=programs.make_environment(self.folder / "missing.json"),
+                            stdout=subprocess.PIPE,
+                            stderr=errors,
+                            timeout=fleets.TIMEOUT_SECONDS,
+                        )
+                        [last] = [json.loads(line) for line in ended.stdout.splitlines()]
+                        self.assertEqual((ended.returncode, last["cause"]), (2, "settings"))
+
+    # Guards against a process that ends at its start, or writes its log to a connection, since it
+    # was started without standard output.
+    def test_process_runs_without_standard_output(self):
+        for role in ROLES:
+            with self.subTest(role):
+                path = self.folder / f"{role}.json"
+                settings = self.make_settings(role)
+                path.write_text(json.dumps(settings))
+                process = subprocess.Popen(
+                    ["sh", "-c", 'exec "$@" >&-', "sh", *programs.run_arguments(role)],
+                    cwd=programs.ROOT,
+                    env=programs.make_environment(path),
+                )
+                self.addCleanup(process.kill)
+                address = settings["listen"][listeners.SERVED_KEYS_BY_ROLE[role][0]]
+
+                def _answers(address=address, process=process) -> bool:
+                    self.assertIsNone(process.poll())
+                    with contextlib.suppress(OSError):
+                        return fleets.send_request(address, "GET", "/").status > 0
+                    return False
+
+                fleets.wait_for(_answers, "an answer")
+                self.assertEqual(os.readlink(f"/proc/{process.pid}/fd/1"), os.devnull)
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(process.wait(fleets.TIMEOUT_SECONDS), 0)
+
     # Guards against an import that fails and leaves a traceback alone.
     def test_library_that_is_missing_or_built_for_another_machine_is_logged(self):
         for role in ROLES:
