Comparison of sequences ends at the first difference

What operators saw: a version of which most items changed compared each text twice, from both ends. Cause: count_equal_ends made the list of all comparisons before it looked for the first difference. Fix: operator.indexOf ends at the first comparison that is false, without a loop in Python.

--- a/flamingoramp/sequences.py
+++ b/flamingoramp/sequences.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -10,15 +11,15 @@
     first: Sequence[Any], second: Sequence[Any], is_equal: Callable[[Any, Any], bool]
 ) -> tuple[int, int]:
     """Return how many items are equal at the start and, of the remaining ones, at the end."""
-    start = _count_equal(map(is_equal, first, second))
-    limit = min(len(first), len(second)) - start
-    end = _count_equal(map(is_equal, reversed(first), reversed(second)))
-    return start, min(end, limit)
+    limit = min(len(first), len(second))
+    start = _count_equal(map(is_equal, first, second), limit)
+    end = _count_equal(map(is_equal, reversed(first), reversed(second)), limit)
+    return start, min(end, limit - start)
 
 
-def _count_equal(comparisons: map[bool]) -> int:
-    results = list(comparisons)
+def _count_equal(comparisons: map[bool], count: int) -> int:
+    """Return how many of ``count`` comparisons come before the first that is false."""
     try:
-        return results.index(False)
+        return operator.indexOf(comparisons, False)  # ends there, in contrast to a list of all
     except ValueError:
-        return len(results)
+        return count
