Routes of a declaration are decoded at once

What operators saw: a wholly new declaration of 2,000 routes takes an entry 44 to 58 ms of processor time on arm64; on a tenth of a core the next one is in force 1.0 to 1.1 s after its arrival (1.0 s wanted). Cause: 30 ms of that went to looking up and checking the fields of each route one by one (measured apart). A route with a field of another type or magnitude is decoded field by field as before, so that the reason of a refusal and the result of an unusual number stay the same. Weights are added up in the loop that checks them.

--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -326,14 +326,17 @@
             raise errors.InvalidDeclarationError(
                 f"route {route.name}: the prefix {route.prefix!r} must begin and end with a slash"
             )
+        total = 0
+        services = self._service_by_name
         for share in route.shares:
-            if share.service not in self._service_by_name:
+            if share.service not in services:
                 raise errors.InvalidDeclarationError(
                     f"route {route.name}: no service {share.service!r} is declared"
                 )
             if share.weight < 0:
                 raise errors.InvalidDeclarationError(f"route {route.name}: a negative weight")
-        if sum(share.weight for share in route.shares) <= 0:
+            total += share.weight
+        if total <= 0:
             raise errors.InvalidDeclarationError(f"route {route.name}: the weights add up to 0")
         if route.timeout_seconds <= 0:
             raise errors.InvalidDeclarationError(f"route {route.name}: the timeout is 0")
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import operator
 from collections.abc import Callable, Generator
-from typing import Any
+from typing import Annotated, Any
 
 import attrs
+import msgspec
 
 from flamingoramp import errors, json_documents, sequences, steps
 from flamingoramp.intent import traffic
@@ -20,6 +22,13 @@
 _MILLISECONDS_PER_SECOND = 1000.0
 _NUMBER = (int, float)
 _MAX_USUAL_NUMBER = 1e300
+# Fields of routes beyond it are checked one by one; some are infinite, or integers that no float
+# can hold.
+_MAX_USUAL_FIELD = 2**53
+_UsualInteger = Annotated[int, msgspec.Meta(ge=-_MAX_USUAL_FIELD, le=_MAX_USUAL_FIELD)]
+_UsualNumber = Annotated[float, msgspec.Meta(ge=-_MAX_USUAL_FIELD, le=_MAX_USUAL_FIELD)]
+_IDEMPOTENT = traffic.Idempotency.IDEMPOTENT
+_NON_IDEMPOTENT = traffic.Idempotency.NON_IDEMPOTENT
 
 
 def _field(
@@ -217,15 +226,72 @@
     return _field(data, name, _NUMBER, where, default) / _MILLISECONDS_PER_SECOND
 
 
+class _UsualShare(msgspec.Struct, frozen=True, gc=False):
+    """A share whose fields have the usual types and magnitudes."""
+
+    service: str
+    weight: _UsualInteger
+
+
+class _UsualRoute(msgspec.Struct, frozen=True, gc=False):
+    """Fields of a route that all have the usual types and magnitudes."""
+
+    name: str
+    kind: str
+    host: str
+    path_prefix: str
+    timeout_ms: _UsualNumber
+    split: tuple[_UsualShare, ...] | msgspec.UnsetType = msgspec.UNSET
+    service: str = ""
+    resumable: bool = False
+    attempts: _UsualInteger = 1
+    slo_ms: _UsualNumber = 1000.0
+    gap_slo_ms: _UsualNumber = 0.0
+    priority: _UsualInteger = 5
+    public: bool = False
+
+
 def _decode_route(data: dict[str, Any]) -> traffic.Route:
+    """Decode a route: all fields at once if they are usual, else one by one."""
+    try:
+        usual = msgspec.convert(data, _UsualRoute)
+    except msgspec.ValidationError:
+        return _decode_unusual_route(data)
+    if usual.split is not msgspec.UNSET:
+        shares = tuple([_make_share(share.service, share.weight) for share in usual.split])
+    elif "service" in data:
+        shares = (_make_share(usual.service, 1),)
+    else:
+        return _decode_unusual_route(data)
+    # By position, since names take a fifth more time.
+    return traffic.Route(
+        usual.name,
+        usual.host.lower(),
+        usual.path_prefix,
+        _IDEMPOTENT if usual.kind == "idempotent" else _NON_IDEMPOTENT,
+        usual.kind == "streaming",
+        usual.resumable,
+        shares,
+        usual.attempts,
+        usual.timeout_ms / _MILLISECONDS_PER_SECOND,
+        usual.slo_ms / _MILLISECONDS_PER_SECOND,
+        usual.gap_slo_ms / _MILLISECONDS_PER_SECOND,
+        usual.priority,
+        usual.public,
+    )
+
+
+@functools.lru_cache(maxsize=1024)
+def _make_share(service: str, weight: int) -> traffic.TrafficShare:
+    return traffic.TrafficShare(service, weight)
+
+
+def _decode_unusual_route(data: dict[str, Any]) -> traffic.Route:
+    """Decode a route field by field, which finds the reason of a refusal."""
     name = _field(data, "name", str, "route")
     where = f"route {name}"
     kind = _field(data, "kind", str, where)
-    idempotency = (
-        traffic.Idempotency.IDEMPOTENT
-        if kind == "idempotent"
-        else traffic.Idempotency.NON_IDEMPOTENT
-    )
+    idempotency = _IDEMPOTENT if kind == "idempotent" else _NON_IDEMPOTENT
     if "split" in data:
         shares = tuple(
             traffic.TrafficShare(
--- a/flamingoramp/platform/tests/test_incremental_decoding.py
+++ b/flamingoramp/platform/tests/test_incremental_decoding.py
@@ -19,6 +19,22 @@
 # 10 ms at a tenth of a core, beyond parsing.
 MAX_INCREMENTAL_SECONDS = 0.001
 
+ROUTE_FIELDS = (
+    "name",
+    "host",
+    "path_prefix",
+    "kind",
+    "timeout_ms",
+    "slo_ms",
+    "gap_slo_ms",
+    "priority",
+    "split",
+    "service",
+    "attempts",
+    "public",
+    "resumable",
+)
+
 
 def make_large_document(route_count: int = ROUTE_COUNT) -> dict[str, Any]:
     """Return a valid document with many routes, services and workspaces."""
@@ -250,6 +266,46 @@
         self.assertLessEqual(kept_count, 2 * 5 + declarations.MAX_EARLIER_ITEMS)
 
 
+class TestRoutes(unittest.TestCase):
+    """Routes are decoded at once; the result is that of decoding them field by field."""
+
+    # Guards against a field that is accepted, refused or rounded in one of the two ways only.
+    def test_random_routes_give_the_result_of_decoding_field_by_field(self):
+        accepted_count = 0
+        for seed in range(20_000):
+            rng = random.Random(seed)
+            route = copy.deepcopy(rng.choice(test_declarations.make_document()["routes"]))
+            for _ in range(rng.randrange(4)):
+                shares = route.get("split")
+                shares = shares if isinstance(shares, list) else []
+                objects = [share for share in shares if isinstance(share, dict)]
+                self.change_field(rng.choice([route, route, *objects]), rng)
+            expected = self.decode_result(declarations._decode_unusual_route, route)
+            found = self.decode_result(declarations._decode_route, route)
+            with self.subTest(seed=seed, route=route):
+                self.assertEqual(found, expected)
+            accepted_count += "Route(" in expected
+        self.assertGreater(accepted_count, 4000)
+
+    def decode_result(self, decode: Callable[[dict], traffic.Route], route: dict[str, Any]) -> str:
+        try:
+            return repr(decode(route))  # in which integers and floats differ
+        except errors.InvalidDeclarationError as error:
+            return str(error)
+
+    def change_field(self, data: dict[str, Any], rng: random.Random) -> None:
+        name = rng.choice([*data, *ROUTE_FIELDS, "weight"])
+        number = rng.choice(
+            [0, 1, 7, 0.5, 2.0, -3, 2**53, rng.getrandbits(60), 10**18, 1e17, 1e300, 10**400]
+        )
+        data[name] = rng.choice(
+            [number, number, number + rng.choice([-1, 1]), "Text", "idempotent", True, False, None]
+            + [float("nan"), float("inf"), {}, [], [{}], [1], [{"service": "a", "weight": number}]]
+        )
+        if rng.random() < 0.2:
+            del data[name]
+
+
 class TestLoad(unittest.TestCase):
     """Processor time of versions of 2,000 routes."""
 
