--- a/flamingoramp/platform/tests/control_hosts.py
+++ b/flamingoramp/platform/tests/control_hosts.py
@@ -5,10 +5,12 @@
 import json
 import os
 import pathlib
+import shlex
 import shutil
 import signal
 import subprocess
 import sys
+import tomllib
 
 import attrs
 
@@ -20,9 +22,33 @@
 CALL_TIMEOUT_SECONDS = 1.0
 ANNOUNCE_INTERVAL_SECONDS = 1.2
 DECLARATION_PATH = "/v1/config"
+DEPLOYMENT_PATH = pathlib.Path(__file__).parents[3] / "deploy" / "system.toml"
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
+def start_program(
+    role: str,
+    settings: node_settings.NodeSettings,
+    settings_path: pathlib.Path,
+    log_path: pathlib.Path,
+) -> subprocess.Popen:
+    """Write a settings file and start the program of a role, as the platform runs it.
+
+    The log is appended to a file.
+    """
+    settings_path.write_text(json.dumps(attrs.asdict(settings)))
+    command = tomllib.loads(DEPLOYMENT_PATH.read_text())["roles"][role]["run"]
+    interpreter_folder = str(pathlib.Path(sys.executable).parent)
+    environment = {
+        **os.environ,
+        "PATH": os.pathsep.join((interpreter_folder, os.environ["PATH"])),
+        "PYTHONPATH": os.pathsep.join((str(DEPLOYMENT_PATH.parents[1]), *filter(None, sys.path))),
+        platform_main.SETTINGS_PATH_VARIABLE: str(settings_path),
+    }
+    with log_path.open("ab") as log:
+        return subprocess.Popen(shlex.split(command), env=environment, stdout=log, stderr=log)
+
+
 class ControlHost:
     """A host with a data folder that runs the control program.
 
@@ -72,17 +98,12 @@
     def start(self, *, first_start: bool = False) -> None:
         """Start the program."""
         self._data_folder.mkdir(parents=True, exist_ok=True)
-        path = self._folder / "settings.json"
-        path.write_text(
-            json.dumps(attrs.asdict(attrs.evolve(self._settings, first_start=first_start)))
+        self.process = start_program(
+            "control",
+            attrs.evolve(self._settings, first_start=first_start),
+            self._folder / "settings.json",
+            self._folder / "log",
         )
-        with (self._folder / "log").open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "flamingoramp.platform.main", "control"],
-                env={**os.environ, platform_main.SETTINGS_PATH_VARIABLE: str(path)},
-                stdout=log,
-                stderr=log,
-            )
 
     def kill(self) -> None:
         """Kill the process; the data stays."""
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -92,6 +92,8 @@
         None for the default behaviour.
     zone : str
         Availability zone that it announces.
+    listen : str
+        ``ip:port`` at which it serves; port 0 selects a free port.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         behaviour: Behaviour | None = None,
         *,
         zone: str = "a",
+        listen: str = "127.0.0.1:0",
     ):
         self.name = name
         self.behaviour = behaviour or Behaviour()
@@ -124,7 +127,7 @@
         self._is_silent = False
         self._loop = loops.Loop()
         self._pool = client.Pool(self._loop)
-        self._server = server.Server(self._loop, "127.0.0.1:0", self._handle)
+        self._server = server.Server(self._loop, listen, self._handle)
         self.address = self._server.address
         self.born_at = self._loop.now()
         self._loop.call_later(0.0, self._announce)
@@ -215,6 +218,11 @@
         self.refusals.append(self.behaviour.refuses)
         if self.behaviour.headers:
             self.header_times.append(self._loop.now())
+        self.answer(exchange)
+
+    def answer(self, exchange: server.Exchange) -> None:
+        """Answer a request of a caller as the behaviour says."""
+        request = exchange.request
         exchange.on_disconnect = self._count_disconnect
         if self.behaviour.never_answers:
             return
