--- a/bench/fault_soak/hosts.py
+++ b/bench/fault_soak/hosts.py
@@ -18,8 +18,12 @@
 # Time beyond the grace after which a stopping process is killed.
 KILL_SLACK_SECONDS = 0.3
 POLL_SECONDS = 0.02
-# Time in which the processes of a control host end, a stop or a kill.
 KILL_SECONDS = 5.0
+# Processor time of the interpreter from its own signal set-up to the first statement of a program.
+# Before that, no program can hold a signal back.
+INTERPRETER_SECONDS = 0.008
+INTERPRETER_POLL_SECONDS = 0.0005
+INTERPRETER_TIMEOUT_SECONDS = 2.0
 
 
 class Host:
@@ -62,7 +66,7 @@
         return time.monotonic() - self._begin
 
     def start(self, hang_up_delays: tuple[float, ...] = (), *, replaces: bool = False) -> None:
-        """Start a process, and send SIGHUP to it after some delays in seconds."""
+        """Start a process, and send SIGHUP some seconds after its interpreter has started."""
         number = len(self._processes)
         started_at = self.now()
         process = control_hosts.start_program(
@@ -77,8 +81,11 @@
         waiter = threading.Thread(target=self._wait, args=(process, life))
         waiter.start()
         self._waiters.append(waiter)
+        if hang_up_delays:
+            _wait_for_interpreter(process)
+        interpreted_at = self.now()
         for delay in hang_up_delays:
-            time.sleep(max(0.0, started_at + delay - self.now()))
+            time.sleep(max(0.0, interpreted_at + delay - self.now()))
             self.signal("SIGHUP")
 
     def _wait(self, process: subprocess.Popen, life: histories.Life) -> None:
@@ -179,3 +186,25 @@
                 process.kill()
         for waiter in self._waiters:
             waiter.join()
+
+
+def _wait_for_interpreter(process: subprocess.Popen) -> None:
+    """Wait until the interpreter of a new process runs its program.
+
+    The interpreter ignores SIGPIPE at the end of its own start.
+    """
+    folder = pathlib.Path(f"/proc/{process.pid}")
+    deadline = time.monotonic() + INTERPRETER_TIMEOUT_SECONDS
+    until = 0.0
+    while time.monotonic() < deadline and process.poll() is None:
+        try:
+            status = (folder / "status").read_text()
+            seconds = int((folder / "schedstat").read_text().split()[0]) / 1e9
+        except OSError:  # it has just ended
+            return
+        [mask] = [line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:")]
+        if not until and int(mask, 16) >> (signal.SIGPIPE - 1) & 1:
+            until = seconds + INTERPRETER_SECONDS
+        if until and seconds >= until:
+            return
+        time.sleep(INTERPRETER_POLL_SECONDS)
