--- a/bench/fault_soak/hosts.py
+++ b/bench/fault_soak/hosts.py
@@ -59,6 +59,8 @@
         self._begin = begin
         self._processes: list[tuple[subprocess.Popen, histories.Life]] = []
         self._waiters: list[threading.Thread] = []
+        self._lock = threading.Lock()
+        self._is_closed = False
         folder.mkdir(parents=True)
 
     def now(self) -> float:
@@ -67,20 +69,22 @@
 
     def start(self, hang_up_delays: tuple[float, ...] = (), *, replaces: bool = False) -> None:
         """Start a process, and send SIGHUP some seconds after its interpreter has started."""
-        number = len(self._processes)
-        started_at = self.now()
-        process = control_hosts.start_program(
-            self._role,
-            self.settings,
-            self._folder / "settings.json",
-            self._folder / f"log-{number}",
-        )
-        life = histories.Life(self.name, self._role, process.pid, started_at, replaces=replaces)
-        self._history.lives.append(life)
-        self._processes.append((process, life))
-        waiter = threading.Thread(target=self._wait, args=(process, life))
-        waiter.start()
-        self._waiters.append(waiter)
+        with self._lock:
+            if self._is_closed:
+                return
+            started_at = self.now()
+            process = control_hosts.start_program(
+                self._role,
+                self.settings,
+                self._folder / "settings.json",
+                self._folder / f"log-{len(self._processes)}",
+            )
+            life = histories.Life(self.name, self._role, process.pid, started_at, replaces=replaces)
+            self._history.lives.append(life)
+            waiter = threading.Thread(target=self._wait, args=(process, life))
+            waiter.start()
+            self._waiters.append(waiter)
+            self._processes.append((process, life))
         if hang_up_delays:
             _wait_for_interpreter(process)
         interpreted_at = self.now()
@@ -180,7 +184,9 @@
         self._wait_ended(index, self.settings.bounds.stop_seconds + KILL_SLACK_SECONDS)
 
     def close(self) -> None:
-        """Kill what still runs."""
+        """Kill what still runs; nothing starts any more."""
+        with self._lock:
+            self._is_closed = True
         for process, _ in self._processes:
             if process.poll() is None:
                 process.kill()
--- a/bench/fault_soak/main.py
+++ b/bench/fault_soak/main.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import json
+import multiprocessing
 import os
 import pathlib
 import shutil
@@ -17,7 +18,6 @@
 import tempfile
 import time
 import traceback
-from concurrent import futures
 from typing import Any
 
 import attrs
@@ -99,11 +99,15 @@
     raise KeyboardInterrupt
 
 
-def _prepare_worker() -> None:
-    """End the processes of the run also when the worker is told to stop."""
+def _handle_stop() -> None:
+    """Let SIGTERM end this process as SIGINT does: after the processes that it has started."""
     signal.signal(signal.SIGTERM, _interrupt)
 
 
+def _run(arguments: tuple[int, pathlib.Path | None]) -> Result:
+    return run_seed(*arguments)
+
+
 def main(seeds: int = 50, first: int = 1, workers: int = WORKER_COUNT, folder: str = "") -> None:
     """Run a range of seeds; print each result, and exit with 1 if there is any failure.
 
@@ -118,19 +122,25 @@
     """
     started_at = time.monotonic()
     failed = []
-    with futures.ProcessPoolExecutor(workers, initializer=_prepare_worker) as pool:
-        names = {seed: pathlib.Path(folder, str(seed)) for seed in range(first, first + seeds)}
-        runs = [
-            pool.submit(run_seed, seed, path if folder else None) for seed, path in names.items()
-        ]
-        for count, run in enumerate(futures.as_completed(runs), 1):
-            result = run.result()
-            _show(result)
-            if not result.has_passed:
-                failed.append(result.seed)
-            elif not folder:
-                shutil.rmtree(result.folder, ignore_errors=True)
-            print(f"{count} of {seeds} seeds, {len(failed)} failed", flush=True)
+    _handle_stop()
+    runs = [
+        (seed, pathlib.Path(folder, str(seed)) if folder else None)
+        for seed in range(first, first + seeds)
+    ]
+    # The end of the block ends workers that still run.
+    with multiprocessing.Pool(workers, initializer=_handle_stop) as pool:
+        try:
+            for count, result in enumerate(pool.imap_unordered(_run, runs), 1):
+                _show(result)
+                if not result.has_passed:
+                    failed.append(result.seed)
+                elif not folder:
+                    shutil.rmtree(result.folder, ignore_errors=True)
+                print(f"{count} of {seeds} seeds, {len(failed)} failed", flush=True)
+        except KeyboardInterrupt:
+            pool.terminate()
+            pool.join()
+            sys.exit(f"interrupted; {len(failed)} failed {sorted(failed)}")
     seconds = time.monotonic() - started_at
     print(f"{seeds - len(failed)} passed, {len(failed)} failed {sorted(failed)} ({seconds:.0f} s)")
     sys.exit(bool(failed))
