--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SHARDS ?= 1
 RUNS ?= 5
 
-.PHONY: setup test lint demo bench experiment soak capacity clean
+.PHONY: setup test lint demo bench experiment soak fault-soak capacity clean
 
 setup: $(VENV)/ready
 
@@ -37,6 +37,10 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seeds=$(SEEDS) --steps=$(STEPS) --first=$(FIRST) --shards=$(SHARDS)
 
+fault-soak: SEEDS = 50
+fault-soak: setup
+	$(BIN)/python -m bench.fault_soak.main --seeds=$(SEEDS) --first=$(FIRST)
+
 capacity: setup
 	$(BIN)/python -m bench.capacity
 	$(BIN)/python -m bench.path
--- a/bench/fault_soak/scenario.py
+++ b/bench/fault_soak/scenario.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import json
 import pathlib
@@ -164,12 +165,13 @@
     def close(self) -> None:
         """Kill all processes and stop all servers."""
         self._ends.set()
-        for host in (*self._entries, *self._controls):
-            host.close()
-        for thread in self._threads:
-            thread.join()
-        for server in itertools.chain(self._leaving, *self._servers.values()):
-            server.close()
+        with contextlib.ExitStack() as stack:
+            for server in itertools.chain(self._leaving, *self._servers.values()):
+                stack.callback(server.close)
+            for thread in self._threads:
+                stack.callback(thread.join)
+            for host in (*self._entries, *self._controls):
+                stack.callback(host.close)
 
     def _spawn(self, function: Any, *arguments: Any) -> threading.Thread:
         def _run() -> None:
