--- a/bench/fault_soak/checker.py
+++ b/bench/fault_soak/checker.py
@@ -105,10 +105,10 @@
         )
 
     def find_stop(self, host: str, at: float) -> float | None:
-        """Return the time of the first SIGTERM or SIGINT of a host's process that ran at a time."""
+        """Return when the process that a host ran at a time was first told to stop, before it."""
         life = self.find_life(host, at)
-        times = [] if life is None else [t for t, name in life.signals if name in _STOP_SIGNALS]
-        return min(times, default=None)
+        signals = [] if life is None else life.signals
+        return min((t for t, name in signals if name in _STOP_SIGNALS and t <= at), default=None)
 
 
 _STOP_SIGNALS = ("SIGTERM", "SIGINT")
--- a/bench/tests/test_fault_soak_checker.py
+++ b/bench/tests/test_fault_soak_checker.py
@@ -189,6 +189,12 @@
         self.add_cut(20.5, ended_at=24.0)
         self.assert_broken("7 planned stop")
 
+    def test_cut_before_a_stop_is_refused(self):
+        self.stop(26.0)
+        self.add_cut(20.5, ended_at=25.0)
+        self.history.runs[0].ended_at = None
+        self.assert_broken("7 planned stop")
+
     def test_failure_that_is_answered_is_no_cut(self):
         self.stop()
         self.add_cut(20.5, end="answered", status=504)
