--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -77,6 +77,17 @@
             ),
         ),
     ),
+    Mutation(
+        "no_wait_for_addresses",
+        ("process",),
+        (
+            Replacement(
+                "flamingoramp/runtime/listeners.py",
+                "BIND_TIMEOUT_SECONDS = 10.0",
+                "BIND_TIMEOUT_SECONDS = 0.0",
+            ),
+        ),
+    ),
     Mutation(
         "impatience_with_readers",
         ("7 planned stop",),
