--- a/bench/fault_soak/checker.py
+++ b/bench/fault_soak/checker.py
@@ -176,7 +176,7 @@
         request = facts.requests.get(run.request)
         if left_at is None or request is None or run.began_at <= left_at + DRAIN_SECONDS:
             continue
-        if facts.is_in_touch(request.entry, left_at, run.began_at):
+        if facts.is_in_touch(request.entry, request.began_at, run.began_at):
             text = f"run by {run.server} {run.began_at - left_at:.2f} s after its departure"
             yield Violation("6 departure", request.id, text)
 
--- a/bench/fault_soak/main.py
+++ b/bench/fault_soak/main.py
@@ -14,6 +14,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -30,6 +31,7 @@
 WORKER_COUNT = 2
 # Seeds that run at the same time have processes, and networks, of their own.
 NETWORK_COUNT = 250
+CLAIM_PORT = 25_000
 MAX_SHOWN = 8
 PLAY_AGAIN = "python -m bench.fault_soak.main --seeds=1 --first={seed}"
 
@@ -57,16 +59,17 @@
     folder.mkdir(parents=True, exist_ok=True)
     plan = plans.make_plan(seed)
     (folder / "plan.json").write_text(json.dumps(attrs.asdict(plan), indent=1))
-    network = os.getpid() % NETWORK_COUNT
+    network, claim = _claim_network()
     started_at = time.monotonic()
-    run = scenario.Scenario(plan, folder, network)
     error = ""
-    try:
-        run.run()
-    except Exception:
-        error = traceback.format_exc(limit=-4)
-    finally:
-        run.close()
+    with claim:
+        run = scenario.Scenario(plan, folder, network)
+        try:
+            run.run()
+        except Exception:
+            error = traceback.format_exc(limit=-4)
+        finally:
+            run.close()
     histories.save(run.history, folder / "history.json")
     violations = [] if error else checker.check(run.history)
     seconds = time.monotonic() - started_at
@@ -75,6 +78,26 @@
     return result
 
 
+def _claim_network() -> tuple[int, socket.socket]:
+    """Return a network that no other run on this machine uses, and the socket that claims it.
+
+    Raises
+    ------
+    OSError
+        All networks are in use.
+    """
+    for offset in range(NETWORK_COUNT):
+        network = (os.getpid() + offset) % NETWORK_COUNT
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind((f"127.1.{network}.254", CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return network, claim
+    raise OSError("all networks are in use")
+
+
 def describe(result: Result) -> str:
     """Return what a seed has shown, in lines."""
     lines = [
@@ -99,8 +122,8 @@
     raise KeyboardInterrupt
 
 
-def _handle_stop() -> None:
-    """Let SIGTERM end this process as SIGINT does: after the processes that it has started."""
+def handle_stop() -> None:
+    """Let SIGTERM end this process as SIGINT does, after the processes that it has started."""
     signal.signal(signal.SIGTERM, _interrupt)
 
 
@@ -122,13 +145,13 @@
     """
     started_at = time.monotonic()
     failed = []
-    _handle_stop()
+    handle_stop()
     runs = [
         (seed, pathlib.Path(folder, str(seed)) if folder else None)
         for seed in range(first, first + seeds)
     ]
     # The end of the block ends workers that still run.
-    with multiprocessing.Pool(workers, initializer=_handle_stop) as pool:
+    with multiprocessing.Pool(workers, initializer=handle_stop) as pool:
         try:
             for count, result in enumerate(pool.imap_unordered(_run, runs), 1):
                 _show(result)
--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -15,6 +15,8 @@
 import attrs
 import fire
 
+from bench.fault_soak import main as soak
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 COPIED = ("bench", "deploy", "flamingoramp")
 
@@ -178,7 +180,12 @@
             runs = folder / "runs"
             options = ["--seeds=1", f"--first={seed}", f"--folder={runs}"]
             command = [sys.executable, "-m", "bench.fault_soak.main", *options]
-            subprocess.run(command, cwd=folder, check=False, stdout=subprocess.DEVNULL)
+            with subprocess.Popen(command, cwd=folder, stdout=subprocess.DEVNULL) as process:
+                try:
+                    process.wait()
+                except BaseException:
+                    process.terminate()  # it ends its own processes first
+                    raise
             text = (runs / str(seed) / "result.txt").read_text()
             if re.search(rf"^  ({promises}): ", text, re.MULTILINE):
                 return seed, text
@@ -195,6 +202,7 @@
     seeds, first : int
         Most seeds that are tried, and the first one.
     """
+    soak.handle_stop()
     chosen = names.split(",") if isinstance(names, str) else list(names)
     missed = []
     for mutation in MUTATIONS:
--- a/bench/tests/test_fault_soak_checker.py
+++ b/bench/tests/test_fault_soak_checker.py
@@ -138,6 +138,11 @@
         self.add(run=make_run())
         self.assert_kept()
 
+    def test_disturbance_before_the_contact_time_is_no_excuse(self):
+        self.control.signals.append((16.9, "SIGSTOP"))
+        self.add(run=make_run())
+        self.assert_broken("6 departure")
+
     def test_departure_without_acknowledgement_promises_nothing(self):
         self.history.departures[0].acknowledged_at = None
         self.add(run=make_run())
