--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -1,6 +1,6 @@
 """Faults that are put into a copy of the product, to show that the soak finds them.
 
-python -m bench.fault_soak.mutations --names=late_admission,held_signals --seeds=10
+python -m bench.fault_soak.mutations --names=late_admission,unheld_signals --seeds=10
 """
 
 from __future__ import annotations
@@ -60,6 +60,7 @@
         "connections_closed_at_once",
         ("7 no reset",),
         (
+            Replacement(SERVER, "        self._stream.read_pending()\n", ""),
             Replacement(
                 SERVER,
                 "            self._send_refusal(408)\n            self._finish_connection()\n",
