--- a/bench/fault_soak/main.py
+++ b/bench/fault_soak/main.py
@@ -55,7 +55,7 @@
 
 def run_seed(seed: int, folder: pathlib.Path | None = None) -> Result:
     """Run a seed and check its history; all that it did is written to a folder."""
-    folder = folder or pathlib.Path(tempfile.mkdtemp(prefix=f"fault-soak-{seed}-"))
+    folder = (folder or pathlib.Path(tempfile.mkdtemp(prefix=f"fault-soak-{seed}-"))).resolve()
     folder.mkdir(parents=True, exist_ok=True)
     plan = plans.make_plan(seed)
     (folder / "plan.json").write_text(json.dumps(attrs.asdict(plan), indent=1))
--- a/flamingoramp/platform/tests/control_hosts.py
+++ b/flamingoramp/platform/tests/control_hosts.py
@@ -22,7 +22,8 @@
 CALL_TIMEOUT_SECONDS = 1.0
 ANNOUNCE_INTERVAL_SECONDS = 1.2
 DECLARATION_PATH = "/v1/config"
-DEPLOYMENT_PATH = pathlib.Path(__file__).parents[3] / "deploy" / "system.toml"
+ROOT = pathlib.Path(__file__).parents[3]
+DEPLOYMENT_PATH = ROOT / "deploy" / "system.toml"
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
@@ -42,11 +43,13 @@
     environment = {
         **os.environ,
         "PATH": os.pathsep.join((interpreter_folder, os.environ["PATH"])),
-        "PYTHONPATH": os.pathsep.join((str(DEPLOYMENT_PATH.parents[1]), *filter(None, sys.path))),
+        "PYTHONPATH": os.pathsep.join((str(ROOT), *filter(None, sys.path))),
         platform_main.SETTINGS_PATH_VARIABLE: str(settings_path),
     }
     with log_path.open("ab") as log:
-        return subprocess.Popen(shlex.split(command), env=environment, stdout=log, stderr=log)
+        return subprocess.Popen(
+            shlex.split(command), cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
 
 
 class ControlHost:
