--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -27,10 +27,10 @@
         Time that it has by its deadline and its route, in seconds.
     began_at, whole_at, ended_at : float or None
         When its first and last byte were sent, and when the answer or the connection ended.
+    headed_at : float or None
+        When the head of the answer arrived.
     paused_until : float
         End of the last pause in which its caller read nothing, 0 for none.
-    paused_seconds : float
-        Duration of these pauses.
     status : int
         0 if no head of an answer arrived.
     end : str
@@ -49,8 +49,8 @@
     began_at: float = 0.0
     whole_at: float | None = None
     ended_at: float | None = None
+    headed_at: float | None = None
     paused_until: float = 0.0
-    paused_seconds: float = 0.0
     status: int = 0
     end: str = ""
     is_right: bool = False
