--- a/bench/tests/test_fault_soak_checker.py
+++ b/bench/tests/test_fault_soak_checker.py
@@ -89,6 +89,13 @@
         self.add(run=make_run(), status=0, end="silent", ended_at=23.0)
         self.assert_broken("1 time limit")
 
+    def test_late_answer_of_a_process_that_has_just_started_is_accepted(self):
+        self.add(run=make_run(), ended_at=26.2)
+        self.entry.started_at = 16.9
+        self.assert_broken("1 time limit")
+        self.entry.started_at = 17.1
+        self.assert_kept()
+
     def test_late_answer_of_a_suspended_entry_is_accepted(self):
         self.entry.signals += [(19.0, "SIGSTOP"), (26.0, "SIGCONT")]
         self.add(run=make_run(), ended_at=26.2)
