--- a/bench/fault_soak/scenario.py
+++ b/bench/fault_soak/scenario.py
@@ -31,7 +31,6 @@
 PROBE_COUNT = 3
 OPERATOR_TIMEOUT_SECONDS = 1.0
 OPERATOR_RETRY_SECONDS = 0.1
-SERVED_STATUS = 200
 SERVER_PORT_OFFSET = 8
 
 
@@ -211,7 +210,7 @@
             return False
         request = self._send(connection, plans.Call(0.0, 0, route), entry)
         connection.close()
-        return request.status == SERVED_STATUS
+        return request.status == 200
 
     def _start_threads(self) -> list[threading.Thread]:
         """Start all disruptions and the traffic; return the threads that disrupt."""
