--- a/bench/fault_soak/callers.py
+++ b/bench/fault_soak/callers.py
@@ -51,13 +51,20 @@
     @property
     def is_idle(self) -> bool:
         """Whether it is open and nothing waits to be read."""
-        return not select.select([self.sock], [], [], 0.0)[0]
+        return not _is_readable(self.sock, 0.0)
 
     def close(self) -> None:
         """Close it."""
         self.sock.close()
 
 
+def _is_readable(sock: socket.socket, seconds: float) -> bool:
+    """Wait for input for some seconds; return whether there is any, or the end of it."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(1000 * seconds))
+
+
 def connect(address: str, *, has_small_buffer: bool = False) -> Connection | None:
     """Return a connection, None if it is refused or not made in time."""
     host, _, port = address.rpartition(":")
@@ -150,7 +157,7 @@
                 break
             sock.sendall(data)
             data = b""
-            if select.select([sock], [], [], call.piece_pause)[0]:
+            if _is_readable(sock, call.piece_pause):
                 return
         if call.is_chunked:
             data += b"0\r\n\r\n"
--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -142,10 +142,10 @@
         ("resources",),
         (
             Replacement(
-                SERVER,
-                "                self._connections.add(Connection(self, sock))\n",
-                "                self._connections.add(Connection(self, sock))\n"
-                '                vars(self).setdefault("kept", []).append(open("/dev/null"))\n',
+                "flamingoramp/dispatch/request_handler.py",
+                "        if not self._queue_while_starting(exchange):\n",
+                '        vars(self).setdefault("kept", []).append(open("/dev/null"))\n'
+                "        if not self._queue_while_starting(exchange):\n",
             ),
         ),
     ),
