--- a/bench/fault_soak/scenario.py
+++ b/bench/fault_soak/scenario.py
@@ -165,13 +165,17 @@
         """Kill all processes and stop all servers."""
         self._ends.set()
         with contextlib.ExitStack() as stack:
-            for server in itertools.chain(self._leaving, *self._servers.values()):
-                stack.callback(server.close)
+            stack.callback(self._close_servers)
             for thread in self._threads:
                 stack.callback(thread.join)
             for host in (*self._entries, *self._controls):
                 stack.callback(host.close)
 
+    def _close_servers(self) -> None:
+        with contextlib.ExitStack() as stack:
+            for server in itertools.chain(self._leaving, *self._servers.values()):
+                stack.callback(server.close)
+
     def _spawn(self, function: Any, *arguments: Any) -> threading.Thread:
         def _run() -> None:
             try:
