--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -132,12 +132,15 @@
     calm_at : float
         Time from which nothing is disrupted any more.
     ended_at : float
+    stalls : list of (float, float)
+        Times in which the callers and servers themselves didn't run.
     """
 
     seed: int
     grace_seconds: float = 8.0
     calm_at: float = 0.0
     ended_at: float = 0.0
+    stalls: list[tuple[float, float]] = attrs.field(factory=list)
     requests: list[Request] = attrs.field(factory=list)
     runs: list[Run] = attrs.field(factory=list)
     lives: list[Life] = attrs.field(factory=list)
@@ -156,7 +159,7 @@
     document = json.loads(path.read_text())
     hints = typing.get_type_hints(History)
     for name, hint in hints.items():
-        if typing.get_origin(hint) is list:
-            [item_class] = typing.get_args(hint)
+        [item_class] = typing.get_args(hint) or [None]
+        if attrs.has(item_class):
             document[name] = [item_class(**item) for item in document[name]]
     return History(**document)
--- a/bench/fault_soak/scenario.py
+++ b/bench/fault_soak/scenario.py
@@ -23,6 +23,7 @@
 # Requests around a stop are prepared this long before it, in seconds.
 PREPARE_SECONDS = 1.2
 SAMPLE_SECONDS = 0.5
+STALL_SECONDS = 0.5
 # A server that has left goes on serving for this time, and until it has no more work.
 LEAVING_SECONDS = 6.0
 START_SECONDS = 20.0
@@ -232,6 +233,7 @@
         for number in range(CALLER_COUNT):
             self._spawn(self._run_caller, self._plan.calls[number::CALLER_COUNT], started_at)
         self._spawn(self._run_samples)
+        self._spawn(self._watch_stalls)
         return workers
 
     # Disruptions.
@@ -447,6 +449,15 @@
         self._send(connection, call, entry)
         connection.close()
 
+    def _watch_stalls(self) -> None:
+        """Record when this process itself doesn't run."""
+        last_at = self.now()
+        while not self._ends.wait(hosts.POLL_SECONDS):
+            now = self.now()
+            if now - last_at > STALL_SECONDS:
+                self.history.stalls.append((last_at, now))
+            last_at = now
+
     def _run_samples(self) -> None:
         while not self._ends.wait(SAMPLE_SECONDS):
             for host in (*self._entries, *self._controls):
