--- a/flamingoramp/platform/tests/control_hosts.py
+++ b/flamingoramp/platform/tests/control_hosts.py
@@ -6,11 +6,13 @@
 import os
 import pathlib
 import resource
+import shlex
 import shutil
 import signal
 import subprocess
 import sys
 import threading
+import tomllib
 from typing import IO
 
 import attrs
@@ -23,9 +25,35 @@
 CALL_TIMEOUT_SECONDS = 1.0
 ANNOUNCE_INTERVAL_SECONDS = 1.2
 DECLARATION_PATH = "/v1/config"
+ROOT = pathlib.Path(__file__).parents[3]
+DEPLOYMENT_PATH = ROOT / "deploy" / "system.toml"
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
+def start_program(
+    role: str,
+    settings: node_settings.NodeSettings,
+    settings_path: pathlib.Path,
+    output: IO[bytes] | int,
+) -> subprocess.Popen:
+    """Write a settings file and start the program of a role, as the platform runs it.
+
+    Its standard output and standard error go to a file or to `subprocess.PIPE`.
+    """
+    settings_path.write_text(json.dumps(attrs.asdict(settings)))
+    command = tomllib.loads(DEPLOYMENT_PATH.read_text())["roles"][role]["run"]
+    interpreter_folder = str(pathlib.Path(sys.executable).parent)
+    environment = {
+        **os.environ,
+        "PATH": os.pathsep.join((interpreter_folder, os.environ["PATH"])),
+        "PYTHONPATH": os.pathsep.join((str(ROOT), *filter(None, sys.path))),
+        platform_main.SETTINGS_PATH_VARIABLE: str(settings_path),
+    }
+    return subprocess.Popen(
+        shlex.split(command), cwd=ROOT, env=environment, stdout=output, stderr=subprocess.STDOUT
+    )
+
+
 class ControlHost:
     """A host with a data folder that runs the control program.
 
@@ -80,16 +108,12 @@
     def start(self, *, first_start: bool = False) -> None:
         """Start the program."""
         self._data_folder.mkdir(parents=True, exist_ok=True)
-        path = self._folder / "settings.json"
-        path.write_text(
-            json.dumps(attrs.asdict(attrs.evolve(self._settings, first_start=first_start)))
-        )
         # A pipe, since a full disk (`set_room`) would refuse a log on the disk.
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "flamingoramp.platform.main", "control"],
-            env={**os.environ, platform_main.SETTINGS_PATH_VARIABLE: str(path)},
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
+        self.process = start_program(
+            "control",
+            attrs.evolve(self._settings, first_start=first_start),
+            self._folder / "settings.json",
+            subprocess.PIPE,
         )
         threading.Thread(target=self._copy_log, args=(self.process.stdout,), daemon=True).start()
 
