Listen at no address before all of a process's addresses are bound

What callers saw: connections that were reset while an entry waited for one of its addresses. At each try, every 50 ms, it listened at the others for a moment and closed them again.

All addresses are bound first, and listening begins once they are: a bound socket refuses connections.

--- a/flamingoramp/platform/tests/test_held_addresses.py
+++ b/flamingoramp/platform/tests/test_held_addresses.py
@@ -11,6 +11,8 @@
 from flamingoramp.platform.tests import programs, test_process_ends
 from flamingoramp.runtime import listeners
 
+LISTENING_CHECK_SECONDS = 1.5
+
 
 def split(address: str) -> tuple[str, int]:
     """Return the IP address and the port of an ``ip:port``."""
@@ -70,6 +72,20 @@
             if kind is socket.SOCK_STREAM and address != held_address:
                 self.assertFalse(is_listening(address), address)
 
+    # Guards against requests that are reset by a process which waits for another address, and
+    # listens at the callers' address for a moment each time that it tries.
+    def test_waiting_process_never_listens_at_its_other_addresses(self):
+        settings = self.make_settings("entry")
+        address = settings["listen"]["callers"]
+        with hold(socket.SOCK_STREAM, settings["listen"]["readiness"]):
+            program = self.start("entry", settings)
+            program.wait_for_event("address.unavailable")
+            deadline = time.monotonic() + LISTENING_CHECK_SECONDS
+            accepted_count = 0
+            while time.monotonic() < deadline:
+                accepted_count += is_listening(address)
+        self.assertEqual(accepted_count, 0)
+
     # Guards against a second start that ends, or takes part, beside a predecessor that stops.
     def test_second_start_waits_for_the_end_of_its_predecessor(self):
         for role in test_process_ends.ROLES:
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -67,18 +67,46 @@
 def open_listener(address: str) -> socket.socket:
     """Listen on an ``ip:port``; port 0 selects a free port.
 
+    Raises
+    ------
+    BindError
+        If the address can't be bound.
+    """
+    listener = bind_stream_socket(address)
+    _listen(listener, address)
+    return listener
+
+
+def bind_stream_socket(address: str) -> socket.socket:
+    """Bind a socket to an ``ip:port`` that does not listen yet; port 0 selects a free port.
+
     Raises
     ------
     BindError
         If the address can't be bound.
     """
     ip_address, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
     try:
-        listener = socket.create_server((ip_address, int(port)), backlog=BACKLOG_COUNT)
+        # Connections of a predecessor may still be in TIME_WAIT.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((ip_address, int(port)))
     except OSError as error:
+        sock.close()
+        raise BindError(address, error) from error
+    except (ValueError, OverflowError):
+        sock.close()
+        raise
+    return sock
+
+
+def _listen(sock: socket.socket, address: str) -> None:
+    try:
+        sock.listen(BACKLOG_COUNT)
+    except OSError as error:  # another process has bound the address, too, and listens
+        sock.close()
         raise BindError(address, error) from error
-    listener.setblocking(False)
-    return listener
 
 
 def refuse_connections(listener: socket.socket) -> bool:
@@ -255,9 +283,13 @@
     def _open(self, addresses: list[Address]) -> None:
         missing = [address for address in addresses if address not in self._sockets]
         for kind, address in missing:
-            opener = open_listener if kind is socket.SOCK_STREAM else open_datagram_socket
+            opener = bind_stream_socket if kind is socket.SOCK_STREAM else open_datagram_socket
             self._sockets[kind, address] = opener(address)
-        if any(kind is socket.SOCK_STREAM for kind, _ in missing):
+        # Nothing listens before all are bound: closing a listener resets its connections.
+        listening = [address for kind, address in missing if kind is socket.SOCK_STREAM]
+        for address in listening:
+            _listen(self._sockets[socket.SOCK_STREAM, address], address)
+        if listening:
             self._opened_at = time.monotonic()
             self._processor_seconds = time.process_time()
 
