End the accept period in the check that may end the process

Idle callers of an entry whose loop was held up at the end of the accept period got their 408 with the end of the process, without time to read on, and connections whose handshake had begun were reset.

Cause: the check every 0.05 s and the timer of the accept period are due at about the same time. If the check ran first, no connection counted as busy and the loop ended.

Evidence: the test calls the check first: AssertionError: True is not false (the loop was stopped).

The check ends the accept period itself, before it looks for what is busy; the timer is gone. test_rolling_stops and test_stop_resets pass.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -498,8 +498,6 @@
         self._log.write("process.stopping", requests=self._request_handler.active_count)
         self._caller_server.begin_closing()
         self._subscribe()
-        bounds = self._settings.bounds
-        self.loop.call_later(bounds.accept_seconds, self._caller_server.stop_accepting)
         self.loop.call_every(STOP_CHECK_INTERVAL_SECONDS, self._stop_if_drained)
 
     def _stop_if_drained(self) -> None:
@@ -509,6 +507,8 @@
         to end.
         """
         stop = self._request_handler.stop_time
+        if not stop.is_accepting:
+            self._caller_server.stop_accepting()
         self._request_handler.refuse_waiting()
         if not stop.takes_any:
             self._refuse_receiving()
--- a/flamingoramp/platform/tests/test_rolling_stops.py
+++ b/flamingoramp/platform/tests/test_rolling_stops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import threading
 import time
 
@@ -12,6 +13,10 @@
 MAX_SECONDS = 1.0
 # Pause between the end of a stop and the next start, and between one entry and the next one.
 PAUSE_SECONDS = 0.3
+# Without a key.
+REFUSED_REQUEST = (
+    f"GET /read/x HTTP/1.1\r\nhost: {fleets.ROUTE_HOST}\r\nx-attempt-id: a1\r\n\r\n".encode()
+)
 
 
 class TestRollingStops(fleets.FleetTestCase):
@@ -70,3 +75,30 @@
         failed = [result for result in self.results if result[1] != 200]
         self.assertEqual(failed, [])
         self.assertLess(max(seconds for _, _, seconds in self.results), MAX_SECONDS)
+
+
+class TestLateTimers(fleets.FleetTestCase):
+    """A stopping entry whose loop was held up."""
+
+    # Guards against a process that ends before it has refused connections and told its idle
+    # callers, since the check for its end runs before the timer at the end of the accept period.
+    def test_idle_callers_are_told_the_end_before_the_process_ends(self):
+        fleet = self.start_serving(controls=1, entries=1)
+        [entry] = fleet.entries
+        host, _, port = fleet.settings(1).listen.callers.rpartition(":")
+        sock = socket.create_connection((host, int(port)), fleets.TIMEOUT_SECONDS)
+        self.addCleanup(sock.close)
+        sock.sendall(REFUSED_REQUEST)
+        self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 401 "))
+
+        def _stop_late() -> bool:
+            gateway = entry.daemon
+            gateway.begin_stop()
+            gateway._request_handler._stop_began_at -= gateway._settings.bounds.accept_seconds + 0.1
+            gateway._stop_if_drained()
+            return gateway.loop._stop_requested
+
+        self.assertFalse(entry.call(_stop_late))
+        entry.thread.join(fleets.TIMEOUT_SECONDS)
+        self.assertFalse(entry.is_running)
+        self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 408 "))
