Only the storage's own files are removed at the start

The data folder of the own interface's control daemons is the folder of the replica itself. Files there whose names begin with "log." or end with ".tmp" were deleted at each start; with a folder of such a name, the daemon ended at each start, and a control host of the platform would have stayed without its replica. Cause: left-over files were found by a pattern that fits files of others. Evidence: the test failed before: "StorageFailedError: ...: the disk failed: [Errno 21] Is a directory: '.../log.d'". The names that this module gives are matched in full now. Passed: consensus/tests/test_storage.py.

--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -44,6 +44,8 @@
 _RECORD_START = re.compile(rb"(?s)\x00(?=.{7}[\x01-\x04])")
 _LONG_RECORD_START = re.compile(rb"(?s)[\x00-\xff](?=.{7}[\x01-\x04])")
 _LONG_RECORD_BYTES = 2**24
+# Names of log files, and of files that are written before they replace others.
+_OWN_FILE = re.compile(r"log\.[0-9]+(\.tmp)?|(identity|probe|snapshot)\.tmp")
 
 
 def _pack_record(tag: int, payload: bytes) -> bytes:
@@ -348,9 +350,11 @@
     def _remove_stale_files(self) -> None:
         """Remove temporary files and other logs than that of the snapshot, whose name is synced."""
         current = self._log_path().name
-        for path in (*self._folder.glob("log.*"), *self._folder.glob("*.tmp")):
-            if path.name != current:
-                path.unlink(missing_ok=True)
+        with os.scandir(self._folder) as items:
+            names = [item.name for item in items]
+        for name in names:
+            if _OWN_FILE.fullmatch(name) and name != current:
+                (self._folder / name).unlink(missing_ok=True)
 
     def _close_log(self) -> None:
         if self._log_file is not None:
--- a/flamingoramp/consensus/tests/test_storage.py
+++ b/flamingoramp/consensus/tests/test_storage.py
@@ -407,6 +407,18 @@
         names = sorted(path.name for path in self.folder.iterdir())
         self.assertEqual(names, ["lock", "log.1", "snapshot"])
 
+    # Guards against files of operators that are deleted, and a folder that makes each start fail,
+    # since their names resemble those of this module.
+    def test_files_of_others_are_kept(self):
+        store = self.open_storage()
+        for name in ("log.txt", "notes.tmp", "log.1.bak"):
+            (self.folder / name).write_bytes(b"x")
+        for name in ("log.d", "cache.tmp"):
+            (self.folder / name).mkdir()
+        names = {path.name for path in self.folder.iterdir()}
+        store.recover()
+        self.assertEqual(names - {path.name for path in self.folder.iterdir()}, set())
+
     def test_damaged_snapshot_raises(self):
         self.write_entries(5)
         store = self.open_storage()
