--- a/bench/fault_soak/main.py
+++ b/bench/fault_soak/main.py
@@ -164,6 +164,8 @@
                 elif not folder:
                     shutil.rmtree(result.folder, ignore_errors=True)
                 print(f"{count} of {seeds} seeds, {len(failed)} failed", flush=True)
+            pool.close()
+            pool.join()
         except KeyboardInterrupt:
             pool.terminate()
             pool.join()
