Test of planned stops: measure the end of the process, not of its callers

The time was taken after the last caller had ended, and one that sends its whole body first ends up to 0.3 s after the process; the log had process.ended 7.44 s after the signal. The end of the process is now waited for beside the callers; the bound is the same.

--- a/flamingoramp/platform/tests/test_stop_admission.py
+++ b/flamingoramp/platform/tests/test_stop_admission.py
@@ -154,16 +154,21 @@
         """Send calls around a SIGTERM, and wait for the answers and for the end of the entry."""
         address = self.entry.caller_address
         stop_at = time.monotonic() + 1.2
-        with futures.ThreadPoolExecutor(len(calls)) as pool:
+
+        def _wait_for_end() -> float:
+            self.assertEqual(self.entry.process.wait(fleets.TIMEOUT_SECONDS), 0)
+            return time.monotonic() - stop_at
+
+        with futures.ThreadPoolExecutor(len(calls) + 1) as pool:
             running = [
                 pool.submit(send_call, address, call, f"id{number}", stop_at)
                 for number, call in enumerate(calls)
             ]
             time.sleep(max(0.0, stop_at - time.monotonic()))
             self.entry.process.send_signal(signal.SIGTERM)
+            end = pool.submit(_wait_for_end)
             results = [item.result() for item in running]
-        self.assertEqual(self.entry.process.wait(fleets.TIMEOUT_SECONDS), 0)
-        self.stopped_after = time.monotonic() - stop_at
+            self.stopped_after = end.result()
         return results
 
     def serve_once(self, *routes: str) -> None:
