Tests of stops: take the time of the entry's end when it ends

Cause: the time was taken when all callers had ended.

The process is waited for first. The bound of 7.6 s is the same, and is now that of the process.

--- a/flamingoramp/platform/tests/test_stop_admission.py
+++ b/flamingoramp/platform/tests/test_stop_admission.py
@@ -161,10 +161,10 @@
             ]
             time.sleep(max(0.0, stop_at - time.monotonic()))
             self.entry.process.send_signal(signal.SIGTERM)
-            results = [item.result() for item in running]
-        self.assertEqual(self.entry.process.wait(fleets.TIMEOUT_SECONDS), 0)
-        self.stopped_after = time.monotonic() - stop_at
-        return results
+            # Callers may end after the entry.
+            self.assertEqual(self.entry.process.wait(fleets.TIMEOUT_SECONDS), 0)
+            self.stopped_after = time.monotonic() - stop_at
+            return [item.result() for item in running]
 
     def serve_once(self, *routes: str) -> None:
         """Send one request on each route and wait for the answers."""
