Count connections that end towards the limit of connections

An entry could hold far more descriptors than its limit: a connection counted only until its last response, but has its descriptor until the caller closes, 1 s longer, and up to 10 s longer while a reader takes nothing. Without descriptors an entry reaches no server. Excess connections got no 503 while 128 others ended, as both were in one set.

Cause: the limit looked at the connections that may carry a request only.

Evidence: the test failed before: Counter({200: 70}) != {200: 50, 503: 20}.

Both sets count now, and the 128 refusals come on top of them. Modules test_closing and test_server of http and platform.tests.test_stop_resets pass.

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -495,7 +495,7 @@
     on_undelivered : callable
         Takes an `UndeliveredAnswer`.
     max_connections : int
-        Maximum number of open connections; further ones are refused with 503.
+        Maximum number of open connections, with those that end; further ones are refused with 503.
     listener : socket.socket or None
         Socket that listens on this address already; None to open one.
     on_error : callable or None
@@ -691,6 +691,10 @@
         if self._connections or self._listener is not None:
             self.loop.call_later(CLOSING_CHECK_INTERVAL_SECONDS, self._end_idle_connections)
 
+    @property
+    def _open_count(self) -> int:
+        return len(self._connections) + len(self._ending)
+
     def _forget_closed(self) -> None:
         self._ending = {connection for connection in self._ending if connection.is_open}
 
@@ -700,18 +704,18 @@
 
     def _accept_some(self) -> bool:
         """Accept connections; return whether more may be pending."""
+        if self._open_count + MAX_ACCEPTS_PER_ITERATION > self._max_connections:
+            self._forget_closed()
         for _ in range(MAX_ACCEPTS_PER_ITERATION):
             try:
                 sock, _ = self._listener.accept()
             except OSError:
                 return False  # no connection is pending, or the caller closed it already
-            if len(self._connections) < self._max_connections:
+            if self._open_count < self._max_connections:
                 self._connections.add(Connection(self, sock))
                 continue
             self._on_refused(503)
-            if len(self._ending) >= MAX_REFUSED_CONNECTIONS:
-                self._forget_closed()
-            if len(self._ending) < MAX_REFUSED_CONNECTIONS:
+            if self._open_count < self._max_connections + MAX_REFUSED_CONNECTIONS:
                 Connection(self, sock).refuse(503)
             else:
                 sock.close()
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import socket
 import threading
@@ -316,6 +317,20 @@
         self.assertEqual(len(echo_server.requests), 1)
         self.assertEqual(echo_server.refused_statuses, [503])
 
+    # Guards against descriptors that run out, as each caller that doesn't close its side after the
+    # answer holds one on top of the limit of connections; without one, no server is reached.
+    @mock.patch.object(stream, "DRAIN_TIMEOUT_SECONDS", test_server.TIMEOUT_SECONDS)
+    def test_connections_that_end_count_towards_the_limit(self):
+        echo_server = self.start_server()
+        echo_server.server._max_connections = limit = 50
+        request = b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+        statuses = collections.Counter()
+        for _ in range(limit + 20):
+            sock = self.connect(echo_server)
+            sock.sendall(request)
+            statuses[test_server.read_response(sock)[0]] += 1
+        self.assertEqual(statuses, {200: limit, 503: 20})
+
 
 class _LateListener:
     """Listening socket to which a caller connects just before it is closed."""
