A process that can't open another connection for want of descriptors does not end

Operators would see entries and control hosts that end by themselves with "OSError: [Errno 24] Too many open files" and status 1, as soon as they have to connect to another host while they have as many connections as they may have (ulimit -n): a control host at the first attempt, an entry at the 21st within 10 s. All control hosts meet this together when one of them restarts. Cause: an error of connect was expected, one of the socket's making was not. Evidence: the test failed before, for both roles: "AssertionError: 1 is not None" (the exit status). Such a connection is now one that can't be opened, and is tried again like others.

--- a/flamingoramp/platform/tests/test_process_ends.py
+++ b/flamingoramp/platform/tests/test_process_ends.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import subprocess
@@ -213,6 +214,29 @@
         self.assertEqual(program.events("process.stopped"), [])
 
 
+class TestDescriptors(ProgramTestCase):
+    """A process that has as many files and connections as it may have."""
+
+    # Guards against a process that ends, since it can't open a connection to another host for some
+    # time.
+    def test_process_without_free_descriptors_does_not_end(self):
+        for role in ROLES:
+            with self.subTest(role):
+                settings = self.make_settings(role)
+                # Nothing listens there, so that the process connects again and again.
+                settings |= {"seeds": ["127.9.9.9:1"], "first_start": True}
+                program = self.start(role, settings)
+                program.wait_for_event("start.listening")
+                limits = resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE)
+                resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (5, limits[1]))
+                time.sleep(3.0)
+                self.assertIsNone(program.process.poll(), program.errors)
+                self.assertEqual(program.events("process.error"), [])
+                resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, limits)
+                program.process.send_signal(signal.SIGTERM)
+                self.assert_ended(program, 0, "stop")
+
+
 class TestSettingsOfRunningProcess(ProgramTestCase):
     """A settings file that is replaced badly while its process runs."""
 
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -239,14 +239,16 @@
     def _connect(self, address: str) -> Connection | None:
         if self.loop.now() < self._retry_at.get(address, 0.0):
             return None
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)  # may lack a descriptor
+            sock.setblocking(False)
             sock.connect(parse_address(address))
         except BlockingIOError:
             pass
         except OSError:
-            sock.close()
+            if sock is not None:
+                sock.close()
             self._retry_at[address] = self.loop.now() + RECONNECT_DELAY_SECONDS
             return None
         connection = Connection(self, sock, address)
