Only the changed range of an array is scanned

Cause: an array with one changed element was scanned whole, all of its texts were made again and compared, and scanning and copying were one step. Fix: the elements up to and from which on the texts are equal are found by comparing halves (json_arrays.py); what lies between is scanned, unless it is more than half of the text. It ends at a comma before an element that is equal, so the rest is split as before. Scanning and copying are two steps; checks have two more. Evidence: 30,000 random arrays with random and damaged changes are split as from scratch; that test fails if the check of the comma, of the first bytes, of an empty range or of overlapping ends is removed.

--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -271,6 +271,7 @@
         unchecked: Sequence[Route] = self.routes
         if previous is not None:
             changes = _compare_items(previous.routes, self.routes)
+            yield
             yield from self._update_indexes(previous, changes)
             if previous._service_by_name.keys() <= self._service_by_name.keys():
                 unchecked = changes.added
@@ -278,6 +279,7 @@
             raise errors.InvalidDeclarationError("services: a name stands twice")
         if len(self._route_by_prefix) != len(self.routes):
             raise errors.InvalidDeclarationError("routes: a host and prefix stand twice")
+        yield
         for service in self.services:
             if service.warm_up_seconds < 0 or service.warm_up_rate < 0:
                 raise errors.InvalidDeclarationError(
--- a/flamingoramp/json_documents.py
+++ b/flamingoramp/json_documents.py
@@ -4,10 +4,13 @@
 
 import json
 import re
+from collections.abc import Generator
 from typing import Any
 
 import msgspec
 
+from flamingoramp import steps
+
 _MEMBERS_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _ELEMENTS_DECODER = msgspec.json.Decoder(list[msgspec.Raw])
 _MEMBER_START_PATTERN = re.compile(
@@ -81,7 +84,14 @@
     ValueError
         The document is no array.
     """
+    return steps.run_all(split_array_in_steps(document))
+
+
+def split_array_in_steps(document: bytes) -> Generator[None, None, list[bytes]]:
+    """Do what `split_array` does, in short steps."""
     try:
-        return list(map(bytes, _ELEMENTS_DECODER.decode(document)))
+        elements = _ELEMENTS_DECODER.decode(document)
     except msgspec.MsgspecError as error:
         raise ValueError(str(error)) from error
+    yield
+    return list(map(bytes, elements))
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -4,14 +4,13 @@
 
 import functools
 import math
-import operator
 from collections.abc import Callable, Generator
 from typing import Annotated, Any
 
 import attrs
 import msgspec
 
-from flamingoramp import errors, json_documents, sequences, steps
+from flamingoramp import errors, json_arrays, json_documents, steps
 from flamingoramp.intent import traffic
 
 # Number of routes, services or workspaces that one step of decoding covers.
@@ -126,10 +125,9 @@
 
 @attrs.frozen
 class _DecodedList:
-    """An array of a document, the texts of its elements, and the items that they decode to."""
+    """An array of a document, and the items that its elements decode to."""
 
-    text: bytes = b""
-    texts: list[bytes] = attrs.field(factory=list)
+    array: json_arrays.SplitArray = attrs.field(factory=json_arrays.SplitArray)
     items: tuple[Any, ...] = ()
 
 
@@ -198,11 +196,12 @@
     def _decode_items(self, name: str, text: bytes) -> Generator[None, None, tuple[Any, ...]]:
         """Decode the elements of an array, except those that were decoded before."""
         previous = self._lists[name]
-        if text == previous.text:
+        if text == previous.array.text:
             return previous.items
-        texts = json_documents.split_array(text)
+        change = yield from json_arrays.split_in_steps(text, previous.array)
         yield
-        start, end = sequences.count_equal_ends(previous.texts, texts, operator.eq)
+        texts = change.array.elements
+        start, end = change.equal_at_start, change.equal_at_end
         items_by_text = self._items_by_text[name]
         items = list(map(items_by_text.get, texts[start : len(texts) - end]))
         missing = [position for position, item in enumerate(items) if item is None]
@@ -215,7 +214,7 @@
             if number % ITEMS_PER_STEP == 0:
                 yield
         first, last = previous.items[:start], previous.items[len(previous.items) - end :]
-        decoded = _DecodedList(text, texts, (*first, *items, *last))
+        decoded = _DecodedList(change.array, (*first, *items, *last))
         self._lists[name] = decoded
         if len(items_by_text) > 2 * len(texts) + MAX_EARLIER_ITEMS:
             self._items_by_text[name] = dict(zip(texts, decoded.items, strict=True))
