Test of small changes subtracts the least time of parsing

The test subtracted the parsing of each run from its decoding and took the least result. A run in which parsing took long by chance made up for slow decoding: -13.1 ms was seen once. The least of each is stricter: it is never below the earlier figure.

--- a/flamingoramp/platform/tests/test_incremental_decoding.py
+++ b/flamingoramp/platform/tests/test_incremental_decoding.py
@@ -315,7 +315,7 @@
         decoder.decode(encode(document))
         rng = random.Random(1)
         for change in SMALL_CHANGES:
-            durations = []
+            parsing_seconds, decoding_seconds = [], []
             for _ in range(7):
                 document["version"] += 1
                 change(document, rng)
@@ -326,9 +326,12 @@
                         json_documents.split_array(text)
                 parsed_at = time.process_time()
                 decoder.decode(data)
-                durations.append(time.process_time() - parsed_at - (parsed_at - started_at))
+                decoding_seconds.append(time.process_time() - parsed_at)
+                parsing_seconds.append(parsed_at - started_at)
+            # The least of each: one slow run of parsing must not make up for slow decoding.
+            beyond_seconds = min(decoding_seconds) - min(parsing_seconds)
             with self.subTest(change=change.__name__):
-                self.assertLess(min(durations), MAX_INCREMENTAL_SECONDS)
+                self.assertLess(beyond_seconds, MAX_INCREMENTAL_SECONDS)
 
     def test_steps_of_a_new_document_of_two_thousand_routes_are_short(self):
         data = encode(make_large_document())
