Keep the earliest time of each server's end when others report it

A sound content got 400 (quarantined) though its servers had ended together with many others each time: reports of other entries that came 1 s late replaced the times of those ends, so that nothing seemed to have ended with it.

Cause: the time of an end was that of its latest report for any fingerprint; the ends of one fingerprint already kept the earliest, which is the most exact.

Evidence: the test failed before: AssertionError: 'hit' != ''.

The earliest time holds. test_crash_evidence and test_server_ends pass.

--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -348,7 +348,7 @@
         known = ends.get(run)
         if known is None or _replaces(end, known):
             ends[run] = end
-            self._ended_at[run] = end.ended_at
+            self._ended_at[run] = min(end.ended_at, self._ended_at.get(run, end.ended_at))
             if len(self._ended_at) > MAX_KNOWN_RUNS:
                 self._ended_at.popitem(last=False)
         if len(ends) > MAX_ENDS:
--- a/flamingoramp/dispatch/tests/test_crash_evidence.py
+++ b/flamingoramp/dispatch/tests/test_crash_evidence.py
@@ -271,6 +271,19 @@
                 self.evidence.record_answer((content,), 11.0 + 3.0 * round_number)
             self.assertEqual(self.evidence.find_quarantined(("hit",)), "")
 
+    # Guards against sound requests that get 400 since late reports of other entries moved the ends
+    # of the other servers away from the common moment.
+    def test_late_reports_of_the_same_ends_leave_the_common_cause_known(self):
+        for round_number in range(10):
+            self.crash(round_number, share=0.4)
+            late = 10.0 + 3.0 * round_number + 1.0
+            records = [
+                messages.CrashRecord(f"d{round_number}", f"s{round_number}-{number}", 1, 0.0, 0.1)
+                for number in range(1, 5)
+            ]
+            self.evidence.apply_records(records, late)
+            self.assertEqual(self.evidence.find_quarantined(("hit",)), "")
+
     def test_crashing_contents_that_come_at_the_same_time_are_refused_each(self):
         for round_number in range(END_COUNT):
             for number in range(4):
