An entry that can't connect to servers for want of descriptors refuses requests and goes on

Callers would see 500, then resets, from an entry that has as many connections as it may have (ulimit -n; an entry takes 3,000 of callers, and 1,024 descriptors are a usual limit): each request that needed a new connection to a server raised an error that nobody expected, and the 21st within 10 s ended the entry. Evidence: the test of the process failed before: "BrokenPipeError: [Errno 32] Broken pipe" (the entry had ended), that of the client with "OSError: [Errno 24] Too many open files". Such an attempt fails as not run now (no_descriptor), so that the request is tried again or gets 503. It tells nothing of the server, which is not reported as unresponsive; checks of servers wait for a descriptor.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -606,7 +606,8 @@
         self._may_have_run = self._may_have_run or may_have_run
         self._run_count -= not may_have_run
         not_connected = failure in (client.Failure.NOT_CONNECTED, client.Failure.TIMED_OUT)
-        self._record_failure(attempt, crashed=crashed, not_connected=not_connected)
+        if failure is not client.Failure.NO_DESCRIPTOR:
+            self._record_failure(attempt, crashed=crashed, not_connected=not_connected)
         was_reached = may_have_run or attempt.target.is_peer
         if not was_reached:
             self._unreached.record(attempt.target.server)
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -33,6 +33,8 @@
 # takes more time.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_SECONDS = 1.0
+# Interval at which a check that lacks a descriptor is tried again.
+DESCRIPTOR_RETRY_SECONDS = 0.1
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -41,12 +43,15 @@
     """Why a request got no complete response.
 
     NOT_CONNECTED: the connection could not be established. TIMED_OUT: it was not established in
-    time. CLOSED, RESET: the server closed or reset it before the response was complete. UNREADABLE:
-    the bytes received are not valid HTTP. TOO_LARGE: the body exceeds the limit of the request.
+    time. NO_DESCRIPTOR: this process has as many files and connections as it may have, which tells
+    nothing of the server. CLOSED, RESET: the server closed or reset it before the response was
+    complete. UNREADABLE: the bytes received are not valid HTTP. TOO_LARGE: the body exceeds the
+    limit of the request.
     """
 
     NOT_CONNECTED = "not_connected"
     TIMED_OUT = "timed_out"
+    NO_DESCRIPTOR = "no_descriptor"
     CLOSED = "closed"
     RESET = "reset"
     UNREADABLE = "unreadable"
@@ -111,7 +116,7 @@
 class RequestHandle:
     """Handle of a request in flight."""
 
-    def __init__(self, connection: _Connection, receiver: ResponseReceiver):
+    def __init__(self, connection: _Connection | _NoConnection, receiver: ResponseReceiver):
         self._connection = connection
         self._receiver = receiver
 
@@ -128,7 +133,7 @@
 
 
 class _Connection:
-    def __init__(self, pool: Pool, address: str):
+    def __init__(self, pool: Pool, address: str, sock: socket.socket):
         self._pool = pool
         self.address = address
         self.idle_since = 0.0
@@ -141,7 +146,6 @@
         self._body_bytes = 0
         self._max_body_bytes: int | None = None
         self._failed_connect = False
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
             sock.connect(transport.parse_address(address))
@@ -304,6 +308,35 @@
             receiver.handle_failure(failure, may_have_run=was_sent)
 
 
+class _NoConnection:
+    """A connection that could not be made for want of a descriptor; fails its request."""
+
+    def __init__(self, loop: loops.Loop, receiver: ResponseReceiver):
+        self._receiver: ResponseReceiver | None = receiver
+        loop.call_later(0.0, self._fail)
+
+    def cancel(self, receiver: ResponseReceiver) -> None:
+        """Forget the request of a receiver, without calling it."""
+        if self._receiver is receiver:
+            self._receiver = None
+
+    def discard_rest(self, receiver: ResponseReceiver) -> None:
+        """Do nothing: there is no response."""
+
+    def _fail(self) -> None:
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.handle_failure(Failure.NO_DESCRIPTOR, may_have_run=False)
+
+
+def _make_socket() -> socket.socket | None:
+    """Return a new socket, None if this process may open no more."""
+    try:
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        return None
+
+
 class _ListenCheck:
     """A connection that is closed as soon as it is established or refused."""
 
@@ -313,10 +346,11 @@
         address: str,
         timeout_seconds: float,
         on_result: Callable[[bool | None], None],
+        sock: socket.socket,
     ):
         self._loop = loop
         self._on_result = on_result
-        self._sock: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock: socket.socket | None = sock
         self._sock.setblocking(False)
         code = self._sock.connect_ex(transport.parse_address(address))
         self._is_registered = code in (0, errno.EINPROGRESS)
@@ -393,7 +427,10 @@
         """
         connection = None if new_connection else self._pop_idle(address)
         if connection is None:
-            connection = _Connection(self, address)
+            sock = _make_socket()
+            if sock is None:
+                return RequestHandle(_NoConnection(self.loop, receiver), receiver)
+            connection = _Connection(self, address, sock)
             self.opened_count += 1
             self._connections.add(connection)
             self.loop.call_later(self._connect_timeout_seconds, connection.fail_if_not_connected)
@@ -428,9 +465,15 @@
         address : str
         on_result : callable
             Takes True if it does, False if its host refuses them, None if neither is known within
-            the connect timeout.
+            the connect timeout. That of a check that lacks a descriptor begins once it has one.
         """
-        _ListenCheck(self.loop, address, self._connect_timeout_seconds, on_result)
+        sock = _make_socket()
+        if sock is None:
+            self.loop.call_later(
+                DESCRIPTOR_RETRY_SECONDS, lambda: self.check_listening(address, on_result)
+            )
+            return
+        _ListenCheck(self.loop, address, self._connect_timeout_seconds, on_result, sock)
 
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to a server; those with a request stay open."""
--- a/flamingoramp/http/tests/test_client.py
+++ b/flamingoramp/http/tests/test_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import resource
 import socket
 import threading
 import time
@@ -214,6 +215,37 @@
         self.assertEqual(receiver.failure, client.Failure.NOT_CONNECTED)
         self.assertFalse(receiver.may_have_run)
 
+    # Guards against an entry that ends after some errors, since it has as many connections as it
+    # may have.
+    def test_connection_without_a_descriptor_is_reported_as_not_run(self):
+        server = self.start_server(OK_RESPONSE, OK_RESPONSE)
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        results: list[bool | None] = []
+        resource.setrlimit(resource.RLIMIT_NOFILE, (3, limits[1]))
+        answer = self.send_request(server.address)
+        self.assertEqual(
+            (answer.failure, answer.may_have_run), (client.Failure.NO_DESCRIPTOR, False)
+        )
+        self.pool.check_listening(server.address, results.append)
+        self.loop.run_once(0.1)
+        self.assertEqual(results, [])
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        while not results:
+            self.loop.run_once(0.1)
+        self.assertEqual(results, [True])
+        self.assertEqual(self.send_request(server.address).body, b"ok")
+
+    def test_request_that_was_cancelled_without_a_descriptor_is_not_reported(self):
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (3, limits[1]))
+        receiver = RecordingReceiver()
+        request = messages.Request(b"GET", b"/x", ((b"host", b"h"),), b"")
+        self.pool.send("127.0.0.1:1", request, receiver).cancel()
+        self.loop.run_once(0.1)
+        self.assertFalse(receiver.is_finished)
+
     def test_body_beyond_the_limit_fails_the_request(self):
         server = self.start_server(OK_RESPONSE)
         receiver = self.send_request(server.address, max_body_bytes=1)
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import contextlib
+import http.client
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import threading
+import time
 import unittest
 
 import attrs
 
+from flamingoramp.daemons import node_process
+from flamingoramp.http import client
 from flamingoramp.platform import main
 from flamingoramp.platform.tests import fake_server
 from flamingoramp.platform.tests import fleet as fleets
@@ -142,6 +147,46 @@
         self.assertEqual(answers[0].body.count(b"\n\n"), LONG_STREAM_EVENT_COUNT)
 
 
+class TestDescriptors(EntryProcessTestCase):
+    """An entry that has as many files and connections as it may have."""
+
+    # Guards against an entry that ends, since it can't connect to servers for some time.
+    def test_requests_are_refused_and_served_again_later(self):
+        self.begin_stream()[0].join()
+        self.engine.requests.clear()
+        self.entry.wait_for_event("request.ended")
+        time.sleep(client.MAX_REUSE_IDLE_SECONDS + 1.5)
+        host, _, port = self.entry.caller_address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=fleets.TIMEOUT_SECONDS)
+        self.addCleanup(connection.close)
+        connection.connect()
+        time.sleep(0.2)
+        pid = self.entry.process.pid
+        limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (5, limits[1]))
+
+        def _send(number: int) -> int:
+            headers = {
+                "host": fleets.ROUTE_HOST,
+                "x-attempt-id": f"descriptor{number}",
+                "authorization": "Token k1",
+                "x-deadline-ms": "8000",
+                "x-token-count": "1000,100",
+            }
+            connection.request("POST", "/stream/x", body=b"b", headers=headers)
+            response = connection.getresponse()
+            response.read()
+            return response.status
+
+        statuses = {_send(number) for number in range(node_process.MAX_ERRORS + 5)}
+        self.assertEqual(statuses, {503})
+        self.assertIsNone(self.entry.process.poll())
+        self.assertEqual(self.entry.logged_events("process.error"), [])
+        self.assertEqual(self.entry.logged_events("server.unresponsive"), [])
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+        self.assertEqual(_send(1000), 200)
+
+
 class TestReload(EntryProcessTestCase):
     """Reload of settings while requests run."""
 
