A change that a leader may have read is not called "not run"

Operators were told "not_run" of a change that waited for a commit at its leader, or that was forwarded to a leader that is suspended, has lost its leadership or said nothing for 0.9 s, although such a change may be in the log and takes effect later. The status, 503, stays. Cause: the errors of calls without a leader and of calls without a reply were the same one. A call that a leader has, and that has no answer, ends with outcome_unknown now.

--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -242,7 +242,7 @@
         for request_id, forwarded in list(self._forwarded_calls.items()):
             if forwarded.leader != replica.host_of(change.leader):
                 del self._forwarded_calls[request_id]
-                forwarded.pending_call.on_error(operator_calls.no_quorum_error())
+                forwarded.pending_call.on_error(operator_calls.unanswered_error())
 
     def _record_storage_status(self, error: errors.StorageFailedError | None) -> None:
         if error is None:
@@ -454,7 +454,7 @@
         for request_id, forwarded in list(self._forwarded_calls.items()):
             if now > forwarded.pending_call.deadline:
                 del self._forwarded_calls[request_id]
-                forwarded.pending_call.on_error(operator_calls.no_quorum_error())
+                forwarded.pending_call.on_error(operator_calls.unanswered_error())
         for pending_read in list(self._pending_reads):
             if not self._node.is_leader or now > pending_read.pending_call.deadline:
                 self._pending_reads.remove(pending_read)
@@ -576,8 +576,11 @@
                 pending_call.on_result(reply)
             case messages.EvacuationReply() if reply.accepted or reply.is_outdated:
                 pending_call.on_result(reply)
-            case _:
+            case messages.ReadReply():
                 pending_call.on_error(operator_calls.no_quorum_error())
+            case _:
+                # It may have been lost with the leadership, or be in the log nevertheless.
+                pending_call.on_error(operator_calls.unanswered_error())
 
     def _answer_deadline(self) -> float:
         return self._loop.now() + operator_calls.ANSWER_TIMEOUT_SECONDS
--- a/flamingoramp/daemons/operator_calls.py
+++ b/flamingoramp/daemons/operator_calls.py
@@ -56,6 +56,15 @@
     )
 
 
+def unanswered_error() -> errors.NotLeaderError:
+    """Return the error of a call that a leader may have, and that may take effect later."""
+    return errors.NotLeaderError(
+        "the leader did not answer; send it again",
+        outcome=errors.Outcome.OUTCOME_UNKNOWN,
+        retry_after=RETRY_AFTER_SECONDS,
+    )
+
+
 class RepeatedCall:
     """A call that is submitted to the leader, and again while there is none that answers it.
 
@@ -77,18 +86,18 @@
         self._submit = submit
         self._call = call
         self._is_complete = False
+        self._awaits_answer = False
         # Error of an attempt that may have taken effect.
         self._uncertain_error: errors.FlamingorampError | None = None
 
     def start(self) -> None:
         """Submit the call for the first time."""
-        self._loop.call_later(
-            self._call.deadline - self._loop.now(), lambda: self._fail(no_quorum_error())
-        )
+        self._loop.call_later(self._call.deadline - self._loop.now(), self._end_by_deadline)
         self._attempt()
 
     def _attempt(self) -> None:
         if not self._is_complete:
+            self._awaits_answer = True
             self._submit(PendingCall(self._call.deadline, self._succeed, self._handle_error))
 
     def _succeed(self, result: Any) -> None:
@@ -96,7 +105,11 @@
             self._is_complete = True
             self._call.on_result(result)
 
+    def _end_by_deadline(self) -> None:
+        self._fail(unanswered_error() if self._awaits_answer else no_quorum_error())
+
     def _handle_error(self, error: errors.FlamingorampError) -> None:
+        self._awaits_answer = False
         if error.outcome is errors.Outcome.OUTCOME_UNKNOWN:
             self._uncertain_error = error
         remaining_seconds = self._call.deadline - self._loop.now()
--- a/flamingoramp/daemons/tests/test_operator_calls.py
+++ b/flamingoramp/daemons/tests/test_operator_calls.py
@@ -231,6 +231,17 @@
         self.attempts[-1].on_result("late")
         self.assertEqual([type(error) for error in self.results], [errors.NotLeaderError])
 
+    # Guards against "not run" for a call that waits in the log, or at a leader that is silent.
+    def test_attempt_without_an_answer_may_have_taken_effect(self):
+        self.loop.advance(operator_calls.ANSWER_TIMEOUT_SECONDS)
+        self.assertIs(self.results[0].outcome, errors.Outcome.OUTCOME_UNKNOWN)
+
+    def test_call_that_no_leader_took_has_not_run(self):
+        while not self.results:
+            self.attempts[-1].on_error(operator_calls.no_quorum_error())
+            self.loop.advance(operator_calls.LEADER_RETRY_SECONDS)
+        self.assertIs(self.results[0].outcome, errors.Outcome.NOT_RUN)
+
     def test_other_errors_end_the_call_at_once(self):
         error = errors.NotReadyError("the disk has failed")
         self.attempts[-1].on_error(error)
--- a/flamingoramp/platform/tests/test_control_disruptions.py
+++ b/flamingoramp/platform/tests/test_control_disruptions.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import os
 import pathlib
 import tempfile
 import unittest
 
-from flamingoramp.platform.tests import control_disruptions
+from flamingoramp.platform.tests import control_disruptions, control_hosts
+from flamingoramp.platform.tests import fleet as fleets
 
 FIRST_NETWORK = 170
 NETWORK_COUNT = 80
@@ -45,3 +47,35 @@
     def test_every_call_that_connects_is_acknowledged(self):
         for seed in (1, 2):
             self.run_seed(seed, "restart")
+
+
+class TestSilentLeader(unittest.TestCase):
+    """A leader that is suspended while the third host is down."""
+
+    # Guards against "not run" for a change that the leader may have read, and commits later.
+    def test_forwarded_change_without_an_answer_may_have_taken_effect(self):
+        with tempfile.TemporaryDirectory() as folder:
+            network = FIRST_NETWORK + os.getpid() % NETWORK_COUNT
+            hosts = [
+                control_hosts.ControlHost(number, 3, pathlib.Path(folder), network=network)
+                for number in range(3)
+            ]
+            try:
+                for host in hosts:
+                    host.start(first_start=True)
+                fleets.wait_for(lambda: hosts[0].declare(1), "an acknowledgement")
+                lines = hosts[0].log_path.read_text().splitlines()
+                changes = [json.loads(line) for line in lines if '"leader.changed"' in line]
+                [leader] = [host for host in hosts if changes[-1]["leader"].startswith(host.inner)]
+                follower, other = (host for host in hosts if host is not leader)
+                other.kill()
+                leader.stop(stopped=True)
+                body = json.dumps(fleets.make_document(2)).encode()
+                answer = fleets.send_request(
+                    follower.operators, "PUT", control_hosts.DECLARATION_PATH, body=body
+                )
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(json.loads(answer.body)["outcome"], "outcome_unknown")
+            finally:
+                for host in hosts:
+                    host.kill()
