One function binds a process's sockets, and a lack of descriptors waits, too

Streams and datagrams were bound by two functions of the same shape, and the creation of a datagram socket stood outside the error that a starting process waits for. The program of test_stop_resets takes its options as the other programs do.

--- a/flamingoramp/platform/tests/test_stop_resets.py
+++ b/flamingoramp/platform/tests/test_stop_resets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import argparse
 import collections
 import contextlib
 import itertools
@@ -14,6 +13,8 @@
 import threading
 import time
 
+import fire
+
 from flamingoramp.platform.tests import fleet as fleets
 from flamingoramp.platform.tests import test_programs
 
@@ -273,23 +274,29 @@
                     self.assertEqual(set(outcomes) - ALLOWED_OUTCOMES, set(), outcomes)
 
 
-def main() -> None:
-    """Run many stops by hand, and print what the callers saw."""
-    parser = argparse.ArgumentParser(description=main.__doc__)
-    parser.add_argument("--stops", type=int, default=200)
-    parser.add_argument("--first-seed", type=int, default=0)
-    parser.add_argument("--busy", type=int, default=0, help="processes that use a core each")
-    parser.add_argument("--seconds", type=float, default=1e9, help="begin no stop later")
-    options = parser.parse_args()
+def main(
+    stops: int = 200, first_seed: int = 0, busy: int = 0, seconds: float = float("inf")
+) -> None:
+    """Run many stops by hand, and print what the callers saw.
+
+    Parameters
+    ----------
+    stops, first_seed : int
+        Number of stops, and the seed of the first one.
+    busy : int
+        Number of processes beside them that use a core each.
+    seconds : float
+        Time after which no further stop begins.
+    """
     trial = StopTrial()
     total: collections.Counter[str] = collections.Counter()
     began_at = time.monotonic()
     stop_count = 0
     try:
         trial.add_servers()
-        with busy_processes(options.busy):
-            for seed in range(options.first_seed, options.first_seed + options.stops):
-                if time.monotonic() - began_at > options.seconds:
+        with busy_processes(busy):
+            for seed in range(first_seed, first_seed + stops):
+                if time.monotonic() - began_at > seconds:
                     break
                 outcomes = trial.run_stop(seed)
                 stop_count += 1
@@ -302,4 +309,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    fire.Fire(main)
--- a/flamingoramp/runtime/datagrams.py
+++ b/flamingoramp/runtime/datagrams.py
@@ -47,7 +47,7 @@
         self._deliver = deliver
         self._on_protocol_error = on_protocol_error
         self._traffic = traffic
-        self._socket = bound or listeners.open_datagram_socket(listen)
+        self._socket = bound or listeners.bind_socket(socket.SOCK_DGRAM, listen)
         self.send_error_count = 0
         loop.register(self._socket, selectors.EVENT_READ, self._receive)
 
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -72,13 +72,13 @@
     BindError
         If the address can't be bound.
     """
-    listener = bind_stream_socket(address)
+    listener = bind_socket(socket.SOCK_STREAM, address)
     _listen(listener, address)
     return listener
 
 
-def bind_stream_socket(address: str) -> socket.socket:
-    """Bind a socket to an ``ip:port`` that does not listen yet; port 0 selects a free port.
+def bind_socket(kind: socket.SocketKind, address: str) -> socket.socket:
+    """Bind a socket to an ``ip:port``, which does not listen yet; port 0 selects a free port.
 
     Raises
     ------
@@ -86,18 +86,20 @@
         If the address can't be bound.
     """
     ip_address, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
     try:
-        # Connections of a predecessor may still be in TIME_WAIT.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((ip_address, int(port)))
+        sock = socket.socket(socket.AF_INET, kind)
+        try:
+            sock.setblocking(False)
+            if kind is socket.SOCK_STREAM:
+                # Connections of a predecessor may still be in TIME_WAIT.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((ip_address, int(port)))
+        except BaseException:
+            sock.close()
+            raise
     except OSError as error:
-        sock.close()
-        raise BindError(address, error) from error
-    except (ValueError, OverflowError):
-        sock.close()
-        raise
+        suffix = "/udp" if kind is socket.SOCK_DGRAM else ""
+        raise BindError(f"{address}{suffix}", error) from error
     return sock
 
 
@@ -128,25 +130,6 @@
     return True
 
 
-def open_datagram_socket(address: str) -> socket.socket:
-    """Bind a datagram socket to an ``ip:port``; port 0 selects a free port.
-
-    Raises
-    ------
-    BindError
-        If the address can't be bound.
-    """
-    ip_address, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setblocking(False)
-    try:
-        sock.bind((ip_address, int(port)))
-    except OSError as error:
-        sock.close()
-        raise BindError(f"{address}/udp", error) from error
-    return sock
-
-
 def retry_binding(open_all: Callable[[], T], *, on_wait: Callable[[BindError, float], None]) -> T:
     """Call a function again while an address that it binds is unavailable; return its result.
 
@@ -283,8 +266,7 @@
     def _open(self, addresses: list[Address]) -> None:
         missing = [address for address in addresses if address not in self._sockets]
         for kind, address in missing:
-            opener = bind_stream_socket if kind is socket.SOCK_STREAM else open_datagram_socket
-            self._sockets[kind, address] = opener(address)
+            self._sockets[kind, address] = bind_socket(kind, address)
         # Nothing listens before all are bound: closing a listener resets its connections.
         listening = [address for kind, address in missing if kind is socket.SOCK_STREAM]
         for address in listening:
