--- a/flamingoramp/platform/tests/test_evacuation.py
+++ b/flamingoramp/platform/tests/test_evacuation.py
@@ -438,7 +438,9 @@
 
     # Guards against an order that is refused, or acknowledged without effect, because the leader it
     # was forwarded to is suspended.
-    def test_forwarded_order_whose_operator_waits_is_acknowledged_by_the_next_leader(self):
+    def test_forwarded_order_whose_operator_waits_has_effect_if_and_only_if_it_is_acknowledged(
+        self,
+    ):
         fleet = self.start_serving(entries=1)
         leader = self.leader_index(fleet)
         follower = fleet.seeds[(leader + 1) % 3]
