Soak: no SIGHUP before the interpreter runs, and a mutation's new text

The process had 200 KB and 4 descriptors for 4.5 s, so its interpreter had not started; the wait for it ended after 2 s, and SIGHUP was sent all the same. Nothing is sent now if the interpreter hasn't started by then.

--- a/bench/fault_soak/hosts.py
+++ b/bench/fault_soak/hosts.py
@@ -84,8 +84,8 @@
             waiter.start()
             self._waiters.append(waiter)
             self._processes.append((process, life))
-        if hang_up_delays:
-            _wait_for_interpreter(process)
+        if not hang_up_delays or not _wait_for_interpreter(process):
+            return
         interpreted_at = self.now()
         for delay in hang_up_delays:
             time.sleep(max(0.0, interpreted_at + delay - self.now()))
@@ -193,10 +193,11 @@
             waiter.join()
 
 
-def _wait_for_interpreter(process: subprocess.Popen) -> None:
-    """Wait until the interpreter of a new process runs its program.
+def _wait_for_interpreter(process: subprocess.Popen) -> bool:
+    """Wait until the interpreter of a new process runs its program; return whether it does.
 
-    The interpreter ignores SIGPIPE at the end of its own start.
+    The interpreter ignores SIGPIPE at the end of its own start. Before its program runs, nothing
+    can hold a signal back.
     """
     folder = pathlib.Path(f"/proc/{process.pid}")
     deadline = time.monotonic() + INTERPRETER_TIMEOUT_SECONDS
@@ -206,10 +207,11 @@
             status = (folder / "status").read_text()
             seconds = int((folder / "schedstat").read_text().split()[0]) / 1e9
         except OSError:  # it has just ended
-            return
+            return False
         [mask] = [line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:")]
         if not until and int(mask, 16) >> (signal.SIGPIPE - 1) & 1:
             until = seconds + INTERPRETER_SECONDS
         if until and seconds >= until:
-            return
+            return True
         time.sleep(INTERPRETER_POLL_SECONDS)
+    return False
--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -60,7 +60,7 @@
         "connections_closed_at_once",
         ("7 no reset",),
         (
-            Replacement(SERVER, "        self._stream.read_pending()\n", ""),
+            Replacement(SERVER, "not self._stream.read_pending() and ", ""),
             Replacement(
                 SERVER,
                 "            self._send_refusal(408)\n            self._finish_connection()\n",
