--- a/flamingoramp/platform/tests/test_stop_admission.py
+++ b/flamingoramp/platform/tests/test_stop_admission.py
@@ -18,7 +18,7 @@
 
 ACCEPT_SECONDS = 2.5
 STOP_SECONDS = 8.0
-ANSWER_SECONDS = 4.0
+ANSWER_SECONDS = 4.5
 EVENT_COUNT = 30
 OUTPUT_TOKENS = 100
 # Time limit of the callers and routes, which ends long after the stop.
