--- a/flamingoramp/platform/tests/fleet.py
+++ b/flamingoramp/platform/tests/fleet.py
@@ -26,8 +26,8 @@
 TIMEOUT_SECONDS = 30.0
 ROUTE_HOST = "ficu95.example"
 MAX_PORT_ATTEMPTS = 50
-# Two for connections between the daemons, then operators, callers, directory and readiness.
-PORTS_PER_HOST = 6
+# Two for connections between the daemons, then operators, callers, directory, readiness, metrics.
+PORTS_PER_HOST = 7
 COMPLETE_STREAM = b"".join(
     b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 6)
 )
@@ -210,9 +210,13 @@
         self._addresses = [f"127.0.0.{index + 2}" for index in range(controls + entries)]
         self._ports = ReservedPorts(self._addresses, PORTS_PER_HOST)
         self._first_inner_port = self._ports.first_port
-        self._operators_port, self._callers_port, self._directory_port, self._readiness_port = (
-            range(self._first_inner_port + 2, self._first_inner_port + PORTS_PER_HOST)
-        )
+        (
+            self._operators_port,
+            self._callers_port,
+            self._directory_port,
+            self._readiness_port,
+            self._metrics_port,
+        ) = range(self._first_inner_port + 2, self._first_inner_port + PORTS_PER_HOST)
         self.seeds = [f"{address}:{self._operators_port}" for address in self._addresses[:controls]]
         for index in range(controls):
             self.controls.append(self.start_control(index, first_start=True))
@@ -245,6 +249,10 @@
             ),
         )
 
+    def metrics_address(self, index: int) -> str:
+        """Return an address at which a host may serve its metrics; the fleet's daemons don't."""
+        return f"{self._addresses[index]}:{self._metrics_port}"
+
     def start_control(self, index: int, *, first_start: bool = False) -> DaemonThread:
         """Start the control daemon of a host."""
         pathlib.Path(self.folder / f"data-{index}").mkdir(exist_ok=True)
--- a/flamingoramp/platform/tests/test_programs.py
+++ b/flamingoramp/platform/tests/test_programs.py
@@ -39,14 +39,25 @@
         Index of the host whose settings it gets.
     role : str
         ``entry`` or ``control``.
+    first_start : bool
+        Whether it is the first start of the whole system.
     **bounds
         Fields of the settings' `bounds` that differ from those of the fleet.
     """
 
-    def __init__(self, fleet: fleets.Fleet, host_index: int, role: str = "entry", **bounds: float):
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        host_index: int,
+        role: str = "entry",
+        *,
+        first_start: bool = False,
+        **bounds: float,
+    ):
         folder = pathlib.Path(tempfile.mkdtemp(dir=fleet.folder))
         self.settings_path = folder / "settings.json"
-        self.settings = attrs.asdict(fleet.settings(host_index))
+        self.settings = attrs.asdict(fleet.settings(host_index, first_start=first_start))
+        self.settings["listen"]["metrics"] = fleet.metrics_address(host_index)
         self.settings["bounds"].update(bounds)
         self.write_settings(self.settings)
         self._log_path = folder / "log"
--- a/flamingoramp/tests/run.py
+++ b/flamingoramp/tests/run.py
@@ -23,9 +23,10 @@
 PACKAGES = ("flamingoramp", "standins", "bench")
 KNOWN_FAILURES_PATH = ROOT / "KNOWN-RED.txt"
 SLOWEST_COUNT = 20
-# Tests here measure processor time.
+# Tests here measure processor time or the memory of processes under a crowd of clients.
 EXCLUSIVE_MODULES = (
     "flamingoramp.daemons.tests.test_declaration_updates",
+    "flamingoramp.platform.tests.test_client_crowds",
     "flamingoramp.platform.tests.test_incremental_decoding",
     "flamingoramp.platform.tests.test_large_declarations",
 )
