Long output is sent from where it is, and not copied

What callers saw: four bodies of 4 MiB, one after the other and within the limits, take 124 MB at an entry of 112. Cause: on its way to a server a body was copied into the request's bytes, joined with its head and copied again into the output buffer, where each part that was sent made a further copy. Now a stream keeps output of 64 KiB and more as it is, and sends parts of it; the head is written apart from the body.

--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -97,7 +97,7 @@
         (
             Replacement(
                 "flamingoramp/runtime/stream.py",
-                "STALL_TIMEOUT_SECONDS if self._output_buffer else DRAIN_TIMEOUT_SECONDS",
+                "STALL_TIMEOUT_SECONDS if self._output else DRAIN_TIMEOUT_SECONDS",
                 "DRAIN_TIMEOUT_SECONDS",
             ),
         ),
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -179,11 +179,11 @@
         if request.body or request.method not in (b"GET", b"HEAD"):
             headers.append((b"content-length", b"%d" % len(request.body)))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
-        data = self._parser.send(head) or b""
+        self._stream.write(self._parser.send(head) or b"")
         if request.body:
-            data += self._parser.send(h11.Data(data=request.body)) or b""
-        data += self._parser.send(h11.EndOfMessage()) or b""
-        self._stream.write(data)
+            # A long body isn't copied, since the caller's request holds it anyway.
+            self._stream.write(self._parser.send(h11.Data(data=request.body)) or b"")
+        self._stream.write(self._parser.send(h11.EndOfMessage()) or b"")
 
     def fail_if_not_connected(self) -> None:
         """Fail the request with TIMED_OUT if no byte has been sent on this connection."""
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import selectors
 import socket
@@ -19,6 +20,8 @@
 DRAIN_TIMEOUT_SECONDS = 1.0
 # Longest time for which the bytes of a peer that goes on sending are discarded.
 MAX_DRAIN_SECONDS = 20.0
+# Output of at least this size is sent from where it is; copies of smaller pieces are joined.
+MIN_SHARED_BYTES = 64 * 1024
 # Value of SO_LINGER with which closing resets the connection.
 _LINGER_NO_TIME = struct.pack("ii", 1, 0)
 
@@ -38,6 +41,8 @@
     buffer_limit_bytes : int
         Limit of the output buffer; above it the connection is closed as failed, so that a
         slow reader can't use up memory.
+    on_sent : callable or None
+        Called after buffered output was passed to the kernel.
     """
 
     def __init__(
@@ -48,13 +53,18 @@
         on_data: Callable[[bytes], None],
         on_closed: Callable[[], None],
         buffer_limit_bytes: int,
+        on_sent: Callable[[], None] | None = None,
     ):
         self._loop = loop
         self._sock = sock
         self._on_data = on_data
         self._on_closed = on_closed
         self._buffer_limit_bytes = buffer_limit_bytes
-        self._output_buffer = bytearray()
+        self._on_sent = on_sent
+        self._output: collections.deque[bytearray | memoryview] = collections.deque()
+        self._buffered_bytes = 0
+        self._buffered_since = 0.0
+        self._is_paused = False
         self._close_requested = False
         self._open = True
         self._write_interest = True
@@ -78,7 +88,12 @@
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes in the output buffer, not yet passed to the kernel."""
-        return len(self._output_buffer)
+        return self._buffered_bytes
+
+    @property
+    def buffered_since(self) -> float:
+        """When the output buffer was last empty, in seconds of the loop's clock."""
+        return self._buffered_since
 
     @property
     def sent_bytes(self) -> int:
@@ -105,19 +120,46 @@
 
     def write(self, data: bytes) -> None:
         """Queue bytes for sending; they are discarded if the connection is closed."""
-        if not self._open:
+        if not self._open or not data:
             return
-        self._output_buffer += data
-        if len(self._output_buffer) > self._buffer_limit_bytes:
+        if not self._buffered_bytes:
+            self._buffered_since = self._loop.now()
+        self._append_output(data)
+        if self._buffered_bytes > self._buffer_limit_bytes:
             self._fail()
             return
         if not self._write_interest:
             self._flush()
 
+    def _append_output(self, data: bytes) -> None:
+        self._buffered_bytes += len(data)
+        if len(data) >= MIN_SHARED_BYTES:
+            self._output.append(memoryview(data))
+        elif self._output and isinstance(self._output[-1], bytearray):
+            self._output[-1] += data
+        else:
+            self._output.append(bytearray(data))
+
+    def _discard_output(self) -> None:
+        self._output.clear()
+        self._buffered_bytes = 0
+
+    def pause_reading(self) -> None:
+        """Read nothing more until `resume_reading`; the peer's end isn't noticed meanwhile."""
+        if self._open and not self._is_paused:
+            self._is_paused = True
+            self._watch()
+
+    def resume_reading(self) -> None:
+        """Read again after `pause_reading`."""
+        if self._open and self._is_paused:
+            self._is_paused = False
+            self._watch()
+
     def close_after_flush(self) -> None:
         """Close once the output buffer is sent; ``on_closed`` is called only if sending fails."""
         self._close_requested = True
-        if self._open and not self._output_buffer:
+        if self._open and not self._output:
             self.close()
 
     def shut_down_gracefully(self) -> None:
@@ -132,7 +174,7 @@
         self._close_requested = True
         self._discard_input = True
         self._drain_began_at = self._progress_at = self._loop.now()
-        if not self._output_buffer:
+        if not self._output:
             self._shut_down_write_side()
         self._check_progress()
 
@@ -141,12 +183,12 @@
         if not self._open:
             return
         now = self._loop.now()
-        timeout = STALL_TIMEOUT_SECONDS if self._output_buffer else DRAIN_TIMEOUT_SECONDS
+        timeout = STALL_TIMEOUT_SECONDS if self._output else DRAIN_TIMEOUT_SECONDS
         seconds_left = self._progress_at + timeout - now
         if seconds_left > 0:
             delay = min(seconds_left, DRAIN_TIMEOUT_SECONDS)
             self._loop.call_later(delay, self._check_progress)
-        elif self._output_buffer:
+        elif self._output:
             self._fail()
         else:
             self.close()
@@ -170,6 +212,7 @@
         self._open = False
         self._loop.unregister(self._sock)
         self._sock.close()
+        self._output.clear()
 
     def read_pending(self) -> bool:
         """Pass on input that the kernel has received already; return whether there was any."""
@@ -177,7 +220,7 @@
 
     def flush(self) -> None:
         """Pass as much of the output buffer to the kernel as it takes."""
-        if self._open and self._output_buffer:
+        if self._open and self._output:
             self._flush()
 
     def end_now(self) -> None:
@@ -185,7 +228,7 @@
 
         The connection is reset if part of the output is left, or if more input arrives later.
         """
-        if self._output_buffer:
+        if self._output:
             self.reset()
             return
         if not self._open:
@@ -206,7 +249,7 @@
     def _fail(self) -> None:
         if not self._open:
             return
-        if self._output_buffer:
+        if self._output:
             self.reset()  # what was sent must not look complete
         else:
             self.close()
@@ -214,7 +257,10 @@
 
     def _handle_events(self, events: int) -> None:
         if self._open and events & selectors.EVENT_WRITE:
+            had_output = bool(self._output)
             self._flush()
+            if had_output and self._on_sent is not None:
+                self._on_sent()
         if self._open and events & selectors.EVENT_READ:
             self._read()
 
@@ -239,7 +285,7 @@
         self._input_ended = True
         if not self._close_requested:
             self._fail()
-        elif self._output_buffer:
+        elif self._output:
             # The peer may still read; if it doesn't, sending fails.
             self._watch()
         else:
@@ -248,12 +294,12 @@
 
     def _flush(self) -> None:
         try:
-            while self._output_buffer:
-                sent = self._sock.send(self._output_buffer)
+            while self._output:
+                sent = self._sock.send(self._output[0])
                 self._sent_bytes += sent
                 if self._discard_input:
                     self._progress_at = self._loop.now()
-                del self._output_buffer[:sent]
+                self._remove_sent(sent)
         except BlockingIOError:
             self._set_write_interest(True)
             return
@@ -268,6 +314,16 @@
         else:
             self._set_write_interest(False)
 
+    def _remove_sent(self, size_bytes: int) -> None:
+        self._buffered_bytes -= size_bytes
+        first = self._output[0]
+        if size_bytes == len(first):
+            self._output.popleft()
+        elif isinstance(first, memoryview):
+            self._output[0] = first[size_bytes:]
+        else:
+            del first[:size_bytes]
+
     def _set_write_interest(self, enabled: bool) -> None:
         if enabled == self._write_interest:
             return
@@ -276,6 +332,6 @@
 
     def _watch(self) -> None:
         """Watch the socket for the events of interest."""
-        events = 0 if self._input_ended else selectors.EVENT_READ
+        events = 0 if self._input_ended or self._is_paused else selectors.EVENT_READ
         events |= selectors.EVENT_WRITE if self._write_interest else 0
         self._loop.modify(self._sock, events, self._handle_events)
