The values of unknown members of a declaration are not made

What operators would see: a declaration with a member that is not known, of many small values (4 MiB of [] or {}), is acknowledged, and each entry that applies it takes 145 MB of 112. Cause: all members were parsed, to find texts that are no JSON; an empty list takes 24 times its text (msgspec, this machine). The scan that finds the ends of members refuses all that is no JSON but texts that are not UTF-8, so that only this is checked now. Documents that can't be split, such as those with a name that stands twice, are still parsed as a whole.

--- a/flamingoramp/json_documents.py
+++ b/flamingoramp/json_documents.py
@@ -46,7 +46,7 @@
 def split_object(document: bytes) -> dict[str, bytes]:
     """Split an object into its members, whose values are left as JSON texts.
 
-    The values are only scanned for their ends; `parse` checks them.
+    The values are only scanned for their ends; `parse` or `check_member` checks them.
 
     Raises
     ------
@@ -74,6 +74,17 @@
     return members
 
 
+def check_member(text: bytes) -> None:
+    """Check the text of a member from `split_object` without making its values.
+
+    Raises
+    ------
+    ValueError
+        The text is not UTF-8, which the scan for the end of the member doesn't check.
+    """
+    text.decode()
+
+
 def split_array(document: bytes) -> list[bytes]:
     """Split an array into its elements, which are left as JSON texts.
 
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -176,9 +176,13 @@
         values = {
             name: json_documents.parse(text)
             for name, text in members.items()
-            if name not in _ITEM_DECODERS
-            and (name in _PLAIN_MEMBERS or text != self._members.get(name))
+            if name in _PLAIN_MEMBERS
         }
+        for name, text in members.items():
+            is_unknown = name not in _PLAIN_MEMBERS and name not in _ITEM_DECODERS
+            if is_unknown and text != self._members.get(name):
+                # Its values, which nothing needs, could take many times the memory of the text.
+                json_documents.check_member(text)
         version = decode_version(values)
         limits = _decode_limits(_field(values, "limits", dict, "configuration", {}))
         for name in ("routes", "services"):
--- a/flamingoramp/platform/tests/test_declarations.py
+++ b/flamingoramp/platform/tests/test_declarations.py
@@ -141,6 +141,28 @@
         with self.assertRaises(errors.InvalidDeclarationError):
             declarations.decode(b"\xff\xfe{")
 
+    # Guards against an unknown member that is taken over unchecked, since its values aren't made.
+    def test_unknown_members_that_are_no_json_are_refused_by_both_decoders(self):
+        document = json.dumps(make_document()).encode()
+        for member in (
+            *(
+                b"[1,]",
+                b"[01]",
+                b"[1 2]",
+                b"[tru]",
+                b"[.5]",
+                b"{a:1}",
+                b'{"a" 1}',
+                b"[1]]",
+                b"[1,2",
+            ),
+            *(b'"\xff"', b'"\xc3("', b'"\\x"', b'"\n"', b'"\\u12"', b'["\\ud800"]', b"[" * 10**5),
+        ):
+            damaged = document[:-1] + b',"later":' + member + b"}"
+            for decode_document in (declarations.decode, declarations.Decoder().decode):
+                with self.subTest(member=member[:9]):
+                    self.assertRaises(errors.InvalidDeclarationError, decode_document, damaged)
+
     def test_texts_that_cannot_be_encoded_are_refused(self):
         document = make_document(tenants=[{"name": "\ud800", "api_keys": ["k"]}])
         with self.assertRaises(errors.InvalidDeclarationError):
