What a process holds for others is one account, bounded by its machine's memory

What callers saw: clients that send many large bodies at once, most without their end, end a process for lack of memory, with all requests of all others. Cause: every buffer had a bound of its own, but their number had none: bodies, heads, requests sent ahead, requests in progress, answers that nobody reads, frames of messages, on every port. A byte of a body in very small chunks took some 28 bytes, as each chunk was kept apart, and parsing it held up all other callers (26 s for forty bodies of 256 KiB in chunks of two bytes).

Now all connections of a process charge what they hold to one account, a quarter of the machine's memory (machine.memory_megabytes, from the platform's settings; 112 without it). Beyond it, what can be given up is, the most bytes for the longest time first: unfinished requests get 503 with Retry-After and have not run, requests sent ahead are discarded, answers not taken are cut off, unfinished frames lost. Requests in progress are kept; one that doesn't fit beside them is refused at its head, and large ones leave a quarter to small ones. Bodies are joined as they come; the parser gets a head only up to its limit; what takes more than sixteen events is parsed in turns, one in each iteration of the loop. Checks, lookups and metrics take no bodies.

The template's tests know the new field; a test's fake exchange has the new method.

--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -146,9 +146,7 @@
                 settings.listen.operators, self._handle_control_call, answers_head=True
             )
         if settings.listen.directory:
-            self._process.serve(
-                settings.listen.directory, self._handle_directory, answers_head=True
-            )
+            self._process.serve_bodiless(settings.listen.directory, self._handle_directory)
         self._loop.call_every(TICK_INTERVAL_SECONDS, self._tick)
         self._loop.call_every(CHANGE_PUBLISH_INTERVAL_SECONDS, self._publish_if_due)
         self._loop.call_every(PERIODIC_PUBLISH_INTERVAL_SECONDS, self._publish)
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -191,9 +191,9 @@
     def _serve_other_endpoints(self, listen: node_settings.ListenSettings) -> None:
         """Serve readiness and directory if the settings give addresses to listen on for them."""
         if listen.readiness:
-            self._process.serve(listen.readiness, self._handle_readiness, answers_head=True)
+            self._process.serve_bodiless(listen.readiness, self._handle_readiness)
         if listen.directory:
-            self._process.serve(listen.directory, self._handle_directory, answers_head=True)
+            self._process.serve_bodiless(listen.directory, self._handle_directory)
 
     def _start_timers(self) -> None:
         loop = self.loop
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -17,6 +17,7 @@
 from flamingoramp.http import messages as http_messages
 from flamingoramp.http import server as http_server
 from flamingoramp.runtime import (
+    byte_account,
     clock,
     event_log,
     listeners,
@@ -31,6 +32,8 @@
 METRICS_PATH = "/metrics"
 # One log line every ten seconds adds no noticeable load.
 RESOURCE_USAGE_INTERVAL_SECONDS = 10.0
+# Calls that have no body: checks, lookups and metrics.
+BODILESS_LIMITS = http_server.Limits(body_bytes=16 * 1024)
 # A process that survives unexpected errors ends after more than so many in this time.
 MAX_ERRORS = 20
 ERROR_WINDOW_SECONDS = 10.0
@@ -79,6 +82,13 @@
         self._error_times: collections.deque[float] = collections.deque()
         self.metrics = metrics.Metrics()
         self.log = self._listeners.log
+        self.account = byte_account.ByteAccount(
+            byte_account.limit_for(settings.machine.memory_bytes),
+            self.loop.now,
+            on_shortage=self._record_shortage,
+            on_refusal=self._record_refusal,
+        )
+        self.metrics.set_gauge("held_bytes_limit", self.account.limit_bytes)
         self.start_steps = start_steps.StartSteps(self._listeners, self.log, self.metrics)
         self.transport = transport.Transport(
             self.loop,
@@ -88,12 +98,13 @@
             deliver=deliver,
             on_protocol_error=self.record_protocol_error,
             listener=self._listeners.take(internal_address) if internal_address else None,
+            account=self.account,
         )
         self._started_at = self.loop.now()
         self.servers: list[http_server.Server] = []
         self._cleanups: list[Callable[[], None]] = []
         if settings.listen.metrics:
-            self.serve(settings.listen.metrics, self._handle_metrics_request, answers_head=True)
+            self.serve_bodiless(settings.listen.metrics, self._handle_metrics_request)
         self.loop.call_every(RESOURCE_USAGE_INTERVAL_SECONDS, self._record_resource_usage)
 
     def serve(
@@ -115,11 +126,23 @@
             on_refused=_count_refused,
             on_error=self.record_contained_error,
             listener=self._listeners.take(listen),
+            account=self.account,
             **options,
         )
         self.servers.append(server)
         return server
 
+    def serve_bodiless(
+        self, listen: str, handler: Callable[[http_server.Exchange], None]
+    ) -> http_server.Server:
+        """Serve calls that have no body."""
+        return self.serve(
+            listen,
+            handler,
+            answers_head=True,
+            limits=lambda: BODILESS_LIMITS,
+        )
+
     def take_datagram_socket(self, address: str) -> socket.socket:
         """Return a datagram socket that is bound to an ``ip:port``."""
         return self._listeners.take_datagram_socket(address)
@@ -215,10 +238,35 @@
                 cleanup()
             self.loop.close()
 
+    def _record_refusal(self, refusal: byte_account.Refusal) -> None:
+        """Count and log a request that there was no memory for."""
+        self.metrics.count("held_bytes_refusals")
+        self.log.write(
+            "memory.refused",
+            bytes=refusal.size_bytes,
+            in_use=refusal.in_use_bytes,
+            limit=self.account.limit_bytes,
+        )
+
+    def _record_shortage(self, shortage: byte_account.Shortage) -> None:
+        """Count and log that more was held for others than the memory allows."""
+        self.metrics.count("held_bytes_shortages")
+        self.metrics.count("held_bytes_given_up", shortage.freed_bytes)
+        self.log.write(
+            "memory.given_up",
+            held=shortage.held_bytes,
+            limit=self.account.limit_bytes,
+            freed=shortage.freed_bytes,
+            connections=shortage.holders,
+            largest=shortage.largest_bytes,
+            longest=round(shortage.longest_seconds, 2),
+        )
+
     def _record_resource_usage(self) -> None:
-        """Log and export processor time and traffic since the start of the process."""
+        """Log and export processor time, memory and traffic since the start of the process."""
         traffic = self.transport.traffic
         usage = {
+            "held_bytes": self.account.held_bytes,
             "processor_seconds": round(time.process_time(), 3),
             "inner_sent_bytes": traffic.sent_bytes,
             "inner_received_bytes": traffic.received_bytes,
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -476,6 +476,8 @@
         """Cancel the current attempt; remove its load and release its memory reservation."""
         if self._attempt is not None:
             self._attempt.cancel()
+            if not self._attempt.is_relayed:
+                self._exchange.hold_answer(-self._attempt.body_bytes)
             self._attempt = None
         if self._target is not None:
             for work_item in self._target.work_items:
@@ -529,17 +531,22 @@
             self._handle_endless_answer(attempt)
 
     def _collect_or_relay(self, attempt: attempts.Attempt, data: bytes) -> None:
-        """Hold back the body of a plain answer, or relay it if it is long and names its length."""
+        """Hold back the body of a plain answer, or relay it if it names its length.
+
+        It is relayed once it is long, or once this process has no memory to hold more of it.
+        """
         attempt.last_progress_at = self._context.loop.now()
         attempt.body_bytes += len(data)
         if attempt.is_relayed:
             self._exchange.send(data)
             return
         attempt.body.append(data)
-        if attempt.body_bytes <= MAX_HELD_ANSWER_BYTES:
-            return
+        has_room = self._exchange.hold_answer(len(data))
         head = attempt.head
-        if head.declared_length is None or self._exchange.has_started:
+        can_relay = head.declared_length is not None and not self._exchange.has_started
+        if attempt.body_bytes <= MAX_HELD_ANSWER_BYTES and (has_room or not can_relay):
+            return
+        if not can_relay:
             self._handle_endless_answer(attempt)
             return
         attempt.is_relayed = True
@@ -548,8 +555,10 @@
             http_messages.end_to_end_headers(head.headers),
             length=head.declared_length,
         )
-        self._exchange.send(b"".join(attempt.body))
+        data = b"".join(attempt.body)
         attempt.body.clear()
+        self._exchange.hold_answer(-attempt.body_bytes)
+        self._exchange.send(data)
 
     def _handle_endless_answer(self, attempt: attempts.Attempt) -> None:
         self._record_failure(attempt, crashed=False)
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -75,11 +75,17 @@
         self.body = b""
         self.end_state = ""
         self.on_disconnect: Any = None
+        self.held_bytes = 0
+        self.has_room = True
 
     @property
     def has_started(self) -> bool:
         return self.status != 0
 
+    def hold_answer(self, size_bytes: int) -> bool:
+        self.held_bytes += size_bytes
+        return self.has_room
+
     def respond(self, answer: http_messages.Response) -> None:
         self.start(answer.status, answer.headers)
         self.send(answer.body)
--- a/flamingoramp/dispatch/tests/test_forwarding_faults.py
+++ b/flamingoramp/dispatch/tests/test_forwarding_faults.py
@@ -34,6 +34,36 @@
         self.assert_ended(200)
         self.assertEqual(self.exchange.body, 5 * self.PIECE)
 
+    def test_answer_is_relayed_early_if_there_is_no_memory_to_hold_it(self):
+        self.start_long_answer()
+        self.receive_pieces(1)
+        self.assertEqual(self.exchange.held_bytes, len(self.PIECE))
+        self.exchange.has_room = False
+        self.receive_pieces(1)
+        self.assertEqual(len(self.exchange.body), 2 * len(self.PIECE))
+        self.assertEqual(self.exchange.held_bytes, 0)
+        self.receive_pieces(3)
+        self.complete_answer()
+        self.assert_ended(200)
+        self.assertEqual(self.exchange.body, 5 * self.PIECE)
+
+    # Guards against a server that counts as broken since this process has no memory.
+    def test_answer_without_a_length_is_held_without_room_too(self):
+        self.start_request(test_forwarding.PLAIN)
+        self.receive_head("answer")
+        self.exchange.has_room = False
+        self.receive_pieces(2)
+        self.complete_answer()
+        self.assert_ended(200)
+        self.assertEqual(self.context.failures, [])
+
+    def test_what_a_failed_attempt_held_is_released(self):
+        self.start_request(test_forwarding.PLAIN)
+        self.receive_head("answer")
+        self.receive_pieces(1)
+        self.fail_call()
+        self.assertEqual((len(self.calls), self.exchange.held_bytes), (2, 0))
+
     # Guards against a retry whose answer is appended to a part of another one.
     def test_relayed_answer_that_breaks_off_is_aborted(self):
         self.start_long_answer()
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import selectors
 import socket
 from collections.abc import Callable
@@ -11,8 +12,8 @@
 import h11
 
 from flamingoramp import errors, value_classes
-from flamingoramp.http import messages
-from flamingoramp.runtime import listeners, stream
+from flamingoramp.http import messages, parse_turns
+from flamingoramp.runtime import byte_account, listeners, stream
 from flamingoramp.runtime import loop as loops
 
 # Per iteration of the loop, so that many new connections at once don't delay other work.
@@ -21,6 +22,16 @@
 MAX_WRITE_BUFFER_BYTES = 8 * 1024 * 1024
 # Data of later requests that a caller may send before the response to the current one is complete.
 MAX_PIPELINED_BYTES = 256 * 1024
+# Bytes of a chunked body that are passed to the parser at a time.
+CHUNKED_PIECE_BYTES = 16 * 1024
+# Bytes on the wire for each byte that a body may have; chunks of one byte take six.
+MAX_FRAMING_RATIO = 16
+# Memory of a parsed header line besides its bytes: its texts and tuples, here and in the parser.
+HEADER_LINE_BYTES = 400
+# Events that are parsed as soon as bytes arrive; what takes more waits for its turn.
+MAX_EVENTS_AT_ONCE = 16
+# Wait after which a caller should come back who was refused for lack of memory or connections.
+RETRY_AFTER_SECONDS = 1.0
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
 # A stopping server waits this long for the first request of a new connection.
 FIRST_REQUEST_SECONDS = 0.5
@@ -57,7 +68,8 @@
 
     ``request`` is the last request of the connection. ``reason`` is ``"overflow"`` if the output
     buffer was full, ``"reset"`` if the caller closed the connection, ``"stalled"`` if the caller
-    took no bytes for too long, and ``"exit"`` if this program ended.
+    took no bytes for too long, ``"memory"`` if the process held too much for its callers, and
+    ``"exit"`` if this program ended.
     """
 
     request: messages.Request
@@ -136,6 +148,16 @@
             self._end()
             self._connection.finish_response()
 
+    def hold_answer(self, size_bytes: int) -> bool:
+        """Account for so many more bytes of the answer that are held back, or fewer if negative.
+
+        Returns
+        -------
+        bool
+            Whether the process has room for them.
+        """
+        return self._is_done or self._connection.hold_answer(size_bytes)
+
     def abort(self) -> None:
         """Close the connection, so that the caller can't take the response for a complete one."""
         if not self._is_done:
@@ -168,8 +190,17 @@
         self._parser = self._new_parser()
         self._request_head: h11.Request | None = None
         self._method = b""
-        self._request_body_parts: list[bytes] = []
-        self._request_body_bytes = 0
+        # Received bytes that the parser hasn't got yet.
+        self._unparsed = bytearray()
+        self._body = bytearray()
+        # Bytes of a body with a length that the parser hasn't got yet; None for a chunked body.
+        self._unfed_body_bytes: int | None = None
+        # Memory of the head of the current request, of its complete body and of its answer.
+        self._head_bytes = 0
+        self._request_bytes = 0
+        self._held_answer_bytes = 0
+        self._event_count = 0
+        self._waits_for_turn = False
         self._bytes_since_dispatch = 0
         self._is_first_request = True
         self._exchange: Exchange | None = None
@@ -184,7 +215,9 @@
             on_data=self._handle_data,
             on_closed=self._handle_closed,
             buffer_limit_bytes=MAX_WRITE_BUFFER_BYTES,
+            on_sent=self._update_charge,
         )
+        self._update_charge()
 
     @property
     def has_exchange(self) -> bool:
@@ -220,7 +253,7 @@
     def close_if_timed_out(self, now: float) -> None:
         """Refuse with 408 a request that takes too long to arrive; end an idle connection."""
         limits = self._server.limits
-        if self._exchange is not None:
+        if self._exchange is not None or self._waits_for_turn:
             return
         elapsed_seconds = now - self._phase_started_at
         is_silent = now - self._received_at > CLOSING_SILENCE_SECONDS
@@ -260,6 +293,75 @@
         self._send_refusal(status)
         self._finish_connection()
 
+    # Memory.
+
+    def reclaimable(self) -> byte_account.Reclaimable:
+        """Return what this connection could give up; see `byte_account.Holder`."""
+        if not self._stream.is_open:
+            return byte_account.Reclaimable()
+        buffered_bytes = self._stream.buffered_bytes
+        if self._exchange is None and self.is_reading and not self._is_ending:
+            size_bytes = self._received_bytes + buffered_bytes
+            return byte_account.Reclaimable(size_bytes, self._phase_started_at)
+        if self._unparsed:
+            return byte_account.Reclaimable(len(self._unparsed), self._received_at)
+        return byte_account.Reclaimable(buffered_bytes, self._stream.buffered_since)
+
+    def give_up(self) -> None:
+        """Refuse an incomplete request, discard later ones, or cut off an answer not taken."""
+        if self._exchange is None and self.is_reading and not self._is_ending:
+            self._refuse_request(503)
+        elif self._unparsed:
+            self._discard_later_requests()
+        else:
+            self._report_undelivered("memory")
+            self._stream.reset()
+            self._end_exchange()
+        self._update_charge()
+
+    def hold_answer(self, size_bytes: int) -> bool:
+        """Account for bytes of the answer that are held back; return whether there is room."""
+        self._held_answer_bytes += size_bytes
+        self._update_charge()
+        return self._server.account.has_room(0)
+
+    @property
+    def _received_bytes(self) -> int:
+        """Memory of what was received of a request that isn't complete."""
+        if self._request_head is None:
+            return self._bytes_since_dispatch
+        return self._head_bytes + len(self._body) + len(self._unparsed)
+
+    def _update_charge(self) -> None:
+        account = self._server.account
+        if not self._stream.is_open:
+            account.remove(self)
+            return
+        in_use_bytes = 0
+        received_bytes = len(self._unparsed)
+        if self._exchange is not None:
+            in_use_bytes = self._head_bytes + self._request_bytes + self._held_answer_bytes
+        elif not self._is_ending:
+            received_bytes = self._received_bytes
+        account.charge(
+            self,
+            byte_account.CONNECTION_BYTES
+            + received_bytes
+            + in_use_bytes
+            + self._stream.buffered_bytes,
+            in_use_bytes=in_use_bytes,
+        )
+
+    def _discard_later_requests(self) -> None:
+        """Discard what the caller sends after the current request; the connection ends then."""
+        self._discards_requests = True
+        self._unparsed = bytearray()
+
+    def _forget_request(self) -> None:
+        """Release the memory of the current request."""
+        self._head_bytes = self._request_bytes = self._held_answer_bytes = 0
+        self._body = bytearray()
+
     def end_at_exit(self) -> None:
         """Close the connection since the process ends; refuse a request that was not handled."""
         if self._exchange is not None:
@@ -279,6 +381,7 @@
         """Close the connection immediately."""
         self._stream.close()
         self._server.remove_connection(self)
+        self._update_charge()
 
     def _report_undelivered(self, reason: str) -> None:
         """Report the last answer if some of it was not passed to the kernel."""
@@ -315,6 +418,7 @@
         """Complete the response, then end the connection or process the next request."""
         self._send(h11.EndOfMessage())
         self._exchange = None
+        self._forget_request()
         if not self._stream.is_open:
             return
         # A caller that wasn't told of the close may have sent its next request.
@@ -328,9 +432,10 @@
         self._parser.start_next_cycle()
         self._is_first_request = False
         self._phase_started_at = self._server.loop.now()
-        self._bytes_since_dispatch = len(self._parser.trailing_data[0])
+        self._bytes_since_dispatch = len(self._parser.trailing_data[0]) + len(self._unparsed)
         if self._bytes_since_dispatch:
-            self._server.loop.call_later(0, self._process_events)
+            self._server.loop.call_later(0, self._process_at_once)
+        self._update_charge()
 
     def abort(self) -> None:
         """Close the connection before the response is complete.
@@ -351,6 +456,8 @@
             self._fail(error)
             return
         self._stream.write(data or b"")
+        if self._stream.buffered_bytes:
+            self._update_charge()
 
     def _fail(self, error: Exception) -> None:
         """Report an error of this program and close the connection."""
@@ -365,10 +472,18 @@
 
     def _finish_connection(self) -> None:
         self._is_ending = True
+        self._forget_request()
+        self._request_head = None
+        self._unparsed = bytearray()
+        if self._bytes_since_dispatch:
+            self._bytes_since_dispatch = 0
+            self._parser = self._new_parser()  # the other one has kept what it couldn't parse
+        self._stream.resume_reading()
         self._stream.shut_down_gracefully()
         self._server.remove_connection(self)
         if self._stream.is_open:
             self._server.add_ending(self)
+        self._update_charge()
 
     def _handle_closed(self) -> None:
         was_closed_by_caller = self._stream.was_reset or self._stream.has_input_ended
@@ -376,7 +491,13 @@
         if self._stream.buffered_bytes > MAX_WRITE_BUFFER_BYTES:
             reason = "overflow"
         self._report_undelivered(reason)
+        self._end_exchange()
+
+    def _end_exchange(self) -> None:
+        """End the exchange, if there is one, of a connection that was closed."""
         self._server.remove_connection(self)
+        self._forget_request()
+        self._update_charge()
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.mark_disconnected()
@@ -388,21 +509,39 @@
         if self._exchange is None and not self.is_reading:
             self._phase_started_at = self._received_at
         self._bytes_since_dispatch += len(data)
-        try:
-            self._parser.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            self._refuse_request(error.error_status_hint)
-            return
+        self._unparsed += data
         if self._exchange is None:
-            self._process_events()
+            if not self._waits_for_turn:
+                self._process_events(MAX_EVENTS_AT_ONCE)
         elif self._bytes_since_dispatch > MAX_PIPELINED_BYTES:
-            self._discards_requests = True
-
-    def _process_events(self) -> None:
-        """Handle the parsed events up to the end of the next request."""
+            self._discard_later_requests()
+        self._update_charge()
+
+    def _process_at_once(self) -> None:
+        if not self._waits_for_turn:
+            self._process_events(MAX_EVENTS_AT_ONCE)
+            self._update_charge()
+
+    def take_turn(self, max_events: int) -> None:
+        """Go on with what was received; see `parse_turns.Parser`."""
+        self._waits_for_turn = False
+        self._process_events(max_events)
+        if not self._waits_for_turn:
+            self._stream.resume_reading()
+        self._update_charge()
+
+    def _process_events(self, max_events: int) -> None:
+        """Handle the parsed events up to the end of the next request, or some of them."""
+        last_event_count = self._event_count + max_events
         while self._exchange is None and self._stream.is_open and not self._is_ending:
+            if self._event_count >= last_event_count:
+                self._wait_for_turn()
+                return
+            self._event_count += 1
             try:
                 event = self._parser.next_event()
+                if event is h11.NEED_DATA and not self._feed_parser():
+                    return
             except h11.RemoteProtocolError as error:
                 self._refuse_request(error.error_status_hint)
                 return
@@ -411,20 +550,66 @@
                     if not self._accept_request_head(event):
                         return
                 case h11.Data():
-                    self._request_body_bytes += len(event.data)
-                    if self._request_body_bytes > self._server.limits.body_bytes:
-                        self._refuse_request(413)
+                    self._body += event.data
+                    if not self._check_body_size():
                         return
-                    self._request_body_parts.append(bytes(event.data))
                 case h11.EndOfMessage():
                     self._dispatch()
                     return
                 case h11.ConnectionClosed():
                     self.close()
                     return
-                case _:
+                case h11.PAUSED:
                     return
 
+    def _wait_for_turn(self) -> None:
+        """Parse the rest later; meanwhile nothing more is read from the connection."""
+        self._waits_for_turn = True
+        self._stream.pause_reading()
+        self._server.parse_turns.wait(self, self._event_count)
+
+    def _feed_parser(self) -> bool:
+        """Pass some of the received bytes to the parser; return whether there were any.
+
+        It gets no more than a head may have, a body has left or a few chunks take, since it keeps
+        what it gets and looks at a head as a whole.
+        """
+        if not self._unparsed:
+            return False
+        if self._request_head is None:
+            size_bytes = self._server.limits.header_bytes
+        elif self._unfed_body_bytes is None:
+            size_bytes = CHUNKED_PIECE_BYTES
+        else:
+            size_bytes = self._unfed_body_bytes
+            self._unfed_body_bytes -= min(size_bytes, len(self._unparsed))
+        piece = bytes(memoryview(self._unparsed)[:size_bytes])
+        del self._unparsed[:size_bytes]
+        self._parser.receive_data(piece)
+        return True
+
+    def _check_body_size(self) -> bool:
+        """Refuse a request whose body is too long; return whether it was not."""
+        limit_bytes = self._server.limits.body_bytes
+        wire_bytes = self._bytes_since_dispatch - len(self._unparsed)
+        if (
+            len(self._body) > limit_bytes
+            or wire_bytes > MAX_FRAMING_RATIO * limit_bytes + self._server.limits.header_bytes
+        ):
+            self._refuse_request(413)
+            return False
+        return self._check_room(len(self._body))
+
+    def _check_room(self, body_bytes: int) -> bool:
+        """Refuse a request that the process has no memory for; return whether it has."""
+        account = self._server.account
+        size_bytes = self._head_bytes + body_bytes
+        if account.has_room(size_bytes):
+            return True
+        account.report_refusal(size_bytes)
+        self._refuse_request(503 if account.can_ever_have_room(size_bytes) else 413)
+        return False
+
     def _accept_request_head(self, head: h11.Request) -> bool:
         headers = head.headers
         self._method = bytes(head.method)
@@ -442,12 +627,17 @@
             self._refuse_request(400)
             return False
         length = messages.find_header(tuple(headers), b"content-length")
-        if length is not None and int(length) > self._server.limits.body_bytes:
+        body_bytes = int(length) if length is not None else 0
+        if body_bytes > self._server.limits.body_bytes:
             self._refuse_request(413)
             return False
+        self._head_bytes = size + HEADER_LINE_BYTES * len(headers)
+        if not self._check_room(body_bytes):
+            return False
         self._request_head = head
-        self._request_body_parts = []
-        self._request_body_bytes = 0
+        self._unfed_body_bytes = None
+        if length is not None:
+            self._unfed_body_bytes = max(0, body_bytes - len(self._parser.trailing_data[0]))
         if self._parser.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._stream.write(self._parser.send(continue_response) or b"")
@@ -460,11 +650,12 @@
             method=b"GET" if is_head_as_get else self._method,
             target=bytes(head.target),
             headers=tuple((bytes(name), bytes(value)) for name, value in head.headers),
-            body=b"".join(self._request_body_parts),
+            body=bytes(self._body),
         )
         self._request_head = None
-        self._request_body_parts = []
-        self._bytes_since_dispatch = 0
+        self._body = bytearray()
+        self._request_bytes = len(request.body)
+        self._bytes_since_dispatch = len(self._unparsed)
         self._last_request = _without_body(request)
         now = self._server.loop.now()
         self._exchange = Exchange(self, request, now, now - self._phase_started_at)
@@ -474,19 +665,25 @@
         """Respond to an invalid request with a status, and close the connection."""
         self._server.report_refusal(status)
         self._send_refusal(status)
-        self._exchange = None
         self._finish_connection()
 
     def _send_refusal(self, status: int) -> None:
         """Send an empty response, unless another one has begun."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            if status == 503:
+                headers.append((b"retry-after", _retry_after()))
             response = h11.Response(
                 status_code=status, headers=headers, reason=messages.reason_phrase(status)
             )
             self._stream.write(self._parser.send(response) or b"")
 
 
+def _retry_after() -> bytes:
+    """Return the value of Retry-After, spread so that the refused don't come back at once."""
+    return b"%.3f" % (RETRY_AFTER_SECONDS * (1 + random.random()))
+
+
 class Server:
     """HTTP server on one address, which passes complete requests to a handler.
 
@@ -510,6 +707,8 @@
     on_error : callable or None
         Takes an unexpected error of the handler, or in the encoding of a response, which has ended
         that request; None to let such errors end the loop.
+    account : byte_account.ByteAccount or None
+        What the connections charge for the bytes that they hold; None for no limit.
     answers_head : bool
         Whether the handler gets HEAD requests as GET; their responses are sent without a body.
     """
@@ -527,8 +726,11 @@
         on_undelivered: Callable[[UndeliveredAnswer], None] = lambda _answer: None,
         max_connections: int = 3000,
         listener: socket.socket | None = None,
+        account: byte_account.ByteAccount | None = None,
     ):
         self.loop = loop
+        self.account = account or byte_account.ByteAccount(None, loop.now)
+        self.parse_turns = parse_turns.ParseTurns(loop)
         self.answers_head = answers_head
         self._handler = handler
         self._limits = limits
@@ -705,6 +907,9 @@
         return len(self._connections) + len(self._ending)
 
     def _forget_closed(self) -> None:
+        for connection in self._ending:
+            if not connection.is_open:
+                self.account.remove(connection)
         self._ending = {connection for connection in self._ending if connection.is_open}
 
     def _accept(self, _events: Any) -> None:
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -11,7 +11,7 @@
 
 from flamingoramp import errors
 from flamingoramp.http import messages, server
-from flamingoramp.runtime import loop, stream
+from flamingoramp.runtime import byte_account, loop, stream
 
 TIMEOUT_SECONDS = 20.0
 LIMITS = server.Limits(header_bytes=8192, body_bytes=100_000)
@@ -23,8 +23,15 @@
     With ``keep_exchanges`` it keeps the exchanges instead, for the test to respond to.
     """
 
-    def __init__(self, limits: server.Limits = LIMITS, *, contains_errors: bool = False):
+    def __init__(
+        self,
+        limits: server.Limits = LIMITS,
+        *,
+        contains_errors: bool = False,
+        memory_bytes: int | None = None,
+    ):
         self.loop = loop.Loop()
+        self.account = byte_account.ByteAccount(memory_bytes, self.loop.now)
         self.requests: list[messages.Request] = []
         self.kept_exchanges: list[server.Exchange] = []
         self.refused_statuses: list[int] = []
@@ -39,6 +46,7 @@
             on_refused=self.refused_statuses.append,
             on_undelivered=self.undelivered.append,
             on_error=self.errors.append if contains_errors else None,
+            account=self.account,
         )
         self.address = ("127.0.0.1", int(self.server.address.rpartition(":")[2]))
         self.thread = threading.Thread(target=self.loop.run)
--- a/flamingoramp/platform/tests/test_warm_up.py
+++ b/flamingoramp/platform/tests/test_warm_up.py
@@ -128,6 +128,7 @@
             "thresholds.retry_ratio": 0.2,
             "thresholds.retry_slack": 20,
             "thresholds.retry_window_s": 10,
+            "limits.memory_mb": 112,
         }
         bounds = self.load(values).bounds
         self.assertEqual((bounds.warm_up_excess_ratio, bounds.warm_up_excess_requests), (1.5, 5))
--- a/flamingoramp/runtime/node_settings.py
+++ b/flamingoramp/runtime/node_settings.py
@@ -89,6 +89,27 @@
         return self.announce_milliseconds / 1000
 
 
+@attrs.frozen(eq=False, repr=False)
+class MachineSettings(value_classes.Value):
+    """What the process may use of its machine, given under the key ``machine``.
+
+    Parameters
+    ----------
+    memory_megabytes : float
+        Memory of the process, in units of 10**6 bytes. A share of it bounds what the process holds
+        for its callers and for other processes (`byte_account`).
+    """
+
+    memory_megabytes: float = attrs.field(
+        default=112.0, validator=utils.between(64, 10**6, "megabytes")
+    )
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the process, in bytes."""
+        return int(self.memory_megabytes * 10**6)
+
+
 @attrs.frozen(eq=False, repr=False)
 class NodeSettings(value_classes.Value):
     """Settings of one process.
@@ -115,6 +136,8 @@
         Listening addresses for external calls.
     bounds : BoundSettings
         Intervals, shutdown times and the retry budget.
+    machine : MachineSettings
+        What the process may use of its machine.
     """
 
     name: str = utils.name_field()
@@ -127,6 +150,7 @@
     data_folder: str = ""
     listen: ListenSettings = attrs.field(factory=ListenSettings)
     bounds: BoundSettings = attrs.field(factory=BoundSettings)
+    machine: MachineSettings = attrs.field(factory=MachineSettings)
 
     @property
     def control_internal_address(self) -> str:
--- a/flamingoramp/runtime/tests/test_settings.py
+++ b/flamingoramp/runtime/tests/test_settings.py
@@ -105,6 +105,7 @@
             ("seed_addrs|json", '["127.0.0.1:9"]'),
             ("bootstrap|json", "true"),
             ("heartbeat_ms", "1200"),
+            ("limits.memory_mb", "300"),
         ):
             text = text.replace("{{" + name + "}}", value)
         text = re.sub(r'": {{[^}]*}}', '": 10', text)
@@ -121,10 +122,20 @@
             bounds = node_settings.load(str(self.write(text))).bounds
             self.assertEqual(bounds.evacuate_milliseconds, expected)
 
-    def test_settings_of_earlier_builds_name_no_zones(self):
+    def test_settings_of_earlier_builds_name_no_zones_and_no_memory(self):
         document = json.loads(self.render(""))
-        del document["availability_zones"]
-        self.assertEqual(node_settings.load(str(self.write(document))).availability_zones, ())
+        loaded = node_settings.load(str(self.write(document)))
+        self.assertEqual(loaded.machine.memory_bytes, 300_000_000)
+        del document["availability_zones"], document["machine"]
+        loaded = node_settings.load(str(self.write(document)))
+        self.assertEqual(loaded.availability_zones, ())
+        self.assertEqual(loaded.machine.memory_bytes, 112_000_000)
+
+    def test_memory_that_no_process_could_start_in_is_refused(self):
+        document = json.loads(self.render(""))
+        document["machine"] = {"memory_megabytes": 10}
+        with self.assertRaisesRegex(errors.SettingsError, "memory_megabytes: found 10"):
+            node_settings.load(str(self.write(document)))
 
 
 class TestCommandLine(SettingsTestCase):
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -12,8 +12,8 @@
 
 from flamingoramp import errors
 from flamingoramp.protocol import codec, messages
+from flamingoramp.runtime import byte_account, listeners, stream
 from flamingoramp.runtime import clock as clocks
-from flamingoramp.runtime import listeners, stream
 from flamingoramp.runtime import loop as loops
 
 PING_INTERVAL_SECONDS = 0.8
@@ -67,7 +67,9 @@
             on_data=self._handle_data,
             on_closed=self._handle_closed,
             buffer_limit_bytes=SEND_BUFFER_LIMIT_BYTES,
+            on_sent=self._update_charge,
         )
+        self._incomplete_since = 0.0
 
     @property
     def address(self) -> str:
@@ -86,10 +88,37 @@
         data = codec.encode(transport.name, message, clock=transport.clock.tick())
         transport.traffic.count_sent(message, len(data))
         self._stream.write(data)
+        if self._stream.buffered_bytes:
+            self._update_charge()
 
     def close(self) -> None:
         """Close the connection immediately, without removing it from its transport."""
         self._stream.close()
+        self._transport.account.remove(self)
+
+    def reclaimable(self) -> byte_account.Reclaimable:
+        """Return what this connection could give up; see `byte_account.Holder`."""
+        if not self._stream.is_open:
+            return byte_account.Reclaimable()
+        buffered_bytes = self._stream.buffered_bytes
+        received = byte_account.Reclaimable(len(self._frame_buffer), self._incomplete_since)
+        unsent = byte_account.Reclaimable(buffered_bytes, self._stream.buffered_since)
+        return max(received, unsent, key=lambda reclaimable: reclaimable.bytes)
+
+    def give_up(self) -> None:
+        """Close the connection; its messages are lost, and the peers send what matters again."""
+        self.close()
+        self._handle_closed()
+
+    def _update_charge(self) -> None:
+        account = self._transport.account
+        if not self._stream.is_open:
+            account.remove(self)
+            return
+        account.charge(
+            self,
+            byte_account.CONNECTION_BYTES + len(self._frame_buffer) + self._stream.buffered_bytes,
+        )
 
     def abandon_connect(self) -> None:
         """Close the connection if the peer hasn't accepted it yet; the messages are lost."""
@@ -117,6 +146,9 @@
         transport = self._transport
         self._last_received_at = transport.loop.now()
         transport.traffic.received_bytes += len(data)
+        had_incomplete_frame = len(self._frame_buffer) > 0
+        if not had_incomplete_frame:
+            self._incomplete_since = self._last_received_at
         try:
             for frame in self._frame_buffer.feed(data):
                 self._handle_envelope(codec.decode(frame))
@@ -124,6 +156,8 @@
             transport.report_protocol_error(error)
             self.close()
             self._handle_closed()
+        if had_incomplete_frame or len(self._frame_buffer):
+            self._update_charge()
 
     def _handle_envelope(self, envelope: codec.Envelope) -> None:
         transport = self._transport
@@ -138,6 +172,7 @@
                 transport.deliver(envelope.sender, envelope.message, self)
 
     def _handle_closed(self) -> None:
+        self._transport.account.remove(self)
         self._transport.remove_connection(self)
 
 
@@ -154,6 +189,8 @@
         if other processes only answer on connections that this one opens.
     listener : socket.socket or None
         Socket that listens on this address already; None to open one.
+    account : byte_account.ByteAccount or None
+        What the connections charge for the bytes that they hold; None for no limit.
     clock : clocks.HybridClock
     deliver : callable
         Called with the sender's name, the message and the connection that received it.
@@ -171,8 +208,10 @@
         deliver: Callable[[str, Any, Connection], None],
         on_protocol_error: Callable[[errors.ProtocolError], None],
         listener: socket.socket | None = None,
+        account: byte_account.ByteAccount | None = None,
     ):
         self.loop = loop
+        self.account = account or byte_account.ByteAccount(None, loop.now)
         self.name = name
         self.clock = clock
         self.deliver = deliver
