Connections without a request make place, and leave descriptors to servers

What callers saw: connections that send nothing take all descriptors of an entry, which then can't connect to backend servers and looks for new connections without a pause. Cause: the number of connections was 3,000 for each address, whatever the process may open (2,870 on the smallest machine), and a failed accept was tried again at once. Now the callers' connections may have two thirds of the descriptors, and those of the directory, readiness and metrics a tenth of that each. Near the limit, connections that have waited longest without a complete request, half a second at least, are ended with 503; idle ones whose request has just arrived are served. Without a descriptor, accepting pauses for 0.1 s. Each of this is logged and counted (connections.crowded).

--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -34,6 +34,8 @@
 RESOURCE_USAGE_INTERVAL_SECONDS = 10.0
 # Calls that have no body: checks, lookups and metrics.
 BODILESS_LIMITS = http_server.Limits(body_bytes=16 * 1024)
+# Share of the connections that callers may have which each of these addresses may have.
+BODILESS_CONNECTIONS_RATIO = 0.1
 # A process that survives unexpected errors ends after more than so many in this time.
 MAX_ERRORS = 20
 ERROR_WINDOW_SECONDS = 10.0
@@ -119,6 +121,15 @@
         def _count_refused(status: int) -> None:
             self.metrics.count("refused_bytes", status=str(status))
 
+        def _record_crowd(count: int, lacks_descriptor: bool) -> None:
+            self.metrics.count("crowded_connections", count)
+            self.log.write(
+                "connections.crowded",
+                listen=listen,
+                connections=count,
+                lacks_descriptor=lacks_descriptor,
+            )
+
         server = http_server.Server(
             self.loop,
             listen,
@@ -127,7 +138,8 @@
             on_error=self.record_contained_error,
             listener=self._listeners.take(listen),
             account=self.account,
-            **options,
+            on_crowded=_record_crowd,
+            **{"max_connections": listeners.count_caller_descriptors, **options},
         )
         self.servers.append(server)
         return server
@@ -135,12 +147,17 @@
     def serve_bodiless(
         self, listen: str, handler: Callable[[http_server.Exchange], None]
     ) -> http_server.Server:
-        """Serve calls that have no body."""
+        """Serve calls that have no body, on a smaller share of the connections."""
+
+        def _count_connections() -> int:
+            return max(1, int(listeners.count_caller_descriptors() * BODILESS_CONNECTIONS_RATIO))
+
         return self.serve(
             listen,
             handler,
             answers_head=True,
             limits=lambda: BODILESS_LIMITS,
+            max_connections=_count_connections,
         )
 
     def take_datagram_socket(self, address: str) -> socket.socket:
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import errno
+import heapq
+import math
 import random
 import selectors
 import socket
@@ -32,6 +35,12 @@
 MAX_EVENTS_AT_ONCE = 16
 # Wait after which a caller should come back who was refused for lack of memory or connections.
 RETRY_AFTER_SECONDS = 1.0
+# A server with as many connections as it may have ends those that had no request for this long.
+MIN_WAIT_FOR_EVICTION_SECONDS = 0.5
+# Share of its connections that a server tries to keep free for new ones, at most.
+MAX_FREE_RATIO = 1 / 16
+# Interval at which a process without a free descriptor tries to accept a connection again.
+DESCRIPTOR_RETRY_SECONDS = 0.1
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
 # A stopping server waits this long for the first request of a new connection.
 FIRST_REQUEST_SECONDS = 0.5
@@ -42,8 +51,11 @@
 HANDSHAKE_SECONDS = 0.2
 # A stopping server goes on reading a connection for this long after it told its caller the end.
 LINGER_SECONDS = 0.5
-# Excess connections that get a response at the same time; further ones are closed immediately.
-MAX_REFUSED_CONNECTIONS = 128
+# Excess connections that get a response at the same time: a share of those that a server may have,
+# or some at least; further ones are closed immediately.
+REFUSED_RATIO = 1 / 16
+MIN_REFUSED_CONNECTIONS = 24
+MAX_CONNECTIONS = 3000
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -224,6 +236,11 @@
         """Whether a request was received whose response is not complete."""
         return self._exchange is not None
 
+    @property
+    def phase_started_at(self) -> float:
+        """When the current request began to arrive, or else the wait for it, in loop seconds."""
+        return self._phase_started_at
+
     @property
     def is_reading(self) -> bool:
         """Whether part of a request, but not all of it, was received."""
@@ -362,6 +379,16 @@
         self._head_bytes = self._request_bytes = self._held_answer_bytes = 0
         self._body = bytearray()
 
+    def evict(self) -> None:
+        """Refuse what the caller may have sent, and close the connection at once."""
+        if not self.is_reading and self._stream.read_pending():
+            return  # a request, which is handled
+        self._server.report_refusal(503)
+        self._send_refusal(503)
+        self._stream.flush()
+        self._stream.end_now()
+        self._end_exchange()
+
     def end_at_exit(self) -> None:
         """Close the connection since the process ends; refuse a request that was not handled."""
         if self._exchange is not None:
@@ -700,13 +727,17 @@
         Takes the status with which an invalid request or excess connection was refused.
     on_undelivered : callable
         Takes an `UndeliveredAnswer`.
-    max_connections : int
-        Maximum number of open connections, with those that end; further ones are refused with 503.
+    max_connections : callable
+        Returns the maximum number of open connections, with those that end. Above it, connections
+        that have had no request for some time are ended, or new ones refused with 503.
     listener : socket.socket or None
         Socket that listens on this address already; None to open one.
     on_error : callable or None
         Takes an unexpected error of the handler, or in the encoding of a response, which has ended
         that request; None to let such errors end the loop.
+    on_crowded : callable
+        Takes how many connections were ended or refused to keep their number within the limit, and
+        whether the process lacked a descriptor.
     account : byte_account.ByteAccount or None
         What the connections charge for the bytes that they hold; None for no limit.
     answers_head : bool
@@ -724,7 +755,8 @@
         limits: Callable[[], Limits] = Limits,
         on_refused: Callable[[int], None] = lambda _status: None,
         on_undelivered: Callable[[UndeliveredAnswer], None] = lambda _answer: None,
-        max_connections: int = 3000,
+        on_crowded: Callable[[int, bool], None] = lambda _count, _lacks_descriptor: None,
+        max_connections: Callable[[], int] = lambda: MAX_CONNECTIONS,
         listener: socket.socket | None = None,
         account: byte_account.ByteAccount | None = None,
     ):
@@ -737,7 +769,9 @@
         self._on_refused = on_refused
         self._on_undelivered = on_undelivered
         self._on_error = on_error
-        self._max_connections = max_connections
+        self._on_crowded = on_crowded
+        self._find_max_connections = max_connections
+        self._max_connections = max_connections()
         self._connections: set[Connection] = set()
         # Connections that are no longer read for requests, but not closed yet.
         self._ending: set[Connection] = set()
@@ -918,25 +952,58 @@
 
     def _accept_some(self) -> bool:
         """Accept connections; return whether more may be pending."""
-        if self._open_count + MAX_ACCEPTS_PER_ITERATION > self._max_connections:
+        free_count = min(MAX_ACCEPTS_PER_ITERATION, self._max_connections * MAX_FREE_RATIO)
+        if self._open_count + free_count > self._max_connections:
             self._forget_closed()
+            self._evict_waiting(math.ceil(self._open_count + free_count - self._max_connections))
+        refused_count = max(MIN_REFUSED_CONNECTIONS, self._max_connections * REFUSED_RATIO)
         for _ in range(MAX_ACCEPTS_PER_ITERATION):
             try:
                 sock, _ = self._listener.accept()
-            except OSError:
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE):
+                    self._on_crowded(0, True)
+                    self._pause_accepting()
                 return False  # no connection is pending, or the caller closed it already
             if self._open_count < self._max_connections:
                 self._connections.add(Connection(self, sock))
                 continue
             self._on_refused(503)
-            if self._open_count < self._max_connections + MAX_REFUSED_CONNECTIONS:
+            self._on_crowded(1, False)
+            if self._open_count < self._max_connections + refused_count:
                 Connection(self, sock).refuse(503)
             else:
                 sock.close()
         return True
 
+    def _evict_waiting(self, count: int) -> None:
+        """End so many connections that have waited longest without a complete request."""
+        latest = self.loop.now() - MIN_WAIT_FOR_EVICTION_SECONDS
+        waiting = [
+            connection
+            for connection in self._connections
+            if not connection.has_exchange and connection.phase_started_at < latest
+        ]
+        evicted = heapq.nsmallest(
+            count, waiting, key=lambda connection: connection.phase_started_at
+        )
+        for connection in evicted:
+            connection.evict()
+        if evicted:
+            self._on_crowded(len(evicted), False)
+
+    def _pause_accepting(self) -> None:
+        """Let new connections wait in the kernel until a descriptor may be free."""
+        self.loop.modify(self._listener, 0, self._accept)
+        self.loop.call_later(DESCRIPTOR_RETRY_SECONDS, self._resume_accepting)
+
+    def _resume_accepting(self) -> None:
+        if self._listener is not None:
+            self.loop.modify(self._listener, selectors.EVENT_READ, self._accept)
+
     def _close_timed_out(self) -> None:
         now = self.loop.now()
+        self._max_connections = self._find_max_connections()
         self._forget_closed()
         for connection in list(self._connections):
             connection.close_if_timed_out(now)
--- a/flamingoramp/http/tests/test_crowds.py
+++ b/flamingoramp/http/tests/test_crowds.py
@@ -138,6 +138,33 @@
         self.assertEqual((undelivered.request.path, undelivered.reason), ("/unread", "memory"))
 
 
+class TestConnections(CrowdTestCase):
+    """More connections than a server may have."""
+
+    def test_connections_without_a_request_make_place_for_others(self):
+        echo_server = self.start_server(max_connections=20)
+        waiting = [self.connect(echo_server) for _ in range(20)]
+        time.sleep(server.MIN_WAIT_FOR_EVICTION_SECONDS + 0.2)
+        self.assertEqual(self.ask(echo_server), 200)
+        self.assertEqual(test_server.read_response(waiting[0])[0], 503)
+
+    def test_connections_with_a_request_in_progress_are_kept(self):
+        echo_server = self.start_server(max_connections=20)
+        echo_server.keep_exchanges = True
+        busy = [self.connect(echo_server) for _ in range(20)]
+        for sock in busy:
+            sock.sendall(make_request(0))
+        exchanges = [self.wait_for_exchange(echo_server) for _ in busy]
+        time.sleep(server.MIN_WAIT_FOR_EVICTION_SECONDS + 0.2)
+        self.assertEqual(test_server.read_response(self.connect(echo_server))[0], 503)
+        for exchange in exchanges:
+            echo_server.run_in_loop(
+                lambda exchange=exchange: exchange.respond(messages.Response(200))
+            )
+        for sock in busy:
+            self.assertEqual(test_server.read_response(sock)[0], 200)
+
+
 class TestSmallChunks(CrowdTestCase):
     """Bodies whose parts are many and small."""
 
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -29,6 +29,7 @@
         *,
         contains_errors: bool = False,
         memory_bytes: int | None = None,
+        max_connections: int = server.MAX_CONNECTIONS,
     ):
         self.loop = loop.Loop()
         self.account = byte_account.ByteAccount(memory_bytes, self.loop.now)
@@ -47,6 +48,7 @@
             on_undelivered=self.undelivered.append,
             on_error=self.errors.append if contains_errors else None,
             account=self.account,
+            max_connections=lambda: max_connections,
         )
         self.address = ("127.0.0.1", int(self.server.address.rpartition(":")[2]))
         self.thread = threading.Thread(target=self.loop.run)
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -13,6 +13,7 @@
 
 import json
 import os
+import resource
 import socket
 import time
 from collections.abc import Callable
@@ -37,6 +38,12 @@
 BIND_RETRY_SECONDS = 0.05
 BIND_LOG_INTERVAL_SECONDS = 1.0
 
+# Descriptors that a process needs for files, and the share of the others that callers may use; the
+# rest is for connections to backend servers and other processes.
+MAX_CALLER_CONNECTIONS = 3000
+MAX_FILE_DESCRIPTORS = 200
+CALLERS_RATIO = 2 / 3
+
 T = TypeVar("T")
 # Kind of socket and ``ip:port``.
 Address = tuple[socket.SocketKind, str]
@@ -130,6 +137,15 @@
     return True
 
 
+def count_caller_descriptors() -> int:
+    """Return how many descriptors of this process connections of callers may use."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return MAX_CALLER_CONNECTIONS
+    file_count = min(MAX_FILE_DESCRIPTORS, limit // 4)
+    return min(MAX_CALLER_CONNECTIONS, int((limit - file_count) * CALLERS_RATIO))
+
+
 def retry_binding(open_all: Callable[[], T], *, on_wait: Callable[[BindError, float], None]) -> T:
     """Call a function again while an address that it binds is unavailable; return its result.
 
