Long heads are parsed in turns, too

What callers would see: a crowd of heads of some hundred lines each, within the limit, is parsed as a whole in one iteration of the loop, and all other callers wait for it. Now a head of over 4 KiB waits for its turn like a body in very small chunks, and its lines count as events. The count begins anew with each request, so that a kept connection isn't put last for its past. Evidence: 40 heads of 700 lines and an ordinary request that have arrived before the loop reads: the ordinary one is among the first half (test_an_ordinary_request_is_served_while_long_ heads_wait).

--- a/bench/experiment/callers.py
+++ b/bench/experiment/callers.py
@@ -109,6 +109,10 @@
         self._caller = caller
         self._schedule_at_caller = schedule_at_caller
 
+    def hold_answer(self, _size_bytes: int) -> bool:
+        """Return whether an answer can be held back: simulated entries don't lack memory."""
+        return True
+
     def respond(self, response: messages.Response) -> None:
         """Send a complete response."""
         self.has_started = True
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -15,8 +15,8 @@
 import h11
 
 from flamingoramp import errors, value_classes
-from flamingoramp.http import messages, parse_turns
-from flamingoramp.runtime import byte_account, listeners, stream
+from flamingoramp.http import messages
+from flamingoramp.runtime import byte_account, listeners, parse_turns, stream
 from flamingoramp.runtime import loop as loops
 
 # Per iteration of the loop, so that many new connections at once don't delay other work.
@@ -31,8 +31,10 @@
 MAX_FRAMING_RATIO = 16
 # Memory of a parsed header line besides its bytes: its texts and tuples, here and in the parser.
 HEADER_LINE_BYTES = 400
-# Events that are parsed as soon as bytes arrive; what takes more waits for its turn.
+# Events and bytes of a head that are parsed as soon as they arrive; what takes more waits for its
+# turn. A head of very many lines takes some milliseconds.
 MAX_EVENTS_AT_ONCE = 16
+MAX_HEAD_BYTES_AT_ONCE = 4096
 # Wait after which a caller should come back who was refused for lack of memory or connections.
 RETRY_AFTER_SECONDS = 1.0
 # A server with as many connections as it may have ends those that had no request for this long.
@@ -538,16 +540,21 @@
         self._bytes_since_dispatch += len(data)
         self._unparsed += data
         if self._exchange is None:
-            if not self._waits_for_turn:
-                self._process_events(MAX_EVENTS_AT_ONCE)
+            self._process_at_once()
         elif self._bytes_since_dispatch > MAX_PIPELINED_BYTES:
             self._discard_later_requests()
         self._update_charge()
 
     def _process_at_once(self) -> None:
-        if not self._waits_for_turn:
+        """Parse what takes little time; let the rest wait for its turn."""
+        if self._waits_for_turn:
+            return
+        is_head = self._request_head is None
+        if is_head and self._bytes_since_dispatch > MAX_HEAD_BYTES_AT_ONCE:
+            self._wait_for_turn()
+        else:
             self._process_events(MAX_EVENTS_AT_ONCE)
-            self._update_charge()
+        self._update_charge()
 
     def take_turn(self, max_events: int) -> None:
         """Go on with what was received; see `parse_turns.Parser`."""
@@ -659,6 +666,7 @@
             self._refuse_request(413)
             return False
         self._head_bytes = size + HEADER_LINE_BYTES * len(headers)
+        self._event_count += len(headers)
         if not self._check_room(body_bytes):
             return False
         self._request_head = head
@@ -682,6 +690,7 @@
         self._request_head = None
         self._body = bytearray()
         self._request_bytes = len(request.body)
+        self._event_count = 0
         self._bytes_since_dispatch = len(self._unparsed)
         self._last_request = _without_body(request)
         now = self._server.loop.now()
--- a/flamingoramp/http/tests/test_crowds.py
+++ b/flamingoramp/http/tests/test_crowds.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import threading
 import time
 
 from flamingoramp.http import messages, server
@@ -34,6 +35,11 @@
         while echo_server.account.held_bytes < at_least and time.monotonic() < deadline:
             time.sleep(0.001)
 
+    def wait_for_shortage(self, echo_server: test_server.EchoServer) -> None:
+        deadline = time.monotonic() + test_server.TIMEOUT_SECONDS
+        while not echo_server.shortages and time.monotonic() < deadline:
+            time.sleep(0.001)
+
     def ask(self, echo_server: test_server.EchoServer) -> int:
         """Return the status of an ordinary request."""
         sock = self.connect(echo_server)
@@ -113,6 +119,7 @@
         exchanges = [self.wait_for_exchange(echo_server) for _ in socks]
         self.wait_for_held_bytes(echo_server, MEMORY_BYTES // 2)
         unfinished = self.send_unfinished(echo_server)
+        self.wait_for_shortage(echo_server)
         for exchange in exchanges:
             echo_server.run_in_loop(
                 lambda exchange=exchange: exchange.respond(messages.Response(200))
@@ -181,6 +188,25 @@
             self.assertEqual(test_server.read_response(sock)[2], b"x" * 50_000)
         self.assertNotEqual(echo_server.requests[0].path, "/small")
 
+    # Guards against callers that wait until heads of very many lines are parsed.
+    def test_an_ordinary_request_is_served_while_long_heads_wait(self):
+        echo_server = self.start_server(limits=LIMITS)
+        lines = b"".join(b"a%d: b\r\n" % number for number in range(700))
+        head = b"GET /long HTTP/1.1\r\nhost: h\r\n" + lines + b"\r\n"
+        socks = [self.connect(echo_server) for _ in range(40)]
+        ordinary = self.connect(echo_server)
+        is_sent = threading.Event()
+        # All have arrived before the loop reads any.
+        echo_server.loop.post(lambda: is_sent.wait(test_server.TIMEOUT_SECONDS))
+        for sock in socks:
+            sock.sendall(head)
+        ordinary.sendall(make_request(0))
+        is_sent.set()
+        for sock in (*socks, ordinary):
+            self.assertEqual(test_server.read_response(sock)[0], 200)
+        paths = [request.path for request in echo_server.requests]
+        self.assertLess(paths.index("/"), len(socks) // 2)
+
     def test_chunks_are_held_at_their_size(self):
         echo_server = self.start_server(limits=LIMITS)
         sock = self.connect(echo_server)
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -32,7 +32,8 @@
         max_connections: int = server.MAX_CONNECTIONS,
     ):
         self.loop = loop.Loop()
-        self.account = byte_account.ByteAccount(memory_bytes, self.loop.now)
+        self.shortages: list[byte_account.Shortage] = []
+        self.account = byte_account.ByteAccount(memory_bytes, self.loop.now, self.shortages.append)
         self.requests: list[messages.Request] = []
         self.kept_exchanges: list[server.Exchange] = []
         self.refused_statuses: list[int] = []
--- a/flamingoramp/http/tests/test_parse_turns.py
+++ b/flamingoramp/runtime/tests/test_parse_turns.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from flamingoramp.http import parse_turns
+from flamingoramp.runtime import parse_turns
 
 
 class FakeLoop:
