Answers of servers are parsed in turns

What callers would see: a server that sends its answer in very small chunks, or comments of three bytes, holds up the loop for 256 KiB at a time, some tenths of a second, while all other callers wait. Now the parser gets 16 KiB at a time, 64 events are handled when bytes arrive, and the rest in turns, while the connection isn't read. Tests: an answer in 200,000 chunks, beside which another one is complete before it; a body that ends with its connection while it waits.

--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -7,6 +7,7 @@
 
 import enum
 import errno
+import math
 import re
 import selectors
 import socket
@@ -19,7 +20,7 @@
 from flamingoramp import value_classes
 from flamingoramp.http import messages
 from flamingoramp.runtime import loop as loops
-from flamingoramp.runtime import stream, transport
+from flamingoramp.runtime import parse_turns, stream, transport
 
 MAX_WRITE_BUFFER_BYTES = 16 * 1024 * 1024
 # Well below the usual idle timeout of servers, often 5 s, so that the server doesn't close a
@@ -29,6 +30,10 @@
 MAX_HEADER_BYTES = 64 * 1024
 # Interim responses (1xx) before one response; a server sends one or two.
 MAX_INTERIM_RESPONSES = 16
+# Received bytes that are parsed at a time, and events that are handled as soon as bytes arrive; the
+# rest waits for its turn.
+PIECE_BYTES = 16 * 1024
+MAX_EVENTS_AT_ONCE = 64
 # Rest of a body that is read for the sake of the connection, which is closed if it is longer or
 # takes more time.
 MAX_DISCARDED_BYTES = 64 * 1024
@@ -145,6 +150,9 @@
         self._interim_count = 0
         self._body_bytes = 0
         self._max_body_bytes: int | None = None
+        self._unparsed = bytearray()
+        self._event_count = 0
+        self._waits_for_turn = False
         self._failed_connect = False
         sock.setblocking(False)
         try:
@@ -173,6 +181,7 @@
         self._receiver = receiver
         self._interim_count = 0
         self._body_bytes = 0
+        self._event_count = 0
         self._max_body_bytes = max_body_bytes
         self._sent_bytes_at_start = self._stream.sent_bytes
         headers = list(request.headers)
@@ -214,18 +223,40 @@
             self._pool.count_unsolicited_data()
             self.close()
             return
-        try:
-            self._parser.receive_data(data)
-        except h11.RemoteProtocolError:
-            self._close_and_fail(Failure.UNREADABLE)
-            return
-        self._process_events(Failure.UNREADABLE)
-
-    def _process_events(self, failure: Failure) -> None:
-        """Handle the parsed events of the response; a parser error fails the request."""
+        self._unparsed += data
+        if not self._waits_for_turn:
+            self._process_events(Failure.UNREADABLE, MAX_EVENTS_AT_ONCE)
+
+    def take_turn(self, max_events: int) -> None:
+        """Go on with what was received; see `parse_turns.Parser`."""
+        self._waits_for_turn = False
+        self._process_events(Failure.UNREADABLE, max_events)
+        if not self._waits_for_turn:
+            self._stream.resume_reading()
+
+    def _feed_parser(self) -> bool:
+        """Pass some of the received bytes to the parser; return whether there were any."""
+        if not self._unparsed:
+            return False
+        piece = bytes(memoryview(self._unparsed)[:PIECE_BYTES])
+        del self._unparsed[:PIECE_BYTES]
+        self._parser.receive_data(piece)
+        return True
+
+    def _process_events(self, failure: Failure, max_events: float = math.inf) -> None:
+        """Handle the parsed events of the response, or some; a parser error fails the request."""
+        last_event_count = self._event_count + max_events
         while self._receiver is not None:
+            if self._event_count >= last_event_count:
+                self._waits_for_turn = True
+                self._stream.pause_reading()
+                self._pool.parse_turns.wait(self, self._event_count)
+                return
+            self._event_count += 1
             try:
                 event = self._parser.next_event()
+                if event is h11.NEED_DATA and self._feed_parser():
+                    continue
             except h11.RemoteProtocolError:
                 self._close_and_fail(failure)
                 return
@@ -263,7 +294,7 @@
 
     def _complete(self) -> None:
         receiver, self._receiver = self._receiver, None
-        trailing_data = self._parser.trailing_data[0]
+        trailing_data = self._parser.trailing_data[0] or self._unparsed
         is_reusable = (
             not trailing_data
             and self._stream.is_open
@@ -287,6 +318,10 @@
             self._fail(Failure.RESET if self._stream.sent_bytes else Failure.NOT_CONNECTED)
             return
         try:
+            while self._feed_parser():
+                self._process_events(Failure.CLOSED)
+            if self._receiver is None:
+                return
             # The end of the connection ends a body without a length; any other body is truncated.
             self._parser.receive_data(b"")
         except h11.RemoteProtocolError:
@@ -385,6 +420,7 @@
 
     def __init__(self, loop: loops.Loop, *, connect_timeout_seconds: float = 0.25):
         self.loop = loop
+        self.parse_turns = parse_turns.ParseTurns(loop)
         self._connect_timeout_seconds = connect_timeout_seconds
         self._idle_connections: dict[str, list[_Connection]] = {}
         self._connections: set[_Connection] = set()
--- a/flamingoramp/http/tests/test_client.py
+++ b/flamingoramp/http/tests/test_client.py
@@ -253,6 +253,29 @@
         self.loop.run_once(0.1)
         self.assertFalse(receiver.is_finished)
 
+    # Guards against answers of other servers that wait until all chunks of one are parsed.
+    def test_answer_in_very_small_chunks_holds_up_no_other(self):
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        slow = self.start_server(head + b"1\r\nx\r\n" * 200_000 + b"0\r\n\r\n")
+        receiver = RecordingReceiver()
+        request = messages.Request(b"GET", b"/x", ((b"host", b"h"),), b"")
+        self.pool.send(slow.address, request, receiver)
+        while not receiver.body:
+            self.loop.run_once(0.5)
+        self.assertEqual(self.send_request(self.start_server(OK_RESPONSE).address).body, b"ok")
+        self.assertLess(len(receiver.body), 200_000)
+        while not receiver.is_finished:
+            self.loop.run_once(0.5)
+        self.assertEqual(receiver.body, b"x" * 200_000)
+        self.assertTrue(receiver.completed)
+
+    def test_end_of_the_connection_completes_an_answer_whose_chunks_wait(self):
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        body = b"x" * 600_000
+        server = self.start_server(head + body, close_after=True)
+        receiver = self.send_request(server.address)
+        self.assertEqual((receiver.completed, receiver.body), (True, body))
+
     def test_body_beyond_the_limit_fails_the_request(self):
         server = self.start_server(OK_RESPONSE)
         receiver = self.send_request(server.address, max_body_bytes=1)
