Frames of other processes are decoded in turns

What operators would see: a peer that sends very many small frames (256 KiB hold some thousand) holds up the loop of a control host until all of them are decoded and answered. Now 64 frames are decoded when bytes arrive, and the rest in turns; a connection that waits isn't read and isn't closed as silent. Test: 4,000 frames of one peer, during which one of another peer is delivered, and all arrive in order.

--- a/flamingoramp/protocol/codec.py
+++ b/flamingoramp/protocol/codec.py
@@ -321,13 +321,19 @@
     def __len__(self) -> int:
         return len(self._data)
 
-    def feed(self, data: bytes) -> list[bytes]:
+    def feed(self, data: bytes, max_frames: int | None = None) -> list[bytes]:
         """Add received bytes.
 
+        Parameters
+        ----------
+        data : bytes
+        max_frames : int or None
+            Number of frames to take out at most, so that others are left; None for all.
+
         Returns
         -------
         list of bytes
-            The frames that are now complete, without their length prefixes.
+            Frames that are complete, without their length prefixes.
 
         Raises
         ------
@@ -337,7 +343,7 @@
         self._data += data
         frames = []
         start = 0
-        while len(self._data) - start >= LENGTH_PREFIX.size:
+        while len(self._data) - start >= LENGTH_PREFIX.size and len(frames) != max_frames:
             (length,) = LENGTH_PREFIX.unpack_from(self._data, start)
             if length > MAX_FRAME_BYTES:
                 raise errors.ProtocolError(
--- a/flamingoramp/runtime/tests/test_transport.py
+++ b/flamingoramp/runtime/tests/test_transport.py
@@ -64,6 +64,26 @@
         self.assertEqual([message.id for _, message in received], [f"{n}" for n in range(200)])
 
     # A host without power answers no connect, and the kernel repeats one only after a second.
+    # Guards against other peers, and callers, that wait until all frames of one peer are decoded.
+    def test_many_frames_of_one_peer_hold_up_no_other(self):
+        received: list = []
+        receiver = self.make_transport("receiver", received)
+        host, port = transport.parse_address(receiver.address)
+        frames = b"".join(
+            codec.encode("flood", shard_messages.Release(request_id=str(number)))
+            for number in range(4000)
+        )
+        with socket.create_connection((host, port)) as sock:
+            sock.sendall(frames)
+            self.run_until(lambda: received)
+            other = self.make_transport("other", [])
+            other.send(receiver.address, shard_messages.Release(request_id="other"))
+            self.run_until(lambda: "other" in {sender for sender, _ in received})
+            self.assertLess(len(received), 3500)
+            self.run_until(lambda: len(received) == 4001)
+        ids = [message.request_id for sender, message in received if sender == "flood"]
+        self.assertEqual(ids, [str(number) for number in range(4000)])
+
     def test_host_that_starts_is_reached_within_half_a_second(self):
         with socket.socket() as listener:
             listener.bind(("127.0.0.1", 0))
--- a/flamingoramp/runtime/transport.py
+++ b/flamingoramp/runtime/transport.py
@@ -12,7 +12,7 @@
 
 from flamingoramp import errors
 from flamingoramp.protocol import codec, messages
-from flamingoramp.runtime import byte_account, listeners, stream
+from flamingoramp.runtime import byte_account, listeners, parse_turns, stream
 from flamingoramp.runtime import clock as clocks
 from flamingoramp.runtime import loop as loops
 
@@ -22,6 +22,8 @@
 # The kernel repeats an unanswered connect only after a second; a host that is starting can answer
 # much sooner.
 CONNECT_TIMEOUT_SECONDS = 0.2
+# Frames that are decoded as soon as bytes arrive; others of a connection wait for its turn.
+MAX_FRAMES_AT_ONCE = 64
 SEND_BUFFER_LIMIT_BYTES = 32 * 1024 * 1024
 
 
@@ -70,6 +72,8 @@
             on_sent=self._update_charge,
         )
         self._incomplete_since = 0.0
+        self._frame_count = 0
+        self._waits_for_turn = False
 
     @property
     def address(self) -> str:
@@ -107,6 +111,7 @@
 
     def give_up(self) -> None:
         """Close the connection; its messages are lost, and the peers send what matters again."""
+        self._frame_buffer = codec.FrameBuffer()
         self.close()
         self._handle_closed()
 
@@ -131,7 +136,8 @@
 
         No ping is sent while other messages show both sides that the connection works.
         """
-        received_before = now - self._last_received_at
+        # Until its turn, nothing more is read.
+        received_before = 0.0 if self._waits_for_turn else now - self._last_received_at
         has_recent_messages = (
             received_before <= RECEIVE_TIMEOUT_SECONDS - PING_INTERVAL_SECONDS
             and now - self._last_sent_at <= PING_INTERVAL_SECONDS
@@ -149,15 +155,35 @@
         had_incomplete_frame = len(self._frame_buffer) > 0
         if not had_incomplete_frame:
             self._incomplete_since = self._last_received_at
+        self._decode_frames(data, MAX_FRAMES_AT_ONCE)
+        if had_incomplete_frame or len(self._frame_buffer):
+            self._update_charge()
+
+    def take_turn(self, max_events: int) -> None:
+        """Go on with what was received; see `parse_turns.Parser`."""
+        self._waits_for_turn = False
+        self._decode_frames(b"", max_events)
+        if not self._waits_for_turn:
+            self._frame_count = 0
+            self._stream.resume_reading()
+        self._update_charge()
+
+    def _decode_frames(self, data: bytes, max_frames: int) -> None:
+        """Add received bytes and handle complete frames; if there may be more, they wait."""
         try:
-            for frame in self._frame_buffer.feed(data):
+            frames = self._frame_buffer.feed(data, max_frames)
+            for frame in frames:
                 self._handle_envelope(codec.decode(frame))
         except errors.ProtocolError as error:
-            transport.report_protocol_error(error)
+            self._transport.report_protocol_error(error)
             self.close()
             self._handle_closed()
-        if had_incomplete_frame or len(self._frame_buffer):
-            self._update_charge()
+            return
+        self._frame_count += len(frames)
+        if len(frames) == max_frames:
+            self._waits_for_turn = True
+            self._stream.pause_reading()
+            self._transport.parse_turns.wait(self, self._frame_count)
 
     def _handle_envelope(self, envelope: codec.Envelope) -> None:
         transport = self._transport
@@ -217,6 +243,7 @@
         self.deliver = deliver
         self.report_protocol_error = on_protocol_error
         self.traffic = Traffic()
+        self.parse_turns = parse_turns.ParseTurns(loop)
         self._outgoing: dict[str, Connection] = {}
         self._accepted: set[Connection] = set()
         self._retry_at: dict[str, float] = {}
