A process that is stopped during its start refuses the connections that wait for it

No caller can know that its request has not run. Cause: the process listens before its imports, and its end during them closes the listeners with all that they hold. Now the handler lets the kernel refuse new connections, answers those that are there, and those whose handshake has begun, with a 503 and Retry-After, and reads on until their callers have closed, for 0.3 s at most.

--- a/flamingoramp/platform/main.py
+++ b/flamingoramp/platform/main.py
@@ -38,6 +38,7 @@
 def _start(role: str, settings_path: str, log: event_log.EventLog) -> None:
     # Connections are accepted by the kernel while the modules below are imported.
     opened = listeners.open_configured(settings_path, role, log)
+    process_signals.handle_during_start(opened.refuse_pending)
     # The modules and the daemon live as long as the process: searching them for garbage while they
     # are made takes a tenth of a start.
     gc.disable()
--- a/flamingoramp/platform/tests/test_signals.py
+++ b/flamingoramp/platform/tests/test_signals.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -84,6 +85,33 @@
                     self.assert_ended(program, 0, "stop_during_start")
                     self.assertEqual(program.errors, "")
 
+    # Guards against requests that the kernel has accepted, and that the end of the process resets.
+    def test_requests_that_arrive_during_a_start_are_refused_when_it_is_stopped(self):
+        text = f"""
+import posix, time
+posix.close(posix.open({str(self.marker)!r}, posix.O_CREAT | posix.O_WRONLY))
+time.sleep({fleets.TIMEOUT_SECONDS})
+"""
+        (self.import_folder / "__future__.py").unlink()
+        # The first import after the addresses are open.
+        (self.import_folder / "attrs.py").write_text(text)
+        for role, kind in (("entry", "callers"), ("control", "operators")):
+            with self.subTest(role):
+                self.marker.unlink(missing_ok=True)
+                program = self.start(role, import_folder=str(self.import_folder))
+                fleets.wait_for(self.marker.exists, "the first import after the start of listening")
+                host, _, port = self.make_settings(role)["listen"][kind].rpartition(":")
+                socks = [socket.create_connection((host, int(port))) for _ in range(50)]
+                for sock in socks[:40]:
+                    sock.sendall(b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbody")
+                program.process.send_signal(signal.SIGTERM)
+                for sock in socks:
+                    with sock:
+                        sock.settimeout(fleets.TIMEOUT_SECONDS)
+                        self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 503 "))
+                        self.assertEqual(sock.recv(65536), b"")
+                self.assert_ended(program, 0, "stop_during_start")
+
     # Guards against an import before the signals are held back, each of which takes milliseconds.
     def test_program_imports_nothing_before_it_holds_back_signals(self):
         path = programs.run_arguments("entry")[2]
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -38,6 +38,13 @@
 BIND_RETRY_SECONDS = 0.05
 BIND_LOG_INTERVAL_SECONDS = 1.0
 
+# A process that ends during its start reads on for this long after it has refused connections.
+REFUSAL_LINGER_SECONDS = 0.3
+REFUSAL_CHECK_SECONDS = 0.005
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Retry-After: 0.5\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 # Descriptors that a process needs for files, and the share of the others that callers may use; the
 # rest is for connections to backend servers and other processes.
 MAX_CALLER_CONNECTIONS = 3000
@@ -191,6 +198,7 @@
         now = time.monotonic()
         self._log = log
         self._sockets: dict[Address, socket.socket] = {}
+        self._listening: list[socket.socket] = []
         self._program_started_at = now if program_started_at is None else program_started_at
         self._opened_at = now
         self._processor_seconds = time.process_time()
@@ -286,11 +294,42 @@
         # Nothing listens before all are bound: closing a listener resets its connections.
         listening = [address for kind, address in missing if kind is socket.SOCK_STREAM]
         for address in listening:
-            _listen(self._sockets[socket.SOCK_STREAM, address], address)
+            listener = self._sockets[socket.SOCK_STREAM, address]
+            _listen(listener, address)
+            self._listening.append(listener)
         if listening:
             self._opened_at = time.monotonic()
             self._processor_seconds = time.process_time()
 
+    def refuse_pending(self) -> None:
+        """Answer the connections that the kernel has accepted with 503, since the process ends.
+
+        The end of the process would reset them, and no caller could know that its request has not
+        run.
+        """
+        for listener in self._listening:
+            refuse_connections(listener)
+        deadline = time.monotonic() + REFUSAL_LINGER_SECONDS
+        refused = self._refuse_accepted()
+        while refused and time.monotonic() < deadline:
+            time.sleep(REFUSAL_CHECK_SECONDS)
+            refused += self._refuse_accepted()  # whose handshake had begun
+            refused = [sock for sock in refused if not _has_ended(sock)]
+
+    def _refuse_accepted(self) -> list[socket.socket]:
+        refused = []
+        for listener in self._listening:
+            try:
+                while True:
+                    sock, _ = listener.accept()
+                    refused.append(sock)
+                    sock.setblocking(False)
+                    sock.send(REFUSAL)
+                    sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                continue  # no further one, or it was closed
+        return refused
+
     def close(self) -> None:
         """Close the sockets that no server took."""
         for listener in self._sockets.values():
@@ -298,6 +337,18 @@
         self._sockets.clear()
 
 
+def _has_ended(sock: socket.socket) -> bool:
+    """Discard what has arrived; return whether the peer has closed the connection."""
+    try:
+        while sock.recv(65536):
+            pass
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def open_configured(settings_path: str, role: str, log: event_log.EventLog) -> Listeners:
     """Listen on the addresses of a settings file that a role serves.
 
--- a/flamingoramp/runtime/process_end.py
+++ b/flamingoramp/runtime/process_end.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 from flamingoramp.runtime import event_log
 
@@ -26,12 +27,19 @@
     log.write_last("process.ended", cause="stop", status=STOPPED_STATUS)
 
 
-def end_during_start() -> None:
+def end_during_start(before_end: Callable[[], None]) -> None:
     """End the process after a stop signal that arrives while it starts.
 
     The signal may interrupt an import, so nothing is imported and no log is shared.
+
+    Parameters
+    ----------
+    before_end : callable
+        Called first; its errors are ignored.
     """
     _ignore_signals()
+    with contextlib.suppress(Exception):
+        before_end()
     line = b'{"time":%.4f,"event":"process.ended","cause":"stop_during_start","status":%d}\n'
     try:
         os.set_blocking(1, False)
--- a/flamingoramp/runtime/process_signals.py
+++ b/flamingoramp/runtime/process_signals.py
@@ -15,15 +15,20 @@
 RELOAD_SIGNAL = signal.SIGHUP
 
 
-def handle_during_start() -> None:
+def handle_during_start(before_end: Callable[[], None] = lambda: None) -> None:
     """End the process at once on SIGTERM and SIGINT, and hold SIGHUP back until the loop runs.
 
     The default action of the first two ends it, too, except for the first process of a container,
     which would ignore a stop signal that arrives during its start. That of SIGHUP ends it as well,
     but the settings that it was sent for may have been read already.
+
+    Parameters
+    ----------
+    before_end : callable
+        Called before the process ends.
     """
     for number in STOP_SIGNALS:
-        signal.signal(number, lambda _number, _frame: process_end.end_during_start())
+        signal.signal(number, lambda _number, _frame: process_end.end_during_start(before_end))
     try:
         signal.pthread_sigmask(signal.SIG_BLOCK, (RELOAD_SIGNAL,))
         signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
