The product's own interface reads requests by one loop

What callers saw: 300 connections that send half a request and 300 that send nothing close every new connection of an entry or a control host of the product's own interface. Cause: each of 16 threads read one request, for up to 10 s, and beyond 512 waiting connections further ones were closed; 16 bodies of up to 16 MiB were held at once. Now requests are read by the server of the platform's front (http/server.py), with its limits, turns and an account of eight bodies of the largest size, and only complete ones are handled in threads. So one HTTP server remains; werkzeug gives requests and responses their form. A handler that streams goes on with a duplicate of the socket, as before.

Evidence: both tests of crowds in the new module fail on the code before (the connection is closed without an answer; no account) and pass; a length that is no number was answered 200 and is 400 now. The tests of the whole path and of the daemons' programs pass.

--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -172,6 +172,17 @@
         """
         return self._is_done or self._connection.hold_answer(size_bytes)
 
+    @property
+    def socket(self) -> socket.socket:
+        """Socket of the connection, for a duplicate that sends the response; see `detach`."""
+        return self._connection.socket
+
+    def detach(self) -> None:
+        """Leave the response to a duplicate of the socket: nothing more is read or sent here."""
+        if not self._is_done:
+            self._end()
+            self._connection.detach()
+
     def abort(self) -> None:
         """Close the connection, so that the caller can't take the response for a complete one."""
         if not self._is_done:
@@ -258,6 +269,17 @@
         """Whether the connection isn't closed yet."""
         return self._stream.is_open
 
+    @property
+    def socket(self) -> socket.socket:
+        """Socket of the connection."""
+        return self._stream.socket
+
+    def detach(self) -> None:
+        """Close this handle of a connection that a duplicate of its socket keeps open."""
+        self._exchange = None
+        self._forget_request()
+        self.close()
+
     def is_lingering(self, now: float) -> bool:
         """Return whether the caller may not have read that the connection ends."""
         return self.is_flushing or (
@@ -704,15 +726,18 @@
         self._finish_connection()
 
     def _send_refusal(self, status: int) -> None:
-        """Send an empty response, unless another one has begun."""
+        """Send the response of a refusal, unless another one has begun."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            refusal = self._server.make_refusal(status)
+            headers = [*refusal.headers, (b"content-length", b"%d" % len(refusal.body))]
             if status == 503:
                 headers.append((b"retry-after", _retry_after()))
             response = h11.Response(
-                status_code=status, headers=headers, reason=messages.reason_phrase(status)
+                status_code=status,
+                headers=[*headers, (b"connection", b"close")],
+                reason=messages.reason_phrase(status),
             )
-            self._stream.write(self._parser.send(response) or b"")
+            self._stream.write((self._parser.send(response) or b"") + refusal.body)
 
 
 def _retry_after() -> bytes:
@@ -749,6 +774,8 @@
         whether the process lacked a descriptor.
     account : byte_account.ByteAccount or None
         What the connections charge for the bytes that they hold; None for no limit.
+    make_refusal : callable
+        Takes the status of a refusal and returns its response, which has no body by default.
     answers_head : bool
         Whether the handler gets HEAD requests as GET; their responses are sent without a body.
     """
@@ -768,8 +795,10 @@
         max_connections: Callable[[], int] = lambda: MAX_CONNECTIONS,
         listener: socket.socket | None = None,
         account: byte_account.ByteAccount | None = None,
+        make_refusal: Callable[[int], messages.Response] = messages.Response,
     ):
         self.loop = loop
+        self.make_refusal = make_refusal
         self.account = account or byte_account.ByteAccount(None, loop.now)
         self.parse_turns = parse_turns.ParseTurns(loop)
         self.answers_head = answers_head
--- a/flamingoramp/runtime/http_server.py
+++ b/flamingoramp/runtime/http_server.py
@@ -1,29 +1,39 @@
-"""HTTP server for callers, backend servers and operators, based on werkzeug.
+"""HTTP server for callers, backend servers and operators, whose requests are those of werkzeug.
 
-A pool of threads reads and handles requests. A handler returns a response, or returns None to
-detach the connection: an event loop then streams the response over a duplicate of the socket, and
-the server closes only its own handle.
+An event loop reads requests (`flamingoramp.http.server`), and a pool of threads handles those that
+are complete. A handler returns a response, or returns None to detach the connection: another event
+loop then streams the response over a duplicate of the socket, and the server closes only its own
+handle.
 """
 
 from __future__ import annotations
 
-import contextlib
+import io
 import json
 import socket
-import threading
 from collections.abc import Callable
 from concurrent import futures
 from typing import Any
+from urllib import parse
 
 import werkzeug
-from werkzeug import serving
 
 from flamingoramp import errors
-from flamingoramp.runtime import transport
+from flamingoramp.http import messages, server
+from flamingoramp.runtime import byte_account, listeners
+from flamingoramp.runtime import loop as loops
 
 WORKER_THREADS = 16
-MAX_PENDING_CONNECTIONS = 512
+MAX_HEADER_BYTES = 64 * 1024
 READ_TIMEOUT_SECONDS = 10.0
+BODY_TIMEOUT_SECONDS = 60.0
+# Bodies of the largest size that all connections together may hold.
+MAX_HELD_BODIES = 8
+# A server that stops waits this long for callers to take their responses.
+STOP_SECONDS = 2.0
+STOP_CHECK_SECONDS = 0.02
+# Headers that the connection sets itself.
+_CONNECTION_HEADERS = frozenset({"content-length", "connection"})
 
 Handler = Callable[[werkzeug.Request, socket.socket], werkzeug.Response | None]
 
@@ -73,29 +83,44 @@
     return duplicate
 
 
-class _RequestHandler(serving.WSGIRequestHandler):
-    timeout = READ_TIMEOUT_SECONDS
-
-    def run_wsgi(self) -> None:
-        """Handle one request; send the response unless the handler detached the connection."""
-        self.close_connection = True
-        request = werkzeug.Request(self.make_environ())
-        response = self.server.dispatch_request(request, self.connection)
-        if response is None:
-            self.server.mark_detached(self.connection)
-            return
-        response.headers["Connection"] = "close"
-        self.server.send_response(self, response)
+def _make_environment(request: messages.Request) -> dict[str, Any]:
+    """Return the WSGI environment of a request."""
+    headers: dict[str, str] = {}
+    for name, value in request.headers:
+        key = "HTTP_" + name.decode("latin-1").upper().replace("-", "_")
+        text = value.decode("latin-1")
+        headers[key] = f"{headers[key]},{text}" if key in headers else text
+    host, _, port = headers.get("HTTP_HOST", "").partition(":")
+    return {
+        **headers,
+        "REQUEST_METHOD": request.method.decode("latin-1"),
+        "SCRIPT_NAME": "",
+        "PATH_INFO": parse.unquote(request.path, "latin-1"),
+        "QUERY_STRING": request.query,
+        "CONTENT_TYPE": headers.get("HTTP_CONTENT_TYPE", ""),
+        "CONTENT_LENGTH": str(len(request.body)),
+        "SERVER_NAME": host,
+        "SERVER_PORT": port or "80",
+        "SERVER_PROTOCOL": "HTTP/1.1",
+        "wsgi.url_scheme": "http",
+        "wsgi.input": io.BytesIO(request.body),
+    }
 
-    def log(self, type: str, message: str, *args: Any) -> None:
-        """Suppress the access log; requests are counted in metrics instead."""
 
-    def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
-        """Suppress the access log; requests are counted in metrics instead."""
+def _make_refusal(status: int) -> messages.Response:
+    """Return the response to a request that was refused before it was complete."""
+    match status:
+        case 413:
+            error = errors.RequestTooLargeError("the request is too large")
+        case 408 | 503:
+            return messages.Response(status)
+        case _:
+            error = errors.BadRequestError("the request can't be read")
+    return messages.json_response(error_body(error), status=status)
 
 
-class HttpServer(serving.BaseWSGIServer):
-    """HTTP server that handles one request per connection in a pool of threads.
+class HttpServer:
+    """HTTP server that handles one request per connection.
 
     Parameters
     ----------
@@ -111,8 +136,6 @@
         Socket that listens on this address already; None to open one.
     """
 
-    request_queue_size = 512
-
     def __init__(
         self,
         listen: str,
@@ -122,44 +145,51 @@
         on_error: Callable[[BaseException], None],
         listener: socket.socket | None = None,
     ):
-        host, port = transport.parse_address(listen)
-        # The server uses a duplicate of a given socket.
-        with listener or contextlib.nullcontext():
-            descriptor = listener.fileno() if listener else None
-            super().__init__(host, port, app=None, handler=_RequestHandler, fd=descriptor)
         self._handler = handler
-        self._max_body_bytes = max_body_bytes
         self._on_error = on_error
+        self._loop = loops.Loop(on_error=on_error)
+        limits = server.Limits(
+            header_bytes=MAX_HEADER_BYTES,
+            body_bytes=max_body_bytes,
+            header_seconds=READ_TIMEOUT_SECONDS,
+            body_seconds=BODY_TIMEOUT_SECONDS,
+            idle_seconds=READ_TIMEOUT_SECONDS,
+        )
+        self._server = server.Server(
+            self._loop,
+            listen,
+            self._handle_in_pool,
+            limits=lambda: limits,
+            listener=listener,
+            on_error=on_error,
+            account=byte_account.ByteAccount(MAX_HELD_BODIES * max_body_bytes, self._loop.now),
+            max_connections=listeners.count_caller_descriptors,
+            make_refusal=_make_refusal,
+        )
+        self._url = f"http://{self._server.address}"
         self._pool = futures.ThreadPoolExecutor(WORKER_THREADS, thread_name_prefix="http")
-        self._detached: set[int] = set()
-        self._pending_connections = 0
-        self._lock = threading.Lock()
 
     @property
     def url(self) -> str:
         """Base URL of the server, with the port that it is bound to."""
-        host, port = self.socket.getsockname()[:2]
-        return f"http://{host}:{port}"
+        return self._url
 
     def start(self, executor: futures.Executor) -> futures.Future:
-        """Accept connections in a thread of an executor, until `stop` is called."""
-        return executor.submit(self.serve_forever, 0.2)
+        """Serve in a thread of an executor, until `stop` is called."""
+        return executor.submit(self._run)
 
     def stop(self) -> None:
         """Stop accepting connections and wait for requests in progress."""
-        self.shutdown()
+        self._loop.post(self._server.stop_accepting)
         self._pool.shutdown(wait=True)
-        self.server_close()
+        self._loop.post(lambda: self._stop_once_delivered(self._loop.now() + STOP_SECONDS))
 
     def dispatch_request(
         self, request: werkzeug.Request, sock: socket.socket
     ) -> werkzeug.Response | None:
         """Call the handler; convert each exception to an error response."""
-        request.max_content_length = self._max_body_bytes
         request.max_form_memory_size = None
         try:
-            if (request.content_length or 0) > self._max_body_bytes:
-                raise errors.RequestTooLargeError(f"the body is over {self._max_body_bytes} bytes")
             return self._handler(request, sock)
         except errors.FlamingorampError as error:
             return error_response(error)
@@ -169,55 +199,50 @@
             self._on_error(error)
             return error_response(errors.FlamingorampError("internal error; see the log"))
 
-    def send_response(self, request_handler: _RequestHandler, response: werkzeug.Response) -> None:
-        """Write a response to its connection."""
-        environ = request_handler.make_environ()
-        body_parts, status, headers = response.get_wsgi_response(environ)
-        body = b"".join(body_parts)
-        header_lines = [f"HTTP/1.1 {status}"]
-        header_lines += [f"{name}: {value}" for name, value in headers]
-        head = "\r\n".join(header_lines).encode("latin-1") + b"\r\n\r\n"
+    def _run(self) -> None:
         try:
-            request_handler.wfile.write(head + body)
-        except OSError:
-            return  # the client disconnected
-
-    def mark_detached(self, sock: socket.socket) -> None:
-        """Record that a connection is detached, so that it isn't shut down after its request."""
-        with self._lock:
-            self._detached.add(id(sock))
-
-    def process_request(self, request: Any, client_address: Any) -> None:
-        """Submit a connection to the thread pool; close it if too many are pending."""
-        with self._lock:
-            is_full = self._pending_connections >= MAX_PENDING_CONNECTIONS
-            self._pending_connections += not is_full
-        if is_full:
-            self.shutdown_request(request)
-            return
-        self._pool.submit(self._process, request, client_address)
-
-    def shutdown_request(self, request: Any) -> None:
-        """Shut down and close a connection; if it is detached, close only the server's handle."""
-        with self._lock:
-            is_detached = id(request) in self._detached
-            self._detached.discard(id(request))
-        if is_detached:
-            self.close_request(request)
+            self._loop.run()
+        finally:
+            self._server.close()
+            self._loop.close()
+
+    def _stop_once_delivered(self, deadline: float) -> None:
+        if self._server.undelivered_count and self._loop.now() < deadline:
+            self._loop.call_later(STOP_CHECK_SECONDS, lambda: self._stop_once_delivered(deadline))
         else:
-            super().shutdown_request(request)
+            self._loop.stop()
 
-    def handle_error(self, request: Any, client_address: Any) -> None:
-        """Ignore connections that fail while a request is read."""
+    def _handle_in_pool(self, exchange: server.Exchange) -> None:
+        try:
+            self._pool.submit(self._handle, exchange)
+        except RuntimeError:  # the pool was shut down
+            exchange.respond(messages.Response(503))
 
-    def _process(self, request: Any, client_address: Any) -> None:
+    def _handle(self, exchange: server.Exchange) -> None:
         try:
-            self.finish_request(request, client_address)
-        except OSError:
-            pass  # the connection failed while the request was read
+            request = werkzeug.Request(_make_environment(exchange.request))
+            response = self.dispatch_request(request, exchange.socket)
+            answer = None if response is None else _encode_response(response)
+            self._loop.post(lambda: _finish(exchange, answer))
         except Exception as error:
             self._on_error(error)
-        finally:
-            self.shutdown_request(request)
-            with self._lock:
-                self._pending_connections -= 1
+            self._loop.post(exchange.abort)
+
+
+def _encode_response(response: werkzeug.Response) -> messages.Response:
+    headers = [
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in response.headers
+        if name.lower() not in _CONNECTION_HEADERS
+    ]
+    return messages.Response(
+        response.status_code, (*headers, (b"connection", b"close")), response.get_data()
+    )
+
+
+def _finish(exchange: server.Exchange, answer: messages.Response | None) -> None:
+    """Send a response, or leave the connection to the handler's duplicate of its socket."""
+    if answer is None:
+        exchange.detach()
+    else:
+        exchange.respond(answer)
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -85,6 +85,11 @@
         """Whether bytes can still be written."""
         return self._open
 
+    @property
+    def socket(self) -> socket.socket:
+        """The socket, for a duplicate that goes on with the connection once this is closed."""
+        return self._sock
+
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes in the output buffer, not yet passed to the kernel."""
