A server whose long answer is relayed is read no faster than its caller reads

What callers saw: an answer of over 8 MiB is reset for a caller who reads more slowly than its server sends, and each such caller takes up to 8 MiB of the entry's memory. Cause: what a server sends was read at once, and the output buffer has a bound. Now the server's connection isn't read while more than 512 KiB wait for the caller, and again once 64 KiB are left; a paused connection that is reset fails its request. A relayed answer can't be replaced by another server's, so that no check takes the pause for the server's silence.

Evidence: 12 MiB to a caller with a small window who pauses first: reset before, whole now, with under 4 MiB held (TestSlowReaders); pauses, resets and ends of paused connections in http/tests/test_client.py. Answers without a length and streams are as before.

--- a/bench/experiment/callers.py
+++ b/bench/experiment/callers.py
@@ -105,7 +105,10 @@
         self.request = request
         self.arrived_at = arrived_at
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
         self.has_started = False
+        # Simulated callers take everything at once.
+        self.buffered_bytes = 0
         self._caller = caller
         self._schedule_at_caller = schedule_at_caller
 
--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -128,6 +128,16 @@
             if self.request_handle is not None:
                 self.request_handle.cancel()
 
+    def pause(self) -> None:
+        """Receive no more of the answer until `resume`."""
+        if self.is_active and self.request_handle is not None:
+            self.request_handle.pause()
+
+    def resume(self) -> None:
+        """Go on after `pause`."""
+        if self.is_active and self.request_handle is not None:
+            self.request_handle.resume()
+
     def detach(self) -> None:
         """Ignore the rest of the answer without cancelling the send."""
         self.is_active = False
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -55,6 +55,8 @@
 # longer one goes to the caller as it arrives if it names its length; without one it is taken for
 # bytes without end.
 MAX_HELD_ANSWER_BYTES = 2 * 1024 * 1024
+# A server whose long answer is relayed is not read while more than this waits for its caller.
+MAX_RELAY_BUFFER_BYTES = 512 * 1024
 # Comments between two events; an engine sends few, to keep the connection open.
 MAX_COMMENT_BYTES = 64 * 1024
 # No retry starts with less than this left until the deadline.
@@ -538,7 +540,7 @@
         attempt.last_progress_at = self._context.loop.now()
         attempt.body_bytes += len(data)
         if attempt.is_relayed:
-            self._exchange.send(data)
+            self._relay(attempt, data)
             return
         attempt.body.append(data)
         has_room = self._exchange.hold_answer(len(data))
@@ -558,7 +560,14 @@
         data = b"".join(attempt.body)
         attempt.body.clear()
         self._exchange.hold_answer(-attempt.body_bytes)
+        self._exchange.on_drained = attempt.resume
+        self._relay(attempt, data)
+
+    def _relay(self, attempt: attempts.Attempt, data: bytes) -> None:
+        """Pass a part of a long answer on; read the server no faster than its caller reads."""
         self._exchange.send(data)
+        if self._exchange.buffered_bytes > MAX_RELAY_BUFFER_BYTES:
+            attempt.pause()
 
     def _handle_endless_answer(self, attempt: attempts.Attempt) -> None:
         self._record_failure(attempt, crashed=False)
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -45,10 +45,17 @@
     receiver: Any
     new_connection: bool
     cancelled: bool = False
+    paused: bool = False
 
     def cancel(self) -> None:
         self.cancelled = True
 
+    def pause(self) -> None:
+        self.paused = True
+
+    def resume(self) -> None:
+        self.paused = False
+
     def discard_rest(self) -> None:
         """Do nothing."""
 
@@ -75,6 +82,8 @@
         self.body = b""
         self.end_state = ""
         self.on_disconnect: Any = None
+        self.on_drained: Any = None
+        self.buffered_bytes = 0
         self.held_bytes = 0
         self.has_room = True
 
--- a/flamingoramp/dispatch/tests/test_forwarding_faults.py
+++ b/flamingoramp/dispatch/tests/test_forwarding_faults.py
@@ -34,6 +34,21 @@
         self.assert_ended(200)
         self.assertEqual(self.exchange.body, 5 * self.PIECE)
 
+    # Guards against answers that this process holds for callers who read slowly.
+    def test_server_is_read_no_faster_than_the_caller_reads(self):
+        self.start_long_answer()
+        self.receive_pieces(3)
+        self.assertFalse(self.calls[-1].paused)
+        self.exchange.buffered_bytes = forwarding.MAX_RELAY_BUFFER_BYTES + 1
+        self.receive_pieces(1)
+        self.assertTrue(self.calls[-1].paused)
+        self.exchange.buffered_bytes = 0
+        self.exchange.on_drained()
+        self.assertFalse(self.calls[-1].paused)
+        self.receive_pieces(1)
+        self.complete_answer()
+        self.assert_ended(200)
+
     def test_answer_is_relayed_early_if_there_is_no_memory_to_hold_it(self):
         self.start_long_answer()
         self.receive_pieces(1)
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -132,6 +132,14 @@
         """
         self._connection.cancel(self._receiver)
 
+    def pause(self) -> None:
+        """Receive nothing more until `resume`, so that the server sends no faster."""
+        self._connection.pause(self._receiver)
+
+    def resume(self) -> None:
+        """Go on after `pause`."""
+        self._connection.resume(self._receiver)
+
     def discard_rest(self) -> None:
         """Keep the connection for later requests if the rest of the response is short."""
         self._connection.discard_rest(self._receiver)
@@ -153,6 +161,7 @@
         self._unparsed = bytearray()
         self._event_count = 0
         self._waits_for_turn = False
+        self._is_paused = False
         self._failed_connect = False
         sock.setblocking(False)
         try:
@@ -206,9 +215,24 @@
             self._receiver = None
             self.close()
 
+    def pause(self, receiver: ResponseReceiver) -> None:
+        """Read nothing more, and parse nothing, if the connection carries a receiver's response."""
+        if self._receiver is receiver:
+            self._is_paused = True
+            self._stream.pause_reading()
+
+    def resume(self, receiver: ResponseReceiver) -> None:
+        """Go on after `pause`."""
+        if self._receiver is receiver and self._is_paused:
+            self._is_paused = False
+            if not self._waits_for_turn:
+                self._waits_for_turn = True
+                self._pool.loop.call_later(0.0, lambda: self.take_turn(MAX_EVENTS_AT_ONCE))
+
     def discard_rest(self, receiver: ResponseReceiver) -> None:
         """Bound the rest of a receiver's response in size and time."""
         if self._receiver is receiver:
+            self.resume(receiver)
             self._max_body_bytes = self._body_bytes + MAX_DISCARDED_BYTES
             self._pool.loop.call_later(DISCARD_TIMEOUT_SECONDS, lambda: self.cancel(receiver))
 
@@ -224,14 +248,14 @@
             self.close()
             return
         self._unparsed += data
-        if not self._waits_for_turn:
+        if not self._waits_for_turn and not self._is_paused:
             self._process_events(Failure.UNREADABLE, MAX_EVENTS_AT_ONCE)
 
     def take_turn(self, max_events: int) -> None:
         """Go on with what was received; see `parse_turns.Parser`."""
         self._waits_for_turn = False
         self._process_events(Failure.UNREADABLE, max_events)
-        if not self._waits_for_turn:
+        if not self._waits_for_turn and not self._is_paused:
             self._stream.resume_reading()
 
     def _feed_parser(self) -> bool:
@@ -246,7 +270,7 @@
     def _process_events(self, failure: Failure, max_events: float = math.inf) -> None:
         """Handle the parsed events of the response, or some; a parser error fails the request."""
         last_event_count = self._event_count + max_events
-        while self._receiver is not None:
+        while self._receiver is not None and not self._is_paused:
             if self._event_count >= last_event_count:
                 self._waits_for_turn = True
                 self._stream.pause_reading()
@@ -312,6 +336,7 @@
 
     def _handle_closed(self) -> None:
         self._pool.remove_connection(self)
+        self._is_paused = False
         if self._receiver is None:
             return
         if self._stream.was_reset:
@@ -358,6 +383,12 @@
     def discard_rest(self, receiver: ResponseReceiver) -> None:
         """Do nothing: there is no response."""
 
+    def pause(self, receiver: ResponseReceiver) -> None:
+        """Do nothing: there is no response."""
+
+    def resume(self, receiver: ResponseReceiver) -> None:
+        """Do nothing: there is no response."""
+
     def _fail(self) -> None:
         receiver, self._receiver = self._receiver, None
         if receiver is not None:
--- a/flamingoramp/http/server.py
+++ b/flamingoramp/http/server.py
@@ -23,6 +23,8 @@
 MAX_ACCEPTS_PER_ITERATION = 64
 # A caller that reads so slowly that more response data than this is queued is disconnected.
 MAX_WRITE_BUFFER_BYTES = 8 * 1024 * 1024
+# A response of which no more than this is left to send can go on; see `Exchange.on_drained`.
+DRAINED_BYTES = 64 * 1024
 # Data of later requests that a caller may send before the response to the current one is complete.
 MAX_PIPELINED_BYTES = 256 * 1024
 # Bytes of a chunked body that are passed to the parser at a time.
@@ -95,6 +97,7 @@
     """One request and the response to it, which can be sent as a whole or in parts.
 
     ``on_disconnect`` is called if the connection is lost before the response is complete.
+    ``on_drained`` is called whenever the caller has taken the response up to `DRAINED_BYTES`.
     """
 
     def __init__(
@@ -111,6 +114,12 @@
         self._is_done = False
         self._has_started = False
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of the response that are not yet passed to the kernel."""
+        return self._connection.buffered_bytes
 
     @property
     def request(self) -> messages.Request:
@@ -240,7 +249,7 @@
             on_data=self._handle_data,
             on_closed=self._handle_closed,
             buffer_limit_bytes=MAX_WRITE_BUFFER_BYTES,
-            on_sent=self._update_charge,
+            on_sent=self._handle_sent,
         )
         self._update_charge()
 
@@ -269,6 +278,11 @@
         """Whether the connection isn't closed yet."""
         return self._stream.is_open
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are not yet passed to the kernel."""
+        return self._stream.buffered_bytes
+
     @property
     def socket(self) -> socket.socket:
         """Socket of the connection."""
@@ -393,6 +407,16 @@
             in_use_bytes=in_use_bytes,
         )
 
+    def _handle_sent(self) -> None:
+        self._update_charge()
+        exchange = self._exchange
+        if (
+            exchange is not None
+            and exchange.on_drained is not None
+            and self._stream.buffered_bytes <= DRAINED_BYTES
+        ):
+            exchange.on_drained()
+
     def _discard_later_requests(self) -> None:
         """Discard what the caller sends after the current request; the connection ends then."""
         self._discards_requests = True
--- a/flamingoramp/http/tests/test_client.py
+++ b/flamingoramp/http/tests/test_client.py
@@ -14,6 +14,7 @@
 from flamingoramp.runtime import loop
 
 TIMEOUT_SECONDS = 20.0
+LINGER_ZERO_SECONDS = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
@@ -62,8 +63,7 @@
                 response = self.responses.pop(0) if self.responses else None
                 if response is None:
                     if self.reset:
-                        linger_zero_seconds = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero_seconds)
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO_SECONDS)
                     return
                 sock.sendall(response)
                 if self.close_after:
@@ -269,6 +269,46 @@
         self.assertEqual(receiver.body, b"x" * 200_000)
         self.assertTrue(receiver.completed)
 
+    def test_paused_response_goes_on_where_it_was(self):
+        body = b"x" * 3_000_000
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        server = self.start_server(head + body, OK_RESPONSE)
+        receiver = RecordingReceiver()
+        request = messages.Request(b"GET", b"/x", ((b"host", b"h"),), b"")
+        handle = self.pool.send(server.address, request, receiver)
+        while not receiver.body:
+            self.loop.run_once(0.5)
+        handle.pause()
+        received = len(receiver.body)
+        for _ in range(20):
+            self.loop.run_once(0.01)
+        self.assertEqual(len(receiver.body), received)
+        handle.resume()
+        while not receiver.is_finished:
+            self.loop.run_once(0.5)
+        self.assertEqual((receiver.completed, receiver.body), (True, body))
+        handle.pause()  # has no effect on a response that is complete
+        self.assertEqual(self.send_request(server.address).body, b"ok")
+        self.assertEqual(server.connection_count, 1)
+
+    def test_reset_of_a_paused_connection_fails_the_request(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            receiver = RecordingReceiver()
+            request = messages.Request(b"GET", b"/x", ((b"host", b"h"),), b"")
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            handle = self.pool.send(address, request, receiver)
+            sock, _ = listener.accept()
+        with sock:
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 3000000\r\n\r\n" + b"x" * 1000)
+            while not receiver.body:
+                self.loop.run_once(0.5)
+            handle.pause()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO_SECONDS)
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while not receiver.is_finished and time.monotonic() < deadline:
+            self.loop.run_once(0.5)
+        self.assertEqual((receiver.failure, receiver.may_have_run), (client.Failure.RESET, True))
+
     def test_end_of_the_connection_completes_an_answer_whose_chunks_wait(self):
         head = b"HTTP/1.1 200 OK\r\n\r\n"
         body = b"x" * 600_000
--- a/flamingoramp/platform/tests/test_endless_answers.py
+++ b/flamingoramp/platform/tests/test_endless_answers.py
@@ -4,10 +4,12 @@
 
 import pathlib
 import resource
+import socket
 import threading
 import time
 from concurrent import futures
 
+from flamingoramp.http import server
 from flamingoramp.platform.tests import fake_server
 from flamingoramp.platform.tests import fleet as fleets
 
@@ -135,3 +137,38 @@
         self.check(
             "read", b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100, caller_count=FEWER_CALLERS
         )
+
+
+class TestSlowReaders(fleets.FleetTestCase):
+    """Long answers for callers who read more slowly than servers send."""
+
+    # Guards against an answer that is cut off, since what its caller hasn't read exceeds a buffer.
+    def test_answer_over_the_output_buffer_is_whole_for_a_caller_who_reads_slowly(self):
+        size = 3 * server.MAX_WRITE_BUFFER_BYTES // 2
+        piece = b"z" * 65536
+        head = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: STAMP\r\n"
+            b"Content-Length: %d\r\n\r\n" % size
+        )
+        endless = fake_server.EndlessAnswer(head, piece)
+        fleet = self.start_serving(controls=1, entries=1)
+        fleet.add_server("d1", "desk", fake_server.Behaviour(endless=endless))
+        host, _, port = fleet.caller_address().rpartition(":")
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            sock.settimeout(fleets.TIMEOUT_SECONDS)
+            sock.connect((host, int(port)))
+            sock.sendall(
+                b"GET /read/x HTTP/1.1\r\nhost: %s\r\nx-attempt-id: slow\r\n"
+                b"authorization: Token k1\r\n\r\n" % fleets.ROUTE_HOST.encode()
+            )
+            time.sleep(0.5)
+            account = fleet.entries[0].daemon.process.account
+            held_bytes = account.held_bytes
+            received = sock.recv(65536)
+            head_end = received.index(b"\r\n\r\n") + 4
+            count = len(received) - head_end
+            while count < size and (data := sock.recv(65536)):
+                count += len(data)
+        self.assertEqual(count, size)
+        self.assertLess(held_bytes, server.MAX_WRITE_BUFFER_BYTES // 2)
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -261,6 +261,10 @@
         self._on_closed()
 
     def _handle_events(self, events: int) -> None:
+        if self._open and not events:  # reading is paused, and the connection is lost
+            self._was_reset = True
+            self._fail()
+            return
         if self._open and events & selectors.EVENT_WRITE:
             had_output = bool(self._output)
             self._flush()
