Test of unexpected errors: only the entry's sends fail, not the fake server's announcements

Cause: the test let every pool in its process raise, and the fake server announces itself by one, whose error ends the fake server's loop; whether an announcement fell into that time was chance. Shown: with the same patch for three announcements, the fake server's thread has ended. Now the pool of the entry alone raises; what is checked is unchanged.

--- a/flamingoramp/platform/tests/test_path.py
+++ b/flamingoramp/platform/tests/test_path.py
@@ -11,7 +11,6 @@
 
 from flamingoramp.daemons import gateway, node_process
 from flamingoramp.dispatch import crash_evidence
-from flamingoramp.http import client
 from flamingoramp.membership import registry
 from flamingoramp.platform.tests import fake_server
 from flamingoramp.platform.tests import fleet as fleets
@@ -128,7 +127,8 @@
         fleet = self.start_serving(entries=1)
         fleet.add_server("d1", "desk")
         entry = fleet.entries[0]
-        with mock.patch.object(client.Pool, "send", side_effect=ZeroDivisionError):
+        # Of the entry only: the fake server announces itself by a pool of its own.
+        with mock.patch.object(entry.daemon._pool, "send", side_effect=ZeroDivisionError):
             self.assertEqual(self.send(fleet, "read").status, 500)
         self.assertEqual(self.send(fleet, "read").status, 200)
         self.assertTrue(entry.is_running)
@@ -139,7 +139,8 @@
     def test_errors_of_single_requests_do_not_end_an_entry(self):
         fleet = self.start_serving(entries=1)
         fleet.add_server("d1", "desk")
-        with mock.patch.object(client.Pool, "send", side_effect=ZeroDivisionError):
+        pool = fleet.entries[0].daemon._pool
+        with mock.patch.object(pool, "send", side_effect=ZeroDivisionError):
             for _ in range(node_process.MAX_ERRORS + 5):
                 self.assertEqual(self.send(fleet, "read").status, 500)
         self.assertEqual(self.send(fleet, "read").status, 200)
