The HTTP server is three modules: exchanges, connections and the server

Moved as they were: limits, exchanges and undelivered answers to http/exchanges.py, the connection of one caller to http/connections.py, the check whether a server listens from http/client.py to http/listen_checks.py. No behaviour is changed; the soak's mutations name the file that a line is in now. Tests of the server, closing, crowds, faulty answers, clients and the soak pass.

--- a/bench/experiment/callers.py
+++ b/bench/experiment/callers.py
@@ -90,7 +90,7 @@
 
 
 class Exchange:
-    """One attempt of a caller at an entry; a stand-in for `flamingoramp.http.server.Exchange`.
+    """One attempt of a caller at an entry; a stand-in for `flamingoramp.http.exchanges.Exchange`.
 
     ``schedule_at_caller`` runs an action at the caller after the network delay.
     """
--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -44,6 +44,7 @@
 
 
 SERVER = "flamingoramp/http/server.py"
+CONNECTIONS = "flamingoramp/http/connections.py"
 MUTATIONS = (
     Mutation(
         "late_admission",
@@ -60,9 +61,9 @@
         "connections_closed_at_once",
         ("7 no reset",),
         (
-            Replacement(SERVER, "not self._stream.read_pending() and ", ""),
+            Replacement(CONNECTIONS, "not self._stream.read_pending() and ", ""),
             Replacement(
-                SERVER,
+                CONNECTIONS,
                 "            self._send_refusal(408)\n            self._finish_connection()\n",
                 "            self.close()\n",
             ),
--- a/bench/fault_soak/servers.py
+++ b/bench/fault_soak/servers.py
@@ -6,7 +6,7 @@
 
 from bench.fault_soak import callers
 from bench.fault_soak import history as histories
-from flamingoramp.http import messages, server
+from flamingoramp.http import exchanges, messages
 from flamingoramp.platform.tests import fake_server
 
 
@@ -43,7 +43,7 @@
         """Whether a request runs."""
         return self._running_count > 0
 
-    def answer(self, exchange: server.Exchange) -> None:
+    def answer(self, exchange: exchanges.Exchange) -> None:
         """Work on a request of a caller and answer it."""
         request = exchange.request
         request_id = (request.header(b"x-attempt-id") or b"").decode()
@@ -75,7 +75,7 @@
         self._send_events(exchange, run, first_number, callers.count_events(float(seconds)))
 
     def _send_events(
-        self, exchange: server.Exchange, run: histories.Run, number: int, count: int
+        self, exchange: exchanges.Exchange, run: histories.Run, number: int, count: int
     ) -> None:
         if exchange.is_done:
             return
--- a/bench/slow_callers.py
+++ b/bench/slow_callers.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-from flamingoramp.http import messages, server
+from flamingoramp.http import exchanges, messages, server
 from flamingoramp.runtime import loop as loops
 
 CONNECTION_COUNT_PER_KIND = 300
@@ -27,7 +27,7 @@
         loop,
         "127.0.0.1:0",
         lambda exchange: exchange.respond(messages.Response(200, (), b"ok")),
-        limits=lambda: server.Limits(header_seconds=60.0, body_seconds=60.0),
+        limits=lambda: exchanges.Limits(header_seconds=60.0, body_seconds=60.0),
     )
     host, _, port = http_server.address.rpartition(":")
     thread = threading.Thread(target=loop.run)
--- a/flamingoramp/daemons/coordinator.py
+++ b/flamingoramp/daemons/coordinator.py
@@ -24,7 +24,7 @@
     server_records,
     start_steps,
 )
-from flamingoramp.http import server as http_server
+from flamingoramp.http import exchanges
 from flamingoramp.intent import coordinator_state, versioned_declaration
 from flamingoramp.membership import entry_directory, registry, subscriptions
 from flamingoramp.protocol import messages
@@ -585,7 +585,7 @@
 
     # HTTP calls of operators, backend servers and callers.
 
-    def _handle_control_call(self, exchange: http_server.Exchange) -> None:
+    def _handle_control_call(self, exchange: exchanges.Exchange) -> None:
         try:
             call = self._dialect.decode_control_call(exchange.request)
             self._execute_or_end(call, exchange)
@@ -602,7 +602,7 @@
             )
             exchange.respond(self._dialect.encode_error(error))
 
-    def _execute_or_end(self, call: dialects.ControlCall, exchange: http_server.Exchange) -> None:
+    def _execute_or_end(self, call: dialects.ControlCall, exchange: exchanges.Exchange) -> None:
         """Execute a call; end the process at an unexpected error.
 
         The replicated state or the registry may be half changed then. A new start reads them from
@@ -615,7 +615,7 @@
         except Exception as error:
             raise errors.InvariantViolationError(f"unexpected error: {error!r}") from error
 
-    def _handle_directory(self, exchange: http_server.Exchange) -> None:
+    def _handle_directory(self, exchange: exchanges.Exchange) -> None:
         try:
             caller_zone = self._dialect.decode_directory_call(exchange.request)
             addresses = self._directory.addresses(self._loop.now(), caller_zone=caller_zone)
@@ -625,7 +625,7 @@
         seconds = self._settings.bounds.address_seconds
         exchange.respond(self._dialect.encode_directory(addresses, seconds))
 
-    def _execute_call(self, call: dialects.ControlCall, exchange: http_server.Exchange) -> None:
+    def _execute_call(self, call: dialects.ControlCall, exchange: exchanges.Exchange) -> None:
         match call:
             case dialects.AnnounceServer(record):
                 self._handle_announcement(record)
@@ -675,7 +675,7 @@
             self._publish_is_due = True
             self._log.write("server.withdrawn", server=server)
 
-    def _acknowledge(self, server: str, is_departing: bool, exchange: http_server.Exchange) -> None:
+    def _acknowledge(self, server: str, is_departing: bool, exchange: exchanges.Exchange) -> None:
         """Acknowledge a server's call; one that tells of its departure once that is committed."""
 
         def _on_committed() -> None:
@@ -687,7 +687,7 @@
         )
 
     def _handle_declaration(
-        self, call: dialects.SubmitDeclaration, exchange: http_server.Exchange, version: int
+        self, call: dialects.SubmitDeclaration, exchange: exchanges.Exchange, version: int
     ) -> None:
         def _on_result(committed_version: int) -> None:
             self._log.write("declaration.acknowledged", version=version, in_force=committed_version)
@@ -699,7 +699,7 @@
             exchange, lambda attempt: self._commit_declaration(compressed, attempt), _on_result
         )
 
-    def _handle_read(self, exchange: http_server.Exchange) -> None:
+    def _handle_read(self, exchange: exchanges.Exchange) -> None:
         def _on_result(reply: messages.ReadReply | None) -> None:
             # The leader omits a document that this host has; meanwhile it may have a newer one.
             has_reply_document = reply is not None and reply.document
@@ -719,7 +719,7 @@
 
     def _repeat_call(
         self,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         submit: Callable[[operator_calls.PendingCall], None],
         on_result: Callable[[Any], None],
     ) -> None:
@@ -734,9 +734,7 @@
         )
         operator_calls.RepeatedCall(self._loop, _submit_if_awaited, call).start()
 
-    def _handle_zone_order(
-        self, zone: str, evacuated: bool, exchange: http_server.Exchange
-    ) -> None:
+    def _handle_zone_order(self, zone: str, evacuated: bool, exchange: exchanges.Exchange) -> None:
         def _on_result() -> None:
             self._publish()
             exchange.respond(self._dialect.encode_acknowledgement())
@@ -750,7 +748,7 @@
         )
 
     def _make_error_handler(
-        self, exchange: http_server.Exchange
+        self, exchange: exchanges.Exchange
     ) -> Callable[[errors.FlamingorampError], None]:
         def _on_error(error: errors.FlamingorampError) -> None:
             self._log.write("call.failed", path=exchange.request.path, code=error.code)
--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -15,8 +15,7 @@
 from flamingoramp import errors
 from flamingoramp.daemons import declaration_updates, node_process, start_steps
 from flamingoramp.dispatch import request_handler
-from flamingoramp.http import client, messages
-from flamingoramp.http import server as http_server
+from flamingoramp.http import client, exchanges, messages
 from flamingoramp.intent import traffic
 from flamingoramp.membership import (
     control_contacts,
@@ -546,7 +545,7 @@
         self._metrics.count("requests_given_up", unstarted_count)
         self._request_handler.end_unstarted()
 
-    def _record_undelivered(self, answer: http_server.UndeliveredAnswer) -> None:
+    def _record_undelivered(self, answer: exchanges.UndeliveredAnswer) -> None:
         """Count and log an answer that its caller did not get as a whole."""
         self._metrics.count("answers_undelivered", reason=answer.reason)
         try:
@@ -603,7 +602,7 @@
 
     # Readiness, directory and caller limits.
 
-    def _handle_readiness(self, exchange: http_server.Exchange) -> None:
+    def _handle_readiness(self, exchange: exchanges.Exchange) -> None:
         try:
             self._dialect.check_readiness_call(exchange.request)
         except errors.FlamingorampError as error:
@@ -611,7 +610,7 @@
             return
         exchange.respond(messages.json_response({}, status=200 if self.is_ready else 503))
 
-    def _handle_directory(self, exchange: http_server.Exchange) -> None:
+    def _handle_directory(self, exchange: exchanges.Exchange) -> None:
         try:
             caller_zone = self._dialect.decode_directory_call(exchange.request)
             addresses = self._directory.addresses(
@@ -623,9 +622,9 @@
         seconds = self._settings.bounds.address_seconds
         exchange.respond(self._dialect.encode_directory(addresses, seconds))
 
-    def _http_limits(self) -> http_server.Limits:
+    def _http_limits(self) -> exchanges.Limits:
         if self.declaration is None:
-            return http_server.Limits()
+            return exchanges.Limits()
         return _to_server_limits(self.declaration.limits)
 
 
@@ -636,8 +635,8 @@
         return 0.0  # the file is being replaced; the next check reads it
 
 
-def _to_server_limits(limits: traffic.CallerLimits) -> http_server.Limits:
-    return http_server.Limits(
+def _to_server_limits(limits: traffic.CallerLimits) -> exchanges.Limits:
+    return exchanges.Limits(
         header_bytes=limits.header_bytes,
         body_bytes=limits.body_bytes,
         header_seconds=limits.header_seconds,
--- a/flamingoramp/daemons/node_process.py
+++ b/flamingoramp/daemons/node_process.py
@@ -14,6 +14,7 @@
 
 from flamingoramp import errors
 from flamingoramp.daemons import start_steps
+from flamingoramp.http import exchanges
 from flamingoramp.http import messages as http_messages
 from flamingoramp.http import server as http_server
 from flamingoramp.runtime import (
@@ -33,7 +34,7 @@
 # One log line every ten seconds adds no noticeable load.
 RESOURCE_USAGE_INTERVAL_SECONDS = 10.0
 # Calls that have no body: checks, lookups and metrics.
-BODILESS_LIMITS = http_server.Limits(body_bytes=16 * 1024)
+BODILESS_LIMITS = exchanges.Limits(body_bytes=16 * 1024)
 # Share of the connections that callers may have which each of these addresses may have.
 BODILESS_CONNECTIONS_RATIO = 0.1
 # A process that survives unexpected errors ends after more than so many in this time.
@@ -110,7 +111,7 @@
         self.loop.call_every(RESOURCE_USAGE_INTERVAL_SECONDS, self._record_resource_usage)
 
     def serve(
-        self, listen: str, handler: Callable[[http_server.Exchange], None], **options: Any
+        self, listen: str, handler: Callable[[exchanges.Exchange], None], **options: Any
     ) -> http_server.Server:
         """Serve HTTP on an ``ip:port``; ``options`` are those of `http_server.Server`.
 
@@ -145,7 +146,7 @@
         return server
 
     def serve_bodiless(
-        self, listen: str, handler: Callable[[http_server.Exchange], None]
+        self, listen: str, handler: Callable[[exchanges.Exchange], None]
     ) -> http_server.Server:
         """Serve calls that have no body, on a smaller share of the connections."""
 
@@ -294,7 +295,7 @@
         sent = dict(traffic.sent_bytes_by_type)
         self.log.write("process.costs", seconds=seconds, **usage, sent_by_type=sent)
 
-    def _handle_metrics_request(self, exchange: http_server.Exchange) -> None:
+    def _handle_metrics_request(self, exchange: exchanges.Exchange) -> None:
         if exchange.request.path != METRICS_PATH:
             exchange.respond(http_messages.Response(404))
             return
--- a/flamingoramp/daemons/operator_calls.py
+++ b/flamingoramp/daemons/operator_calls.py
@@ -13,7 +13,7 @@
 
 from flamingoramp import errors
 from flamingoramp.consensus import node as nodes
-from flamingoramp.http import server as http_server
+from flamingoramp.http import exchanges
 from flamingoramp.intent import evacuations
 from flamingoramp.protocol import messages
 from flamingoramp.runtime import event_log, suspension
@@ -182,7 +182,7 @@
         zone: str,
         *,
         evacuated: bool,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         on_result: Callable[[], None],
         on_error: Callable[[errors.FlamingorampError], None],
     ) -> None:
--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -9,8 +9,7 @@
 from flamingoramp import dialect as dialects
 from flamingoramp import value_classes
 from flamingoramp.backends import event_blocks
-from flamingoramp.http import client
-from flamingoramp.http import server as http_server
+from flamingoramp.http import client, exchanges
 from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_table
@@ -61,7 +60,7 @@
     the declared priority of the workspace or else of the route.
     """
 
-    exchange: http_server.Exchange
+    exchange: exchanges.Exchange
     caller: dialects.CallerRequest
     route: traffic.Route
     service: str
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -27,8 +27,7 @@
     unresponsive_servers,
     warm_ups,
 )
-from flamingoramp.http import client
-from flamingoramp.http import server as http_server
+from flamingoramp.http import client, exchanges
 from flamingoramp.intent import traffic
 from flamingoramp.membership import evacuated_zones, registry
 from flamingoramp.protocol import messages
@@ -321,7 +320,7 @@
         """Number of requests of whose answers the callers have a part."""
         return sum(forwarder.has_started_answer for forwarder in self._forwarders)
 
-    def _stop_fields(self, exchange: http_server.Exchange) -> dict[str, float]:
+    def _stop_fields(self, exchange: exchanges.Exchange) -> dict[str, float]:
         """Return log fields of a request during a planned stop; empty without one."""
         if self._stop_began_at is None:
             return {}
@@ -419,12 +418,12 @@
 
     # Admission.
 
-    def handle_request(self, exchange: http_server.Exchange) -> None:
+    def handle_request(self, exchange: exchanges.Exchange) -> None:
         """Start a request, refuse it, or queue it while this entry is starting up."""
         if not self._queue_while_starting(exchange):
             self._start_request(exchange)
 
-    def _queue_while_starting(self, exchange: http_server.Exchange) -> bool:
+    def _queue_while_starting(self, exchange: exchanges.Exchange) -> bool:
         """Queue a request that this entry can't serve yet; return whether it is queued."""
         now = self.loop.now()
         remaining_startup_seconds = self._started_at + EXPECTED_STARTUP_SECONDS - now
@@ -494,7 +493,7 @@
 
         self.loop.call_later(timeout_seconds, _handle_timeout)
 
-    def _start_request(self, exchange: http_server.Exchange) -> None:
+    def _start_request(self, exchange: exchanges.Exchange) -> None:
         """Start or refuse a request; an unexpected error fails it at once."""
         try:
             self._admit_and_forward(exchange)
@@ -503,7 +502,7 @@
             exchange.respond(self.dialect.encode_error(error))
             raise
 
-    def _admit_and_forward(self, exchange: http_server.Exchange) -> None:
+    def _admit_and_forward(self, exchange: exchanges.Exchange) -> None:
         request_id = ""
         try:
             caller = self.dialect.decode_request(exchange.request)
@@ -521,7 +520,7 @@
             self._room_queue.start(admitted, forwarder.start)
 
     def _refuse(
-        self, exchange: http_server.Exchange, request_id: str, error: errors.FlamingorampError
+        self, exchange: exchanges.Exchange, request_id: str, error: errors.FlamingorampError
     ) -> None:
         """Refuse a request that was not admitted."""
         self._metrics.count("requests_refused", code=error.code)
@@ -537,7 +536,7 @@
         exchange.respond(self.dialect.encode_error(error))
 
     def _admit(
-        self, exchange: http_server.Exchange, caller: dialects.CallerRequest
+        self, exchange: exchanges.Exchange, caller: dialects.CallerRequest
     ) -> attempts.AdmittedRequest:
         """Check a request against the declaration.
 
--- a/flamingoramp/dispatch/startup_queue.py
+++ b/flamingoramp/dispatch/startup_queue.py
@@ -7,7 +7,7 @@
 import attrs
 
 from flamingoramp import dialect as dialects
-from flamingoramp.http import server as http_server
+from flamingoramp.http import exchanges
 
 
 @attrs.frozen(eq=False)
@@ -16,13 +16,13 @@
 
     Parameters
     ----------
-    exchange : http_server.Exchange
+    exchange : exchanges.Exchange
     caller : dialects.CallerRequest
     deadline : float
         When the caller gives up, in monotonic seconds; infinite if the request names no time.
     """
 
-    exchange: http_server.Exchange
+    exchange: exchanges.Exchange
     caller: dialects.CallerRequest
     deadline: float
 
@@ -31,7 +31,7 @@
     """Queue of a starting entry."""
 
     def __init__(self):
-        self._requests: dict[http_server.Exchange, QueuedRequest] = {}
+        self._requests: dict[exchanges.Exchange, QueuedRequest] = {}
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -40,7 +40,7 @@
         """Add a request."""
         self._requests[request.exchange] = request
 
-    def remove(self, exchange: http_server.Exchange) -> bool:
+    def remove(self, exchange: exchanges.Exchange) -> bool:
         """Remove a request; return whether it was in the queue."""
         return self._requests.pop(exchange, None) is not None
 
--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -6,10 +6,8 @@
 from __future__ import annotations
 
 import enum
-import errno
 import math
 import re
-import selectors
 import socket
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -18,7 +16,7 @@
 import h11
 
 from flamingoramp import value_classes
-from flamingoramp.http import messages
+from flamingoramp.http import listen_checks, messages
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import parse_turns, stream, transport
 
@@ -403,42 +401,6 @@
         return None
 
 
-class _ListenCheck:
-    """A connection that is closed as soon as it is established or refused."""
-
-    def __init__(
-        self,
-        loop: loops.Loop,
-        address: str,
-        timeout_seconds: float,
-        on_result: Callable[[bool | None], None],
-        sock: socket.socket,
-    ):
-        self._loop = loop
-        self._on_result = on_result
-        self._sock: socket.socket | None = sock
-        self._sock.setblocking(False)
-        code = self._sock.connect_ex(transport.parse_address(address))
-        self._is_registered = code in (0, errno.EINPROGRESS)
-        if self._is_registered:
-            loop.register(self._sock, selectors.EVENT_WRITE, self._handle_writable)
-            loop.call_later(timeout_seconds, lambda: self._finish(errno.ETIMEDOUT))
-        else:
-            loop.call_later(0.0, lambda: self._finish(code))
-
-    def _handle_writable(self, _events: int) -> None:
-        self._finish(self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
-
-    def _finish(self, code: int) -> None:
-        if self._sock is None:
-            return
-        sock, self._sock = self._sock, None
-        if self._is_registered:
-            self._loop.unregister(sock)
-        sock.close()
-        self._on_result({0: True, errno.ECONNREFUSED: False}.get(code))
-
-
 class Pool:
     """Connections of this process to backend servers.
 
@@ -540,7 +502,9 @@
                 DESCRIPTOR_RETRY_SECONDS, lambda: self.check_listening(address, on_result)
             )
             return
-        _ListenCheck(self.loop, address, self._connect_timeout_seconds, on_result, sock)
+        listen_checks.ListenCheck(
+            self.loop, address, self._connect_timeout_seconds, on_result, sock
+        )
 
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to a server; those with a request stay open."""
--- a/flamingoramp/http/tests/test_closing.py
+++ b/flamingoramp/http/tests/test_closing.py
@@ -9,7 +9,7 @@
 import time
 from unittest import mock
 
-from flamingoramp.http import messages, server
+from flamingoramp.http import connections, exchanges, messages, server
 from flamingoramp.http.tests import test_server
 from flamingoramp.runtime import listeners, loop, stream
 
@@ -102,7 +102,7 @@
     # Guards against answers that are cut since their reader takes longer than an idle connection
     # is kept.
     def test_answer_that_is_read_longer_than_the_idle_time_is_sent_whole(self):
-        echo_server = self.start_server(limits=server.Limits(idle_seconds=0.3))
+        echo_server = self.start_server(limits=exchanges.Limits(idle_seconds=0.3))
         sock = self.request_long_answer(echo_server)
         time.sleep(2 * server.TIMEOUT_CHECK_INTERVAL_SECONDS + 0.3)
         self.assert_whole(self.read_to_end(sock))
@@ -149,7 +149,7 @@
         self.assertEqual(echo_server.refused_statuses, [])
 
     def test_request_that_crosses_the_idle_timeout_is_answered_as_not_run(self):
-        echo_server = self.start_server(limits=server.Limits(idle_seconds=0.1))
+        echo_server = self.start_server(limits=exchanges.Limits(idle_seconds=0.1))
         sock = self.connect_kept(echo_server)
         time.sleep(0.1 + 1.5 * server.TIMEOUT_CHECK_INTERVAL_SECONDS)
         sock.sendall(REQUEST)
@@ -181,7 +181,7 @@
         sock.sendall(REQUEST[:10])
         time.sleep(0.05)
         self.stop_accepting(echo_server)
-        time.sleep(server.CLOSING_SILENCE_SECONDS + 2 * server.CLOSING_CHECK_INTERVAL_SECONDS)
+        time.sleep(connections.CLOSING_SILENCE_SECONDS + 2 * server.CLOSING_CHECK_INTERVAL_SECONDS)
         sock.sendall(REQUEST[10:] + REQUEST)
         time.sleep(0.05)
         self.assert_refused(sock)
@@ -195,8 +195,8 @@
         while self.busy_count(echo_server):
             time.sleep(0.01)
         elapsed_seconds = time.monotonic() - began_at
-        self.assertGreaterEqual(elapsed_seconds, server.LINGER_SECONDS)
-        self.assertLess(elapsed_seconds, server.LINGER_SECONDS + 0.5)
+        self.assertGreaterEqual(elapsed_seconds, connections.LINGER_SECONDS)
+        self.assertLess(elapsed_seconds, connections.LINGER_SECONDS + 0.5)
         self.assert_refused(open_connection)
 
     # Guards against a request that gets no response, since it crosses the close after an answer
@@ -248,7 +248,7 @@
         sock = self.connect(echo_server)
         self.stop_accepting(echo_server)
         self.assertEqual(self.busy_count(echo_server), 1)
-        time.sleep(server.FIRST_REQUEST_SECONDS + 2 * server.CLOSING_CHECK_INTERVAL_SECONDS)
+        time.sleep(connections.FIRST_REQUEST_SECONDS + 2 * server.CLOSING_CHECK_INTERVAL_SECONDS)
         sock.sendall(REQUEST)
         time.sleep(0.05)
         self.assert_refused(sock)
--- a/flamingoramp/http/tests/test_crowds.py
+++ b/flamingoramp/http/tests/test_crowds.py
@@ -7,13 +7,13 @@
 import threading
 import time
 
-from flamingoramp.http import messages, server
+from flamingoramp.http import connections, exchanges, messages, server
 from flamingoramp.http.tests import test_server
 from flamingoramp.runtime import byte_account
 
 MEMORY_BYTES = 600_000
 BODY_BYTES = 90_000
-LIMITS = server.Limits(header_bytes=8192, body_bytes=1_000_000)
+LIMITS = exchanges.Limits(header_bytes=8192, body_bytes=1_000_000)
 
 
 def make_request(length: int, path: str = "/") -> bytes:
@@ -137,7 +137,7 @@
         sock = self.connect(echo_server)
         sock.sendall(make_request(0, "/unread"))
         exchange = self.wait_for_exchange(echo_server)
-        answer = messages.Response(200, (), b"y" * server.MAX_WRITE_BUFFER_BYTES)
+        answer = messages.Response(200, (), b"y" * connections.MAX_WRITE_BUFFER_BYTES)
         echo_server.run_in_loop(lambda: exchange.respond(answer))
         echo_server.keep_exchanges = False
         self.assertEqual(self.ask(echo_server), 200)
@@ -218,7 +218,7 @@
 
     # Guards against a body that never exceeds the limit, however long its chunks' heads are.
     def test_a_body_of_framing_only_is_refused(self):
-        limits = server.Limits(header_bytes=8192, body_bytes=1000)
+        limits = exchanges.Limits(header_bytes=8192, body_bytes=1000)
         echo_server = self.start_server(limits=limits)
         sock = self.connect(echo_server)
         sock.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n")
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -10,11 +10,11 @@
 from unittest import mock
 
 from flamingoramp import errors
-from flamingoramp.http import messages, server
+from flamingoramp.http import connections, exchanges, messages, server
 from flamingoramp.runtime import byte_account, loop, stream
 
 TIMEOUT_SECONDS = 20.0
-LIMITS = server.Limits(header_bytes=8192, body_bytes=100_000)
+LIMITS = exchanges.Limits(header_bytes=8192, body_bytes=100_000)
 
 
 class EchoServer:
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        limits: server.Limits = LIMITS,
+        limits: exchanges.Limits = LIMITS,
         *,
         contains_errors: bool = False,
         memory_bytes: int | None = None,
@@ -35,10 +35,10 @@
         self.shortages: list[byte_account.Shortage] = []
         self.account = byte_account.ByteAccount(memory_bytes, self.loop.now, self.shortages.append)
         self.requests: list[messages.Request] = []
-        self.kept_exchanges: list[server.Exchange] = []
+        self.kept_exchanges: list[exchanges.Exchange] = []
         self.refused_statuses: list[int] = []
         self.errors: list[Exception] = []
-        self.undelivered: list[server.UndeliveredAnswer] = []
+        self.undelivered: list[exchanges.UndeliveredAnswer] = []
         self.keep_exchanges = False
         self.server = server.Server(
             self.loop,
@@ -55,7 +55,7 @@
         self.thread = threading.Thread(target=self.loop.run)
         self.thread.start()
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: exchanges.Exchange) -> None:
         self.requests.append(exchange.request)
         if self.keep_exchanges:
             self.kept_exchanges.append(exchange)
@@ -118,7 +118,7 @@
         self.addCleanup(sock.close)
         return sock
 
-    def wait_for_exchange(self, echo_server: EchoServer) -> server.Exchange:
+    def wait_for_exchange(self, echo_server: EchoServer) -> exchanges.Exchange:
         """Wait for an exchange that the server keeps, and take it."""
         deadline = time.monotonic() + TIMEOUT_SECONDS
         while not echo_server.kept_exchanges and time.monotonic() < deadline:
@@ -218,7 +218,7 @@
         self.wait_for_busy_count(echo_server, 1, TIMEOUT_SECONDS)
         self.connect(echo_server)
         self.stop_accepting(echo_server)
-        seconds = server.CLOSING_SILENCE_SECONDS + server.TIMEOUT_CHECK_INTERVAL_SECONDS
+        seconds = connections.CLOSING_SILENCE_SECONDS + server.TIMEOUT_CHECK_INTERVAL_SECONDS
         self.wait_for_busy_count(echo_server, 0, seconds + 0.5)
         self.assertEqual(read_response(with_partial_request)[0], 408)
 
@@ -390,7 +390,7 @@
 
     def test_requests_succeed_beside_hundreds_of_slow_connections(self):
         echo_server = self.start_server(
-            limits=server.Limits(header_seconds=600.0, body_seconds=600.0)
+            limits=exchanges.Limits(header_seconds=600.0, body_seconds=600.0)
         )
         slow_connections = [self.connect(echo_server) for _ in range(300)]
         for sock in slow_connections:
@@ -407,7 +407,7 @@
         self.assertEqual(len(echo_server.requests), 10)
 
     def test_partial_header_is_refused_with_408_after_the_timeout(self):
-        echo_server = self.start_server(limits=server.Limits(header_seconds=0.3))
+        echo_server = self.start_server(limits=exchanges.Limits(header_seconds=0.3))
         sock = self.connect(echo_server)
         sock.sendall(b"GET / HTTP/1.1\r\nho")
         self.assertEqual(read_response(sock)[0], 408)
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from flamingoramp.http import client, messages, server
+from flamingoramp.http import client, exchanges, messages, server
 from flamingoramp.runtime import loop as loops
 
 ANNOUNCE_INTERVAL_SECONDS = 0.2
@@ -211,7 +211,7 @@
         control_address = self._control_addresses[self._sequence % len(self._control_addresses)]
         self._pool.send(control_address, request, client.Collector(lambda _head, _body: None))
 
-    def _handle(self, exchange: server.Exchange) -> None:
+    def _handle(self, exchange: exchanges.Exchange) -> None:
         request = exchange.request
         if request.path == "/v1/order":
             self._handle_memory_command(exchange, json.loads(request.body))
@@ -223,7 +223,7 @@
             self.header_times.append(self._loop.now())
         self.answer(exchange)
 
-    def answer(self, exchange: server.Exchange) -> None:
+    def answer(self, exchange: exchanges.Exchange) -> None:
         """Answer a request of a caller as the behaviour says."""
         request = exchange.request
         exchange.on_disconnect = self._count_disconnect
@@ -263,7 +263,7 @@
         first_number = int(request.header(b"last-event-id") or b"0") + 1
         self._write_event(exchange, first_number)
 
-    def _send_endless(self, exchange: server.Exchange, endless: EndlessAnswer) -> None:
+    def _send_endless(self, exchange: exchanges.Exchange, endless: EndlessAnswer) -> None:
         stream = exchange._connection._stream
         request_id = exchange.request.header(b"x-attempt-id") or b""
         stream.write(endless.begin.replace(b"ID", request_id).replace(b"STAMP", b"stamp"))
@@ -278,7 +278,7 @@
 
         _send_more()
 
-    def _write_event(self, exchange: server.Exchange, number: int) -> None:
+    def _write_event(self, exchange: exchanges.Exchange, number: int) -> None:
         if exchange.is_done:
             return
         if self.behaviour.disconnect_after_event == number - 1:
@@ -293,7 +293,7 @@
             self.behaviour.event_interval_seconds, lambda: self._write_event(exchange, number + 1)
         )
 
-    def _handle_memory_command(self, exchange: server.Exchange, body: dict[str, Any]) -> None:
+    def _handle_memory_command(self, exchange: exchanges.Exchange, body: dict[str, Any]) -> None:
         if body["op"] == "release":
             self.reserved_tokens.pop(body["id"], None)
         elif self.behaviour.refuses_memory:
--- a/flamingoramp/platform/tests/test_endless_answers.py
+++ b/flamingoramp/platform/tests/test_endless_answers.py
@@ -9,7 +9,7 @@
 import time
 from concurrent import futures
 
-from flamingoramp.http import server
+from flamingoramp.http import connections
 from flamingoramp.platform.tests import fake_server
 from flamingoramp.platform.tests import fleet as fleets
 
@@ -144,7 +144,7 @@
 
     # Guards against an answer that is cut off, since what its caller hasn't read exceeds a buffer.
     def test_answer_over_the_output_buffer_is_whole_for_a_caller_who_reads_slowly(self):
-        size = 3 * server.MAX_WRITE_BUFFER_BYTES // 2
+        size = 3 * connections.MAX_WRITE_BUFFER_BYTES // 2
         piece = b"z" * 65536
         head = (
             b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: STAMP\r\n"
@@ -171,4 +171,4 @@
             while count < size and (data := sock.recv(65536)):
                 count += len(data)
         self.assertEqual(count, size)
-        self.assertLess(held_bytes, server.MAX_WRITE_BUFFER_BYTES // 2)
+        self.assertLess(held_bytes, connections.MAX_WRITE_BUFFER_BYTES // 2)
--- a/flamingoramp/platform/tests/test_evacuation.py
+++ b/flamingoramp/platform/tests/test_evacuation.py
@@ -10,7 +10,7 @@
 
 from flamingoramp.consensus import node
 from flamingoramp.daemons import gateway, operator_calls
-from flamingoramp.http import server as http_server
+from flamingoramp.http import exchanges
 from flamingoramp.platform.tests import fake_server, server_links
 from flamingoramp.platform.tests import fleet as fleets
 
@@ -297,7 +297,7 @@
     def test_orders_whose_acknowledgements_are_lost_take_effect_once_repeated(self):
         fleet = self.start_serving(entries=1)
         for method, zones in (("POST", ("a",)), ("DELETE", ())):
-            with mock.patch.object(http_server.Exchange, "respond"):
+            with mock.patch.object(exchanges.Exchange, "respond"):
                 for address in fleet.seeds:
                     self.assertEqual(fleet.send_order(method, "a", address), 0)
             self.assertLess(fleet.order_zone(method, "a"), fleets.ORDER_SECONDS)
--- a/flamingoramp/platform/tests/test_faulty_answers.py
+++ b/flamingoramp/platform/tests/test_faulty_answers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from flamingoramp.http import messages, server
+from flamingoramp.http import connections, exchanges, messages
 from flamingoramp.platform.tests import fake_server
 from flamingoramp.platform.tests import fleet as fleets
 
@@ -73,7 +73,7 @@
         self._answers = answers
         super().__init__(name, service, seeds)
 
-    def _handle(self, exchange: server.Exchange) -> None:
+    def _handle(self, exchange: exchanges.Exchange) -> None:
         if not self._answers:
             super()._handle(exchange)
             return
@@ -96,12 +96,12 @@
     ):
         self._status = status
         self._headers = headers
-        self._refusal_headers: dict[server.Connection, messages.Headers] = {}
+        self._refusal_headers: dict[connections.Connection, messages.Headers] = {}
         self.run_ids: list[bytes] = []
         self.repeat_count = 0
         super().__init__(name, service, seeds)
 
-    def _handle(self, exchange: server.Exchange) -> None:
+    def _handle(self, exchange: exchanges.Exchange) -> None:
         request_id = exchange.request.header(b"x-attempt-id") or b""
         connection = exchange._connection
         if connection not in self._refusal_headers:
--- a/flamingoramp/runtime/http_server.py
+++ b/flamingoramp/runtime/http_server.py
@@ -19,7 +19,7 @@
 import werkzeug
 
 from flamingoramp import errors
-from flamingoramp.http import messages, server
+from flamingoramp.http import exchanges, messages, server
 from flamingoramp.runtime import byte_account, listeners
 from flamingoramp.runtime import loop as loops
 
@@ -148,7 +148,7 @@
         self._handler = handler
         self._on_error = on_error
         self._loop = loops.Loop(on_error=on_error)
-        limits = server.Limits(
+        limits = exchanges.Limits(
             header_bytes=MAX_HEADER_BYTES,
             body_bytes=max_body_bytes,
             header_seconds=READ_TIMEOUT_SECONDS,
@@ -212,13 +212,13 @@
         else:
             self._loop.stop()
 
-    def _handle_in_pool(self, exchange: server.Exchange) -> None:
+    def _handle_in_pool(self, exchange: exchanges.Exchange) -> None:
         try:
             self._pool.submit(self._handle, exchange)
         except RuntimeError:  # the pool was shut down
             exchange.respond(messages.Response(503))
 
-    def _handle(self, exchange: server.Exchange) -> None:
+    def _handle(self, exchange: exchanges.Exchange) -> None:
         try:
             request = werkzeug.Request(_make_environment(exchange.request))
             response = self.dispatch_request(request, exchange.socket)
@@ -240,7 +240,7 @@
     )
 
 
-def _finish(exchange: server.Exchange, answer: messages.Response | None) -> None:
+def _finish(exchange: exchanges.Exchange, answer: messages.Response | None) -> None:
     """Send a response, or leave the connection to the handler's duplicate of its socket."""
     if answer is None:
         exchange.detach()
