Refusals during a start go on after a connection that was reset; no clock call for output that is sent at once

Found by reading. A caller that had reset its connection could end the refusal of those behind it, until the next look; each connection is accepted and answered apart now, and the test has such a caller. A stream read the clock at each write for the time since when its buffer holds bytes; it does so only if bytes are left. A method that nothing called is gone. Tests of the start, the server, crowds and the transport pass.

--- a/flamingoramp/platform/tests/test_signals.py
+++ b/flamingoramp/platform/tests/test_signals.py
@@ -104,6 +104,11 @@
                 socks = [socket.create_connection((host, int(port))) for _ in range(50)]
                 for sock in socks[:40]:
                     sock.sendall(b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbody")
+                # One that was reset holds up no other.
+                reset = socket.create_connection((host, int(port)))
+                socks.append(socket.create_connection((host, int(port))))
+                reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01" + bytes(7))
+                reset.close()
                 program.process.send_signal(signal.SIGTERM)
                 for sock in socks:
                     with sock:
--- a/flamingoramp/runtime/listeners.py
+++ b/flamingoramp/runtime/listeners.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import resource
@@ -319,15 +320,12 @@
     def _refuse_accepted(self) -> list[socket.socket]:
         refused = []
         for listener in self._listening:
-            try:
-                while True:
-                    sock, _ = listener.accept()
-                    refused.append(sock)
+            while (sock := _accept(listener)) is not None:
+                with contextlib.suppress(OSError):  # the caller may have closed it
                     sock.setblocking(False)
                     sock.send(REFUSAL)
                     sock.shutdown(socket.SHUT_WR)
-            except OSError:
-                continue  # no further one, or it was closed
+                refused.append(sock)
         return refused
 
     def close(self) -> None:
@@ -337,6 +335,14 @@
         self._sockets.clear()
 
 
+def _accept(listener: socket.socket) -> socket.socket | None:
+    """Accept a connection; return None if there is none."""
+    try:
+        return listener.accept()[0]
+    except OSError:
+        return None
+
+
 def _has_ended(sock: socket.socket) -> bool:
     """Discard what has arrived; return whether the peer has closed the connection."""
     try:
--- a/flamingoramp/runtime/stream.py
+++ b/flamingoramp/runtime/stream.py
@@ -127,14 +127,15 @@
         """Queue bytes for sending; they are discarded if the connection is closed."""
         if not self._open or not data:
             return
-        if not self._buffered_bytes:
-            self._buffered_since = self._loop.now()
+        was_empty = not self._buffered_bytes
         self._append_output(data)
         if self._buffered_bytes > self._buffer_limit_bytes:
             self._fail()
             return
         if not self._write_interest:
             self._flush()
+        if was_empty and self._buffered_bytes:
+            self._buffered_since = self._loop.now()
 
     def _append_output(self, data: bytes) -> None:
         self._buffered_bytes += len(data)
@@ -145,10 +146,6 @@
         else:
             self._output.append(bytearray(data))
 
-    def _discard_output(self) -> None:
-        self._output.clear()
-        self._buffered_bytes = 0
-
     def pause_reading(self) -> None:
         """Read nothing more until `resume_reading`; the peer's end isn't noticed meanwhile."""
         if self._open and not self._is_paused:
