--- a/flamingoramp/platform/tests/test_client_crowds.py
+++ b/flamingoramp/platform/tests/test_client_crowds.py
@@ -46,6 +46,7 @@
 make_call = functools.partial(client_crowds.make_head, "POST", "/hold/x")
 make_declaration_call = functools.partial(client_crowds.make_head, "PUT", "/v1/config")
 make_lookup = functools.partial(client_crowds.make_head, "GET", "/v1/lookup?name=x")
+make_check = functools.partial(client_crowds.make_head, "GET", "/v1/readyz")
 make_metrics_call = functools.partial(client_crowds.make_head, "GET", "/metrics")
 
 
@@ -336,6 +337,9 @@
     def test_bodies_at_the_directory_of_a_control_host(self):
         self.check_small_port(self.control.settings["listen"]["directory"], make_lookup)
 
+    def test_bodies_at_the_readiness_of_an_entry(self):
+        self.check_small_port(self.entry.settings["listen"]["readiness"], make_check)
+
     def test_bodies_at_the_metrics_of_an_entry(self):
         self.check_small_port(self.entry.settings["listen"]["metrics"], make_metrics_call)
 
