--- a/review/shared-2/deployment.py
+++ b/review/shared-2/deployment.py
@@ -73,6 +73,23 @@
 
     def start(self, *, seeds: list[Machine], first_start: bool) -> None:
         """Start the process, with settings as the template of the deploy file gives them."""
+        path = self.write_settings(seeds=seeds, first_start=first_start)
+        command = self.deployment.commands[self.role]
+        environment = {
+            "PATH": os.environ["PATH"],
+            "HOME": os.environ.get("HOME", "/"),
+            "LANG": os.environ.get("LANG", "C.UTF-8"),
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "FLAMINGORAMP_CONFIG": str(path),
+        }
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+        self.deployment.note(f"{self.name} starts, pid {self.process.pid}")
+
+    def write_settings(self, *, seeds: list[Machine], first_start: bool) -> pathlib.Path:
+        """Write the settings file and return its path."""
         ports = self.deployment.ports
         listen = {"callers": "", "readiness": "", "directory": "", "operators": ""}
         if self.role == "control":
@@ -103,19 +120,7 @@
         }
         path = self.folder / "settings.json"
         path.write_text(json.dumps(settings))
-        command = self.deployment.commands[self.role]
-        environment = {
-            "PATH": os.environ["PATH"],
-            "HOME": os.environ.get("HOME", "/"),
-            "LANG": os.environ.get("LANG", "C.UTF-8"),
-            "PYTHONPATH": str(ROOT / "target" / "deps"),
-            "FLAMINGORAMP_CONFIG": str(path),
-        }
-        with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
-            )
-        self.deployment.note(f"{self.name} starts, pid {self.process.pid}")
+        return path
 
     @property
     def is_running(self) -> bool:
