--- a/review/shared-3/engine.py
+++ b/review/shared-3/engine.py
@@ -3,13 +3,15 @@
 Its argument is a JSON object: ``name``, ``service``, ``operators``, ``zone``, ``log``, and how it
 answers. A request with ``X-Token-Count`` gets a stream of ``events`` events, one each
 ``event_seconds``, and others a plain answer of ``answer_bytes`` bytes after ``work_seconds``.
-With ``comment_seconds``, a stream also has comments, as text/event-stream allows.
+With ``comments``, a stream has comments, too, as text/event-stream allows. With ``crash_marker``, a
+request with this text in its body ends the engine as soon as it runs.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import os
 import sys
 import time
 from typing import Any
@@ -20,6 +22,7 @@
     "work_seconds": 0.02,
     "answer_bytes": 800,
     "comments": False,
+    "crash_marker": "",
     "listen": "127.0.0.1",
 }
 
@@ -108,12 +111,15 @@
     """Serve one connection."""
     try:
         while True:
-            _, path, headers, _ = await read_request(reader)
+            _, path, headers, body = await read_request(reader)
             if path == "/v1/order":
                 await send_report(writer, "200 OK", {"idle": 0})
             elif headers.get("x-expect-instance", SETTINGS["name"]) != SETTINGS["name"]:
                 refusal = {"X-Attempt-Id": headers.get("x-attempt-id", ""), "Content-Length": "0"}
                 writer.write(encode_head("421 Misdirected Request", refusal))
+            elif SETTINGS["crash_marker"] and SETTINGS["crash_marker"].encode() in body:
+                write_log("crashes", headers["x-attempt-id"])
+                os._exit(1)
             elif "x-token-count" in headers:
                 await send_stream(headers, writer)
             else:
