--- a/review/11/case.py
+++ b/review/11/case.py
@@ -16,7 +16,7 @@
 ENTRY_COUNT = 2
 ENGINE_COUNT = 8
 # Parts of a document that several requests ask about; the header stays below 16,384 bytes.
-DOCUMENT_PARTS = 900
+DOCUMENT_PARTS = 1000
 DOCUMENT = ",".join(f"{0x5C1E0000 + number:08x}:45" for number in range(DOCUMENT_PARTS))
 TOKEN_COUNT = f"{45 * (DOCUMENT_PARTS + 1)},100"
 READER_COUNT = 12
