--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""After a prompt that crashes engines, requests that share its parts stop the entries."""
+"""A tenant whose name ends with a space ends the entries, and cuts the others' requests."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 import sys
 import threading
 import time
-import zlib
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "shared-3"))
@@ -14,176 +13,169 @@
 import harness  # noqa: E402
 
 ENTRY_COUNT = 2
-ENGINE_COUNT = 8
-# Parts of a document that several requests ask about; the header stays below 16,384 bytes.
-DOCUMENT_PARTS = 1000
-DOCUMENT = ",".join(f"{0x5C1E0000 + number:08x}:45" for number in range(DOCUMENT_PARTS))
-TOKEN_COUNT = f"{45 * (DOCUMENT_PARTS + 1)},100"
-READER_COUNT = 12
-PATH = "/brief-read/a"
-CHECK_PATH = "/proof-check/a"
-CHECK_TIMEOUT_MS = 600
-CHECK_PATIENCE_SECONDS = 8.0
-CHECK_INTERVAL_SECONDS = 0.1
-CHECK_SECONDS = 12.0
-MARKER = "crashes engines"
-# An engine that has crashed is back after this time.
-RESTART_SECONDS = 3.0
-
-
-def ask(deployment: harness.Deployment, number: int, attempt_id: str, body: str) -> harness.Answer:
-    """Ask about the document at an entry, and read the answer to its end."""
-    own_part = f"{zlib.crc32(attempt_id.encode()):08x}:45"
-    headers = harness.client_headers(
-        attempt_id,
-        X_Model="m",
-        X_Token_Count=TOKEN_COUNT,
-        X_Prompt_Prefix=f"{DOCUMENT},{own_part}",
-        X_Deadline_Ms="10000",
-    )
-    with harness.connect(deployment.callers(number), timeout=40.0) as sock:
-        sock.sendall(harness.encode_request("POST", PATH, headers, body.encode()))
-        return harness.Answer(sock).read()
-
-
-class Restarts:
-    """Starts a new engine, with a new id, for each that has crashed, after some seconds."""
+ENGINE_COUNT = 6
+STREAM_CLIENTS = 4
+EVENT_COUNT = 20
+DRAFT_PATH = "/caption-draft/a"
+NEW_KEY = "p4kq0zt1v8w2hd6mxr3b"
+NEW_TENANT = "daejeon-coop"
+# Requests of the new tenant: so many, to all entries in turn, at this interval.
+NEW_REQUEST_COUNT = 40
+NEW_INTERVAL_SECONDS = 0.6
+SECONDS = 30.0
+# The platform starts a process again that has ended.
+RESTART_SECONDS = 0.5
+
+
+class StreamClient:
+    """A client of the first tenant that sends one stream after the other on a kept connection."""
+
+    def __init__(self, deployment: harness.Deployment, record: harness.Record, number: int):
+        self._deployment = deployment
+        self._record = record
+        self._number = number
+        self.complete_count = 0
+        # Ids of requests whose connection ended without a complete answer.
+        self.cut: list[str] = []
+
+    def run(self, ends_at: float) -> None:
+        """Send streams until a time; connect again after a connection has ended."""
+        sock = None
+        count = 0
+        while time.monotonic() < ends_at:
+            count += 1
+            attempt_id = f"draft-{self._number}-{count}"
+            headers = harness.client_headers(
+                attempt_id,
+                X_Model="m",
+                X_Token_Count="1000,700",
+                X_Prompt_Prefix=f"5c1e07a2:40,{self._number:08x}:960",
+            )
+            is_kept = sock is not None
+            try:
+                if sock is None:
+                    entry = self._number % ENTRY_COUNT
+                    sock = harness.connect(self._deployment.callers(entry), timeout=15.0)
+                sock.sendall(harness.encode_request("POST", DRAFT_PATH, headers, b"prompt"))
+                answer = harness.Answer(sock).read()
+            except OSError:
+                sock = None
+                time.sleep(0.2)
+                continue
+            if answer.is_complete:
+                self.complete_count += answer.status == 200
+                if answer.headers.get("connection") == "close":
+                    sock.close()
+                    sock = None
+                continue
+            if is_kept:
+                self.cut.append(attempt_id)
+            self._record.write(
+                f"{attempt_id}: status {answer.status}, {len(answer.body)} bytes, {answer.error}, "
+                f"on a {'kept' if is_kept else 'new'} connection"
+            )
+            sock.close()
+            sock = None
+            time.sleep(0.2)
+
+
+class Platform:
+    """Starts entries again that have ended, and counts how often each has."""
 
     def __init__(self, deployment: harness.Deployment, record: harness.Record):
         self._deployment = deployment
         self._record = record
+        self.end_counts = [0] * ENTRY_COUNT
         self._is_over = threading.Event()
         self._thread = threading.Thread(target=self._run)
         self._thread.start()
 
     def _run(self) -> None:
-        crashed_at: dict[str, float] = {}
-        while not self._is_over.wait(0.1):
-            for name, engine in list(self._deployment.engines.items()):
-                if engine.process.poll() is None:
+        while not self._is_over.wait(0.05):
+            for number in range(ENTRY_COUNT):
+                status = self._deployment.exit_status(f"entry-{number}")
+                if status is None:
                     continue
-                if name not in crashed_at:
-                    crashed_at[name] = time.monotonic()
-                    self._record.write(f"engine {name} has crashed")
-                elif 0 < crashed_at[name] < time.monotonic() - RESTART_SECONDS:
-                    crashed_at[name] = 0.0
-                    self._record.write(f"engine {name} is back as {name}-again")
-                    start_engine(self._deployment, f"{name}-again")
+                self.end_counts[number] += 1
+                self._record.write(f"entry-{number} has ended by itself with status {status}")
+                time.sleep(RESTART_SECONDS)
+                self._deployment.start_program("entry", number)
 
     def close(self) -> None:
-        """Start no more engines."""
+        """Start nothing more."""
         self._is_over.set()
         self._thread.join()
 
 
-def start_engine(deployment: harness.Deployment, name: str) -> None:
-    """Start an engine, which the first request about the document crashes."""
-    marker = MARKER if harness.trouble_is_on() else ""
-    deployment.add_engine(name, "design-llm", events=5, event_seconds=0.05, crash_marker=marker)
-
-
-class Checks:
-    """Clients that ask the order desk at a steady rate, and how long each answer took."""
-
-    def __init__(self, deployment: harness.Deployment, record: harness.Record):
-        self._deployment = deployment
-        self._record = record
-        self._lock = threading.Lock()
-        self.seconds: list[float] = []
-        self.statuses: list[int] = []
-
-    def _check(self, number: int, attempt_id: str) -> None:
-        headers = harness.client_headers(attempt_id, X_Deadline_Ms="8000")
-        began_at = time.monotonic()
-        status = 0
-        try:
-            with harness.connect(
-                self._deployment.callers(number), timeout=CHECK_PATIENCE_SECONDS
-            ) as sock:
-                sock.sendall(harness.encode_request("GET", CHECK_PATH, headers))
-                status = harness.Answer(sock).read().status
-        except OSError:
-            pass
-        seconds = time.monotonic() - began_at
-        with self._lock:
-            self.seconds.append(seconds if status else float("inf"))
-            self.statuses.append(status)
-        self._record.write(f"{attempt_id} at entry {number}: {status} after {seconds:.3f} s")
-
-    def run(self) -> None:
-        """Send checks to all entries, whether earlier ones are answered or not."""
-        threads = []
-        for number in range(int(CHECK_SECONDS / CHECK_INTERVAL_SECONDS)):
-            for entry in range(ENTRY_COUNT):
-                name = f"check-{entry}-{number}"
-                threads.append(threading.Thread(target=self._check, args=(entry, name)))
-                threads[-1].start()
-            time.sleep(CHECK_INTERVAL_SECONDS)
-        for thread in threads:
-            thread.join()
+def ask(deployment: harness.Deployment, record: harness.Record, number: int) -> None:
+    """Send a request of the new tenant."""
+    attempt_id = f"new-{number}"
+    headers = harness.client_headers(
+        attempt_id,
+        X_Model="m",
+        X_Token_Count="5000,700",
+        X_Prompt_Prefix=f"5c1e07a2:40,{number:08x}:4960",
+        Authorization=f"Token {NEW_KEY}",
+    )
+    try:
+        with harness.connect(deployment.callers(number % ENTRY_COUNT), timeout=12.0) as sock:
+            sock.sendall(harness.encode_request("POST", DRAFT_PATH, headers, b"prompt"))
+            answer = harness.Answer(sock).read()
+        record.write(f"{attempt_id}: status {answer.status} {answer.error}")
+    except OSError as error:
+        record.write(f"{attempt_id}: {type(error).__name__}")
 
 
 def play(record: harness.Record) -> bool:
-    """Send a prompt that crashes engines, then requests about the same document."""
+    """Add a tenant while another one works."""
     deployment = harness.Deployment(record, entries=ENTRY_COUNT)
-    restarts = None
+    platform = None
     try:
         deployment.start()
-        routes = [
-            harness.make_route("brief-read", "streaming", "design-llm", slo_ms=1500),
-            harness.make_route(
-                "proof-check", "idempotent", "order-desk", timeout_ms=CHECK_TIMEOUT_MS, slo_ms=125
-            ),
-        ]
+        routes = [harness.make_route("caption-draft", "streaming", "design-llm")]
         deployment.configure(harness.make_configuration(1, routes))
         for number in range(ENGINE_COUNT):
-            start_engine(deployment, f"i-{number}")
-        for number in range(3):
-            deployment.add_engine(f"desk-{number}", "order-desk")
-        deployment.wait_until_served(PATH, {"X-Model": "m", "X-Token-Count": "100,10"})
-        deployment.wait_until_served(CHECK_PATH, {})
-        time.sleep(4.0)
-        restarts = Restarts(deployment, record)
-        for number in range(2):  # a client retries once
-            answer = ask(deployment, 0, f"first-{number}", MARKER)
-            record.write(f"first-{number}: status {answer.status}, {answer.error or 'complete'}")
-            time.sleep(0.3)
-        time.sleep(1.0)
-        checks = Checks(deployment, record)
-        checker = threading.Thread(target=checks.run)
-        checker.start()
-        time.sleep(2.0)
-
-        def _read(name: str, number: int) -> None:
-            began_at = time.monotonic()
-            try:
-                answer = ask(deployment, number, name, "a question")
-                text = f"{answer.status}, {answer.error or 'complete'}"
-            except OSError as error:
-                text = type(error).__name__
-            record.write(f"{name} at entry {number}: {text} {time.monotonic() - began_at:.3f} s")
-
-        readers = [
-            threading.Thread(target=_read, args=(f"reader-{number}", number % ENTRY_COUNT))
-            for number in range(READER_COUNT)
+            deployment.add_engine(f"i-{number}", "design-llm", events=EVENT_COUNT)
+        deployment.wait_until_served(DRAFT_PATH, {"X-Model": "m", "X-Token-Count": "100,10"})
+        time.sleep(3.0)
+        platform = Platform(deployment, record)
+        ends_at = time.monotonic() + SECONDS
+        clients = [
+            StreamClient(deployment, record, number)
+            for number in range(STREAM_CLIENTS * ENTRY_COUNT)
         ]
-        for reader in readers:
-            reader.start()
-        for thread in (*readers, checker):
+        threads = [threading.Thread(target=client.run, args=(ends_at,)) for client in clients]
+        for thread in threads:
+            thread.start()
+        document = harness.make_configuration(2, routes)
+        name = NEW_TENANT + (" " if harness.trouble_is_on() else "")
+        document["tenants"].append({"name": name, "api_keys": [NEW_KEY], "priority": 1})
+        deployment.configure(document)
+        time.sleep(5.0)
+        for number in range(NEW_REQUEST_COUNT):
+            threads.append(threading.Thread(target=ask, args=(deployment, record, number)))
+            threads[-1].start()
+            time.sleep(NEW_INTERVAL_SECONDS)
+        for thread in threads:
             thread.join()
-        timeout_seconds = CHECK_TIMEOUT_MS / 1000
-        late = [seconds for seconds in checks.seconds if seconds > timeout_seconds]
-        unanswered = [seconds for seconds in late if seconds > timeout_seconds + 0.5]
-        record.write(
-            f"{len(checks.seconds)} checks, {len(late)} longer than their route's timeout, "
-            f"{len(unanswered)} of these without an answer half a second after it"
-        )
-        if not any(status == 200 for status in checks.statuses):
-            raise harness.CannotRunError("the order desk serves nothing")
-        return not (len(unanswered) >= 8 and 4 * len(unanswered) > len(late))
+        platform.close()
+        ran = {
+            item["id"]
+            for engine in deployment.engines.values()
+            for item in engine.events()
+            if item["event"] == "runs"
+        }
+        complete_count = sum(client.complete_count for client in clients)
+        cut = [attempt_id for client in clients for attempt_id in client.cut if attempt_id in ran]
+        record.write(f"the first tenant got {complete_count} complete streams")
+        record.write(f"ends of the entries by themselves: {platform.end_counts}")
+        record.write(f"{len(cut)} requests of kept connections passed on and not answered: {cut}")
+        if not complete_count:
+            raise harness.CannotRunError("nothing was served")
+        return len(cut) <= 3
     finally:
-        if restarts is not None:
-            restarts.close()
+        if platform is not None:
+            platform.close()
         deployment.close()
 
 
