Names of workspaces are sent in any declaration's text

What callers saw: a valid declaration added a workspace whose name ends with a blank.

Cause: `encode_forwarded_request` put the name into a header as it was. h11 refuses a value with blanks at its ends or with NUL, CR, LF, VT or FF.

Change: `messages.encode_field_value` leaves out outer blanks, which receivers ignore, and percent-encodes control characters. It works since no text is left that h11 refuses.

--- a/flamingoramp/http/messages.py
+++ b/flamingoramp/http/messages.py
@@ -4,6 +4,7 @@
 
 import http
 import json
+import re
 from typing import Any
 
 import attrs
@@ -29,6 +30,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Bytes that no field value holds (RFC 9110, section 5.5); a blank may stand inside a value only.
+_CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of a header by its lower-case name, None if it is missing."""
@@ -38,6 +42,21 @@
     return None
 
 
+def encode_field_value(text: str) -> bytes:
+    """Encode any text in UTF-8 as the value of a header.
+
+    Blanks at its ends are left out, as each receiver ignores them there. Control characters, which
+    would end the header or make it invalid, are percent-encoded.
+    """
+    value = text.encode().strip(b" \t")
+    return _CONTROL_BYTE.sub(lambda found: b"%%%02X" % found[0][0], value)
+
+
+def is_field_value(value: bytes) -> bool:
+    """Return whether a header with this value can be sent; blanks at its ends are ignored."""
+    return _CONTROL_BYTE.search(value) is None
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return the headers to forward: all but the hop-by-hop ones and those listed in Connection."""
     connection_options = {
--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -107,7 +107,8 @@
         milliseconds = max(1, int(forwarded.remaining_seconds * 1000))
         headers.append((wire_names.DEADLINE, b"%d" % milliseconds))
     if forwarded.workspace:
-        headers.append((wire_names.WORKSPACE, forwarded.workspace.encode("utf-8")))
+        workspace = messages.encode_field_value(forwarded.workspace)
+        headers.append((wire_names.WORKSPACE, workspace))
     if forwarded.priority is not None:
         headers.append((wire_names.PRIORITY, b"%d" % forwarded.priority))
     if forwarded.last_event_id:
