Requests to servers have a host whatever the caller's Connection names

What callers saw: a request with `Connection: close, host` got 500; 21 of them within 10 s ended the entry with all its callers.

Cause: headers that Connection names are left out, `Host` too, and h11 encodes no request without one. The failed send also left a connection that carried nothing and failed 0.25 s later as one that could not be established.

Change: a request without `Host` gets the server's address there, and one that can't be encoded takes its connection with it. It works since the one header that HTTP/1.1 requires can't be missing any more.

--- a/flamingoramp/http/client.py
+++ b/flamingoramp/http/client.py
@@ -208,6 +208,9 @@
         self._max_body_bytes = max_body_bytes
         self._sent_bytes_at_start = self._stream.sent_bytes
         headers = list(request.headers)
+        if request.header(b"host") is None:
+            # A caller of HTTP/1.0 may send none, and one may name it in Connection.
+            headers.insert(0, (b"host", self.address.encode()))
         if request.body or request.method not in (b"GET", b"HEAD"):
             headers.append((b"content-length", b"%d" % len(request.body)))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
@@ -534,6 +537,11 @@
         -------
         RequestHandle
             Cancels the request.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            The request can't be encoded; nothing was sent, and the receiver is not called.
         """
         connection = None if new_connection else self._pop_idle(address)
         if connection is None:
@@ -544,7 +552,11 @@
             self.opened_count += 1
             self._connections.add(connection)
             self.loop.call_later(self._connect_timeout_seconds, connection.fail_if_not_connected)
-        connection.send_request(request, receiver, max_body_bytes)
+        try:
+            connection.send_request(request, receiver, max_body_bytes)
+        except h11.LocalProtocolError:
+            connection.cancel(receiver)
+            raise
         return RequestHandle(connection, receiver)
 
     def add_idle(self, connection: _Connection) -> None:
--- a/flamingoramp/platform/tests/test_header_values.py
+++ b/flamingoramp/platform/tests/test_header_values.py
@@ -70,6 +70,21 @@
         self.check_no_errors()
 
 
+class TestHopByHopHeaders(HeaderValueCase):
+    """Headers that a caller names in Connection, and that are left out."""
+
+    # Guards against requests without a host, which can't be sent and which end the entry.
+    def test_request_whose_host_is_left_out_is_served(self):
+        for route in ("hold", "stream"):
+            with self.subTest(route=route):
+                answers = [
+                    self.send(self.fleet, route, connection="close, host")
+                    for _ in range(REPEAT_COUNT)
+                ]
+                self.assertEqual({answer.status for answer in answers}, {200})
+        self.check_no_errors()
+
+
 class TestNames(HeaderValueCase):
     """Names of routes, zones and servers with characters that mean something elsewhere."""
 
