An unexpected error in a callback of one request ends that request alone

Cause: `RequestHandler._start_request` answered 500 but left the forwarder alive, and errors in its timers, connections and waits reached the event loop, where 20 in 10 s end the process. Evidence: with an error injected into one of ten functions, requests took 5 to 8 s or got no answer, and others were cut off.

Change: `error_boundary.ErrorBoundary` runs all callbacks of a request: timers, both pools, settling, memory reservations, the room queue, the caller's connection. An error there ends the request at once and is counted as contained. Load, memory and held bytes are released whichever of them fails, and the report of the end can't keep a forwarder alive.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -159,6 +159,7 @@
             placement_announcer=self._load_exchange,
             send_to_entries=self._load_exchange.send_to_all,
             account=self._process.account,
+            on_error=self._process.record_contained_error,
         )
 
     def _record_request_start(self) -> None:
--- a/flamingoramp/dispatch/attempts.py
+++ b/flamingoramp/dispatch/attempts.py
@@ -9,6 +9,7 @@
 from flamingoramp import dialect as dialects
 from flamingoramp import value_classes
 from flamingoramp.backends import event_blocks
+from flamingoramp.dispatch import error_boundary
 from flamingoramp.http import client, exchanges
 from flamingoramp.intent import traffic
 from flamingoramp.protocol import messages as protocol_messages
@@ -98,10 +99,19 @@
     target : AttemptTarget
     number : int
         1 for the first send of the request.
+    boundary : error_boundary.ErrorBoundary
+        Contains the errors of the handler.
     """
 
-    def __init__(self, handler: AnswerHandler, target: AttemptTarget, number: int):
+    def __init__(
+        self,
+        handler: AnswerHandler,
+        target: AttemptTarget,
+        number: int,
+        boundary: error_boundary.ErrorBoundary,
+    ):
         self._handler = handler
+        self._boundary = boundary
         self.target = target
         self.number = number
         self.is_active = True
@@ -148,19 +158,21 @@
     def handle_head(self, head: client.Head) -> None:
         """Process the status and headers."""
         if self.is_active:
-            self._handler.handle_head(self, head)
+            self._boundary.run(self._handler.handle_head, self, head)
 
     def handle_data(self, data: bytes) -> None:
         """Process received bytes of the body."""
         if self.is_active:
-            self._handler.handle_data(self, data)
+            self._boundary.run(self._handler.handle_data, self, data)
 
     def handle_complete(self) -> None:
         """Process the end of a complete answer."""
         if self.is_active:
-            self._handler.handle_complete(self)
+            self._boundary.run(self._handler.handle_complete, self)
 
     def handle_failure(self, failure: client.Failure, *, may_have_run: bool) -> None:
         """Process a send that failed before its answer was complete."""
         if self.is_active:
-            self._handler.handle_failure(self, failure, may_have_run=may_have_run)
+            self._boundary.run(
+                lambda: self._handler.handle_failure(self, failure, may_have_run=may_have_run)
+            )
--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -15,6 +15,7 @@
 from flamingoramp.backends import event_blocks
 from flamingoramp.dispatch import (
     attempts,
+    error_boundary,
     forwarding_context,
     memory_reservations,
     stop_admission,
@@ -108,14 +109,24 @@
         self._first_event_at = 0.0
         self._relayed_event_count = 0
         self._is_done = False
-        self._exchange.on_disconnect = lambda: self._finish("caller_gone")
-        self._exchange.on_shortage = self._handle_shortage
+        self._boundary = error_boundary.ErrorBoundary(context.loop, self._end_by_error)
+        self._exchange.on_disconnect = self._boundary.wrap(lambda: self._finish("caller_gone"))
+        self._exchange.on_shortage = self._boundary.wrap(self._handle_shortage)
+
+    @property
+    def boundary(self) -> error_boundary.ErrorBoundary:
+        """Runs the callbacks of this request; an error in one ends it."""
+        return self._boundary
 
     def start(self) -> None:
         """Start the first attempt; the answer goes to the request's exchange."""
-        loop = self._context.loop
-        loop.call_later(max(0.0, self._deadline - loop.now()), self.end_by_deadline)
-        self._start_attempt()
+        remaining_seconds = max(0.0, self._deadline - self._context.loop.now())
+        self._boundary.call_later(remaining_seconds, self.end_by_deadline)
+        self._boundary.run(self._start_attempt)
+
+    def _postpone(self, step: Callable[[], None]) -> bool:
+        """Repeat a step later, and return True, while the known evacuations may be out of date."""
+        return self._context.postpone(self._boundary.wrap(step))
 
     # Attempts.
 
@@ -123,7 +134,7 @@
         """Choose servers; the request is sent once the placement is settled."""
         if self._is_done:
             return
-        if self._context.postpone(self._start_attempt):
+        if self._postpone(self._start_attempt):
             return
         try:
             target = self._choose_target()
@@ -134,13 +145,15 @@
             return
         self._target = target
         self._context.record_target(target)
-        self._context.settle(target, lambda must_move: self._handle_settled(target, must_move))
+        self._context.settle(
+            target, lambda must_move: self._handle_settled(target, must_move), self._boundary
+        )
 
     def _handle_settled(self, target: attempts.AttemptTarget, must_move: bool) -> None:
         """Reserve memory if needed and send the request, or place it again."""
         if self._is_done or self._target is not target:
             return
-        if self._context.postpone(lambda: self._handle_settled(target, must_move)):
+        if self._postpone(lambda: self._handle_settled(target, must_move)):
             return
         # A zone may have been evacuated since the servers were chosen.
         evacuated_servers = self._context.find_evacuated(target)
@@ -160,7 +173,7 @@
             return
         self._reservation_count += 1
         self._reservation = memory_reservations.MemoryReservation(
-            self._context.loop,
+            self._boundary,
             self._context.pool,
             self._context.dialect,
             memory_reservations.make_holds(target),
@@ -191,7 +204,7 @@
     def _handle_reserved(self, refused_servers: tuple[str, ...]) -> None:
         if self._is_done:
             return
-        if self._context.postpone(lambda: self._handle_reserved(refused_servers)):
+        if self._postpone(lambda: self._handle_reserved(refused_servers)):
             return
         # A zone may have been evacuated since the servers were chosen.
         refused_servers = refused_servers or self._context.find_evacuated(self._target)
@@ -245,7 +258,7 @@
         self._run_count += 1
         if self._attempt_count == 1:
             self._context.record_first_send(admitted.service)
-        attempt = attempts.Attempt(self, target, self._attempt_count)
+        attempt = attempts.Attempt(self, target, self._attempt_count, self._boundary)
         attempt.sent_at = attempt.last_progress_at = now
         self._attempt = attempt
         tickets = {
@@ -300,7 +313,7 @@
         self._peer_send_count += 1
         attempts_used = self._run_count
         self._run_count += 1
-        attempt = attempts.Attempt(self, self._target, self._peer_send_count)
+        attempt = attempts.Attempt(self, self._target, self._peer_send_count, self._boundary)
         attempt.sent_at = attempt.last_progress_at = now
         self._attempt = attempt
         context.record_step(
@@ -364,7 +377,7 @@
             group_start_at = attempt.last_progress_at + self._group_start_seconds
             if now < group_start_at - 0.001:
                 check_at = min(check_at, group_start_at)
-        loop.call_later(check_at - now, _check_for_stall)
+        self._boundary.call_later(check_at - now, _check_for_stall)
 
     def _schedule_group_check(self, attempt: attempts.Attempt, *, was_unresponsive: bool) -> None:
         """End a group whose engine is found not to respond twice in a row.
@@ -390,7 +403,7 @@
                 self._context.check_server(server)
             self._schedule_group_check(attempt, was_unresponsive=is_unresponsive)
 
-        loop.call_later(GROUP_CHECK_INTERVAL_SECONDS, _check)
+        self._boundary.call_later(GROUP_CHECK_INTERVAL_SECONDS, _check)
 
     def _end_group(self, attempt: attempts.Attempt, idle_seconds: float) -> None:
         """Retry a prompt whose group has lost its engine, or fail it; its memory is released."""
@@ -483,17 +496,18 @@
 
     def _cancel_attempt(self) -> None:
         """Cancel the current attempt; remove its load and release its memory reservation."""
-        if self._attempt is not None:
-            self._attempt.cancel()
-            self._hold_answer(self._attempt, 0)
-            self._attempt = None
-        if self._target is not None:
-            for work_item in self._target.work_items:
-                self._context.server_loads.remove(work_item)
-            self._target = None
-        if self._reservation is not None:
-            self._reservation.release()
-            self._reservation = None
+        attempt, self._attempt = self._attempt, None
+        target, self._target = self._target, None
+        reservation, self._reservation = self._reservation, None
+        # An unexpected error in one step must not keep what the others release.
+        with contextlib.ExitStack() as steps:
+            if reservation is not None:
+                steps.callback(reservation.release)
+            for work_item in target.work_items if target is not None else ():
+                steps.callback(self._context.server_loads.remove, work_item)
+            if attempt is not None:
+                steps.callback(self._hold_answer, attempt, 0)
+                steps.callback(attempt.cancel)
 
     # Answers of servers.
 
@@ -593,7 +607,7 @@
         data = b"".join(attempt.body)
         attempt.body.clear()
         self._hold_answer(attempt, 0)
-        self._exchange.on_drained = attempt.resume
+        self._exchange.on_drained = self._boundary.wrap(attempt.resume)
         self._relay(attempt, data)
 
     def _relay(self, attempt: attempts.Attempt, data: bytes) -> None:
@@ -804,17 +818,35 @@
     def end_if_unsent_too_late(self) -> None:
         """Refuse a request that waits to be sent if it would outlast this entry's stop."""
         if not self._is_done and self._attempt is None:
-            self._end_if_too_late(self._target.predicted_seconds if self._target else 0.0)
+            predicted_seconds = self._target.predicted_seconds if self._target else 0.0
+            self._boundary.run(self._end_if_too_late, predicted_seconds)
 
     def end_by_stop(self) -> None:
         """End the request, unless it has ended, as this process has to end."""
-        if self._is_done:
-            return
+        if not self._is_done:
+            self._boundary.run(self._end_by_stop)
+
+    def _end_by_stop(self) -> None:
         if self._attempt is None and not self._may_have_run and not self.has_started_answer:
             self._end_refused(stop_admission.make_error())
             return
         self._end_failed(errors.StopTimeoutError("this entry's planned stop is over"))
 
+    def _end_by_error(self, error: Exception) -> None:
+        """Fail the request, if it has not ended, after an unexpected error."""
+        text = f"an unexpected error of this entry ({type(error).__name__})"
+        try:
+            if not self._is_done:
+                self._end_failed(errors.FlamingorampError(text))
+        except Exception as further_error:
+            self._exchange.abort()
+            if not self._is_done:
+                self._is_done = True
+                self._on_end(self)
+            self._context.record_error(further_error)
+        finally:
+            self._context.record_error(error)
+
     def _end_refused(self, error: errors.FlamingorampError) -> None:
         """Refuse a request that has not run; fail it if it may have run."""
         if self._exchange.has_started or self._may_have_run:
@@ -842,12 +874,14 @@
             fields["first_piece"] = round(self._first_event_at - self._arrived_at, 4)
         if self._attempt is not None and self._attempt.event_gaps:
             fields["longest_pause"] = round(max(self._attempt.event_gaps), 4)
-        self._cancel_attempt()
-        self._context.record_end(
-            self._admitted,
-            outcome,
-            seconds=round(now - self._arrived_at, 4),
-            attempts=self._attempt_count,
-            **fields,
-        )
-        self._on_end(self)
+        try:
+            self._cancel_attempt()
+            self._context.record_end(
+                self._admitted,
+                outcome,
+                seconds=round(now - self._arrived_at, 4),
+                attempts=self._attempt_count,
+                **fields,
+            )
+        finally:
+            self._on_end(self)
--- a/flamingoramp/dispatch/forwarding_context.py
+++ b/flamingoramp/dispatch/forwarding_context.py
@@ -6,7 +6,7 @@
 from typing import Any, Protocol
 
 from flamingoramp import dialect as dialects
-from flamingoramp.dispatch import attempts, stop_admission
+from flamingoramp.dispatch import attempts, error_boundary, stop_admission
 from flamingoramp.http import client
 from flamingoramp.protocol import messages as protocol_messages
 from flamingoramp.routing import load_table, statements
@@ -78,7 +78,12 @@
     def record_target(self, target: attempts.AttemptTarget) -> None:
         """Add the load of an attempt to its servers, and count it towards their limits."""
 
-    def settle(self, target: attempts.AttemptTarget, on_settled: Callable[[bool], None]) -> None:
+    def settle(
+        self,
+        target: attempts.AttemptTarget,
+        on_settled: Callable[[bool], None],
+        boundary: error_boundary.ErrorBoundary,
+    ) -> None:
         """Tell other entries of a target, and call back once its placement is settled.
 
         ``on_settled`` takes whether the request has to be placed again.
@@ -141,5 +146,8 @@
     def record_end(self, admitted: attempts.AdmittedRequest, outcome: str, **fields: Any) -> None:
         """Log a request's outcome and update the metrics."""
 
+    def record_error(self, error: Exception) -> None:
+        """Record an unexpected error that has ended one request."""
+
     def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
         """Log a step in the processing of a request."""
--- a/flamingoramp/dispatch/memory_reservations.py
+++ b/flamingoramp/dispatch/memory_reservations.py
@@ -12,9 +12,8 @@
 
 from flamingoramp import dialect as dialects
 from flamingoramp import value_classes
-from flamingoramp.dispatch import attempts
+from flamingoramp.dispatch import attempts, error_boundary
 from flamingoramp.http import client, messages
-from flamingoramp.runtime import loop as loops
 
 # An engine frees a hold that was not renewed for this long, so that a failed entry leaves none.
 HOLD_EXPIRY_SECONDS = 3.5
@@ -49,15 +48,16 @@
 
 
 def _send_command(
-    loop: loops.Loop,
+    boundary: error_boundary.ErrorBoundary,
     pool: client.Pool,
     address: str,
     request: messages.Request,
-    receiver: client.Collector,
+    on_answer: Callable[[client.Head | None, bytes], None],
 ) -> None:
+    receiver = client.Collector(boundary.wrap(on_answer))
     handle = pool.send(address, request, receiver, max_body_bytes=MAX_ANSWER_BYTES)
     # A connection that carries no answer would stay open as long as the engine keeps it.
-    loop.call_later(COMMAND_TIMEOUT_SECONDS, handle.cancel)
+    boundary.call_later(COMMAND_TIMEOUT_SECONDS, handle.cancel)
 
 
 class MemoryReservation:
@@ -65,7 +65,8 @@
 
     Parameters
     ----------
-    loop : loops.Loop
+    boundary : error_boundary.ErrorBoundary
+        Runs the callbacks.
     pool : client.Pool
     dialect : dialects.Dialect
     holds : tuple of MemoryHold
@@ -76,13 +77,13 @@
 
     def __init__(
         self,
-        loop: loops.Loop,
+        boundary: error_boundary.ErrorBoundary,
         pool: client.Pool,
         dialect: dialects.Dialect,
         holds: tuple[MemoryHold, ...],
         on_ready: Callable[[tuple[str, ...]], None],
     ):
-        self._loop = loop
+        self._boundary = boundary
         self._pool = pool
         self._dialect = dialect
         self._holds = holds
@@ -93,7 +94,7 @@
         self._released = False
         for hold in holds:
             self._send_reserve(hold, self._handle_answer)
-        loop.call_later(RESERVE_TIMEOUT_SECONDS, self._handle_timeout)
+        boundary.call_later(RESERVE_TIMEOUT_SECONDS, self._handle_timeout)
 
     @property
     def holds(self) -> tuple[MemoryHold, ...]:
@@ -106,7 +107,7 @@
             return
         self._released = True
         for hold in self._holds:
-            _Release(self._loop, self._pool, self._dialect, hold)
+            _Release(self._boundary, self._pool, self._dialect, hold)
 
     def _send_reserve(
         self, hold: MemoryHold, on_answer: Callable[[MemoryHold, bool], None]
@@ -114,10 +115,13 @@
         request = self._dialect.encode_reserve(
             hold.server, hold.ticket, hold.tokens, HOLD_EXPIRY_SECONDS
         )
-        receiver = client.Collector(
-            lambda head, _body: on_answer(hold, head is not None and head.status == 200)
+        _send_command(
+            self._boundary,
+            self._pool,
+            hold.address,
+            request,
+            lambda head, _body: on_answer(hold, head is not None and head.status == 200),
         )
-        _send_command(self._loop, self._pool, hold.address, request, receiver)
 
     def _handle_answer(self, hold: MemoryHold, granted: bool) -> None:
         self._unanswered.discard(hold.server)
@@ -139,7 +143,7 @@
             # An engine may still grant a request that timed out, so all holds are released.
             self.release()
         else:
-            self._loop.call_later(RENEWAL_INTERVAL_SECONDS, self._renew)
+            self._boundary.call_later(RENEWAL_INTERVAL_SECONDS, self._renew)
         self._on_ready(tuple(sorted(self._refused)))
 
     def _renew(self) -> None:
@@ -147,16 +151,20 @@
             return
         for hold in self._holds:
             self._send_reserve(hold, lambda _hold, _granted: None)
-        self._loop.call_later(RENEWAL_INTERVAL_SECONDS, self._renew)
+        self._boundary.call_later(RENEWAL_INTERVAL_SECONDS, self._renew)
 
 
 class _Release:
     """Releases one hold; retries if the engine doesn't answer or returns a 5xx status."""
 
     def __init__(
-        self, loop: loops.Loop, pool: client.Pool, dialect: dialects.Dialect, hold: MemoryHold
+        self,
+        boundary: error_boundary.ErrorBoundary,
+        pool: client.Pool,
+        dialect: dialects.Dialect,
+        hold: MemoryHold,
     ):
-        self._loop = loop
+        self._boundary = boundary
         self._pool = pool
         self._dialect = dialect
         self._hold = hold
@@ -166,10 +174,9 @@
     def _send(self) -> None:
         self._attempt_count += 1
         request = self._dialect.encode_release(self._hold.server, self._hold.ticket)
-        receiver = client.Collector(self._handle_answer)
-        _send_command(self._loop, self._pool, self._hold.address, request, receiver)
+        _send_command(self._boundary, self._pool, self._hold.address, request, self._handle_answer)
 
     def _handle_answer(self, head: client.Head | None, _body: bytes) -> None:
         answered = head is not None and head.status < 500
         if not answered and self._attempt_count < MAX_RELEASE_ATTEMPTS:
-            self._loop.call_later(RELEASE_RETRY_INTERVAL_SECONDS, self._send)
+            self._boundary.call_later(RELEASE_RETRY_INTERVAL_SECONDS, self._send)
--- a/flamingoramp/dispatch/placement_settling.py
+++ b/flamingoramp/dispatch/placement_settling.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from flamingoramp.dispatch import attempts
+from flamingoramp.dispatch import attempts, error_boundary
 from flamingoramp.routing import load_table, placement_notices
 from flamingoramp.runtime import loop as loops
 from flamingoramp.runtime import metrics as metrics_module
@@ -55,10 +55,21 @@
         self._announcer = announcer
         self._metrics = metrics
 
-    def begin(self, target: attempts.AttemptTarget, on_settled: Callable[[bool], None]) -> None:
+    def begin(
+        self,
+        target: attempts.AttemptTarget,
+        on_settled: Callable[[bool], None],
+        boundary: error_boundary.ErrorBoundary,
+    ) -> None:
         """Call back once a target is settled, at once for short prompts.
 
-        ``on_settled`` takes whether the request has to be placed again.
+        Parameters
+        ----------
+        target : attempts.AttemptTarget
+        on_settled : callable
+            Takes whether the request has to be placed again.
+        boundary : error_boundary.ErrorBoundary
+            Runs the timers of the request.
         """
         if self._announcer is None or not is_long(target):
             on_settled(False)
@@ -68,10 +79,15 @@
             on_settled(False)
             return
         self._metrics.count("placements_announced")
-        self._wait(placement_id, on_settled, is_last=False)
+        self._wait(placement_id, on_settled, boundary, is_last=False)
 
     def _wait(
-        self, placement_id: str, on_settled: Callable[[bool], None], *, is_last: bool
+        self,
+        placement_id: str,
+        on_settled: Callable[[bool], None],
+        boundary: error_boundary.ErrorBoundary,
+        *,
+        is_last: bool,
     ) -> None:
         """Settle a placement after a while; wait once more for others that have to move."""
         began_at = self._loop.now()
@@ -81,7 +97,7 @@
             was_suspended = self._loop.now() - began_at > MAX_SETTLE_SECONDS
             match settlement:
                 case placement_notices.Settlement.OPEN if not (is_last or was_suspended):
-                    self._wait(placement_id, on_settled, is_last=True)
+                    self._wait(placement_id, on_settled, boundary, is_last=True)
                     return
                 case placement_notices.Settlement.OPEN:
                     self._announcer.withdraw_placement(placement_id)
@@ -94,7 +110,7 @@
                 self._metrics.count("placements_moved")
             on_settled(must_move)
 
-        self._loop.call_later(SETTLE_SECONDS, _settle)
+        boundary.call_later(SETTLE_SECONDS, _settle)
 
 
 def is_long(target: attempts.AttemptTarget) -> bool:
--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -16,6 +16,7 @@
     answer_times,
     attempts,
     crash_evidence,
+    error_boundary,
     evacuated_services,
     forwarding,
     placement_settling,
@@ -102,6 +103,8 @@
         Sends a message to all other entries.
     account : byte_account.ByteAccount or None
         Account of what this process holds; None for none.
+    on_error : callable
+        Takes an unexpected error that has ended one request; raises it by default.
     """
 
     def __init__(
@@ -126,6 +129,7 @@
         placement_announcer: placement_settling.Announcer | None = None,
         send_to_entries: Callable[[messages.ServerReachability], None] = lambda _message: None,
         account: byte_account.ByteAccount | None = None,
+        on_error: Callable[[Exception], None] = error_boundary.raise_error,
     ):
         self.loop = loop
         self.pool = pool
@@ -144,6 +148,7 @@
             server_registry, self._evacuations, log=log, metrics=metrics
         )
         self._on_request_started = on_request_started
+        self._on_error = on_error
         self._started_at = loop.now()
         self._declaration: traffic.TrafficDeclaration | None = None
         self._observations = observations.Observations()
@@ -498,12 +503,13 @@
 
     def _start_request(self, exchange: exchanges.Exchange) -> None:
         """Start or refuse a request; an unexpected error fails it at once."""
-        try:
-            self._admit_and_forward(exchange)
-        except Exception:
-            error = errors.FlamingorampError("an unexpected error of this entry")
-            exchange.respond(self.dialect.encode_error(error))
-            raise
+
+        def _fail(error: Exception) -> None:
+            text = f"an unexpected error of this entry ({type(error).__name__})"
+            exchange.respond(self.dialect.encode_error(errors.FlamingorampError(text)))
+            self._on_error(error)
+
+        error_boundary.ErrorBoundary(self.loop, _fail).run(self._admit_and_forward, exchange)
 
     def _admit_and_forward(self, exchange: exchanges.Exchange) -> None:
         request_id = ""
@@ -520,7 +526,8 @@
         if self.is_cut_off:
             forwarder.start()
         else:
-            self._room_queue.start(admitted, forwarder.start)
+            boundary = forwarder.boundary
+            boundary.run(self._room_queue.start, admitted, forwarder.start, boundary)
 
     def _refuse(
         self, exchange: exchanges.Exchange, request_id: str, error: errors.FlamingorampError
@@ -677,9 +684,14 @@
             self.server_loads.add(work_item)
             self.server_loads.statements.record_send(work_item.server, now)
 
-    def settle(self, target: attempts.AttemptTarget, on_settled: Callable[[bool], None]) -> None:
+    def settle(
+        self,
+        target: attempts.AttemptTarget,
+        on_settled: Callable[[bool], None],
+        boundary: error_boundary.ErrorBoundary,
+    ) -> None:
         """Tell other entries of a target, and call back once its placement is settled."""
-        self._settling.begin(target, on_settled)
+        self._settling.begin(target, on_settled, boundary)
 
     def record_failure(
         self,
@@ -837,6 +849,10 @@
             **self._stop_fields(admitted.exchange),
         )
 
+    def record_error(self, error: Exception) -> None:
+        """Record an unexpected error that has ended one request."""
+        self._on_error(error)
+
     def record_step(self, admitted: attempts.AdmittedRequest, event: str, **fields: Any) -> None:
         """Log a step in the processing of a request, and count it."""
         self._metrics.count("request_steps", event=event)
--- a/flamingoramp/dispatch/room_queue.py
+++ b/flamingoramp/dispatch/room_queue.py
@@ -13,7 +13,7 @@
 import attrs
 
 from flamingoramp import errors
-from flamingoramp.dispatch import attempts
+from flamingoramp.dispatch import attempts, error_boundary
 from flamingoramp.intent import traffic
 from flamingoramp.routing import contention, load_table, placement, selection
 from flamingoramp.runtime import loop as loops
@@ -41,11 +41,15 @@
 
 @attrs.define(eq=False)
 class _WaitingItem:
-    """A request, and what starts it once its target or its refusal is known."""
+    """A request, and what starts it once its target or its refusal is known.
+
+    ``boundary`` contains the errors of what is done for this request alone.
+    """
 
     admitted: attempts.AdmittedRequest
     request: contention.ContendingRequest
     begin: Callable[[], None]
+    boundary: error_boundary.ErrorBoundary
     is_queued: bool = False
 
     @property
@@ -101,7 +105,12 @@
         self._is_timer_set = False
         self._tried_at = 0.0
 
-    def start(self, admitted: attempts.AdmittedRequest, begin: Callable[[], None]) -> None:
+    def start(
+        self,
+        admitted: attempts.AdmittedRequest,
+        begin: Callable[[], None],
+        boundary: error_boundary.ErrorBoundary,
+    ) -> None:
         """Start a request at once, or once there is room or none can be expected in time.
 
         Parameters
@@ -109,12 +118,14 @@
         admitted : attempts.AdmittedRequest
         begin : callable
             Starts the request, which then asks for `take_decision`.
+        boundary : error_boundary.ErrorBoundary
+            Ends the request after an unexpected error while it waits.
         """
         if not self._contends(admitted):
             begin()
             return
         now = self._loop.now()
-        item = _WaitingItem(admitted, self._to_contending(admitted), begin)
+        item = _WaitingItem(admitted, self._to_contending(admitted), begin, boundary)
         outcome = self._try_to_place(item, now)
         self._selector.record_arrival(admitted, now)
         if outcome is None:
@@ -277,6 +288,12 @@
         )
         self._decide(item, error, reason)
 
+    def _refuse_late(self, item: _WaitingItem, now: float) -> None:
+        self._refuse(item, "time_over", self._expected_seconds(item, now))
+
+    def _displace(self, item: _WaitingItem, now: float) -> None:
+        self._refuse(item, "displaced", self._expected_seconds(item, now))
+
     # Waiting.
 
     def _make_place(self, item: _WaitingItem, now: float) -> bool:
@@ -288,7 +305,9 @@
             last = max(others, key=lambda other: view.order_key(other.request), default=None)
             if last is None or view.order_key(last.request) <= view.order_key(item.request):
                 return False
-            self._refuse(last, "displaced", self._expected_seconds(last, now))
+            last.boundary.run(self._displace, last, now)
+            if last.is_queued:
+                return False
         return True
 
     def _is_full(self, item: _WaitingItem) -> bool:
@@ -352,7 +371,7 @@
         self._book.refresh(now)
         for item in list(self._items.values()):
             if item.is_queued and now >= item.request.place_by:
-                self._refuse(item, "time_over", self._expected_seconds(item, now))
+                item.boundary.run(self._refuse_late, item, now)
         if not was_suspended:
             for service in {item.request.service for item in self._items.values()}:
                 self._place_waiting(service, now)
@@ -366,10 +385,10 @@
         for item in items:
             if not item.is_queued or any(need.fits(item.request.need) for need in without_room):
                 continue  # gone, or needs at least as much as one that found no room
-            outcome = self._try_to_place(item, now)
+            outcome = item.boundary.run(self._try_to_place, item, now)
             if outcome is not None:
                 without_room.append(item.request.need)
                 if now + outcome.expected_seconds > item.request.place_by:
-                    self._refuse(item, outcome.reason, outcome.expected_seconds)
+                    item.boundary.run(self._refuse, item, outcome.reason, outcome.expected_seconds)
             if next(tries) >= MAX_TRIES_PER_INTERVAL:
                 return
--- a/flamingoramp/dispatch/tests/test_forwarding.py
+++ b/flamingoramp/dispatch/tests/test_forwarding.py
@@ -221,10 +221,10 @@
         for work_item in target.work_items:
             self.server_loads.add(work_item)
 
-    def settle(self, target, on_settled) -> None:
+    def settle(self, target, on_settled, boundary) -> None:
         must_move = bool(self.crossings) and self.crossings.pop(0)
         if self.settle_seconds:
-            self.loop.call_later(self.settle_seconds, lambda: on_settled(must_move))
+            boundary.call_later(self.settle_seconds, lambda: on_settled(must_move))
         else:
             on_settled(must_move)
 
@@ -262,6 +262,9 @@
     def record_event_gaps(self, service, server, event_gaps) -> None:
         """Do nothing."""
 
+    def record_error(self, error) -> None:
+        raise error
+
     def record_step(self, admitted, event, **fields) -> None:
         """Do nothing."""
 
--- a/flamingoramp/dispatch/tests/test_forwarding_faults.py
+++ b/flamingoramp/dispatch/tests/test_forwarding_faults.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
+import attrs
+
 from flamingoramp import errors
 from flamingoramp.backends import event_blocks
-from flamingoramp.dispatch import forwarding, unreached_servers
+from flamingoramp.dispatch import forwarding, memory_reservations, unreached_servers
 from flamingoramp.dispatch.tests import test_forwarding
 from flamingoramp.http import client
 from flamingoramp.intent import traffic
@@ -352,3 +356,114 @@
         self.context.pool.calls[0].receiver.handle_failure(client.Failure.RESET, may_have_run=True)
         self.assertEqual(len(self.context.pool.calls), 1)
         self.assert_ended(502)
+
+
+class TestUnexpectedErrors(test_forwarding.ForwardingCase):
+    """Errors of this program in a callback of one request: timers, connections, the caller's."""
+
+    def setUp(self):
+        super().setUp()
+        self.errors: list[Exception] = []
+        self.ended: list[forwarding.RequestForwarder] = []
+        self.context.record_error = self.errors.append
+
+    def fail_in(self, owner: object, name: str) -> None:
+        """Let a function raise an error from now on."""
+        patch = mock.patch.object(owner, name, side_effect=ZeroDivisionError)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def assert_failed(self, status: int = 500, end_state: str = "finished") -> None:
+        self.assertEqual([type(error) for error in self.errors], [ZeroDivisionError])
+        self.assert_ended(status, end_state)
+        self.assertEqual(self.context.outcomes[0][0], "failed")
+        self.context.loop.advance(30.0)
+        self.assertEqual((len(self.errors), len(self.context.outcomes)), (1, 1))
+
+    # Guards against requests that stay without an answer, and against errors that end the process
+    # with the requests of all other callers.
+    def test_error_in_the_first_send_ends_the_request(self):
+        for route in (test_forwarding.PLAIN, test_forwarding.STREAM):
+            with self.subTest(route=route.name):
+                self.setUp()
+                self.fail_in(self.context.dialect, "encode_forwarded_request")
+                self.start_request(route)
+                self.assert_failed()
+
+    def test_error_in_a_send_after_a_wait_ends_the_request(self):
+        for attribute, value in (("awaits_zone_update", True), ("settle_seconds", 0.01)):
+            with self.subTest(attribute):
+                self.setUp()
+                setattr(self.context, attribute, value)
+                self.start_request(test_forwarding.STREAM)
+                self.context.awaits_zone_update = False
+                self.fail_in(self.context.pool, "send")
+                self.context.loop.advance(0.05)
+                self.assert_failed()
+
+    def test_error_in_a_retry_ends_the_request(self):
+        self.start_request(test_forwarding.STREAM)
+        self.fail_in(self.context.pool, "send")
+        self.fail_call()
+        self.assert_failed()
+
+    def test_error_in_a_check_for_stalls_ends_the_request(self):
+        for name in ("is_unresponsive", "has_backlog"):
+            with self.subTest(name):
+                self.setUp()
+                self.start_request(test_forwarding.STREAM)
+                self.fail_in(self.context, name)
+                self.context.loop.advance(5.0)
+                self.assertTrue(self.calls[0].cancelled)
+                self.assert_failed()
+
+    def test_error_in_an_answer_ends_the_request(self):
+        for name in ("decode_answer_head",):
+            with self.subTest(name):
+                self.setUp()
+                self.start_request(test_forwarding.PLAIN)
+                self.fail_in(self.context.dialect, name)
+                self.receive_head("answer")
+                self.assertTrue(self.calls[0].cancelled)
+                self.assert_failed()
+
+    # Guards against a caller that takes a part of an answer for the whole.
+    def test_error_after_the_answer_has_started_aborts_it(self):
+        for name in ("record_event_gaps", "record_sound", "record_answer"):
+            with self.subTest(name):
+                self.setUp()
+                self.start_request(test_forwarding.STREAM)
+                self.receive_head("stream")
+                self.receive_events(1, 2, 3)
+                self.fail_in(self.context, name)
+                self.complete_answer()
+                self.assert_failed(200, "aborted")
+
+    def test_error_when_the_caller_has_gone_ends_nothing_else(self):
+        self.start_request(test_forwarding.STREAM)
+        self.fail_in(self.context.server_loads, "remove")
+        self.exchange.on_disconnect()
+        self.assertTrue(self.calls[0].cancelled)
+        self.assertEqual(len(self.errors), 1)
+
+    # Guards against memory that stays reserved at engines for a request that has failed.
+    def test_error_in_the_release_of_the_load_releases_the_memory(self):
+        self.context.helpers = ("h1",)
+        with (
+            mock.patch.object(memory_reservations, "make_holds", return_value=()),
+            mock.patch.object(memory_reservations.MemoryReservation, "release") as release,
+        ):
+            target = self.context.choose_target(None, set())
+            self.context.choose_target = lambda *_arguments: attrs.evolve(target, held_tokens=(9,))
+            self.start_request(test_forwarding.STREAM)
+            self.fail_in(self.context.server_loads, "remove")
+            self.exchange.on_disconnect()
+            release.assert_called_once()
+
+    def test_error_in_the_report_of_the_end_is_recorded(self):
+        self.start_request(test_forwarding.PLAIN)
+        self.receive_head("answer")
+        self.fail_in(self.context, "record_end")
+        self.complete_answer()
+        self.assertEqual((self.exchange.status, self.exchange.end_state), (200, "finished"))
+        self.assertEqual(len(self.errors), 1)
--- a/flamingoramp/dispatch/tests/test_memory_reservations.py
+++ b/flamingoramp/dispatch/tests/test_memory_reservations.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from flamingoramp.dispatch import memory_reservations
+from flamingoramp.dispatch import error_boundary, memory_reservations
 from flamingoramp.http import client
 from flamingoramp.runtime import virtual_time
 
@@ -57,7 +57,11 @@
             memory_reservations.MemoryHold(name, f"{name}:1", 1000, f"t-{name}") for name in "xy"
         )
         self.reservation = memory_reservations.MemoryReservation(
-            self.loop, self, Dialect(), holds, self.results.append
+            error_boundary.ErrorBoundary(self.loop),
+            self,
+            Dialect(),
+            holds,
+            self.results.append,
         )
 
     def send(self, address, request, receiver, *, max_body_bytes=None) -> SentRequest:
--- a/flamingoramp/dispatch/tests/test_placement_settling.py
+++ b/flamingoramp/dispatch/tests/test_placement_settling.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from flamingoramp.dispatch import attempts, placement_settling
+from flamingoramp.dispatch import attempts, error_boundary, placement_settling
 from flamingoramp.protocol import messages
 from flamingoramp.routing import load_table, placement_notices
 from flamingoramp.routing.tests import test_load_exchange
@@ -81,7 +81,9 @@
         )
 
     def begin(self, part_seconds: float, *servers: str) -> None:
-        self.settling.begin(make_target(servers, part_seconds=part_seconds), self.settled.append)
+        target = make_target(servers, part_seconds=part_seconds)
+        boundary = error_boundary.ErrorBoundary(self.loop)
+        self.settling.begin(target, self.settled.append, boundary)
 
     def test_short_prompt_is_settled_at_once(self):
         self.begin(0.5 * placement_settling.ANNOUNCED_PREFILL_SECONDS, "e1")
@@ -206,7 +208,11 @@
         for work in target.work_items:
             loads.add(work)
         self._entry.exchange.schedule_report()
-        self._settling.begin(target, lambda must_move: self._handle_settled(target, must_move))
+        self._settling.begin(
+            target,
+            lambda must_move: self._handle_settled(target, must_move),
+            error_boundary.ErrorBoundary(self._loop),
+        )
 
     def _handle_settled(self, target: attempts.AttemptTarget, must_move: bool) -> None:
         if not must_move:
--- a/flamingoramp/dispatch/tests/test_room_queue.py
+++ b/flamingoramp/dispatch/tests/test_room_queue.py
@@ -24,7 +24,7 @@
     return [Kind(name, rank, rate=rate) for rank, name in enumerate(("high", "middle", "low"))]
 
 
-def pass_through(_queue, _admitted, begin) -> None:
+def pass_through(_queue, _admitted, begin, _boundary) -> None:
     """Start a request as if there were no queue."""
     begin()
 
--- a/flamingoramp/platform/tests/test_faulty_answers.py
+++ b/flamingoramp/platform/tests/test_faulty_answers.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from flamingoramp.dispatch import memory_reservations
+from flamingoramp.dispatch import error_boundary, memory_reservations
 from flamingoramp.http import client, connections, exchanges, messages
 from flamingoramp.http.tests import test_client
 from flamingoramp.platform import platform_dialect
@@ -358,7 +358,11 @@
             loop.stop()
 
         memory_reservations.MemoryReservation(
-            loop, pool, platform_dialect.PlatformDialect(), (hold,), _handle_result
+            error_boundary.ErrorBoundary(loop),
+            pool,
+            platform_dialect.PlatformDialect(),
+            (hold,),
+            _handle_result,
         )
         loop.run()
         pool.close()
