Integers of any size in headers

What callers saw: a proper request with 400 digits in X-Deadline-Ms or X-Token-Count got 500.

Cause: `int(...) / 1000` and prefill estimates raise OverflowError for integers that no float can hold.

Change: integers beyond 2^53 are taken for 2^53, with which each calculation has a result.

--- a/flamingoramp/platform/platform_dialect.py
+++ b/flamingoramp/platform/platform_dialect.py
@@ -13,7 +13,10 @@
 
 if TYPE_CHECKING:
     from flamingoramp.http import client
+
 MAX_ZONE_NAME_LENGTH = 255
+# Larger integers in headers are taken for this one; with it, each calculation has a result.
+MAX_HEADER_INTEGER = 2**53
 
 
 class PlatformDialect:
@@ -126,12 +129,12 @@
                 key=key[len(wire_names.KEY_SCHEME) :].strip().decode("latin-1")
                 if has_scheme
                 else "",
-                remaining_seconds=int(deadline) / 1000 if deadline else None,
-                prompt_tokens=max(0, int(prompt)) if prompt else 0,
-                output_tokens=max(0, int(output)) if output else 0,
+                remaining_seconds=_decode_integer(deadline) / 1000 if deadline else None,
+                prompt_tokens=max(0, _decode_integer(prompt)) if prompt else 0,
+                output_tokens=max(0, _decode_integer(output)) if output else 0,
                 last_event_id=_header_text(wire_names.LAST_EVENT_ID),
                 shared_parts=_decode_shared_parts(request),
-                attempts_used=max(0, int(attempts_used)) if attempts_used else None,
+                attempts_used=max(0, _decode_integer(attempts_used)) if attempts_used else None,
             )
         except ValueError as error:
             raise errors.BadRequestError("a header takes a whole number") from error
@@ -165,6 +168,17 @@
         return backends.encode_memory_command(server, {"op": "release", "id": ticket})
 
 
+def _decode_integer(text: str | bytes) -> int:
+    """Return the integer in a header, within the range of those that can be calculated with.
+
+    Raises
+    ------
+    ValueError
+        The text is no integer.
+    """
+    return max(-MAX_HEADER_INTEGER, min(int(text), MAX_HEADER_INTEGER))
+
+
 def _decode_zone(quoted: str) -> str:
     """Return the name of an availability zone in a path.
 
--- a/flamingoramp/platform/tests/test_odd_requests.py
+++ b/flamingoramp/platform/tests/test_odd_requests.py
@@ -146,6 +146,22 @@
         self.check_no_errors()
 
 
+class TestNumbers(OddRequestCase):
+    """Headers with numbers of any size."""
+
+    # Guards against proper requests that fail since a float can't hold the time that is left.
+    def test_no_number_fails_a_request_by_an_error_of_the_entry(self):
+        for number in ("9" * 400, "9" * 30, "-" + "9" * 400, "0", "-1"):
+            for name in ("x_deadline_ms", "x_token_count"):
+                for route in ("read", "stream"):
+                    with self.subTest(name=name, number=number[:5], route=route):
+                        value = number if name == "x_deadline_ms" else f"{number},{number}"
+                        answer = self.send(self.fleet, route, **{name: value})
+                        self.assertIn(answer.status, (200, 503, 504))
+        self.check_sound_caller()
+        self.check_no_errors()
+
+
 class TestObjectives(OddRequestCase):
     """Routes that declare no objective of latency."""
 
