A stream is resumed after the last event that its caller has, whatever came with it

Cause: of what one read brought only the last block was looked at for an id; a comment has none.

It works since an event is remembered in the same step in which it is relayed.

--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -105,6 +105,10 @@
         self._target: attempts.AttemptTarget | None = None
         self._reservation: memory_reservations.MemoryReservation | None = None
         self._last_event_id = admitted.caller.last_event_id
+        # Whether the caller has events that came after that one and have no id themselves: a server
+        # that resumes the stream would send them again.
+        self._has_unidentified_events = False
+        self._relayed_attempt: attempts.Attempt | None = None
         self._may_have_run = False
         self._first_event_at = 0.0
         self._relayed_event_count = 0
@@ -471,6 +475,8 @@
             return False
         if self._run_count >= route.attempts or (self._attempt and self._attempt.is_relayed):
             return False
+        if self._has_unidentified_events:
+            return False
         if self._context.is_cut_off:
             has_sends_left = self._peer_send_count < MAX_PEER_SENDS
         else:
@@ -631,6 +637,7 @@
                 self._context.record_event_gaps(
                     self._admitted.service, attempt.target.server, attempt.event_gaps
                 )
+            self._send_events(attempt, attempt.event_reader.rest)
             self._exchange.finish()
             self._finish("done", pieces=attempt.event_count)
             return
@@ -708,16 +715,15 @@
             attempt.comment_bytes = 0
         else:
             attempt.comment_bytes += sum(len(block.data) for block in blocks)
-        new_blocks = [block for block in blocks if not self._was_relayed(block)]
+        new_blocks = [block for block in blocks if self._take_new(block)]
         if not new_blocks:
             return
         if not self._exchange.has_started:
             self._first_event_at = now
             headers = http_messages.end_to_end_headers(attempt.head.headers)
             self._exchange.start(attempt.head.status, headers)
-        self._exchange.send(b"".join(block.data for block in new_blocks))
+        self._send_events(attempt, b"".join(block.data for block in new_blocks))
         self._relayed_event_count += sum(not block.is_comment for block in new_blocks)
-        self._last_event_id = new_blocks[-1].event_id or self._last_event_id
 
     def _record_progress(self, attempt: attempts.Attempt, event_count: int, now: float) -> None:
         """Record that events have arrived together; the first ones end the prefill."""
@@ -737,12 +743,28 @@
             STALL_TIMEOUT_RATIO * self._admitted.route.gap_objective_seconds,
         )
 
-    def _was_relayed(self, block: event_blocks.EventBlock) -> bool:
-        """Tell whether the caller already has an event that a resumed stream repeats."""
-        try:
-            return int(block.event_id) <= int(self._last_event_id)
-        except ValueError:
-            return False  # ids that aren't integers have no known order
+    def _send_events(self, attempt: attempts.Attempt, data: bytes) -> None:
+        """Send events to the caller; only the first server's stream may begin with a mark."""
+        if self._relayed_attempt not in (None, attempt):
+            data = data.removeprefix(event_blocks.BYTE_ORDER_MARK)
+        self._relayed_attempt = attempt
+        if data:
+            self._exchange.send(data)
+
+    def _take_new(self, block: event_blocks.EventBlock) -> bool:
+        """Note where the stream is to be resumed; False for an event that the caller has already.
+
+        A resumed stream may repeat such events. Ids that aren't integers have no known order.
+        """
+        if block.event_id:
+            with contextlib.suppress(ValueError):
+                if int(block.event_id) <= int(self._last_event_id):
+                    return False
+            self._last_event_id = block.event_id
+            self._has_unidentified_events = False
+        elif block.has_data:
+            self._has_unidentified_events = True
+        return True
 
     def _handle_refusal(
         self, attempt: attempts.Attempt, head: client.Head, answer_head: dialects.AnswerHead
