The route of a path is found in time that doesn't grow with the path

What callers saw: one request with a path of 64 KiB of slashes kept an entry from answering anybody for 1.06 s (16 KiB: 0.05 s), measured by itself.

Cause: `find_route` looked up the path up to each slash, from its end: quadratic.

Change: it begins at the length of the longest prefix, beyond which no prefix can end.

Result: test_traffic.TestLongPaths failed before (1.06 s, 0.0125 s allowed) and passes.

--- a/flamingoramp/intent/tests/test_traffic.py
+++ b/flamingoramp/intent/tests/test_traffic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 import unittest
 
 import attrs
@@ -61,6 +62,41 @@
         self.assertEqual({route.choose_service(str(n)) for n in range(100)}, {"b"})
 
 
+class TestLongPaths(unittest.TestCase):
+    """Paths of callers that are much longer than all prefixes."""
+
+    PATH_LENGTH = 64 * 1024
+    # A tenth of the shortest objective.
+    MAX_SECONDS = 0.0125
+
+    def find(self, path: str) -> str | None:
+        routes = tuple(
+            traffic.Route(prefix, "h", prefix, shares=(traffic.TrafficShare("s"),))
+            for prefix in ("/", "/a/", "/a/b/", "//")
+        )
+        route = traffic.TrafficDeclaration(version=1, routes=routes).find_route("h", path)
+        return route.name if route is not None else None
+
+    def test_longest_prefix_is_found_whatever_follows(self):
+        for path, expected in (
+            ("/a/b/" + "c/" * 100, "/a/b/"),
+            ("/a/b", "/a/"),
+            ("/a/bc/d", "/a/"),
+            ("/" * 100, "//"),
+            ("/", "/"),
+            ("", None),
+            ("x" * 100, None),
+        ):
+            with self.subTest(path=path[:9]):
+                self.assertEqual(self.find(path), expected)
+
+    # Guards against an entry that answers nobody while it looks for the route of one long path.
+    def test_time_is_short_for_a_path_of_slashes(self):
+        began_at = time.process_time()
+        self.find("/" * self.PATH_LENGTH)
+        self.assertLess(time.process_time() - began_at, self.MAX_SECONDS)
+
+
 class TestChecks(unittest.TestCase):
     """An invalid declaration is refused with a message that says why."""
 
--- a/flamingoramp/intent/traffic.py
+++ b/flamingoramp/intent/traffic.py
@@ -211,6 +211,10 @@
     def _route_by_prefix(self) -> dict[tuple[str, str], Route]:
         return {(route.host, route.prefix): route for route in self.routes}
 
+    @functools.cached_property
+    def _longest_prefix_length(self) -> int:
+        return max((len(route.prefix) for route in self.routes), default=0)
+
     @functools.cached_property
     def _workspace_by_key(self) -> dict[str, Workspace]:
         return {key: workspace for workspace in self.workspaces for key in workspace.keys}
@@ -221,7 +225,7 @@
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that the path starts with, or None."""
-        end = len(path)
+        end = min(len(path), self._longest_prefix_length)
         while True:
             end = path.rfind("/", 0, end)
             if end < 0:
