--- a/flamingoramp/backends/sse.py
+++ b/flamingoramp/backends/sse.py
@@ -16,7 +16,7 @@
     """Buffers received bytes and returns the JSON document of each complete ``data`` line."""
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def incomplete_bytes(self) -> int:
@@ -31,8 +31,12 @@
         flamingoramp.errors.ProtocolError
             If an incomplete line exceeds ``LINE_LIMIT_BYTES`` or a ``data`` line is not valid JSON.
         """
-        lines = (self._buffer + data).split(b"\n")
-        self._buffer = lines.pop()
+        complete, separator, rest = data.rpartition(b"\n")
+        lines = []
+        if separator:
+            lines = bytes(self._buffer + complete).split(b"\n")
+            self._buffer.clear()
+        self._buffer += rest
         if len(self._buffer) > LINE_LIMIT_BYTES:
             raise errors.ProtocolError(
                 f"event stream has a line of more than {LINE_LIMIT_BYTES} bytes"
