A request that is too large for another entry has not run there

What callers would see: a request near the declared limit that an entry without servers passes on gets 431, and its caller doesn't come back, since the headers of the entry come to its size.

Change: 413 and 431 of another entry count as not run, as the entry that got the request has taken it.

--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -19,6 +19,8 @@
 _SERVER_STATES = ("ready", "draining")
 # With these an entry promises that a request has not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
+# With these another entry refuses what is too large for it; this one has taken the request.
+_TOO_LARGE_STATUSES = (413, 431)
 # Characters of a server's name, which is sent in a header of each request to it.
 _SERVER_NAME = re.compile(r"[\x21-\x7e]{1,200}")
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -177,7 +179,7 @@
         return dialect.AnswerHead(
             answer_head.kind, has_refusal_status=answer_head.has_refusal_status
         )
-    if head.status in _NOT_RUN_STATUSES:
+    if head.status in (*_NOT_RUN_STATUSES, *_TOO_LARGE_STATUSES):
         times = [value for name, value in head.headers if name == wire_names.RETRY_AFTER]
         return dialect.AnswerHead(
             dialect.AnswerKind.NOT_RUN,
--- a/flamingoramp/platform/tests/test_backends.py
+++ b/flamingoramp/platform/tests/test_backends.py
@@ -403,6 +403,11 @@
             self.assertIs(answer.kind, dialect.AnswerKind.NOT_RUN)
             self.assertEqual(answer.retry_after_seconds, 1.5)
 
+    # Guards against a request near the limit that is denied, since this entry's headers came to it.
+    def test_request_that_is_too_large_for_another_entry_has_not_run(self):
+        for status in (413, 431):
+            self.assertIs(self.decode(status).kind, dialect.AnswerKind.NOT_RUN)
+
     # Guards against a failure that is taken for a refusal, and a request that then runs twice.
     def test_failure_of_an_entry_promises_nothing(self):
         for status in (400, 401, 404, 500, 502, 504):
