The limits in force hold for open connections, too

Cause: the parser of a connection got the limit of heads when the connection was accepted. Before the first declaration, the default limits denied proper requests on any connection.

Change: the parser has no limit of its own; what it holds is compared with the limit in force at each wait for more bytes. Without a declaration requests beyond the defaults get 503 in place of 431 and 413. It works since no limit is kept anywhere but in the declaration.

--- a/flamingoramp/daemons/gateway.py
+++ b/flamingoramp/daemons/gateway.py
@@ -613,7 +613,7 @@
 
     def _http_limits(self) -> exchanges.Limits:
         if self.declaration is None:
-            return exchanges.Limits()
+            return exchanges.Limits(are_provisional=True)
         return _to_server_limits(self.declaration.limits)
 
 
--- a/flamingoramp/http/connections.py
+++ b/flamingoramp/http/connections.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+import sys
 from typing import TYPE_CHECKING
 
 import h11
@@ -44,7 +45,7 @@
     def __init__(self, server: servers.Server, sock: socket.socket):
         self._server = server
         self._phase_started_at = self._received_at = server.loop.now()
-        self._parser = self._new_parser()
+        self._parser = _new_parser()
         self._request_head: h11.Request | None = None
         self._method = b""
         # Received bytes that the parser hasn't got yet.
@@ -382,11 +383,6 @@
         self._handle_closed()
         self.close()
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._server.limits.header_bytes
-        )
-
     def _finish_connection(self) -> None:
         self._is_ending = True
         self._forget_request()
@@ -394,7 +390,7 @@
         self._unparsed = bytearray()
         if self._bytes_since_dispatch:
             self._bytes_since_dispatch = 0
-            self._parser = self._new_parser()  # the other one has kept what it couldn't parse
+            self._parser = _new_parser()  # the other one has kept what it couldn't parse
         self._stream.resume_reading()
         self._stream.shut_down_gracefully()
         self._server.remove_connection(self)
@@ -462,7 +458,7 @@
             self._event_count += 1
             try:
                 event = self._parser.next_event()
-                if event is h11.NEED_DATA and not self._feed_parser():
+                if event is h11.NEED_DATA and not self._read_on():
                     return
             except h11.RemoteProtocolError as error:
                 self._refuse_request(error.error_status_hint)
@@ -490,6 +486,20 @@
         self._stream.pause_reading()
         self._server.parse_turns.wait(self, self._event_count)
 
+    def _read_on(self) -> bool:
+        """Feed the parser, or refuse what it can't parse; return whether it has new bytes."""
+        if self._incomplete_bytes > self._server.limits.header_bytes:
+            self._refuse_too_large(431)
+            return False
+        return self._feed_parser()
+
+    @property
+    def _incomplete_bytes(self) -> int:
+        """Bytes that the parser holds of a head, or between the data of a chunked body."""
+        if self._request_head is None:
+            return self._bytes_since_dispatch - len(self._unparsed)
+        return len(self._parser.trailing_data[0]) if self._unfed_body_bytes is None else 0
+
     def _feed_parser(self) -> bool:
         """Pass some of the received bytes to the parser; return whether there were any.
 
@@ -518,7 +528,7 @@
             len(self._body) > limit_bytes
             or wire_bytes > MAX_FRAMING_RATIO * limit_bytes + self._server.limits.header_bytes
         ):
-            self._refuse_request(413)
+            self._refuse_too_large(413)
             return False
         return self._check_room(len(self._body))
 
@@ -541,7 +551,7 @@
         # The parser limits the size of a head only if it arrives in several parts.
         size = len(head.target) + sum(len(name) + len(value) + 4 for name, value in headers)
         if size > self._server.limits.header_bytes:
-            self._refuse_request(431)
+            self._refuse_too_large(431)
             return False
         names = [name for name, _ in headers]
         if b"transfer-encoding" in names and b"content-length" in names:
@@ -551,7 +561,7 @@
         length = messages.find_header(tuple(headers), b"content-length")
         body_bytes = int(length) if length is not None else 0
         if body_bytes > self._server.limits.body_bytes:
-            self._refuse_request(413)
+            self._refuse_too_large(413)
             return False
         self._head_bytes = size + HEADER_LINE_BYTES * len(headers)
         self._event_count += len(headers)
@@ -591,6 +601,10 @@
         self._send_refusal(status)
         self._finish_connection()
 
+    def _refuse_too_large(self, status: int) -> None:
+        """Refuse a request that exceeds a limit of size."""
+        self._refuse_request(503 if self._server.limits.are_provisional else status)
+
     def _send_refusal(self, status: int) -> None:
         """Send the response of a refusal, unless another one has begun."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -606,6 +620,11 @@
             self._stream.write((self._parser.send(response) or b"") + refusal.body)
 
 
+def _new_parser() -> h11.Connection:
+    """Return a parser without a limit of its own: the limits may change while it is in use."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
+
+
 def _retry_after() -> bytes:
     """Return the value of Retry-After, spread so that the refused don't come back at once."""
     return b"%.3f" % (RETRY_AFTER_SECONDS * (1 + random.random()))
--- a/flamingoramp/http/exchanges.py
+++ b/flamingoramp/http/exchanges.py
@@ -25,6 +25,8 @@
     ``header_bytes`` and ``body_bytes`` limit the sizes. ``header_seconds`` limits the time until
     the header is complete, and until a new connection sends data; ``body_seconds`` that from the
     first byte of a request until its body is complete; ``idle_seconds`` that between requests.
+    ``are_provisional`` tells that the declared limits aren't known yet: a request that exceeds the
+    sizes may be a proper one, so it is refused with 503.
     """
 
     header_bytes: int = 16 * 1024
@@ -32,6 +34,7 @@
     header_seconds: float = 3.0
     body_seconds: float = 20.0
     idle_seconds: float = 15.0
+    are_provisional: bool = False
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/flamingoramp/http/tests/test_server.py
+++ b/flamingoramp/http/tests/test_server.py
@@ -32,6 +32,7 @@
         max_connections: int = server.MAX_CONNECTIONS,
     ):
         self.loop = loop.Loop()
+        self.limits = limits
         self.shortages: list[byte_account.Shortage] = []
         self.account = byte_account.ByteAccount(memory_bytes, self.loop.now, self.shortages.append)
         self.requests: list[messages.Request] = []
@@ -44,7 +45,7 @@
             self.loop,
             "127.0.0.1:0",
             self.handle,
-            limits=lambda: limits,
+            limits=lambda: self.limits,
             on_refused=self.refused_statuses.append,
             on_undelivered=self.undelivered.append,
             on_error=self.errors.append if contains_errors else None,
--- a/flamingoramp/platform/tests/fake_server.py
+++ b/flamingoramp/platform/tests/fake_server.py
@@ -17,6 +17,8 @@
 RESTART_SECONDS = 1.0
 # Bytes of an endless answer that wait for the caller to read.
 MAX_ENDLESS_BUFFER_BYTES = 512 * 1024
+# Those of callers are declared; a server takes what an entry passes on.
+LIMITS = exchanges.Limits(header_bytes=1024 * 1024)
 
 
 @attrs.frozen
@@ -132,7 +134,7 @@
         self._is_silent = False
         self._loop = loops.Loop()
         self._pool = client.Pool(self._loop)
-        self._server = server.Server(self._loop, listen, self._handle)
+        self._server = self._open_server(listen)
         self.address = self._server.address
         self.born_at = self._loop.now()
         self._loop.call_later(0.0, self._announce)
@@ -140,6 +142,9 @@
         self._thread = threading.Thread(target=self._loop.run)
         self._thread.start()
 
+    def _open_server(self, listen: str) -> server.Server:
+        return server.Server(self._loop, listen, self._handle, limits=lambda: LIMITS)
+
     @property
     def cold_until(self) -> float:
         """Time until which the server is cold."""
@@ -173,7 +178,7 @@
         self._loop.call_later(RESTART_SECONDS, self._start_again)
 
     def _start_again(self) -> None:
-        self._server = server.Server(self._loop, self.address, self._handle)
+        self._server = self._open_server(self.address)
         self._has_crashed = False
         self.restart()
 
