Streams are served whatever numbers a declaration gives for engines

What callers saw: with `step_ms` or `stride` 0 each stream was broken off before its end; with `chunk` or `read_per_s` 0 each got 500.

Cause: estimates divide by these numbers.

Change: rates and counts that times are divided by are taken for their defaults if they aren't above 0, costs below 0 for 0, and an engine whose passes take no time is not compared with them.

Result: test_odd_requests.TestEngineModels failed before (slots and kv_tokens aside, 5 checks) and passes.

--- a/flamingoramp/dispatch/request_handler.py
+++ b/flamingoramp/dispatch/request_handler.py
@@ -819,6 +819,7 @@
         if (
             service_declaration is None
             or service_declaration.engine is None
+            or not service_declaration.engine.decode_pass_seconds
             or len(event_gaps) < MIN_EVENT_GAP_COUNT
         ):
             return
--- a/flamingoramp/platform/declarations.py
+++ b/flamingoramp/platform/declarations.py
@@ -337,22 +337,26 @@
 
 
 def _decode_engine(data: dict[str, Any], where: str) -> traffic.EngineCostModel:
-    def _number_field(name: str, default: float) -> float:
-        return _field(data, name, _NUMBER, where, default)
+    def _cost_field(name: str, default: float) -> float:
+        return max(0.0, _field(data, name, _NUMBER, where, default))
+
+    def _rate_field(name: str, kind: type | tuple, default: float) -> float:
+        value = _field(data, name, kind, where, default)
+        return value if value > 0 else default  # times are divided by it
 
     return traffic.EngineCostModel(
         slots=_field(data, "slots", int, where),
         memory_tokens=_field(data, "kv_tokens", int, where),
-        step_seconds=_number_field("step_ms", 1.0) / _MILLISECONDS_PER_SECOND,
-        sequence_seconds=_number_field("per_seq_ms", 0.0) / _MILLISECONDS_PER_SECOND,
+        step_seconds=_cost_field("step_ms", 1.0) / _MILLISECONDS_PER_SECOND,
+        sequence_seconds=_cost_field("per_seq_ms", 0.0) / _MILLISECONDS_PER_SECOND,
         # The document gives milliseconds per 1,000 tokens of context.
-        context_seconds=_number_field("context_per_k", 0.0) / 1000 / _MILLISECONDS_PER_SECOND,
-        hop_seconds=_number_field("hop_ms", 0.0) / _MILLISECONDS_PER_SECOND,
-        prefill_tokens_per_second=_number_field("read_per_s", 100_000.0),
+        context_seconds=_cost_field("context_per_k", 0.0) / 1000 / _MILLISECONDS_PER_SECOND,
+        hop_seconds=_cost_field("hop_ms", 0.0) / _MILLISECONDS_PER_SECOND,
+        prefill_tokens_per_second=_rate_field("read_per_s", _NUMBER, 100_000.0),
         # The document gives milliseconds per million pairs.
-        pair_seconds=_number_field("pairs_per_m", 0.0) / 1_000_000 / _MILLISECONDS_PER_SECOND,
-        chunk_tokens=_field(data, "chunk", int, where, 2048),
-        steps_per_pass=_field(data, "stride", int, where, 1),
+        pair_seconds=_cost_field("pairs_per_m", 0.0) / 1_000_000 / _MILLISECONDS_PER_SECOND,
+        chunk_tokens=_rate_field("chunk", int, 2048),
+        steps_per_pass=_rate_field("stride", int, 1),
     )
 
 
--- a/flamingoramp/platform/tests/test_odd_requests.py
+++ b/flamingoramp/platform/tests/test_odd_requests.py
@@ -240,3 +240,46 @@
                 sockets.clear()
         self.check_sound_caller()
         self.check_no_errors()
+
+
+class TestEngineModels(OddRequestCase):
+    """Valid declarations whose engines have costs or sizes that no engine has."""
+
+    FIELDS = (
+        "slots",
+        "kv_tokens",
+        "stride",
+        "step_ms",
+        "per_seq_ms",
+        "context_per_k",
+        "read_per_s",
+        "pairs_per_m",
+        "chunk",
+        "hop_ms",
+    )
+
+    # Guards against streams that are broken off, and requests that fail, since an estimate divides
+    # by a number of the declaration.
+    def test_streams_are_served_whatever_the_engine_costs(self):
+        version = 1
+        engine = fleets.make_document(1)["services"][0]["engine"]
+        for field in self.FIELDS:
+            for value in (0, -1, 10**9):
+                version += 1
+                services = fleets.make_document(version)["services"]
+                services[0]["engine"] = {**engine, field: value}
+                self.fleet.declare(version, services=services)
+                self.fleet.wait_in_force(version)
+                with self.subTest(field=field, value=value):
+                    answers = [self.send(self.fleet, "stream") for _ in range(2)]
+                    # Refused at once where no engine seems to have room, or to be in time.
+                    statuses = {answer.status for answer in answers}
+                    self.assertLessEqual(statuses, {200, 503})
+                    self.assertEqual(
+                        {answer.body for answer in answers if answer.status == 200},
+                        {fleets.COMPLETE_STREAM} if 200 in statuses else set(),
+                    )
+                    if value <= 0 and field not in ("slots", "kv_tokens"):
+                        self.assertEqual(statuses, {200})
+        self.check_sound_caller()
+        self.check_no_errors()
