Crash evidence keeps whole contents longer than the parts of their prompts

What callers would see: after a few crashing prompts of 900 parts all of them reach engines again, since their parts pushed each other's contents out of 4,096 fingerprints.

Change: of two fingerprints with as many ends the part is evicted first.

Result: test_large_evidence.TestBound failed before (the first content was forgotten) and passes.

--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -347,7 +347,11 @@
                 self._end_times.clear()
         excess = len(self._ends) - MAX_FINGERPRINTS
         if excess > 0:
-            least_suspect = sorted(self._ends, key=lambda fingerprint: len(self._ends[fingerprint]))
+            # Of two with as many ends, a whole content is kept: one prompt has very many parts.
+            least_suspect = sorted(
+                self._ends,
+                key=lambda name: (len(self._ends[name]), not name.startswith(PART_PREFIX)),
+            )
             for fingerprint in least_suspect[:excess]:
                 self._remove_ends(fingerprint, list(self._ends[fingerprint]))
         self._trials = {
--- a/flamingoramp/dispatch/tests/test_large_evidence.py
+++ b/flamingoramp/dispatch/tests/test_large_evidence.py
@@ -149,6 +149,30 @@
         self.assertGreater(len(found), 4)
 
 
+class TestBound(unittest.TestCase):
+    """More fingerprints than are kept."""
+
+    # Guards against crashing requests that reach servers again, since their many parts have pushed
+    # each other's contents out.
+    def test_contents_with_very_many_parts_stay_refused(self):
+        evidence = crash_evidence.CrashEvidence(lambda _server: 8)
+        requests = [
+            (f"c{content}", *(f"part-{content}-{number}" for number in range(PART_COUNT)))
+            for content in range(6)
+        ]
+        at = 0.0
+        for request in requests:
+            for number in range(crash_evidence.QUARANTINE_END_COUNT):
+                at += 1.0
+                run = (f"s-{request[0]}-{number}", 1)
+                evidence.record_break(run, request, sent_at=at - 0.1, now=at)
+                evidence.confirm(run)
+            evidence.evict_expired(at)
+        self.assertEqual(evidence.suspect_count, crash_evidence.MAX_FINGERPRINTS)
+        for request in requests:
+            self.assertEqual(evidence.find_quarantined(request), request[0])
+
+
 class TestTime(unittest.TestCase):
     """Processor time of single steps with requests that share very many parts."""
 
