--- a/flamingoramp/dispatch/forwarding.py
+++ b/flamingoramp/dispatch/forwarding.py
@@ -823,7 +823,10 @@
                 )
             )
             return
-        self._end_failed(errors.BackendFailedError(f"the server failed: {reason}"))
+        text = f"the server failed: {reason}"
+        if self._has_unidentified_events:
+            text += "; its last events have no id after which it could be resumed"
+        self._end_failed(errors.BackendFailedError(text))
 
     # Outcomes.
 
--- a/flamingoramp/dispatch/tests/test_event_streams.py
+++ b/flamingoramp/dispatch/tests/test_event_streams.py
@@ -84,7 +84,7 @@
             fields.append(self.rng.choice(COMMENTS))
         self.rng.shuffle(fields)
         if self.is_likely(0.2):
-            fields.insert(0, b"x-weight-versions: 2")
+            fields.insert(0, b"x-note: 2")
         encoded = b"".join(map(self.line, fields)) + self.line(b"")
         while self.is_likely(self.comment_ratio / 2):
             encoded += self.line(self.rng.choice(COMMENTS)) + self.line(b"")
@@ -160,6 +160,7 @@
                 self.fail_call()
                 self.assertEqual(len(self.calls), 1)
                 self.assert_ended(200, "aborted")
+                self.assertIn("no id", self.context.outcomes[0][1]["text"])
 
     def test_later_id_makes_a_stream_resumable_again(self):
         self.start_request(ROUTE)
