The folder of a control host's data is synced into those above it

What could be seen: a loss of power in the first second of a control host takes its data folder, with what was acknowledged, since only the folder itself was synced.

Change: folders that are made for the data are synced into the folder above each, before the first file.

Result: test_folders_are_synced_into_those_above_them failed before and passes; the tests with a fault at each operation of the storage pass.

--- a/flamingoramp/consensus/storage.py
+++ b/flamingoramp/consensus/storage.py
@@ -15,6 +15,7 @@
 import contextlib
 import fcntl
 import io
+import itertools
 import json
 import os
 import pathlib
@@ -329,14 +330,18 @@
         self._lock_file = lock_file
 
     def _open_lock(self) -> TextIO:
+        folders = (self._folder, *self._folder.parents)
+        missing = list(itertools.takewhile(lambda folder: not folder.exists(), folders))
         self._folder.mkdir(parents=True, exist_ok=True)
+        for folder in reversed(missing):
+            _sync_folder(folder.parent)  # else a loss of power may take the folder with its files
         return open(self._folder / "lock", "w")  # noqa: SIM115
 
     def _open_log(self, path: pathlib.Path, end: int) -> None:
         self._log_file = open(path, "ab", buffering=0)  # noqa: SIM115
         self._log_file.truncate(end)
         os.fsync(self._log_file.fileno())
-        self._sync_folder()
+        _sync_folder(self._folder)
         self._synced_bytes = {self._log_number: end}
 
     def _rewrite_last_record(self, path: pathlib.Path, data: bytes, body_bytes: int) -> None:
@@ -417,14 +422,7 @@
             file.flush()
             os.fsync(file.fileno())
         os.replace(temporary, path)
-        self._sync_folder()
-
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        _sync_folder(self._folder)
 
     def _do_io(self, action: Callable[[], _Result]) -> _Result:
         try:
@@ -435,6 +433,14 @@
             ) from error
 
 
+def _sync_folder(folder: pathlib.Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 class MemoryStorage:
     """Storage that keeps nothing, for a host without a disk: each start makes a new replica."""
 
--- a/flamingoramp/consensus/tests/test_storage.py
+++ b/flamingoramp/consensus/tests/test_storage.py
@@ -136,6 +136,21 @@
             self.assertEqual(len(store.recover().entries), 3)
         self.assertIn(str(self.log_path().resolve()), synced)
 
+    # Guards against a data folder that is lost with a loss of power, and all that was acknowledged.
+    def test_folders_are_synced_into_those_above_them(self):
+        folder = self.folder / "replica" / "data"
+        synced = []
+
+        def _sync(descriptor: int) -> None:
+            synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+
+        with mock.patch.object(storage.os, "fsync", _sync):
+            store = storage.Storage(folder)
+            self.addCleanup(store.close)
+            store.recover()
+        above = [str(parent.resolve()) for parent in (self.folder.parent, *folder.parents[1::-1])]
+        self.assertEqual(synced[:3], above)
+
     # Guards against the same when the process ends after a sync that has failed: the kernel forgets
     # that it did not write the record, and the next sync succeeds without it.
     def test_last_record_of_an_earlier_process_is_written_again(self):
