--- a/bench/fault_soak/callers.py
+++ b/bench/fault_soak/callers.py
@@ -19,6 +19,8 @@
 GIVE_UP_SECONDS = 4.0
 PIECE_BYTES = 2000
 READ_BYTES = 64 * 1024
+MAX_HEAD_BYTES_AT_ONCE = 8000
+HEAD_PIECE_SECONDS = 0.001
 SMALL_BUFFER_BYTES = 4096
 EVENT_SECONDS = 0.2
 # Time of a model server for each token of an answer, by its declaration, and a margin.
@@ -37,8 +39,9 @@
 
 
 def make_event(request_id: str, number: int, count: int) -> bytes:
-    """Return an event of a stream."""
-    return f"id: {number}\ndata: {request_id} {number}/{count}\n\n".encode()
+    """Return an event of a stream, and what follows it."""
+    event = f"id: {number}\ndata: {request_id} {number}/{count}\n\n".encode()
+    return event + plans.choose_form(request_id).comment
 
 
 @attrs.define
@@ -118,14 +121,17 @@
 def _make_head(call: plans.Call, request: histories.Request, body_bytes: int) -> bytes:
     path = f"{request.route}-{request.version}" if request.version else request.route
     method = "GET" if call.route in ("read", "mark") else "POST"
+    form = plans.choose_form(request.id)
     lines = [
         f"{method} /{path}/x HTTP/{call.version}",
         f"host: {platform_fleets.ROUTE_HOST}",
         f"x-attempt-id: {request.id}",
-        "authorization: Token k1",
+        f"authorization: Token {form.key}",
         f"x-deadline-ms: {1000 * call.deadline:.0f}",
         f"x-work: {call.seconds!r}:{call.answer_bytes}",
     ]
+    if form.prompt_parts:
+        lines.append(f"x-prompt-prefix: {form.prompt_parts}")
     if call.route == "stream":
         lines.append(f"x-token-count: 1000,{max(1, int(call.seconds / TOKEN_SECONDS))}")
     if method == "POST":
@@ -149,6 +155,13 @@
     pieces = [] if call.route in ("read", "mark") else make_body(request.id, call.piece_count)
     sock.settimeout(request.limit + GIVE_UP_SECONDS)
     data = _make_head(call, request, sum(map(len, pieces)))
+    is_long = len(data) > MAX_HEAD_BYTES_AT_ONCE
+    while is_long and len(data) > PIECE_BYTES:
+        # As a link carries a long head: the entry gets a part of it first.
+        with contextlib.suppress(ConnectionError):
+            sock.sendall(data[:PIECE_BYTES])
+        data = data[PIECE_BYTES:]
+        time.sleep(HEAD_PIECE_SECONDS)
     # An answer that has arrived is read, though the connection takes nothing more.
     with contextlib.suppress(ConnectionError):
         for number, piece in enumerate(pieces):
--- a/bench/fault_soak/checker.py
+++ b/bench/fault_soak/checker.py
@@ -135,7 +135,7 @@
     facts = Facts(history)
     checks = (
         _check_time_limits, _check_answers, _check_not_run, _check_single_runs, _check_departures,
-        _check_lost, _check_routes, _check_reads, _check_processes, _check_resources,
+        _check_lost, _check_routes, _check_reads, _check_errors, _check_processes, _check_resources,
         _check_recovery, _check_stalls,
     )  # fmt: skip
     return [violation for check_promise in checks for violation in check_promise(facts)]
@@ -384,6 +384,13 @@
                 yield Violation("resources", f"{life.host}, process {life.process_id}", text)
 
 
+def _check_errors(facts: Facts) -> Iterator[Violation]:
+    """No request fails by an unexpected error of its entry; servers answer none with 500."""
+    for request in facts.history.requests:
+        if request.status == 500:
+            yield Violation("process", request.id, f"failed by an error of {request.entry}")
+
+
 def _check_recovery(facts: Facts) -> Iterator[Violation]:
     """Once nothing is disrupted any more, requests are served as before."""
     calm = [
--- a/bench/fault_soak/mutations.py
+++ b/bench/fault_soak/mutations.py
@@ -138,6 +138,28 @@
             ),
         ),
     ),
+    Mutation(
+        "names_as_they_are",
+        ("process",),
+        (
+            Replacement(
+                "flamingoramp/platform/backends.py",
+                "messages.encode_field_value(forwarded.workspace)",
+                "forwarded.workspace.encode()",
+            ),
+        ),
+    ),
+    Mutation(
+        "limits_of_old_connections",
+        ("8 declaration",),
+        (
+            Replacement(
+                CONNECTIONS,
+                "max_incomplete_event_size=sys.maxsize",
+                "max_incomplete_event_size=16384",
+            ),
+        ),
+    ),
     Mutation(
         "descriptors_kept",
         ("resources",),
--- a/bench/fault_soak/plan.py
+++ b/bench/fault_soak/plan.py
@@ -20,6 +20,11 @@
 MAX_STREAM_SECONDS = 4.5
 STREAM_DEADLINE_SECONDS = 10.0
 PLAIN_DEADLINE_SECONDS = 5.0
+# Workspaces by their keys, and what servers read of their names.
+WORKSPACES = {"k1": ("w", b"w"), "k2": ("soak desk ", b"soak desk"), "k3": ("a\r\nb", b"a%0D%0Ab")}
+# Parts of prompts. The head of the longest one exceeds the default limit, not the declared one.
+PART_COUNTS = (0, 0, 0, 3, 300, 2000)
+MAX_HEADER_BYTES = 65536
 
 
 @attrs.frozen
@@ -71,6 +76,37 @@
         return STREAM_DEADLINE_SECONDS if self.route == "stream" else PLAIN_DEADLINE_SECONDS
 
 
+@attrs.frozen
+class Form:
+    """What a request and its answer consist of, besides their sizes and times.
+
+    Parameters
+    ----------
+    key : str
+        API key of the caller.
+    prompt_parts : str
+        Value of the header that lists the parts of the prompt; empty for none.
+    comment : bytes
+        What the server sends behind each event of a stream.
+    """
+
+    key: str
+    prompt_parts: str
+    comment: bytes
+
+
+def choose_form(request_id: str) -> Form:
+    """Return the form of a request, which its id decides."""
+    rng = random.Random(f"fault-soak-form/{request_id}")
+    count = rng.choice(PART_COUNTS)
+    parts = ",".join(f"{number:08x}:1" for number in range(count))
+    return Form(
+        key=rng.choice(tuple(WORKSPACES)),
+        prompt_parts=f"{parts},{rng.randrange(2**32):08x}:9" if parts else "",
+        comment=rng.choice((b"", b": keep-alive\n\n", b":\r\n\r\n", b"\n")),
+    )
+
+
 @attrs.frozen
 class Stop:
     """A planned stop and a start.
--- a/bench/fault_soak/scenario.py
+++ b/bench/fault_soak/scenario.py
@@ -46,6 +46,11 @@
     for number in (version - 1, version):
         name = f"mark-{number}"
         document["routes"].append({**read_route, "name": name, "path_prefix": f"/{name}/"})
+    document["limits"] = {"max_header_bytes": plans.MAX_HEADER_BYTES}
+    document["tenants"] = [
+        {"name": name, "api_keys": [key], "priority": 1}
+        for key, (name, _) in plans.WORKSPACES.items()
+    ]
     return document
 
 
--- a/bench/fault_soak/servers.py
+++ b/bench/fault_soak/servers.py
@@ -6,6 +6,7 @@
 
 from bench.fault_soak import callers
 from bench.fault_soak import history as histories
+from bench.fault_soak import plan as plans
 from flamingoramp.http import exchanges, messages
 from flamingoramp.platform.tests import fake_server
 
@@ -94,7 +95,12 @@
 
 
 def _is_unchanged(request: messages.Request, request_id: str) -> bool:
-    """Whether the body is the one that a caller sends under this id."""
+    """Whether body, prompt and workspace are those that a caller sends under this id."""
+    form = plans.choose_form(request_id)
+    if request.header(b"x-tenant") != plans.WORKSPACES[form.key][1]:
+        return False
+    if (request.header(b"x-prompt-prefix") or b"").decode() != form.prompt_parts:
+        return False
     if request.method == b"GET":
         return not request.body
     count, rest = divmod(len(request.body), callers.PIECE_BYTES)
--- a/bench/tests/test_fault_soak_checker.py
+++ b/bench/tests/test_fault_soak_checker.py
@@ -325,6 +325,10 @@
         self.entry.signals = [(20.0, name) for name in signals]
         self.entry.ended_at, self.entry.status = 21.0, status
 
+    def test_error_of_an_entry_is_refused(self):
+        self.add(status=500)
+        self.assert_broken("process")
+
     def test_planned_end_is_accepted(self):
         self.end(0, "SIGHUP", "SIGTERM", "SIGHUP", "SIGTERM")
         self.assert_kept()
