Contents that crash servers side by side don't hide each other for good

Cause: an end is left out if another content explains it that was in as many ends or more, and a round counts as nothing if over a third of the servers ended in it. Requests that come together share servers, so that each explains the others' ends.

Change: a whole content that was in five ends and never in a complete answer is refused though they are explained and make up three rounds; for that, an end with another content of three rounds is no sign of a common cause. It works since clients send a sound request two to four times, and one complete answer at any entry lifts it.

--- a/flamingoramp/dispatch/crash_evidence.py
+++ b/flamingoramp/dispatch/crash_evidence.py
@@ -16,6 +16,10 @@
 - one counts as nothing if many servers of the service ended meanwhile that did not have the
   content: they have a common cause.
 
+Crashing contents that come at the same time explain each other's ends. So a whole content that had
+no complete answer yet is refused after a few more ends, whether they are explained or not; then an
+end that has another content of several rounds is no sign of a common cause.
+
 All entries exchange their evidence through the control hosts.
 """
 
@@ -36,6 +40,8 @@
 # far, and one that has had some before.
 QUARANTINE_END_COUNT = 3
 QUARANTINE_END_COUNT_AFTER_ANSWERS = 5
+# Ends after which a whole content without any complete answer is refused, explained or not.
+UNANSWERED_END_COUNT = 5
 END_RETENTION_SECONDS = 3600.0
 # A content that is refused has no answers that could clear it. So one request with it is sent this
 # long after its last end, and another one after a wait that is longer by the factor.
@@ -128,7 +134,9 @@
         self._count_servers = count_servers
         # Times of all ends, also of servers whose requests were answered by others since.
         self._ended_at: collections.OrderedDict[ServerRun, float] = collections.OrderedDict()
-        self._end_times = _SortedTimes(self._ended_at)
+        self._end_times = _SortedTimes(self._ended_at.values)
+        # Those of ends without a whole content that was in ends of several rounds.
+        self._other_end_times = _SortedTimes(self._find_other_end_times)
         self._ends: dict[str, dict[ServerRun, ServerEnd]] = {}
         # In the order in which they were added.
         self._suspects_by_run: dict[ServerRun, dict[str, None]] = {}
@@ -175,7 +183,7 @@
     def withdraw(self, run: ServerRun) -> None:
         """Remove the breaks of a server that has not ended."""
         if self._ended_at.pop(run, None) is not None:
-            self._end_times.clear()
+            self._clear_indexes()
         for fingerprint in list(self._suspects_by_run.get(run, ())):
             if not self._ends[fingerprint][run].is_confirmed:
                 self._remove_ends(fingerprint, [run])
@@ -268,28 +276,62 @@
             if len(ends) < limit:
                 continue
             is_content = fingerprint == fingerprints[0]
+            if is_content and self._ends_all_servers(fingerprint, ends):
+                return fingerprint
             explanations.remove_explained(fingerprint, ends, is_content=is_content)
-            if self._count_accusing(fingerprint, ends, is_content=is_content) >= limit:
+            count = self._count_accusing(fingerprint, ends, self._end_times, is_content=is_content)
+            if count >= limit:
                 return fingerprint
         return ""
 
+    def _ends_all_servers(self, content: str, ends: dict[ServerRun, ServerEnd]) -> bool:
+        """Return whether a whole content without an answer was in enough ends, explained or not."""
+        if len(ends) < UNANSWERED_END_COUNT or content in self._answered_at:
+            return False
+        if len(split_rounds(ends.values())) < QUARANTINE_END_COUNT:
+            return False
+        count = self._count_accusing(content, ends, self._other_end_times, is_content=True)
+        return count >= UNANSWERED_END_COUNT
+
+    def _find_other_end_times(self) -> Iterable[float]:
+        """Return the times of the ends without a whole content of several rounds."""
+        repeated = (
+            ends
+            for content, ends in self._ends.items()
+            if len(ends) >= QUARANTINE_END_COUNT
+            and not content.startswith(PART_PREFIX)
+            and len(split_rounds(ends.values())) >= QUARANTINE_END_COUNT
+        )
+        explained = {run for ends in repeated for run in ends}
+        return (at for run, at in self._ended_at.items() if run not in explained)
+
     def _count_accusing(
-        self, fingerprint: str, ends: dict[ServerRun, ServerEnd], *, is_content: bool
+        self,
+        fingerprint: str,
+        ends: dict[ServerRun, ServerEnd],
+        times: _SortedTimes,
+        *,
+        is_content: bool,
     ) -> int:
-        """Return the number of unexplained ends that count against a fingerprint."""
+        """Return the number of ends that count against a fingerprint.
+
+        ``times`` are those of the ends that may have a common cause.
+        """
         if not ends:
             return 0
         server_count = self._count_servers(next(reversed(ends))[0])
-        known_times = [
-            self._ended_at[run] for run in self._ends[fingerprint] if run in self._ended_at
-        ]
+        known_times: list[float] = []
+        if times is self._end_times:  # the others don't contain the fingerprint's own
+            known_times = [
+                self._ended_at[run] for run in self._ends[fingerprint] if run in self._ended_at
+            ]
         count = moment_count = 0
         moment_began_at = float("-inf")
         for ends_of_round in split_rounds(ends.values()):
             begin = ends_of_round[0].ended_at - COMMON_CAUSE_SECONDS
             end = ends_of_round[-1].ended_at + COMMON_CAUSE_SECONDS
             known_count = sum(begin <= at <= end for at in known_times)
-            other_count = self._end_times.count_between(begin, end) - known_count
+            other_count = times.count_between(begin, end) - known_count
             ended_count = other_count + len(ends_of_round)
             if (
                 other_count > max(MIN_COMMON_CAUSE_ENDS, len(ends_of_round))
@@ -344,7 +386,7 @@
         for run, ended_at in list(self._ended_at.items()):
             if ended_at <= now - END_RETENTION_SECONDS:
                 del self._ended_at[run]
-                self._end_times.clear()
+                self._clear_indexes()
         excess = len(self._ends) - MAX_FINGERPRINTS
         if excess > 0:
             # Of two with as many ends, a whole content is kept: one prompt has very many parts.
@@ -366,7 +408,7 @@
         if known is None or _replaces(end, known):
             ends[run] = end
             self._suspects_by_run.setdefault(run, {})[fingerprint] = None
-            self._ranked_suspects.clear()
+            self._clear_indexes()
             self._note_end(run, end.ended_at)
         if len(ends) > MAX_ENDS:
             self._remove_ends(fingerprint, [min(ends, key=lambda run: ends[run].ended_at)])
@@ -379,7 +421,13 @@
         self._ended_at[run] = ended_at
         if len(self._ended_at) > MAX_KNOWN_RUNS:
             self._ended_at.popitem(last=False)
+        self._clear_indexes()
+
+    def _clear_indexes(self) -> None:
+        """Make what is derived from the ends anew when it is needed."""
+        self._ranked_suspects.clear()
         self._end_times.clear()
+        self._other_end_times.clear()
 
     def _remove_ends(self, fingerprint: str, runs: Iterable[ServerRun]) -> None:
         """Remove ends of a fingerprint; without any it is no suspect."""
@@ -392,7 +440,7 @@
                 del self._suspects_by_run[run]
         if not ends:
             del self._ends[fingerprint]
-        self._ranked_suspects.clear()
+        self._clear_indexes()
 
     def _apply_clearance(self, fingerprint: str, cleared_at: float) -> None:
         if cleared_at > self._answered_at.get(fingerprint, float("-inf")):
@@ -416,10 +464,10 @@
 
 
 class _SortedTimes:
-    """Times of servers' ends in their order, sorted when they are needed."""
+    """Times of servers' ends in their order, found and sorted when they are needed."""
 
-    def __init__(self, ended_at: dict[ServerRun, float]):
-        self._ended_at = ended_at
+    def __init__(self, find_times: Callable[[], Iterable[float]]):
+        self._find_times = find_times
         self._times: list[float] | None = None
 
     def clear(self) -> None:
@@ -429,7 +477,7 @@
     def count_between(self, begin: float, end: float) -> int:
         """Return the number of times from ``begin`` to ``end``."""
         if self._times is None:
-            self._times = sorted(self._ended_at.values())
+            self._times = sorted(self._find_times())
         return bisect.bisect_right(self._times, end) - bisect.bisect_left(self._times, begin)
 
 
--- a/flamingoramp/dispatch/tests/test_large_evidence.py
+++ b/flamingoramp/dispatch/tests/test_large_evidence.py
@@ -42,6 +42,16 @@
         if len(ends) < limit:
             continue
         is_content = fingerprint == fingerprints[0]
+        if is_content and fingerprint not in evidence._answered_at:
+            repeated = {
+                run
+                for other, other_ends in evidence._ends.items()
+                if _has_rounds(other_ends) and not other.startswith(crash_evidence.PART_PREFIX)
+                for run in other_ends
+            }
+            count = _count(evidence, fingerprint, ends, server_count, True, left_out=repeated)
+            if _has_rounds(ends) and min(len(ends), count) >= crash_evidence.UNANSWERED_END_COUNT:
+                return fingerprint
         for run in list(ends):
             if any(
                 other not in fingerprints
@@ -63,9 +73,15 @@
     return not (is_content and other_is_content and fingerprint < other)
 
 
-def _count(evidence, fingerprint, ends, server_count, is_content) -> int:
+def _has_rounds(ends) -> bool:
+    return len(crash_evidence.split_rounds(ends.values())) >= crash_evidence.QUARANTINE_END_COUNT
+
+
+def _count(evidence, fingerprint, ends, server_count, is_content, *, left_out=frozenset()) -> int:
     others = [
-        at for run, at in evidence._ended_at.items() if run not in evidence._ends[fingerprint]
+        at
+        for run, at in evidence._ended_at.items()
+        if run not in evidence._ends[fingerprint] and run not in left_out
     ]
     margin = crash_evidence.COMMON_CAUSE_SECONDS
     count = moment_count = 0
