A stream is one whatever the case of its media type

What callers would see: no event of a stream whose `Content-Type` is written in capitals before its end.

Result: test_event_stream_has_kind_stream failed before for `Text/Event-Stream` and passes.

--- a/flamingoramp/platform/backends.py
+++ b/flamingoramp/platform/backends.py
@@ -144,7 +144,7 @@
     is_signed = head.header(wire_names.SIGNATURE) is not None
     if echoed_id is None or not is_signed or head.header(b"content-encoding") is not None:
         return dialect.AnswerHead(dialect.AnswerKind.FOREIGN, failed_address)
-    content_type = head.header(b"content-type") or b""
+    content_type = (head.header(b"content-type") or b"").lower()
     if head.status == 200 and content_type.startswith(b"text/event-stream"):
         return dialect.AnswerHead(dialect.AnswerKind.STREAM, failed_address, statement)
     return dialect.AnswerHead(
--- a/flamingoramp/platform/tests/test_backends.py
+++ b/flamingoramp/platform/tests/test_backends.py
@@ -217,10 +217,16 @@
         self.assertIs(kind, dialect.AnswerKind.ANSWER)
 
     def test_event_stream_has_kind_stream(self):
-        kind = self.decode_kind(
-            200, x_attempt_id=b"id1", x_response_stamp=b"s", content_type=b"text/event-stream"
-        )
-        self.assertIs(kind, dialect.AnswerKind.STREAM)
+        for value in (
+            b"text/event-stream",
+            b"text/event-stream; charset=utf-8",
+            b"Text/Event-Stream",  # names of media types have no case
+        ):
+            with self.subTest(value):
+                kind = self.decode_kind(
+                    200, x_attempt_id=b"id1", x_response_stamp=b"s", content_type=value
+                )
+                self.assertIs(kind, dialect.AnswerKind.STREAM)
 
     def test_answer_with_wrong_request_id_has_kind_foreign(self):
         kind = self.decode_kind(200, x_attempt_id=b"id2", x_response_stamp=b"s")
